--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# boragejunction: everything a newcomer needs, on a fresh Debian 12 machine.
+#
+#   make demo    installs the libraries, builds, shows the whole path with real processes
+#   make check   installs the libraries, builds, runs all tests
+#   make bench   runs the scenarios and prints their figures
+#   make lint    checks format and runs the linter
+
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PACKAGES = gcc cmake make pkg-config libev-dev libmsgpack-dev libmicrohttpd-dev libcurl4-gnutls-dev \
+  libargtable2-dev libjson-c-dev libglib2.0-dev libcmocka-dev libxxhash-dev libgnutls28-dev
+LINT_PACKAGES = clang-format-14 clang-tidy-14
+SOURCES = $(shell git ls-files '*.c' '*.h')
+
+all: build
+
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq $(PACKAGES); }
+
+build: deps
+	@cmake -S . -B $(BUILD) $(CMAKE_FLAGS) >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	tests/demo.sh $(BUILD)
+
+check: build
+	cd $(BUILD) && ctest --output-on-failure -j 4
+
+sanitize: deps
+	$(MAKE) check BUILD=build-asan CMAKE_FLAGS="-DBJ_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug"
+
+bench: build
+	tests/bench.sh $(BUILD)
+
+lint-deps:
+	@dpkg -s $(LINT_PACKAGES) >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq $(LINT_PACKAGES); }
+
+format: lint-deps
+	clang-format-14 -i $(SOURCES)
+
+lint: lint-deps build
+	clang-format-14 --dry-run -Werror $(SOURCES)
+	printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -n 4 clang-tidy-14 --quiet -p $(BUILD)
+
+install: build
+	cmake --install $(BUILD)
+
+clean:
+	rm -rf build build-asan
+
+.PHONY: all deps build demo check sanitize bench lint-deps format lint install clean
--- /dev/null
+++ b/examples/kernel/kernel.c
@@ -0,0 +1,77 @@
+// Embeds the kernel without a socket: one guard, one slot, three calls, a clock of our own.
+
+#include "boragejunction.h"
+#include <stdio.h>
+
+static const char config[]
+    = "{\"number\":1,\"priorities\":[\"acceptance\",\"preview\"],\"services\":{\"orders\":{"
+      "\"routes\":["
+      "{\"prefix\":\"/accept\",\"class\":\"acceptance\",\"deadline_ms\":500},"
+      "{\"prefix\":\"/preview\",\"class\":\"preview\",\"deadline_ms\":500}],"
+      "\"limiter\":{\"plugin\":\"fixed\"}}}}";
+
+static void
+start_upstream (BjHost *h, BjCall *c)
+{
+  (void)h;
+  printf ("start   %.*s\n", BJ_STR_ARG (c->request.path));
+}
+
+static void
+answer (BjHost *h, BjCall *c, const BjAnswer *a)
+{
+  (void)h;
+  printf ("answer  %.*s %s, come back in %.0f ms\n",
+          BJ_STR_ARG (c->request.path),
+          bj_status_name (a->code),
+          a->retry_after_ms);
+}
+
+static void
+send_peer (BjHost *h, BjCall *c, BjPeer *p)
+{
+  (void)h;
+  (void)c;
+  (void)p;
+}
+
+static void
+do_nothing (BjHost *h, BjCall *c)
+{
+  (void)h;
+  (void)c;
+}
+
+int
+main (void)
+{
+  static const BjHostOps ops
+      = { send_peer, start_upstream, do_nothing, answer, do_nothing, do_nothing };
+  BjHost host = { &ops };
+  BjKernelOptions o = { .self = { .name = BJ_STR ("one"), .domain = BJ_STR ("north-a") },
+                        .host = &host,
+                        .seed = 1 };
+  BjRequest preview
+      = { .method = BJ_STR ("GET"), .path = BJ_STR ("/preview"), .klass = -1, .attempts_left = -1 };
+  BjRequest accept
+      = { .method = BJ_STR ("POST"), .path = BJ_STR ("/accept"), .klass = -1, .attempts_left = -1 };
+  BjKernel *k = bj_kernel_new (&o, 0);
+  BjConfig *c;
+  BjCall *first;
+
+  if (bj_config_parse (bj_str (config), &c) != BJ_OK)
+    {
+      printf ("%s\n", bj_last_message ());
+      return 1;
+    }
+  bj_kernel_set_config (k, 0, c);
+  bj_kernel_announce (k, 0, BJ_STR ("orders"), 1);
+  first = bj_kernel_arrive (k, 2000, &preview, NULL); // runs
+  bj_kernel_arrive (k, 2001, &preview, NULL);         // waits
+  bj_kernel_arrive (k, 2002, &accept, NULL);          // waits, ahead of the preview
+  bj_kernel_answer_begin (k, 2010, first, &(BjAnswer){ .outcome = BJ_DONE, .http_status = 200 });
+  bj_kernel_answer_end (k, 2010, first, true); // the acceptance starts
+  bj_kernel_tick (k, 3000);                    // deadlines pass
+  bj_kernel_free (k);
+  return 0;
+}
--- /dev/null
+++ b/src/admin.c
@@ -0,0 +1,205 @@
+// Admin: operators' and upstreams' requests to one daemon.
+
+#include "internal.h"
+#include <string.h>
+
+#define PORT_MAX 65535
+#define SLOTS_MAX 1000000
+
+typedef int (*Handler) (BjDaemon *d, BjStr path, BjStr body, GString *out);
+
+typedef struct
+{
+  const char *method;
+  const char *prefix;
+  Handler handle;
+} Entry;
+
+static const BjJsonKey announce_keys[] = {
+  { "service", BJ_JSON_STR, true, 1, 64 },
+  { "host", BJ_JSON_STR, true, 7, 15 },
+  { "port", BJ_JSON_INT, true, 1, PORT_MAX },
+  { "slots", BJ_JSON_INT, true, 1, SLOTS_MAX },
+  { "connections", BJ_JSON_INT, false, 0, SLOTS_MAX },
+  { "load", BJ_JSON_NUMBER, false, 0, 1000 },
+};
+
+static int post_announce (BjDaemon *d, BjStr path, BjStr body, GString *out);
+static int get_status (BjDaemon *d, BjStr path, BjStr body, GString *out);
+static int get_members (BjDaemon *d, BjStr path, BjStr body, GString *out);
+static int get_metrics (BjDaemon *d, BjStr path, BjStr body, GString *out);
+static int get_config (BjDaemon *d, BjStr path, BjStr body, GString *out);
+static int get_explain (BjDaemon *d, BjStr path, BjStr body, GString *out);
+static struct json_object *report_object (const BjPeerReport *r);
+static void add_member (BjPeer *p, void *array);
+static void print (GString *out, struct json_object *o);
+static int fail (GString *out, int status);
+static void add_str (struct json_object *o, const char *key, BjStr value);
+static void add_int (struct json_object *o, const char *key, int64_t value);
+
+static const Entry entries[] = {
+  { "POST", "/v1/announce", post_announce }, { "GET", "/v1/status", get_status },
+  { "GET", "/v1/members", get_members },     { "GET", "/metrics", get_metrics },
+  { "GET", "/v1/config", get_config },       { "GET", "/v1/explain/", get_explain },
+};
+
+int
+bj_admin_handle (BjDaemon *d, BjStr method, BjStr path, BjStr body, GString *out)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (entries); i++)
+    if (bj_str_starts (path, bj_str (entries[i].prefix))
+        && bj_str_equal (method, bj_str (entries[i].method)))
+      return entries[i].handle (d, path, body, out);
+  bj_fail (BJ_E_NOT_FOUND, "There is no %.*s %.*s here.", BJ_STR_ARG (method), BJ_STR_ARG (path));
+  return fail (out, 404);
+}
+
+static int
+post_announce (BjDaemon *d, BjStr path, BjStr body, GString *out)
+{
+  struct json_object *o;
+  BjStatus s = bj_json_read ("announcement", body, BJ_E_FORMAT, &o);
+  BjAddress a;
+
+  (void)path;
+  if (s == BJ_OK)
+    s = bj_json_check ("announcement",
+                       "announcement",
+                       o,
+                       BJ_E_FORMAT,
+                       announce_keys,
+                       G_N_ELEMENTS (announce_keys));
+  if (s != BJ_OK)
+    {
+      json_object_put (o);
+      return fail (out, 400);
+    }
+  a.host = bj_json_str (o, "host");
+  a.port = (int)bj_json_number (o, "port", 0);
+  bj_daemon_announce (d, bj_json_str (o, "service"), a, (int)bj_json_number (o, "slots", 1));
+  json_object_put (o);
+  g_string_append (out, "{}\n");
+  return 200;
+}
+
+static int
+get_status (BjDaemon *d, BjStr path, BjStr body, GString *out)
+{
+  struct json_object *o;
+  BjPeerReport self;
+
+  (void)path;
+  (void)body;
+  bj_kernel_self (d->kernel, bj_clock_now (), &self);
+  o = report_object (&self);
+  add_int (o, "open_calls", bj_kernel_open_calls (d->kernel));
+  json_object_object_add (o, "stopping", json_object_new_boolean (d->stopping));
+  print (out, o);
+  return 200;
+}
+
+static int
+get_members (BjDaemon *d, BjStr path, BjStr body, GString *out)
+{
+  struct json_object *array = json_object_new_array ();
+  BjPeerReport self;
+
+  (void)path;
+  (void)body;
+  bj_kernel_self (d->kernel, bj_clock_now (), &self);
+  bj_kernel_each_peer (d->kernel, add_member, array);
+  print (out, array);
+  return 200;
+}
+
+static int
+get_metrics (BjDaemon *d, BjStr path, BjStr body, GString *out)
+{
+  (void)d;
+  (void)path;
+  (void)body;
+  bj_metric_print (out);
+  return 200;
+}
+
+static int
+get_config (BjDaemon *d, BjStr path, BjStr body, GString *out)
+{
+  const BjConfig *c = bj_kernel_config (d->kernel);
+
+  (void)path;
+  (void)body;
+  if (c == NULL)
+    {
+      bj_fail (BJ_E_NOT_FOUND, "No configuration is in force yet.");
+      return fail (out, 404);
+    }
+  g_string_append_len (out, c->text.data, (gssize)c->text.len);
+  g_string_append_c (out, '\n');
+  return 200;
+}
+
+static int
+get_explain (BjDaemon *d, BjStr path, BjStr body, GString *out)
+{
+  size_t skip = strlen ("/v1/explain/");
+
+  (void)body;
+  bj_kernel_explain (d->kernel, (BjStr){ path.data + skip, path.len - skip }, out);
+  return 200;
+}
+
+static struct json_object *
+report_object (const BjPeerReport *r)
+{
+  struct json_object *o = json_object_new_object ();
+
+  add_str (o, "name", r->name);
+  add_str (o, "domain", r->domain);
+  add_str (o, "region", r->region);
+  add_str (o, "service", r->service);
+  add_int (o, "limit", r->limit);
+  add_int (o, "in_flight", r->in_flight);
+  add_int (o, "queued", r->queued);
+  add_int (o, "level", r->level);
+  json_object_object_add (o, "draining", json_object_new_boolean (r->draining));
+  add_int (o, "ticket", r->config_number);
+  return o;
+}
+
+static void
+add_member (BjPeer *p, void *array)
+{
+  json_object_array_add (array, report_object (&p->report));
+}
+
+static void
+print (GString *out, struct json_object *o)
+{
+  g_string_append (out, json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
+  g_string_append_c (out, '\n');
+  json_object_put (o);
+}
+
+static int
+fail (GString *out, int status)
+{
+  struct json_object *o = json_object_new_object ();
+
+  add_str (o, "error", bj_str (bj_last_message ()));
+  print (out, o);
+  return status;
+}
+
+static void
+add_str (struct json_object *o, const char *key, BjStr value)
+{
+  json_object_object_add (
+      o, key, json_object_new_string_len (value.data != NULL ? value.data : "", (int)value.len));
+}
+
+static void
+add_int (struct json_object *o, const char *key, int64_t value)
+{
+  json_object_object_add (o, key, json_object_new_int64 (value));
+}
--- /dev/null
+++ b/src/bjbench/run.c
@@ -0,0 +1,140 @@
+// Scenarios "load" and "overhead": load from the command line, and the time that two daemons add.
+
+#include "bjbench.h"
+#include <argtable2.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#define EXIT_USAGE 2
+#define ROUNDS 10 // straight and through the daemons take turns this often
+
+static void add_targets (LoadOptions *o, const char *text);
+static bool parse_class (char *text, LoadClass *c);
+
+int
+scenario_load (int argc, char **argv)
+{
+  struct arg_str *target
+      = arg_strn (NULL, "target", "IP:PORT[,...]", 1, 16, "front addresses of daemons");
+  struct arg_str *klass = arg_strn (
+      NULL, "class", "NAME:PATH:SHARE[:key]", 1, BENCH_CLASSES_MAX, "a class of actions");
+  struct arg_dbl *rate = arg_dbl0 (NULL, "rate", "N", "actions a second, 100");
+  struct arg_dbl *seconds = arg_dbl0 (NULL, "seconds", "S", "how long, 5; at most 600");
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "of arrivals and ids, 1");
+  struct arg_int *resends = arg_int0 (NULL, "resends", "N", "of an action told not-run, 0");
+  struct arg_file *keys
+      = arg_file0 (NULL, "keys", "FILE", "gets a line a keyed action: key, outcome");
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { target, klass, rate, seconds, seed, resends, keys, help, end };
+  LoadClass classes[BENCH_CLASSES_MAX];
+  LoadStats stats[BENCH_CLASSES_MAX];
+  LoadOptions o = { .classes = classes, .rate = 100, .duration_ms = 5000, .seed = 1 };
+  int n_errors = arg_parse (argc, argv, table);
+
+  if (help->count > 0)
+    {
+      printf ("Usage: bjbench load");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-32s %s\n");
+      return 0;
+    }
+  for (int i = 0; i < klass->count; i++)
+    n_errors += !parse_class (g_strdup (klass->sval[i]), &classes[o.n_classes++]);
+  if (n_errors > 0)
+    {
+      arg_print_errors (stderr, end, "bjbench load");
+      return EXIT_USAGE;
+    }
+  for (int i = 0; i < target->count; i++)
+    add_targets (&o, target->sval[i]);
+  if (rate->count > 0)
+    o.rate = CLAMP (rate->dval[0], 0.1, 1e6);
+  if (seconds->count > 0)
+    o.duration_ms = CLAMP (seconds->dval[0], 0.01, 600) * 1000;
+  if (seed->count > 0)
+    o.seed = (uint32_t)seed->ival[0];
+  if (resends->count > 0)
+    o.resends = CLAMP (resends->ival[0], 0, 1000);
+  o.executions = keys->count > 0 ? keys->filename[0] : NULL;
+  memset (stats, 0, sizeof stats);
+  load_run (&o, stats);
+  load_print (&o, stats);
+  return 0;
+}
+
+int
+scenario_overhead (int argc, char **argv)
+{
+  struct arg_str *target
+      = arg_str1 (NULL, "target", "IP:PORT", "front of a daemon that has to forward");
+  struct arg_str *straight = arg_str1 (NULL, "straight", "IP:PORT", "the upstream itself");
+  struct arg_str *path = arg_str1 (NULL, "path", "PATH", "that the upstream answers");
+  struct arg_dbl *rate = arg_dbl0 (NULL, "rate", "N", "calls a second, 1000");
+  struct arg_dbl *seconds = arg_dbl0 (NULL, "seconds", "S", "of each side, 10");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { target, straight, path, rate, seconds, end };
+  LoadClass c = { .name = "call", .share = 1 };
+  LoadStats sides[2];
+  LoadOptions o = { .classes = &c, .n_classes = 1, .n_targets = 1 };
+  double added[2];
+
+  if (arg_parse (argc, argv, table) > 0)
+    {
+      arg_print_errors (stderr, end, "bjbench overhead");
+      return EXIT_USAGE;
+    }
+  c.path = path->sval[0];
+  o.rate = rate->count > 0 ? rate->dval[0] : 1000;
+  o.duration_ms = (seconds->count > 0 ? seconds->dval[0] : 10) * 1000 / ROUNDS;
+  memset (sides, 0, sizeof sides);
+  for (int i = 0; i < 2 * ROUNDS; i++)
+    {
+      o.targets[0] = (char *)(i % 2 == 0 ? straight->sval[0] : target->sval[0]);
+      o.seed = (uint32_t)(i / 2 + 1);
+      load_run (&o, &sides[i % 2]);
+    }
+  added[0] = bj_hist_quantile (&sides[1].latency, 0.5) - bj_hist_quantile (&sides[0].latency, 0.5);
+  added[1]
+      = bj_hist_quantile (&sides[1].latency, 0.99) - bj_hist_quantile (&sides[0].latency, 0.99);
+  printf ("straight_p50_ms=%.3f\nstraight_p99_ms=%.3f\n",
+          bj_hist_quantile (&sides[0].latency, 0.5),
+          bj_hist_quantile (&sides[0].latency, 0.99));
+  printf ("through_p50_ms=%.3f\nthrough_p99_ms=%.3f\n",
+          bj_hist_quantile (&sides[1].latency, 0.5),
+          bj_hist_quantile (&sides[1].latency, 0.99));
+  printf ("straight_whole=%" G_GUINT64_FORMAT "\nthrough_whole=%" G_GUINT64_FORMAT "\n",
+          sides[0].whole,
+          sides[1].whole);
+  printf ("added_p50_ms=%.3f\nadded_p99_ms=%.3f\n", added[0], added[1]);
+  return 0;
+}
+
+static void
+add_targets (LoadOptions *o, const char *text)
+{
+  char **parts = g_strsplit (text, ",", -1);
+
+  for (int i = 0; parts[i] != NULL && o->n_targets < BENCH_TARGETS_MAX; i++)
+    o->targets[o->n_targets++] = g_strdup (parts[i]);
+  g_strfreev (parts);
+}
+
+static bool
+parse_class (char *text, LoadClass *c)
+{
+  char **parts = g_strsplit (text, ":", 4);
+
+  memset (c, 0, sizeof *c);
+  if (g_strv_length (parts) < 3)
+    {
+      fprintf (stderr, "bjbench: \"%s\" is not NAME:PATH:SHARE[:key].\n", text);
+      return false;
+    }
+  c->name = parts[0];
+  c->path = parts[1];
+  c->share = g_ascii_strtod (parts[2], NULL);
+  c->has_key = parts[3] != NULL && strcmp (parts[3], "key") == 0;
+  return true;
+}
--- /dev/null
+++ b/src/bjctl/main.c
@@ -0,0 +1,91 @@
+// bjctl: the operators' command. Files tickets and reads back what is in force.
+
+#include "bjctl.h"
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+#define EXIT_USAGE 2
+
+typedef struct
+{
+  const char *name;
+  const char *argument; // NULL for none
+  const char *help;
+  int (*run) (const CtlOptions *o);
+} Command;
+
+static const Command commands[] = {
+  { "file", "FILE", "file a ticket and merge it into the configuration", ctl_file },
+  { "check", "FILE", "check a ticket without filing it", ctl_check },
+  { "show", NULL, "print the configuration in the platform's store", ctl_show },
+  { "in-force", NULL, "print the ticket in force in each domain and who lags", ctl_in_force },
+  { "status", NULL, "print the daemons that one daemon knows", ctl_status },
+  { "drain", "UPSTREAM", "file a ticket that drains an upstream", ctl_drain },
+  { "explain", "KEY", "print a daemon's recent decisions about an action", ctl_explain },
+};
+
+static void print_help (void **table);
+static const Command *find_command (const char *name);
+
+int
+main (int argc, char **argv)
+{
+  struct arg_str *platform = arg_str0 (NULL, "platform", "URL", "platform's object API");
+  struct arg_str *admin = arg_str0 (NULL, "admin", "IP:PORT", "admin address of any daemon");
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
+  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version and exit");
+  struct arg_str *words = arg_strn (NULL, NULL, "COMMAND [ARGUMENT]", 0, 2, "what to do");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { platform, admin, help, version, words, end };
+  int n_errors = arg_parse (argc, argv, table);
+  const Command *c = words->count > 0 ? find_command (words->sval[0]) : NULL;
+  CtlOptions o = { 0 };
+
+  if (help->count > 0)
+    {
+      print_help (table);
+      return 0;
+    }
+  if (version->count > 0)
+    {
+      printf ("bjctl %s\n", BJ_VERSION);
+      return 0;
+    }
+  if (n_errors > 0 || c == NULL || (c->argument != NULL) != (words->count > 1))
+    {
+      arg_print_errors (stderr, end, "bjctl");
+      fprintf (stderr, "bjctl: a known command with its argument is needed, see bjctl --help.\n");
+      return EXIT_USAGE;
+    }
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  o.platform = platform->count > 0 ? platform->sval[0] : NULL;
+  o.admin = admin->count > 0 ? admin->sval[0] : NULL;
+  o.argument = words->count > 1 ? words->sval[1] : NULL;
+  return c->run (&o);
+}
+
+static void
+print_help (void **table)
+{
+  printf ("Usage: bjctl");
+  arg_print_syntax (stdout, table, "\n");
+  printf ("Files tickets and reads back what is in force.\n\nCommands:\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    printf ("  %-9s %-9s %s\n",
+            commands[i].name,
+            commands[i].argument != NULL ? commands[i].argument : "",
+            commands[i].help);
+  printf ("\nOptions:\n");
+  arg_print_glossary (stdout, table, "  %-26s %s\n");
+}
+
+static const Command *
+find_command (const char *name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    if (strcmp (commands[i].name, name) == 0)
+      return &commands[i];
+  return NULL;
+}
--- /dev/null
+++ b/src/boraged/main.c
@@ -0,0 +1,101 @@
+// boraged: the daemon beside each upstream.
+
+#include "boragejunction.h"
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <ev.h>
+#include <signal.h>
+#include <stdio.h>
+
+#define EXIT_SETTINGS 2
+
+static int run (const BjSettings *s);
+static void on_stop (struct ev_loop *loop, ev_signal *w, int events);
+
+int
+main (int argc, char **argv)
+{
+  struct arg_file *config = arg_file0 ("c", "config", "FILE", "settings, JSON with comments");
+  struct arg_file *check = arg_file0 (NULL, "check-config", "FILE", "check the settings and exit");
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
+  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version and exit");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { config, check, help, version, end };
+  int n_errors = arg_parse (argc, argv, table);
+  const char *path = check->count > 0 ? check->filename[0] : config->filename[0];
+  BjSettings s;
+  int code;
+
+  if (help->count > 0)
+    {
+      printf ("Usage: boraged");
+      arg_print_syntax (stdout, table, "\n");
+      printf ("Overload control daemon beside one upstream instance.\n\n");
+      arg_print_glossary (stdout, table, "  %-26s %s\n");
+      return 0;
+    }
+  if (version->count > 0)
+    {
+      printf ("boraged %s\n", BJ_VERSION);
+      return 0;
+    }
+  if (n_errors > 0 || config->count + check->count != 1)
+    {
+      arg_print_errors (stderr, end, "boraged");
+      fprintf (stderr, "boraged: one of --config FILE and --check-config FILE is needed.\n");
+      return EXIT_SETTINGS;
+    }
+  if (bj_settings_read (path, &s) != BJ_OK)
+    {
+      fprintf (stderr, "boraged: %s\n", bj_last_message ());
+      return EXIT_SETTINGS;
+    }
+  code = check->count > 0 ? 0 : run (&s);
+  bj_settings_clear (&s);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
+}
+
+static int
+run (const BjSettings *s)
+{
+  struct ev_loop *loop = ev_default_loop (0);
+  BjDaemon *d;
+  ev_signal term;
+  ev_signal interrupt;
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (bj_daemon_new (loop, s, &d) != BJ_OK)
+    {
+      fprintf (stderr, "boraged: %s\n", bj_last_message ());
+      return EXIT_SETTINGS;
+    }
+  bj_log_open (s->log_level);
+  ev_signal_init (&term, on_stop, SIGTERM);
+  ev_signal_init (&interrupt, on_stop, SIGINT);
+  term.data = d;
+  interrupt.data = d;
+  ev_signal_start (loop, &term);
+  ev_signal_start (loop, &interrupt);
+  bj_log (BJ_LOG_INFO,
+          "MEMBER",
+          "%s runs in %s, callers at %s:%d.",
+          s->name.data,
+          s->domain.data,
+          s->front.host.data,
+          s->front.port);
+  ev_run (loop, 0);
+  bj_daemon_free (d);
+  bj_log_flush ();
+  ev_loop_destroy (loop);
+  curl_global_cleanup ();
+  return 0;
+}
+
+static void
+on_stop (struct ev_loop *loop, ev_signal *w, int events)
+{
+  (void)loop;
+  (void)events;
+  bj_daemon_stop (w->data);
+}
--- /dev/null
+++ b/src/boragejunction.h
@@ -0,0 +1,620 @@
+// boragejunction: an overload control layer for service call graphs.
+//
+// This header is the manual; read it from top to bottom. Every function says at its right what it
+// does and how it fails. Times are in milliseconds, sizes in bytes. Functions that can fail return
+// a BjStatus and leave a sentence in bj_last_message (). Nothing here is thread-safe: one loop on
+// one thread.
+
+#pragma once
+
+#include "config.h"
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+// ---------------------------------------------------------------------------------------------
+// Clock: one type for all times
+// ---------------------------------------------------------------------------------------------
+
+typedef double BjTime; // milliseconds, monotonic unless a name says wall
+
+#define BJ_TIME_NEVER 1e18 // later than every other time
+
+BjTime bj_clock_now (void);  // Monotonic time
+BjTime bj_clock_wall (void); // Wall time since 1970, for key ages and log lines only
+
+// ---------------------------------------------------------------------------------------------
+// Str: length-counted strings
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  const char *data; // not NUL-terminated unless made by bj_str_dup
+  size_t len;       // bytes
+} BjStr;
+
+#define BJ_STR(literal) ((BjStr){ "" literal, sizeof (literal) - 1 })
+#define BJ_STR_NULL ((BjStr){ NULL, 0 })
+#define BJ_STR_ARG(s) (int)(s).len, (s).len > 0 ? (s).data : "" // for "%.*s"
+
+BjStr bj_str (const char *text);         // View of a NUL-terminated text; NULL gives an empty one
+BjStr bj_str_dup (BjStr s);              // Copy with a NUL behind it; free with bj_str_free
+void bj_str_free (BjStr *s);             // Frees a copy and empties it
+void bj_str_set (BjStr *s, BjStr value); // Replaces an owned copy
+bool bj_str_equal (BjStr a, BjStr b);    // Same bytes
+bool bj_str_starts (BjStr s, BjStr prefix); // s begins with prefix
+uint64_t bj_str_hash (BjStr s);             // xxHash, 64 bits, seed 0
+bool bj_str_int (BjStr s, int64_t *value); // Decimal integer of the whole text; false if it is none
+
+// ---------------------------------------------------------------------------------------------
+// Status: numbered result codes, listed in docs/RESULT-CODES.md
+// ---------------------------------------------------------------------------------------------
+
+typedef enum
+{
+  BJ_OK = 0,
+  BJ_E_ARGUMENT = 1,     // a command line or function argument is wrong
+  BJ_E_SETTINGS = 2,     // settings have an unknown key, wrong type or value out of range
+  BJ_E_IO = 3,           // the operating system refused an operation
+  BJ_E_FORMAT = 4,       // bytes from outside can't be decoded
+  BJ_E_TOO_LARGE = 5,    // a body, head, frame or ticket is over its limit
+  BJ_E_AUTH = 6,         // a peer's signature is missing or wrong
+  BJ_E_NO_ROUTE = 10,    // no route matches the path
+  BJ_E_NO_UPSTREAM = 11, // no upstream of the service can be reached
+  BJ_E_OVERLOAD = 12,    // refused for load
+  BJ_E_DEADLINE = 13,    // the deadline passed or can't be met
+  BJ_E_DRAINING = 14,    // the upstream is leaving
+  BJ_E_CANCELLED = 15,   // the caller went away
+  BJ_E_LOST = 16,        // the connection to a peer or upstream was lost
+  BJ_E_BROKEN = 17,      // an answer arrived short or damaged
+  BJ_E_KEY = 18,         // the Idempotency-Key is missing or malformed
+  BJ_E_DUPLICATE = 19,   // the action was claimed before
+  BJ_E_QUARANTINED = 20, // the request has crashed upstreams
+  BJ_E_SHED = 21,        // the upstream itself refused it as not run
+  BJ_E_EXISTS = 30,      // the object exists already
+  BJ_E_CONFLICT = 31,    // a conditional update lost the race
+  BJ_E_NOT_FOUND = 32,   // the object does not exist
+  BJ_E_PLATFORM = 33,    // the platform is down, slow or refused the call
+  BJ_E_TICKET = 34,      // a ticket is malformed or names unknown things
+  BJ_E_BASE = 35,        // something the ticket touches changed after its base
+  BJ_E_GONE = 36,        // the watched version is gone, read afresh
+} BjStatus;
+
+const char *bj_status_name (BjStatus s); // "BJ_E_OVERLOAD"
+BjStatus bj_fail (BjStatus s, const char *format, ...)
+    G_GNUC_PRINTF (2, 3);           // Sets the last message, returns s
+const char *bj_last_message (void); // Sentence of the last failure
+
+// ---------------------------------------------------------------------------------------------
+// Log: short sentences with a fixed prefix for each part
+// ---------------------------------------------------------------------------------------------
+
+typedef enum
+{
+  BJ_LOG_ERROR,
+  BJ_LOG_WARNING,
+  BJ_LOG_INFO,
+  BJ_LOG_DEBUG, // decision lines of every call
+} BjLogLevel;
+
+void bj_log_open (BjLogLevel level);    // Routes GLib's log to a bounded buffer for stderr
+bool bj_log_enabled (BjLogLevel level); // Lines of this level are kept
+void bj_log (BjLogLevel level, const char *prefix, const char *format, ...)
+    G_GNUC_PRINTF (3, 4);       // "PREFIX: sentence."
+void bj_log_flush (void);       // Writes what stderr takes without blocking
+uint64_t bj_log_dropped (void); // Lines lost because stderr did not keep up
+
+// ---------------------------------------------------------------------------------------------
+// Metric: counters, gauges and log-bucket histograms
+// ---------------------------------------------------------------------------------------------
+
+#define BJ_HIST_BUCKETS 512
+
+typedef struct
+{
+  uint64_t bucket[BJ_HIST_BUCKETS]; // 16 buckets per power of two, from 1 microsecond
+  uint64_t n;
+  double sum_ms;
+} BjHist;
+
+void bj_hist_add (BjHist *h, double ms); // Records one value; below 1 us counts as 1 us
+double bj_hist_quantile (const BjHist *h,
+                         double q); // Value in ms at quantile q in 0..1; 0 when empty
+void bj_hist_merge (BjHist *into, const BjHist *from); // Adds from to into
+
+typedef struct
+{
+  const char *name; // as in /metrics, without the bj_ prefix
+  const char *help;
+  uint64_t value;
+} BjCounter;
+
+void bj_metric_register (BjCounter *c); // Makes c part of the text exposition; c must stay alive
+void bj_metric_print (GString *out);    // Text exposition of every registered counter
+
+// ---------------------------------------------------------------------------------------------
+// Plugin: behaviours that register themselves and are chosen by name
+// ---------------------------------------------------------------------------------------------
+
+typedef enum
+{
+  BJ_PLUGIN_LIMITER,
+  BJ_PLUGIN_QUEUE,
+  BJ_PLUGIN_ROUTER,
+  BJ_PLUGIN_RETRY,
+  BJ_PLUGIN_PLATFORM,
+  BJ_PLUGIN_KINDS,
+} BjPluginKind;
+
+void
+bj_plugin_register (BjPluginKind kind, const char *name, const void *ops); // Called by constructors
+const void *bj_plugin_find (BjPluginKind kind, BjStr name); // NULL when there is none
+void bj_plugin_names (BjPluginKind kind, GString *out);     // "fifo, priority-deadline"
+
+#define BJ_PLUGIN(kind, name, ops)                                                                 \
+  static void __attribute__ ((constructor)) register_##ops (void)                                  \
+  {                                                                                                \
+    bj_plugin_register (kind, name, &(ops));                                                       \
+  }
+
+// ---------------------------------------------------------------------------------------------
+// Call: what the kernel knows of one request
+// ---------------------------------------------------------------------------------------------
+
+typedef enum
+{
+  BJ_DONE,    // it ran; the answer is the upstream's
+  BJ_NOT_RUN, // no byte of it reached an upstream, or the upstream refused it
+  BJ_UNKNOWN, // it may have run
+} BjOutcome;
+
+const char *bj_outcome_name (BjOutcome o); // "done", "not-run", "unknown"
+
+typedef struct
+{
+  BjStr method;       // "GET"
+  BjStr path;         // with query
+  BjStr key;          // Idempotency-Key, empty if none
+  BjStr content_type; // of the body
+  BjStr body;         // whole
+  int klass;          // asked for by the caller, -1 if none; may only lower the route's
+  double deadline_ms; // remaining, 0 if none
+  int attempts_left;  // for the whole chain, -1 if none
+  int depth;          // hops so far
+  uint64_t parent;    // guard call this one was made for, 0 if none
+  bool irreversible;  // set by the daemon that routes it
+} BjRequest;
+
+typedef struct
+{
+  BjStatus code; // why the layer answers itself, BJ_OK for an upstream's answer
+  BjOutcome outcome;
+  int http_status;
+  double retry_after_ms; // when to come back, 0 if it makes no sense
+  int attempts_left;     // of the chain's allowance, -1 if not known
+  int level;             // admission level of the guard that answered, 0 admits all
+  BjStr content_type;
+  int64_t length; // of the body, -1 if not known
+} BjAnswer;
+
+typedef struct BjPeer BjPeer;
+typedef struct BjService BjService;
+typedef struct BjKernel BjKernel;
+
+typedef enum
+{
+  BJ_CALL_NEW,
+  BJ_CALL_CLAIMING, // waits for the claim store
+  BJ_CALL_SENT,     // at a peer
+  BJ_CALL_QUEUED,   // in the own guard's queue
+  BJ_CALL_RUNNING,  // on the own upstream
+  BJ_CALL_ENDED,
+} BjCallState;
+
+typedef struct BjCall
+{
+  uint64_t id; // unique in this incarnation
+  BjCallState state;
+  bool is_front; // arrived from a caller; otherwise from a peer
+  bool irreversible;
+  bool answer_begun; // nothing can be retried any more
+  bool detached;     // runs on without a caller
+  BjRequest request; // owned copies
+  BjService *service;
+  int klass; // 0 is the most important
+  BjTime arrived;
+  BjTime deadline;
+  int attempts_left;
+  uint32_t cohort; // hash of the action, the same on every hop
+  BjPeer *target;  // where it was sent
+  BjPeer *tried[BJ_TRIED_MAX];
+  int n_tried;
+  BjTime started; // on the own upstream
+  GSequenceIter *deadline_at;
+  struct BjCall *queue_next; // for queues and lists of evicted calls
+  BjTime queued;
+  void *data; // the host's
+} BjCall;
+
+// ---------------------------------------------------------------------------------------------
+// Limiter: how many calls may run on the own upstream (plug-in)
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  int slots;        // announced by the upstream
+  double ramp_ms;   // slow start after an announcement, 0 for none
+  double tolerance; // service time over its floor that counts as overload, at least 1
+} BjLimiterOptions;
+
+#define BJ_LIMITER_OPTIONS_DEFAULT                                                                 \
+  {                                                                                                \
+    .slots = 1, .ramp_ms = 2000, .tolerance = 2.0                                                  \
+  }
+
+typedef struct
+{
+  double service_ms;
+  int in_flight; // when it ended, itself included
+  BjStatus code; // BJ_OK, BJ_E_SHED, BJ_E_DEADLINE, BJ_E_LOST, BJ_E_BROKEN
+} BjLimiterSample;
+
+typedef struct BjLimiter BjLimiter;
+
+typedef struct
+{
+  BjLimiter *(*create) (const BjLimiterOptions *o, BjTime now);
+  void (*destroy) (BjLimiter *l);
+  int (*limit) (BjLimiter *l, BjTime now); // calls, at least BJ_LIMIT_MIN
+  void (*sample) (BjLimiter *l, BjTime now, const BjLimiterSample *s); // one call ended
+  void (*slots) (BjLimiter *l, BjTime now, int slots);                 // the upstream announced
+} BjLimiterOps;
+
+struct BjLimiter
+{
+  const BjLimiterOps *ops;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Queue: calls that wait for a slot of the own upstream (plug-in)
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  double max_wait_ms; // estimated wait above which a call is refused
+  int max_length;     // calls
+} BjQueueOptions;
+
+#define BJ_QUEUE_OPTIONS_DEFAULT                                                                   \
+  {                                                                                                \
+    .max_wait_ms = BJ_QUEUE_MAX_WAIT_MS, .max_length = BJ_QUEUE_MAX_LENGTH                         \
+  }
+
+typedef struct BjQueue BjQueue;
+
+typedef struct
+{
+  BjQueue *(*create) (const BjQueueOptions *o);
+  void (*destroy) (BjQueue *q); // must be empty
+  bool (*offer) (BjQueue *q,
+                 BjTime now,
+                 BjCall *c,
+                 BjCall **evicted);         // false refuses c; evicted is a list by queue_next
+  BjCall *(*take) (BjQueue *q, BjTime now); // next to run, NULL if none
+  bool (*remove) (BjQueue *q, BjCall *c);   // false if c is not there
+  int (*length) (const BjQueue *q);
+  double (*wait_ms) (const BjQueue *q,
+                     BjTime now,
+                     int klass);            // estimate for a new call of the class
+  void (*drained) (BjQueue *q, BjTime now); // a slot came free
+} BjQueueOps;
+
+struct BjQueue
+{
+  const BjQueueOps *ops;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Router: which upstream's daemon gets a call (plug-in)
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  const BjCall *call;
+  BjPeer *const *peers; // all known daemons of the service, the own one included
+  int n;
+  BjStr domain; // of this daemon
+  BjStr region;
+  GRand *rand;
+  int *n_candidates; // out: how many could have been taken
+} BjRouterAsk;
+
+typedef struct BjRouter BjRouter;
+
+typedef struct
+{
+  BjRouter *(*create) (void);
+  void (*destroy) (BjRouter *r);
+  BjPeer *(*pick) (BjRouter *r, BjTime now, const BjRouterAsk *ask); // NULL when none may be taken
+} BjRouterOps;
+
+struct BjRouter
+{
+  const BjRouterOps *ops;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Retry: whether a failed call may be tried again (plug-in)
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  double ratio; // tokens earned per fresh call
+  double burst; // most tokens kept
+} BjRetryOptions;
+
+#define BJ_RETRY_OPTIONS_DEFAULT                                                                   \
+  {                                                                                                \
+    .ratio = BJ_RETRY_RATIO, .burst = BJ_RETRY_BURST                                               \
+  }
+
+typedef struct BjRetry BjRetry;
+
+typedef struct
+{
+  BjRetry *(*create) (const BjRetryOptions *o);
+  void (*destroy) (BjRetry *r);
+  void (*fresh) (BjRetry *r, BjTime now);            // a call arrived for the first time
+  bool (*allow) (BjRetry *r, BjTime now, BjCall *c); // takes a token and an attempt when true
+} BjRetryOps;
+
+struct BjRetry
+{
+  const BjRetryOps *ops;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Ticket: numbered configuration, always the whole state of what it touches
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  BjStr prefix; // of the path
+  int klass;
+  bool irreversible;
+  double deadline_ms;
+  int attempts; // further attempts of one user action, whole chain
+} BjRoute;
+
+typedef struct
+{
+  BjStr name;
+  int64_t number; // ticket that set it
+  BjRoute *routes;
+  int n_routes;
+  const BjLimiterOps *limiter;
+  BjLimiterOptions limiter_options;
+  const BjQueueOps *queue;
+  BjQueueOptions queue_options;
+  const BjRouterOps *router;
+  const BjRetryOps *retry;
+  BjRetryOptions retry_options;
+} BjServiceConfig;
+
+typedef struct
+{
+  BjStr name;
+  int64_t number;
+  bool drain;    // takes no new work
+  int max_slots; // 0 for what it announces
+} BjUpstreamConfig;
+
+typedef struct
+{
+  int64_t number; // last ticket merged
+  BjServiceConfig *services;
+  int n_services;
+  BjUpstreamConfig *upstreams;
+  int n_upstreams;
+  GPtrArray *classes; // char*, index is the class
+  BjStr text;         // canonical JSON of the whole
+} BjConfig;
+
+BjStatus bj_config_parse (BjStr text,
+                          BjConfig **config); // Merged state; BJ_E_TICKET, BJ_E_TOO_LARGE
+void bj_config_free (BjConfig *c);            // NULL does nothing
+const BjServiceConfig *bj_config_service (const BjConfig *c, BjStr name);   // NULL when unknown
+const BjUpstreamConfig *bj_config_upstream (const BjConfig *c, BjStr name); // NULL when unknown
+const BjRoute *bj_config_route (const BjConfig *c,
+                                BjStr path,
+                                const BjServiceConfig **s); // Longest prefix, NULL if none
+BjStatus bj_ticket_check (BjStr text,
+                          int64_t *number); // Whole check without the store; BJ_E_TICKET
+BjStatus bj_ticket_merge (BjStr current,
+                          BjStr ticket,
+                          GString *merged); // current may be empty; BJ_E_BASE, BJ_E_TICKET
+
+// ---------------------------------------------------------------------------------------------
+// Peer: another daemon and the upstream beside it
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  BjStr name; // unique in the deployment
+  BjStr domain;
+  BjStr region;
+  BjStr service; // empty until its upstream has announced itself
+  BjStr host;    // IP address in numbers
+  int link_port;
+  int gossip_port;
+  uint64_t incarnation; // grows with every start
+  uint64_t version;     // grows with every change in one incarnation
+  int limit;            // calls in flight it takes now
+  int in_flight;
+  int queued;
+  int level; // admission level
+  bool draining;
+  int64_t config_number; // ticket in force there
+} BjPeerReport;
+
+struct BjPeer
+{
+  BjPeerReport report; // owned strings
+  bool is_self;
+  BjService *service;
+  BjTime reported;   // when the report came
+  BjTime skip_until; // after a failure
+  int own_in_flight; // calls this daemon has there
+  void *link;        // the host's
+};
+
+struct BjService
+{
+  BjStr name;
+  GPtrArray *peers;              // BjPeer*, borrowed from the kernel's table
+  const BjServiceConfig *config; // NULL when the configuration does not know it
+  BjRouter *router;
+  BjRetry *retry;
+};
+
+void bj_peer_report_copy (BjPeerReport *to,
+                          const BjPeerReport *from); // Deep copy; frees what was there
+void bj_peer_report_clear (BjPeerReport *r);         // Frees the strings
+
+// ---------------------------------------------------------------------------------------------
+// Kernel: makes every decision, does no I/O
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjHost BjHost;
+
+typedef struct
+{
+  void (*send_peer) (BjHost *h,
+                     BjCall *c,
+                     BjPeer *p);                 // Forward c; answers come by bj_kernel_answer_*
+  void (*start_upstream) (BjHost *h, BjCall *c); // Run c on the own upstream
+  void (*cancel) (BjHost *h, BjCall *c);         // Stop what the two above began
+  void (*answer) (BjHost *h, BjCall *c, const BjAnswer *a); // The layer's own final answer
+  void (*claim) (BjHost *h, BjCall *c); // Make the claim durable, then bj_kernel_claimed
+  void (*freed) (BjHost *h, BjCall *c); // c is about to be freed
+} BjHostOps;
+
+struct BjHost
+{
+  const BjHostOps *ops;
+};
+
+typedef struct
+{
+  BjPeerReport self; // identity of this daemon; copied
+  BjHost *host;
+  uint32_t seed; // of every random choice
+} BjKernelOptions;
+
+typedef enum
+{
+  BJ_RELAY,  // pass the answer on
+  BJ_ABSORB, // drop it, the call goes on elsewhere or was answered
+} BjVerdict;
+
+BjKernel *bj_kernel_new (const BjKernelOptions *o, BjTime now); // Never fails
+void bj_kernel_free (BjKernel *k);                              // Ends open calls without an answer
+void bj_kernel_set_config (BjKernel *k,
+                           BjTime now,
+                           BjConfig *c);              // Takes c over; an older number is dropped
+const BjConfig *bj_kernel_config (const BjKernel *k); // NULL before the first
+BjCall *bj_kernel_arrive (BjKernel *k,
+                          BjTime now,
+                          const BjRequest *r,
+                          void *data); // From a caller; may answer at once
+BjCall *bj_kernel_arrive_peer (
+    BjKernel *k, BjTime now, const BjRequest *r, BjStr service, void *data); // From a peer's front
+void bj_kernel_claimed (BjKernel *k,
+                        BjTime now,
+                        BjCall *c,
+                        BjStatus s); // BJ_OK lets it run, others refuse it
+BjVerdict bj_kernel_answer_begin (BjKernel *k,
+                                  BjTime now,
+                                  BjCall *c,
+                                  const BjAnswer *a); // Head of an answer arrived
+void
+bj_kernel_answer_end (BjKernel *k, BjTime now, BjCall *c, bool whole); // Body ended; c is freed
+void bj_kernel_lost (BjKernel *k,
+                     BjTime now,
+                     BjCall *c,
+                     BjStatus s,
+                     BjOutcome o); // Peer or upstream failed before an answer
+void bj_kernel_cancel (BjKernel *k, BjTime now, BjCall *c); // The caller went away; c is freed
+void bj_kernel_announce (BjKernel *k,
+                         BjTime now,
+                         BjStr service,
+                         int slots);                        // The own upstream announced itself
+void bj_kernel_upstream_gone (BjKernel *k, BjTime now);     // It stopped announcing
+void bj_kernel_drain (BjKernel *k, BjTime now, bool drain); // No new work, or take it again
+void bj_kernel_peer (BjKernel *k,
+                     BjTime now,
+                     const BjPeerReport *r); // A peer's report; older ones are ignored
+void bj_kernel_peer_gone (BjKernel *k,
+                          BjTime now,
+                          BjStr name); // Forget a peer; open calls there are lost by the host
+void bj_kernel_tick (BjKernel *k, BjTime now); // Deadlines that passed
+BjTime bj_kernel_next (const BjKernel *k);     // When to tick next
+void bj_kernel_self (BjKernel *k,
+                     BjTime now,
+                     BjPeerReport *r);        // Fills the load of this daemon; strings are borrowed
+int bj_kernel_open_calls (const BjKernel *k); // Calls not ended
+void
+bj_kernel_explain (const BjKernel *k, BjStr key, GString *out); // Recent decisions about an action
+BjPeer *bj_kernel_find_peer (BjKernel *k, BjStr name);          // NULL when unknown
+void
+bj_kernel_each_peer (BjKernel *k, void (*fn) (BjPeer *p, void *data), void *data); // In no order
+
+// ---------------------------------------------------------------------------------------------
+// Settings: what one daemon is told at its start
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  BjStr host; // IP address in numbers
+  int port;   // 1..65535
+} BjAddress;
+
+typedef struct
+{
+  BjStr name;
+  BjStr domain;
+  BjStr region;
+  BjAddress front;  // callers and the own upstream's calls, HTTP
+  BjAddress admin;  // announcements, status, metrics, HTTP
+  BjAddress link;   // other daemons, TCP
+  BjAddress gossip; // other daemons, UDP
+  BjAddress *seeds; // gossip addresses to begin with
+  int n_seeds;
+  BjStr platform_name; // plug-in
+  BjStr platform_url;
+  BjStr key_file; // deployment key, empty for none
+  BjLogLevel log_level;
+  double drain_ms; // longest time a stop waits for open calls
+} BjSettings;
+
+BjStatus
+bj_settings_read (const char *path,
+                  BjSettings *s); // BJ_E_IO, BJ_E_SETTINGS with file, place, value and range
+BjStatus bj_settings_parse (const char *name,
+                            BjStr text,
+                            BjSettings *s); // The same from memory; name stands in messages
+void bj_settings_clear (BjSettings *s);     // Frees the strings
+
+// ---------------------------------------------------------------------------------------------
+// Daemon: the kernel on a libev loop with sockets
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjDaemon BjDaemon;
+struct ev_loop;
+
+BjStatus bj_daemon_new (struct ev_loop *loop,
+                        const BjSettings *s,
+                        BjDaemon **d); // BJ_E_IO when a port is busy
+void bj_daemon_stop (BjDaemon *d);     // Drains, then breaks the loop
+void bj_daemon_free (BjDaemon *d);
--- /dev/null
+++ b/src/config.h
@@ -0,0 +1,44 @@
+// Named constants of the whole library, with their units. Settings and tickets override some of
+// them.
+
+#pragma once
+
+#define BJ_VERSION "0.1.0"
+#define BJ_PROTOCOL_VERSION 1 // of frames between daemons; others are refused
+
+// Sizes
+#define BJ_CLASSES 8                               // priority classes, 0 is shed last
+#define BJ_TRIED_MAX 8                             // peers one call may try
+#define BJ_REQUEST_BODY_MAX (1024 * 1024)          // bytes, buffered so that a call can be retried
+#define BJ_FRAME_MAX (BJ_REQUEST_BODY_MAX + 65536) // bytes after the length prefix
+#define BJ_FRAME_DATA_MAX 65536                    // bytes of answer body in one frame
+#define BJ_WINDOW_BYTES (256 * 1024)               // answer body in flight for one call
+#define BJ_HEADER_MAX 16384                        // bytes of one caller's request head
+#define BJ_TICKET_MAX (512 * 1024)                 // bytes of one ticket
+#define BJ_TICKET_DEPTH_MAX 16                     // nested values in a ticket or in settings
+#define BJ_DATAGRAM_MAX 1400                       // bytes of one gossip datagram
+#define BJ_RING_SIZE 4096                          // decisions kept for explain
+#define BJ_LOG_BUFFER (1024 * 1024)                // bytes of log lines not yet written
+
+// Times, in milliseconds
+#define BJ_DEADLINE_MS 2000          // of a call whose route and caller give none
+#define BJ_HOP_MS 2                  // taken off the deadline at each hop
+#define BJ_CONNECT_TIMEOUT_MS 1000   // for TCP and HTTP connections
+#define BJ_PING_MS 500               // silence on a link with open calls before a ping
+#define BJ_ANNOUNCE_LIFETIME_MS 3000 // an upstream that stays silent longer is gone
+#define BJ_GOSSIP_MS 200             // between gossip rounds
+#define BJ_PEER_LIFETIME_MS 3000     // a peer that stays silent longer is gone
+#define BJ_SKIP_MS 500               // a failed peer gets no call for this long
+#define BJ_WATCH_MS 10000            // one long poll at the platform
+#define BJ_DRAIN_MS 30000            // longest wait of a stop for open calls
+#define BJ_PLATFORM_TIMEOUT_MS 2000  // of one platform call that is not a watch
+#define BJ_RETRY_AFTER_MIN_MS 100    // shortest time to come back
+#define BJ_RETRY_AFTER_MAX_MS 10000  // longest time to come back
+
+// Policy defaults
+#define BJ_ATTEMPTS 3            // further attempts of one user action, whole chain
+#define BJ_RETRY_RATIO 0.1       // retries per fresh call
+#define BJ_RETRY_BURST 10        // retry tokens at rest
+#define BJ_QUEUE_MAX_WAIT_MS 100 // estimated wait above which a call is refused
+#define BJ_QUEUE_MAX_LENGTH 4096 // calls, a bound on memory only
+#define BJ_LIMIT_MIN 1           // in flight, whatever happens
--- /dev/null
+++ b/src/daemon.c
@@ -0,0 +1,402 @@
+// Daemon: the kernel on a libev loop with sockets. Ties the modules together and carries answers
+// from their source to their sink.
+
+#include "internal.h"
+#include <ev.h>
+#include <string.h>
+
+#define TICK_MAX_MS 250 // longest pause between two looks at the clock
+#define TURNS_MAX 8     // rounds of the modules before the loop polls again
+
+struct BjDaemonWatchers
+{
+  ev_prepare prepare;
+  ev_timer tick;
+  ev_idle idle; // keeps the loop from blocking while a module has work
+};
+
+static BjStatus open_modules (BjDaemon *d);
+static BjPeerReport own_report (BjDaemon *d);
+static void on_prepare (struct ev_loop *loop, ev_prepare *w, int events);
+static void on_tick (struct ev_loop *loop, ev_timer *w, int events);
+static void on_idle (struct ev_loop *loop, ev_idle *w, int events);
+static void check_announcement (BjDaemon *d, BjTime now);
+static void check_stop (BjDaemon *d, BjTime now);
+static void send_peer (BjHost *h, BjCall *c, BjPeer *p);
+static void start_upstream (BjHost *h, BjCall *c);
+static void cancel (BjHost *h, BjCall *c);
+static void answer (BjHost *h, BjCall *c, const BjAnswer *a);
+static void claim (BjHost *h, BjCall *c);
+static void freed (BjHost *h, BjCall *c);
+static BjExchange *new_exchange (BjDaemon *d, BjSink *sink);
+
+static const BjHostOps host_ops = { send_peer, start_upstream, cancel, answer, claim, freed };
+
+BjStatus
+bj_daemon_new (struct ev_loop *loop, const BjSettings *s, BjDaemon **daemon)
+{
+  BjDaemon *d = g_new0 (BjDaemon, 1);
+  BjTime now = bj_clock_now ();
+  BjKernelOptions o;
+  BjStatus status;
+
+  d->host.ops = &host_ops;
+  d->loop = loop;
+  d->settings = *s;
+  d->incarnation = (uint64_t)bj_clock_wall ();
+  o = (BjKernelOptions){ .self = own_report (d), .host = &d->host, .seed = g_random_int () };
+  d->kernel = bj_kernel_new (&o, now);
+  d->http = bj_http_new (loop);
+  d->watchers = g_new0 (struct BjDaemonWatchers, 1);
+  ev_prepare_init (&d->watchers->prepare, on_prepare);
+  ev_timer_init (&d->watchers->tick, on_tick, 0, 0);
+  ev_idle_init (&d->watchers->idle, on_idle);
+  d->watchers->prepare.data = d;
+  d->watchers->tick.data = d;
+  status = open_modules (d);
+  if (status != BJ_OK)
+    {
+      bj_daemon_free (d);
+      return status;
+    }
+  ev_prepare_start (loop, &d->watchers->prepare);
+  ev_timer_start (loop, &d->watchers->tick);
+  *daemon = d;
+  return BJ_OK;
+}
+
+void
+bj_daemon_stop (BjDaemon *d)
+{
+  if (d->stopping)
+    return;
+  d->stopping = true;
+  d->stop_by = bj_clock_now () + d->settings.drain_ms;
+  bj_log (BJ_LOG_INFO, "MEMBER", "Stopping, %d calls open.", bj_kernel_open_calls (d->kernel));
+  bj_daemon_drain (d, true);
+  bj_members_leave (d->members);
+}
+
+void
+bj_daemon_free (BjDaemon *d)
+{
+  ev_prepare_stop (d->loop, &d->watchers->prepare);
+  ev_timer_stop (d->loop, &d->watchers->tick);
+  ev_idle_stop (d->loop, &d->watchers->idle);
+  if (d->reader != NULL)
+    bj_reader_free (d->reader);
+  if (d->members != NULL)
+    bj_members_free (d->members);
+  bj_links_free (d->links);
+  bj_kernel_free (d->kernel);
+  bj_front_free (d->front);
+  bj_front_free (d->admin);
+  if (d->platform != NULL)
+    d->platform->ops->destroy (d->platform);
+  bj_http_free (d->http);
+  bj_str_free (&d->upstream.host);
+  g_free (d->watchers);
+  g_free (d);
+}
+
+void
+bj_daemon_config (BjDaemon *d, BjStr text)
+{
+  BjConfig *c;
+
+  if (bj_config_parse (text, &c) != BJ_OK)
+    {
+      bj_log (BJ_LOG_WARNING, "TICKET", "A configuration was refused: %s", bj_last_message ());
+      return;
+    }
+  bj_kernel_set_config (d->kernel, bj_clock_now (), c);
+}
+
+BjExchange *
+bj_daemon_arrive (BjDaemon *d, const BjRequest *r, BjSink *sink)
+{
+  BjExchange *x = new_exchange (d, sink);
+  BjCall *c = bj_kernel_arrive (d->kernel, bj_clock_now (), r, x);
+
+  return c != NULL ? x : NULL;
+}
+
+BjExchange *
+bj_daemon_arrive_peer (BjDaemon *d, const BjRequest *r, BjStr service, BjSink *sink)
+{
+  BjExchange *x = new_exchange (d, sink);
+  BjCall *c = bj_kernel_arrive_peer (d->kernel, bj_clock_now (), r, service, x);
+
+  return c != NULL ? x : NULL;
+}
+
+void
+bj_daemon_announce (BjDaemon *d, BjStr service, BjAddress a, int slots)
+{
+  bj_str_set (&d->upstream.host, a.host);
+  d->upstream.port = a.port;
+  d->announced = bj_clock_now ();
+  bj_kernel_announce (d->kernel, d->announced, service, slots);
+}
+
+void
+bj_daemon_drain (BjDaemon *d, bool drain)
+{
+  d->draining = drain;
+  bj_kernel_drain (d->kernel, bj_clock_now (), drain);
+}
+
+void
+bj_exchange_begin (BjExchange *x, const BjAnswer *a)
+{
+  BjSource *source = x->source;
+  BjVerdict v;
+
+  x->source = NULL;
+  v = bj_kernel_answer_begin (x->daemon->kernel, bj_clock_now (), x->call, a);
+  if (v == BJ_ABSORB)
+    {
+      source->ops->cancel (source);
+      return;
+    }
+  x->source = source;
+  if (x->sink != NULL)
+    x->sink->ops->begin (x->sink, a);
+}
+
+size_t
+bj_exchange_room (BjExchange *x)
+{
+  return x->sink != NULL ? x->sink->ops->room (x->sink) : SIZE_MAX;
+}
+
+void
+bj_exchange_data (BjExchange *x, BjStr part)
+{
+  if (x->sink != NULL)
+    x->sink->ops->data (x->sink, part);
+  else if (x->source != NULL)
+    x->source->ops->drained (x->source, part.len);
+}
+
+void
+bj_exchange_end (BjExchange *x, bool whole)
+{
+  BjSink *sink = x->sink;
+
+  x->source = NULL;
+  x->sink = NULL;
+  bj_kernel_answer_end (x->daemon->kernel, bj_clock_now (), x->call, whole);
+  if (sink != NULL)
+    sink->ops->end (sink, whole);
+}
+
+void
+bj_exchange_lost (BjExchange *x, BjStatus s, BjOutcome o)
+{
+  x->source = NULL;
+  bj_kernel_lost (x->daemon->kernel, bj_clock_now (), x->call, s, o);
+}
+
+void
+bj_exchange_drained (BjExchange *x, size_t n)
+{
+  if (x->source != NULL)
+    x->source->ops->drained (x->source, n);
+}
+
+void
+bj_exchange_gone (BjExchange *x)
+{
+  x->sink = NULL;
+  bj_kernel_cancel (x->daemon->kernel, bj_clock_now (), x->call);
+}
+
+static BjStatus
+open_modules (BjDaemon *d)
+{
+  const BjPlatformOps *platform = bj_plugin_find (BJ_PLUGIN_PLATFORM, d->settings.platform_name);
+  BjStatus s = bj_links_new (d, &d->links);
+
+  if (s == BJ_OK)
+    s = bj_front_new (d, d->settings.front, false, &d->front);
+  if (s == BJ_OK)
+    s = bj_front_new (d, d->settings.admin, true, &d->admin);
+  if (s == BJ_OK)
+    s = bj_members_new (d, &d->members);
+  if (s != BJ_OK)
+    return s;
+  d->platform = platform->create (d->loop, d->http, d->settings.platform_url);
+  d->reader = bj_reader_new (d);
+  return BJ_OK;
+}
+
+static BjPeerReport
+own_report (BjDaemon *d)
+{
+  const BjSettings *s = &d->settings;
+
+  return (BjPeerReport){
+    .name = s->name,
+    .domain = s->domain,
+    .region = s->region,
+    .host = s->link.host,
+    .link_port = s->link.port,
+    .gossip_port = s->gossip.port,
+    .incarnation = d->incarnation,
+  };
+}
+
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *w, int events)
+{
+  BjDaemon *d = w->data;
+  bool busy = true;
+  BjTime now;
+  BjTime next;
+
+  (void)events;
+  for (int i = 0; i < TURNS_MAX && busy; i++)
+    {
+      busy = bj_front_turn (d->front);
+      busy = bj_front_turn (d->admin) || busy;
+      bj_links_flush (d->links);
+    }
+  if (busy)
+    ev_idle_start (loop, &d->watchers->idle);
+  else
+    ev_idle_stop (loop, &d->watchers->idle);
+  bj_log_flush ();
+  now = bj_clock_now ();
+  next = MIN (bj_kernel_next (d->kernel) - now, TICK_MAX_MS);
+  ev_timer_stop (loop, &d->watchers->tick);
+  ev_timer_set (&d->watchers->tick, MAX (0, next) / 1000.0, 0);
+  ev_timer_start (loop, &d->watchers->tick);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *w, int events)
+{
+  BjDaemon *d = w->data;
+  BjTime now = bj_clock_now ();
+
+  (void)loop;
+  (void)events;
+  bj_kernel_tick (d->kernel, now);
+  check_announcement (d, now);
+  check_stop (d, now);
+}
+
+static void
+on_idle (struct ev_loop *loop, ev_idle *w, int events)
+{
+  (void)loop;
+  (void)w;
+  (void)events;
+}
+
+static void
+check_announcement (BjDaemon *d, BjTime now)
+{
+  if (d->upstream.port == 0 || now - d->announced < BJ_ANNOUNCE_LIFETIME_MS)
+    return;
+  d->upstream.port = 0;
+  bj_kernel_upstream_gone (d->kernel, now);
+}
+
+static void
+check_stop (BjDaemon *d, BjTime now)
+{
+  if (!d->stopping || (bj_kernel_open_calls (d->kernel) > 0 && now < d->stop_by))
+    return;
+  bj_log (BJ_LOG_INFO, "MEMBER", "Stopped, %d calls open.", bj_kernel_open_calls (d->kernel));
+  ev_break (d->loop, EVBREAK_ALL);
+}
+
+static void
+send_peer (BjHost *h, BjCall *c, BjPeer *p)
+{
+  BjDaemon *d = (BjDaemon *)h;
+  BjExchange *x = c->data;
+
+  x->call = c;
+  bj_links_send (d->links, x, p);
+}
+
+static void
+start_upstream (BjHost *h, BjCall *c)
+{
+  BjExchange *x = c->data;
+
+  x->call = c;
+  bj_upstream_start ((BjDaemon *)h, x);
+}
+
+static void
+cancel (BjHost *h, BjCall *c)
+{
+  BjExchange *x = c->data;
+  BjSource *s = x->source;
+
+  (void)h;
+  x->source = NULL;
+  if (s != NULL)
+    s->ops->cancel (s);
+}
+
+static void
+answer (BjHost *h, BjCall *c, const BjAnswer *a)
+{
+  BjExchange *x = c->data;
+  BjSink *sink = x->sink;
+  BjAnswer copy = *a;
+  char text[256];
+  int n;
+
+  (void)h;
+  x->sink = NULL;
+  if (sink == NULL)
+    return;
+  n = g_snprintf (text,
+                  sizeof text,
+                  "{\"code\":%d,\"name\":\"%s\",\"outcome\":\"%s\",\"retry_after_ms\":%.0f}\n",
+                  a->code,
+                  bj_status_name (a->code),
+                  bj_outcome_name (a->outcome),
+                  a->retry_after_ms);
+  copy.content_type = BJ_STR ("application/json");
+  copy.length = n;
+  sink->ops->begin (sink, &copy);
+  sink->ops->data (sink, (BjStr){ text, (size_t)n });
+  sink->ops->end (sink, true);
+}
+
+static void
+claim (BjHost *h, BjCall *c)
+{
+  BjDaemon *d = (BjDaemon *)h;
+
+  bj_kernel_claimed (d->kernel, bj_clock_now (), c, BJ_OK);
+}
+
+static void
+freed (BjHost *h, BjCall *c)
+{
+  BjExchange *x = c->data;
+  BjSink *sink = x->sink;
+
+  cancel (h, c);
+  g_free (x);
+  if (sink != NULL)
+    sink->ops->end (sink, false);
+}
+
+static BjExchange *
+new_exchange (BjDaemon *d, BjSink *sink)
+{
+  BjExchange *x = g_new0 (BjExchange, 1);
+
+  x->daemon = d;
+  x->sink = sink;
+  return x;
+}
--- /dev/null
+++ b/src/http.c
@@ -0,0 +1,402 @@
+// Http: requests through libcurl multi on the libev loop.
+
+#include "internal.h"
+#include <curl/curl.h>
+#include <ev.h>
+#include <string.h>
+#include <strings.h>
+
+#define IDLE_CONNECTIONS_MAX 256
+
+struct BjHttp
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timer;
+  GHashTable *calls; // set of BjHttpCall*
+  GPtrArray *dead;   // calls cancelled inside a callback
+  int depth;         // of callbacks from libcurl
+};
+
+struct BjHttpCall
+{
+  BjHttp *http;
+  CURL *easy;
+  struct curl_slist *headers;
+  char *url;
+  BjStr body;
+  BjHttpOptions o;
+  BjHttpHead head;
+  char content_type[128];
+  char outcome[16];
+  bool head_told;
+  bool paused;
+  bool cancelled;
+};
+
+typedef struct
+{
+  ev_io io;
+  BjHttp *http;
+  curl_socket_t fd;
+} Socket;
+
+static int on_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket);
+static int on_timer_change (CURLM *multi, long timeout_ms, void *data);
+static void on_io (struct ev_loop *loop, ev_io *w, int events);
+static void on_timeout (struct ev_loop *loop, ev_timer *w, int events);
+static void act (BjHttp *h, curl_socket_t fd, int events);
+static void collect_done (BjHttp *h);
+static void finish (BjHttpCall *c, CURLcode code);
+static size_t on_header (char *data, size_t size, size_t n, void *call);
+static size_t on_body (char *data, size_t size, size_t n, void *call);
+static void tell_head (BjHttpCall *c);
+static void read_header (BjHttpCall *c, BjStr name, BjStr value);
+static void set_method (BjHttpCall *c);
+static void set_headers (BjHttpCall *c);
+static void free_call (BjHttpCall *c);
+static BjStatus status_of (CURLcode code, const BjHttpCall *c);
+static bool was_sent (const BjHttpCall *c);
+
+BjHttp *
+bj_http_new (struct ev_loop *loop)
+{
+  BjHttp *h = g_new0 (BjHttp, 1);
+
+  h->loop = loop;
+  h->multi = curl_multi_init ();
+  h->calls = g_hash_table_new (NULL, NULL);
+  h->dead = g_ptr_array_new ();
+  ev_timer_init (&h->timer, on_timeout, 0, 0);
+  h->timer.data = h;
+  curl_multi_setopt (h->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (h->multi, CURLMOPT_SOCKETDATA, h);
+  curl_multi_setopt (h->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
+  curl_multi_setopt (h->multi, CURLMOPT_TIMERDATA, h);
+  curl_multi_setopt (h->multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CONNECTIONS_MAX);
+  curl_multi_setopt (h->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  return h;
+}
+
+void
+bj_http_free (BjHttp *h)
+{
+  GList *open = g_hash_table_get_keys (h->calls);
+
+  for (GList *l = open; l != NULL; l = l->next)
+    free_call (l->data);
+  g_list_free (open);
+  curl_multi_cleanup (h->multi);
+  ev_timer_stop (h->loop, &h->timer);
+  g_hash_table_destroy (h->calls);
+  g_ptr_array_free (h->dead, TRUE);
+  g_free (h);
+}
+
+BjHttpCall *
+bj_http_start (BjHttp *h, const BjHttpOptions *o)
+{
+  BjHttpCall *c = g_new0 (BjHttpCall, 1);
+
+  c->http = h;
+  c->o = *o;
+  c->url = g_strdup (o->url);
+  c->body = bj_str_dup (o->body);
+  c->head.length = -1;
+  c->head.attempts_left = -1;
+  c->easy = curl_easy_init ();
+  curl_easy_setopt (c->easy, CURLOPT_URL, c->url);
+  curl_easy_setopt (c->easy, CURLOPT_PRIVATE, c);
+  curl_easy_setopt (c->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (c->easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (c->easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (c->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)BJ_CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (c->easy, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
+  curl_easy_setopt (c->easy, CURLOPT_FRESH_CONNECT, o->fresh_connection ? 1L : 0L);
+  curl_easy_setopt (c->easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (c->easy, CURLOPT_HEADERDATA, c);
+  curl_easy_setopt (c->easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (c->easy, CURLOPT_WRITEDATA, c);
+  curl_easy_setopt (c->easy, CURLOPT_PROXY, "");
+  set_method (c);
+  set_headers (c);
+  g_hash_table_add (h->calls, c);
+  curl_multi_add_handle (h->multi, c->easy);
+  return c;
+}
+
+void
+bj_http_resume (BjHttpCall *c)
+{
+  if (!c->paused || c->cancelled)
+    return;
+  c->paused = false;
+  curl_easy_pause (c->easy, CURLPAUSE_CONT);
+}
+
+void
+bj_http_cancel (BjHttpCall *c)
+{
+  if (c->cancelled)
+    return;
+  c->cancelled = true;
+  if (c->http->depth > 0)
+    g_ptr_array_add (c->http->dead, c);
+  else
+    free_call (c);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket)
+{
+  BjHttp *h = data;
+  Socket *s = socket;
+  int events = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (s != NULL)
+        ev_io_stop (h->loop, &s->io);
+      g_free (s);
+      return 0;
+    }
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+    events |= EV_READ;
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    events |= EV_WRITE;
+  if (s == NULL)
+    {
+      s = g_new0 (Socket, 1);
+      s->http = h;
+      s->fd = fd;
+      curl_multi_assign (h->multi, fd, s);
+    }
+  else
+    ev_io_stop (h->loop, &s->io);
+  ev_io_init (&s->io, on_io, fd, events);
+  s->io.data = s;
+  ev_io_start (h->loop, &s->io);
+  return 0;
+}
+
+static int
+on_timer_change (CURLM *multi, long timeout_ms, void *data)
+{
+  BjHttp *h = data;
+
+  (void)multi;
+  ev_timer_stop (h->loop, &h->timer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set (&h->timer, (double)timeout_ms / 1000.0, 0);
+  ev_timer_start (h->loop, &h->timer);
+  return 0;
+}
+
+static void
+on_io (struct ev_loop *loop, ev_io *w, int events)
+{
+  Socket *s = w->data;
+  int flags = 0;
+
+  (void)loop;
+  if (events & EV_READ)
+    flags |= CURL_CSELECT_IN;
+  if (events & EV_WRITE)
+    flags |= CURL_CSELECT_OUT;
+  act (s->http, s->fd, flags);
+}
+
+static void
+on_timeout (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)loop;
+  (void)events;
+  act (w->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static void
+act (BjHttp *h, curl_socket_t fd, int events)
+{
+  int running;
+
+  h->depth++;
+  curl_multi_socket_action (h->multi, fd, events, &running);
+  h->depth--;
+  collect_done (h);
+  while (h->dead->len > 0)
+    free_call (g_ptr_array_steal_index_fast (h->dead, h->dead->len - 1));
+}
+
+static void
+collect_done (BjHttp *h)
+{
+  CURLMsg *m;
+  int left;
+  char *data;
+
+  while ((m = curl_multi_info_read (h->multi, &left)) != NULL)
+    {
+      if (m->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (m->easy_handle, CURLINFO_PRIVATE, &data);
+      finish ((BjHttpCall *)data, m->data.result);
+    }
+}
+
+static void
+finish (BjHttpCall *c, CURLcode code)
+{
+  BjStatus s = status_of (code, c);
+  bool sent = was_sent (c);
+  BjHttpOptions o = c->o;
+
+  if (c->cancelled)
+    return;
+  if (s == BJ_OK && !c->head_told)
+    tell_head (c);
+  if (c->cancelled)
+    return;
+  free_call (c);
+  o.done (o.data, s, sent);
+}
+
+static size_t
+on_header (char *data, size_t size, size_t n, void *call)
+{
+  BjHttpCall *c = call;
+  BjStr line = { data, size * n };
+  const char *colon = memchr (line.data, ':', line.len);
+  BjStr name;
+  BjStr value;
+
+  if (c->cancelled)
+    return 0;
+  if (colon == NULL)
+    return line.len;
+  name = (BjStr){ line.data, (size_t)(colon - line.data) };
+  value = (BjStr){ colon + 1, line.len - name.len - 1 };
+  while (value.len > 0 && g_ascii_isspace (value.data[0]))
+    value = (BjStr){ value.data + 1, value.len - 1 };
+  while (value.len > 0 && g_ascii_isspace (value.data[value.len - 1]))
+    value.len--;
+  read_header (c, name, value);
+  return line.len;
+}
+
+static size_t
+on_body (char *data, size_t size, size_t n, void *call)
+{
+  BjHttpCall *c = call;
+  size_t taken;
+
+  if (c->cancelled)
+    return 0;
+  if (!c->head_told)
+    tell_head (c);
+  if (c->cancelled)
+    return 0;
+  taken = c->o.body_part (c->o.data, (BjStr){ data, size * n });
+  if (c->cancelled)
+    return 0;
+  if (taken == size * n)
+    return taken;
+  c->paused = true;
+  return CURL_WRITEFUNC_PAUSE;
+}
+
+static void
+tell_head (BjHttpCall *c)
+{
+  long status = 0;
+  curl_off_t length = -1;
+
+  c->head_told = true;
+  curl_easy_getinfo (c->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (c->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  c->head.status = (int)status;
+  c->head.length = length;
+  c->head.content_type = bj_str (c->content_type);
+  c->head.outcome = bj_str (c->outcome);
+  if (c->o.head != NULL)
+    c->o.head (c->o.data, &c->head);
+}
+
+static void
+read_header (BjHttpCall *c, BjStr name, BjStr value)
+{
+  int64_t number = 0;
+  const char *key = name.data;
+
+  if (name.len == 12 && strncasecmp (key, "Content-Type", 12) == 0)
+    g_strlcpy (c->content_type, value.data, MIN (value.len + 1, sizeof c->content_type));
+  else if (name.len == 10 && strncasecmp (key, "Bj-Outcome", 10) == 0)
+    g_strlcpy (c->outcome, value.data, MIN (value.len + 1, sizeof c->outcome));
+  else if (name.len == 17 && strncasecmp (key, "Bj-Retry-After-Ms", 17) == 0
+           && bj_str_int (value, &number))
+    c->head.retry_after_ms = (double)number;
+  else if (name.len == 16 && strncasecmp (key, "Bj-Attempts-Left", 16) == 0
+           && bj_str_int (value, &number))
+    c->head.attempts_left = (int)number;
+}
+
+static void
+set_method (BjHttpCall *c)
+{
+  bool is_get = strcmp (c->o.method, "GET") == 0;
+
+  if (strcmp (c->o.method, "HEAD") == 0)
+    curl_easy_setopt (c->easy, CURLOPT_NOBODY, 1L);
+  if (c->body.len > 0 || !is_get)
+    {
+      curl_easy_setopt (c->easy, CURLOPT_POSTFIELDS, c->body.data);
+      curl_easy_setopt (c->easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)c->body.len);
+    }
+  curl_easy_setopt (c->easy, CURLOPT_CUSTOMREQUEST, c->o.method);
+}
+
+static void
+set_headers (BjHttpCall *c)
+{
+  c->headers = curl_slist_append (c->headers, "Expect:");
+  for (int i = 0; c->o.headers != NULL && c->o.headers[i] != NULL; i++)
+    c->headers = curl_slist_append (c->headers, c->o.headers[i]);
+  curl_easy_setopt (c->easy, CURLOPT_HTTPHEADER, c->headers);
+}
+
+static void
+free_call (BjHttpCall *c)
+{
+  g_hash_table_remove (c->http->calls, c);
+  curl_multi_remove_handle (c->http->multi, c->easy);
+  curl_easy_cleanup (c->easy);
+  curl_slist_free_all (c->headers);
+  bj_str_free (&c->body);
+  g_free (c->url);
+  g_free (c);
+}
+
+static BjStatus
+status_of (CURLcode code, const BjHttpCall *c)
+{
+  switch (code)
+    {
+    case CURLE_OK:
+      return BJ_OK;
+    case CURLE_OPERATION_TIMEDOUT:
+      return c->head_told ? BJ_E_BROKEN : BJ_E_DEADLINE;
+    default:
+      return c->head_told ? BJ_E_BROKEN : BJ_E_LOST;
+    }
+}
+
+// A request may have reached the other end once its connection stood.
+static bool
+was_sent (const BjHttpCall *c)
+{
+  long sent = 0;
+
+  curl_easy_getinfo (c->easy, CURLINFO_REQUEST_SIZE, &sent);
+  return sent > 0;
+}
--- /dev/null
+++ b/src/internal.h
@@ -0,0 +1,311 @@
+// Declarations that modules of the library share and embedders do not see.
+
+#pragma once
+
+#include "boragejunction.h"
+#include <json-c/json.h>
+#include <msgpack.h>
+
+struct ev_loop;
+
+// ---------------------------------------------------------------------------------------------
+// Json: strict reading of settings and tickets by tables of keys
+// ---------------------------------------------------------------------------------------------
+
+typedef enum
+{
+  BJ_JSON_STR,
+  BJ_JSON_INT,
+  BJ_JSON_NUMBER,
+  BJ_JSON_BOOL,
+  BJ_JSON_OBJECT,
+  BJ_JSON_ARRAY,
+} BjJsonType;
+
+typedef struct
+{
+  const char *key;
+  BjJsonType type;
+  bool required;
+  double min; // of a number, or of the length of a string or array
+  double max;
+} BjJsonKey;
+
+BjStatus
+bj_json_read (const char *name,
+              BjStr text,
+              BjStatus code,
+              struct json_object **root); // One whole value, comments allowed; code on failure
+BjStatus bj_json_check (const char *name,
+                        const char *path,
+                        struct json_object *o,
+                        BjStatus code,
+                        const BjJsonKey *keys,
+                        int n); // Unknown keys, types, ranges; message names all
+BjStr bj_json_str (struct json_object *o, const char *key); // View, empty if absent
+double bj_json_number (struct json_object *o,
+                       const char *key,
+                       double absent); // Number or the value for absent
+bool bj_json_bool (struct json_object *o, const char *key, bool absent);
+
+// ---------------------------------------------------------------------------------------------
+// Http: requests through libcurl multi on the loop
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjHttp BjHttp;
+typedef struct BjHttpCall BjHttpCall;
+
+typedef struct
+{
+  int status;
+  BjStr content_type;
+  int64_t length; // -1 when not known
+  BjStr outcome;  // Bj-Outcome
+  double retry_after_ms;
+  int attempts_left; // -1 when not given
+} BjHttpHead;
+
+typedef struct
+{
+  const char *method;
+  const char *url;
+  const char *const *headers; // "Name: value", NULL-terminated
+  BjStr body;                 // copied
+  double timeout_ms;          // 0 for none
+  bool fresh_connection;      // never reuse an idle one
+  void (*head) (void *data, const BjHttpHead *h);
+  size_t (*body_part) (void *data, BjStr part); // bytes taken: all or 0, which pauses
+  void (*done) (
+      void *data,
+      BjStatus s,
+      bool sent); // BJ_OK, BJ_E_LOST, BJ_E_BROKEN, BJ_E_DEADLINE; sent: bytes may have left
+  void *data;
+} BjHttpOptions;
+
+BjHttp *bj_http_new (struct ev_loop *loop);
+void bj_http_free (BjHttp *h); // Ends open calls without telling them
+BjHttpCall *bj_http_start (BjHttp *h,
+                           const BjHttpOptions *o); // done is called later, never at once
+void bj_http_resume (BjHttpCall *c);                // After a pause
+void bj_http_cancel (BjHttpCall *c);                // Closes the connection; done is not called
+
+// ---------------------------------------------------------------------------------------------
+// Exchange: an answer on its way from a source to a sink, with backpressure
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjExchange BjExchange;
+typedef struct BjSource BjSource;
+typedef struct BjSink BjSink;
+
+typedef struct
+{
+  void (*drained) (BjSource *s, size_t n); // the sink passed n bytes on
+  void (*cancel) (BjSource *s);            // stop and free; no more events
+} BjSourceOps;
+
+struct BjSource
+{
+  const BjSourceOps *ops;
+};
+
+typedef struct
+{
+  void (*begin) (BjSink *s, const BjAnswer *a);
+  size_t (*room) (BjSink *s);           // bytes it takes now
+  void (*data) (BjSink *s, BjStr part); // never more than room
+  void (*end) (BjSink *s, bool whole);  // the sink is freed or frees itself
+} BjSinkOps;
+
+struct BjSink
+{
+  const BjSinkOps *ops;
+};
+
+struct BjExchange
+{
+  BjDaemon *daemon;
+  BjCall *call;     // NULL after the kernel freed it
+  BjSource *source; // where the answer comes from, NULL before
+  BjSink *sink;     // where it goes
+};
+
+void bj_exchange_begin (BjExchange *x,
+                        const BjAnswer *a);        // Source: head arrived; may cancel the source
+size_t bj_exchange_room (BjExchange *x);           // Source: bytes the sink takes
+void bj_exchange_data (BjExchange *x, BjStr part); // Source: body
+void bj_exchange_end (BjExchange *x,
+                      bool whole); // Source: body ended; the source frees itself after
+void bj_exchange_lost (BjExchange *x, BjStatus s, BjOutcome o); // Source: failed before a head
+void bj_exchange_drained (BjExchange *x, size_t n);             // Sink: passed n bytes on
+void bj_exchange_gone (BjExchange *x); // Sink: its reader went away; x is freed
+
+// ---------------------------------------------------------------------------------------------
+// Frame: messages between daemons, length-prefixed msgpack arrays
+// ---------------------------------------------------------------------------------------------
+
+typedef enum
+{
+  BJ_FRAME_HELLO = 1, // protocol, name, incarnation
+  BJ_FRAME_CALL,
+  BJ_FRAME_ANSWER,
+  BJ_FRAME_DATA,
+  BJ_FRAME_END,
+  BJ_FRAME_CANCEL,
+  BJ_FRAME_WINDOW,
+  BJ_FRAME_PING,
+  BJ_FRAME_PONG,
+  BJ_FRAME_CONFIG_ASK, // number wanted at least
+  BJ_FRAME_CONFIG,     // text of the merged configuration
+  BJ_FRAME_KINDS,
+} BjFrameKind;
+
+typedef struct
+{
+  BjFrameKind kind;
+  uint64_t id;       // call, or incarnation in HELLO, number in CONFIG_ASK
+  BjStr name;        // HELLO: daemon; CALL: service
+  int protocol;      // HELLO
+  BjRequest request; // CALL
+  BjAnswer answer;   // ANSWER
+  BjStr data;        // DATA, CONFIG
+  uint64_t length;   // END: bytes of body; WINDOW: bytes granted
+  uint64_t hash;     // END: xxHash of the body
+  bool whole;        // END
+} BjFrame;
+
+void bj_frame_encode (msgpack_sbuffer *out, const BjFrame *f); // Appends length and frame
+BjStatus bj_frame_decode (BjStr bytes,
+                          msgpack_unpacked *keep,
+                          BjFrame *f); // Without the length; strings live in bytes and keep
+
+// ---------------------------------------------------------------------------------------------
+// Link: TCP connections to other daemons
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjLinks BjLinks;
+
+BjStatus bj_links_new (BjDaemon *d, BjLinks **l); // BJ_E_IO when the port is busy
+void bj_links_free (BjLinks *l);
+void bj_links_send (BjLinks *l, BjExchange *x, BjPeer *p); // Sends the call; answers reach x
+void bj_links_forget (BjLinks *l, BjPeer *p); // Closes the connection; its open calls are lost
+void
+bj_links_ask_config (BjLinks *l, BjPeer *p, int64_t number); // The text arrives by bj_daemon_config
+void bj_links_flush (BjLinks *l);                            // Writes what was queued in this turn
+
+// ---------------------------------------------------------------------------------------------
+// Front: HTTP from callers and operators through libmicrohttpd
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjFront BjFront;
+
+BjStatus bj_front_new (BjDaemon *d,
+                       BjAddress a,
+                       bool is_admin,
+                       BjFront **f); // BJ_E_IO when the port is busy
+void bj_front_free (BjFront *f);
+bool bj_front_turn (BjFront *f); // Runs what is ready; true if it did anything
+
+// ---------------------------------------------------------------------------------------------
+// Admin: operators' and upstreams' requests to one daemon
+// ---------------------------------------------------------------------------------------------
+
+int bj_admin_handle (
+    BjDaemon *d, BjStr method, BjStr path, BjStr body, GString *out); // Returns the HTTP status
+
+// ---------------------------------------------------------------------------------------------
+// Member: who is in the deployment, by UDP
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjMembers BjMembers;
+
+BjStatus bj_members_new (BjDaemon *d, BjMembers **m); // BJ_E_IO when the port is busy
+void bj_members_free (BjMembers *m);
+void bj_members_leave (BjMembers *m); // Tells peers of a planned stop
+
+// ---------------------------------------------------------------------------------------------
+// Platform: the object API (plug-in)
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjPlatform BjPlatform;
+
+typedef struct
+{
+  BjStatus code; // BJ_OK, BJ_E_NOT_FOUND, BJ_E_EXISTS, BJ_E_CONFLICT, BJ_E_GONE, BJ_E_PLATFORM
+  BjStr version; // opaque resourceVersion
+  struct json_object *spec; // borrowed, NULL on failure
+} BjPlatformReply;
+
+typedef void (*BjPlatformDone) (void *data, const BjPlatformReply *r);
+
+typedef struct
+{
+  BjPlatform *(*create) (struct ev_loop *loop, BjHttp *http, BjStr url);
+  void (*destroy) (BjPlatform *p);
+  void (*get) (BjPlatform *p,
+               const char *name,
+               BjPlatformDone done,
+               void *data); // name is "kind/name"
+  void (*put) (BjPlatform *p,
+               const char *name,
+               struct json_object *spec,
+               BjStr version,
+               BjPlatformDone done,
+               void *data); // Empty version creates
+  void (*watch) (BjPlatform *p,
+                 const char *name,
+                 BjStr version,
+                 BjPlatformDone done,
+                 void *data); // Replies when newer; BJ_E_NOT_FOUND after BJ_WATCH_MS without change
+} BjPlatformOps;
+
+struct BjPlatform
+{
+  const BjPlatformOps *ops;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Reader: brings the configuration in force from the platform and from peers
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjReader BjReader;
+
+BjReader *bj_reader_new (BjDaemon *d);
+void bj_reader_free (BjReader *r);
+void bj_reader_peer_has (BjReader *r, BjPeer *p); // A report showed a larger number
+
+// ---------------------------------------------------------------------------------------------
+// Daemon: what its modules share
+// ---------------------------------------------------------------------------------------------
+
+struct BjDaemon
+{
+  BjHost host; // first: the kernel calls back through it
+  struct ev_loop *loop;
+  BjSettings settings;
+  uint64_t incarnation;
+  BjKernel *kernel;
+  BjHttp *http;
+  BjLinks *links;
+  BjFront *front;
+  BjFront *admin;
+  BjMembers *members;
+  BjPlatform *platform;
+  BjReader *reader;
+  BjStr upstream_service;
+  BjAddress upstream; // of the own upstream, port 0 before it announces
+  int upstream_slots;
+  BjTime announced;
+  bool draining;
+  bool stopping;
+  BjTime stop_by;
+  struct BjDaemonWatchers *watchers;
+};
+
+void bj_daemon_config (BjDaemon *d, BjStr text); // A peer or the platform sent a configuration
+BjExchange *bj_daemon_arrive (BjDaemon *d,
+                              const BjRequest *r,
+                              BjSink *sink); // From a caller; NULL when already answered
+BjExchange *bj_daemon_arrive_peer (BjDaemon *d, const BjRequest *r, BjStr service, BjSink *sink);
+void bj_daemon_announce (BjDaemon *d, BjStr service, BjAddress a, int slots);
+void bj_daemon_drain (BjDaemon *d, bool drain);
+void bj_upstream_start (BjDaemon *d, BjExchange *x); // Runs the call on the own upstream
--- /dev/null
+++ b/src/json.c
@@ -0,0 +1,205 @@
+// Json: strict reading of settings and tickets by tables of keys, on json-c.
+
+#include "internal.h"
+#include <string.h>
+
+static BjStatus check_value (
+    const char *name, const char *path, const BjJsonKey *k, struct json_object *v, BjStatus code);
+static BjStatus check_size (const char *name,
+                            const char *path,
+                            const BjJsonKey *k,
+                            double n,
+                            const char *what,
+                            BjStatus code);
+static const BjJsonKey *find_key (const BjJsonKey *keys, int n, const char *key);
+static const char *type_name (BjJsonType t);
+static bool has_type (struct json_object *v, BjJsonType t);
+static int line_of (BjStr text, size_t at);
+static bool rest_is_blank (BjStr text, size_t at);
+
+BjStatus
+bj_json_read (const char *name, BjStr text, BjStatus code, struct json_object **root)
+{
+  struct json_tokener *t;
+  enum json_tokener_error e;
+  size_t end;
+
+  *root = NULL;
+  if (text.len > BJ_TICKET_MAX)
+    return bj_fail (
+        BJ_E_TOO_LARGE, "%s: %zu bytes, at most %d are allowed.", name, text.len, BJ_TICKET_MAX);
+  if (!g_utf8_validate (text.data, (gssize)text.len, NULL))
+    return bj_fail (code, "%s: the text is not valid UTF-8.", name);
+  t = json_tokener_new_ex (BJ_TICKET_DEPTH_MAX);
+  *root = json_tokener_parse_ex (t, text.data, (int)text.len);
+  e = json_tokener_get_error (t);
+  end = json_tokener_get_parse_end (t);
+  json_tokener_free (t);
+  if (e == json_tokener_continue)
+    return bj_fail (code, "%s: the text ends before the first value does.", name);
+  if (e != json_tokener_success)
+    return bj_fail (
+        code, "%s: line %d: %s.", name, line_of (text, end), json_tokener_error_desc (e));
+  if (rest_is_blank (text, end))
+    return BJ_OK;
+  json_object_put (*root);
+  *root = NULL;
+  return bj_fail (code, "%s: line %d: text follows the first value.", name, line_of (text, end));
+}
+
+BjStatus
+bj_json_check (const char *name,
+               const char *path,
+               struct json_object *o,
+               BjStatus code,
+               const BjJsonKey *keys,
+               int n)
+{
+  if (!json_object_is_type (o, json_type_object))
+    return bj_fail (code, "%s: %s: must be an object.", name, path);
+  json_object_object_foreach (o, key, value)
+  {
+    const BjJsonKey *k = find_key (keys, n, key);
+    BjStatus s;
+
+    if (k == NULL)
+      return bj_fail (code, "%s: %s: unknown key \"%s\".", name, path, key);
+    s = check_value (name, path, k, value, code);
+    if (s != BJ_OK)
+      return s;
+  }
+  for (int i = 0; i < n; i++)
+    if (keys[i].required && !json_object_object_get_ex (o, keys[i].key, NULL))
+      return bj_fail (code, "%s: %s: key \"%s\" is missing.", name, path, keys[i].key);
+  return BJ_OK;
+}
+
+BjStr
+bj_json_str (struct json_object *o, const char *key)
+{
+  struct json_object *v;
+
+  if (!json_object_object_get_ex (o, key, &v) || !json_object_is_type (v, json_type_string))
+    return BJ_STR_NULL;
+  return (BjStr){ json_object_get_string (v), (size_t)json_object_get_string_len (v) };
+}
+
+double
+bj_json_number (struct json_object *o, const char *key, double absent)
+{
+  struct json_object *v;
+
+  return json_object_object_get_ex (o, key, &v) ? json_object_get_double (v) : absent;
+}
+
+bool
+bj_json_bool (struct json_object *o, const char *key, bool absent)
+{
+  struct json_object *v;
+
+  return json_object_object_get_ex (o, key, &v) ? json_object_get_boolean (v) : absent;
+}
+
+static BjStatus
+check_value (
+    const char *name, const char *path, const BjJsonKey *k, struct json_object *v, BjStatus code)
+{
+  const char *shown = json_object_to_json_string (v);
+
+  if (!has_type (v, k->type))
+    return bj_fail (
+        code, "%s: %s.%s: %.60s is not %s.", name, path, k->key, shown, type_name (k->type));
+  if (k->min == 0 && k->max == 0)
+    return BJ_OK;
+  switch (k->type)
+    {
+    case BJ_JSON_INT:
+    case BJ_JSON_NUMBER:
+      return check_size (name, path, k, json_object_get_double (v), "value", code);
+    case BJ_JSON_STR:
+      return check_size (name, path, k, json_object_get_string_len (v), "length", code);
+    case BJ_JSON_ARRAY:
+      return check_size (name, path, k, (double)json_object_array_length (v), "length", code);
+    default:
+      return BJ_OK;
+    }
+}
+
+static BjStatus
+check_size (const char *name,
+            const char *path,
+            const BjJsonKey *k,
+            double n,
+            const char *what,
+            BjStatus code)
+{
+  if (n >= k->min && n <= k->max)
+    return BJ_OK;
+  return bj_fail (code,
+                  "%s: %s.%s: %s %g is out of range, %g to %g is allowed.",
+                  name,
+                  path,
+                  k->key,
+                  what,
+                  n,
+                  k->min,
+                  k->max);
+}
+
+static const BjJsonKey *
+find_key (const BjJsonKey *keys, int n, const char *key)
+{
+  for (int i = 0; i < n; i++)
+    if (strcmp (keys[i].key, key) == 0)
+      return &keys[i];
+  return NULL;
+}
+
+static const char *
+type_name (BjJsonType t)
+{
+  static const char *const names[] = {
+    [BJ_JSON_STR] = "a string",   [BJ_JSON_INT] = "a whole number", [BJ_JSON_NUMBER] = "a number",
+    [BJ_JSON_BOOL] = "a boolean", [BJ_JSON_OBJECT] = "an object",   [BJ_JSON_ARRAY] = "an array",
+  };
+
+  return names[t];
+}
+
+static bool
+has_type (struct json_object *v, BjJsonType t)
+{
+  switch (t)
+    {
+    case BJ_JSON_STR:
+      return json_object_is_type (v, json_type_string);
+    case BJ_JSON_INT:
+      return json_object_is_type (v, json_type_int);
+    case BJ_JSON_NUMBER:
+      return json_object_is_type (v, json_type_int) || json_object_is_type (v, json_type_double);
+    case BJ_JSON_BOOL:
+      return json_object_is_type (v, json_type_boolean);
+    case BJ_JSON_OBJECT:
+      return json_object_is_type (v, json_type_object);
+    default:
+      return json_object_is_type (v, json_type_array);
+    }
+}
+
+static int
+line_of (BjStr text, size_t at)
+{
+  int line = 1;
+
+  for (size_t i = 0; i < at && i < text.len; i++)
+    line += text.data[i] == '\n';
+  return line;
+}
+
+static bool
+rest_is_blank (BjStr text, size_t at)
+{
+  while (at < text.len && g_ascii_isspace (text.data[at]))
+    at++;
+  return at >= text.len;
+}
--- /dev/null
+++ b/src/kernel.c
@@ -0,0 +1,645 @@
+// Kernel: the life of a call from arrival to its answer. Makes every decision and does no I/O.
+
+#include "kernel.h"
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DETACHED_MAX_MS                                                                            \
+  60000 // an irreversible call may run on this long after its caller was answered
+
+static BjCall *new_call (BjKernel *k, BjTime now, const BjRequest *r, void *data);
+static void end_call (BjKernel *k, BjCall *c);
+static void set_deadline (BjKernel *k, BjCall *c, BjTime deadline);
+static gint by_deadline (gconstpointer a, gconstpointer b, gpointer data);
+static void dispatch (BjKernel *k, BjTime now, BjCall *c);
+static void send_to (BjKernel *k, BjTime now, BjCall *c, BjPeer *p, int n_candidates);
+static void leave_state (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
+static void failed (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
+static bool may_try_again (BjTime now, BjCall *c, const BjAnswer *a);
+static void answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a);
+static void expire (BjKernel *k, BjTime now, BjCall *c);
+static void detach (BjKernel *k, BjTime now, BjCall *c);
+static bool cancel_work (BjKernel *k, BjTime now, BjCall *c);
+static void copy_request (BjRequest *to, const BjRequest *from);
+static void clear_request (BjRequest *r);
+static int http_status_of (BjStatus s);
+
+BjKernel *
+bj_kernel_new (const BjKernelOptions *o, BjTime now)
+{
+  BjKernel *k = g_new0 (BjKernel, 1);
+
+  k->host = o->host;
+  k->rand = g_rand_new_with_seed (o->seed);
+  k->peers = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, bj_peer_free);
+  k->services = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, bj_service_free);
+  k->deadlines = g_sequence_new (NULL);
+  k->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  k->self = g_new0 (BjPeer, 1);
+  k->self->is_self = true;
+  k->self->reported = now;
+  bj_peer_report_copy (&k->self->report, &o->self);
+  g_hash_table_insert (k->peers, &k->self->report.name, k->self);
+  return k;
+}
+
+void
+bj_kernel_free (BjKernel *k)
+{
+  GList *open = g_hash_table_get_values (k->calls);
+
+  for (GList *l = open; l != NULL; l = l->next)
+    {
+      BjCall *c = l->data;
+
+      if (c->state == BJ_CALL_QUEUED)
+        bj_guard_leave (k, c);
+      end_call (k, c);
+    }
+  g_list_free (open);
+  if (k->guard.limiter != NULL)
+    k->guard.limiter->ops->destroy (k->guard.limiter);
+  if (k->guard.queue != NULL)
+    k->guard.queue->ops->destroy (k->guard.queue);
+  bj_str_free (&k->guard.service);
+  for (guint i = 0; i < BJ_RING_SIZE; i++)
+    {
+      bj_str_free (&k->ring[i].key);
+      g_free (k->ring[i].text);
+    }
+  g_hash_table_destroy (k->calls);
+  g_hash_table_destroy (k->services);
+  g_hash_table_destroy (k->peers);
+  g_sequence_free (k->deadlines);
+  bj_config_free (k->config);
+  g_rand_free (k->rand);
+  g_free (k);
+}
+
+void
+bj_kernel_set_config (BjKernel *k, BjTime now, BjConfig *c)
+{
+  const BjUpstreamConfig *u;
+  BjConfig *old = k->config;
+  GHashTableIter i;
+  gpointer s;
+
+  if (old != NULL && c->number <= old->number)
+    {
+      bj_config_free (c);
+      return;
+    }
+  k->config = c;
+  for (int n = 0; n < c->n_services; n++)
+    bj_kernel_service (k, c->services[n].name);
+  g_hash_table_iter_init (&i, k->services);
+  while (g_hash_table_iter_next (&i, NULL, &s))
+    bj_service_configure (k, s);
+  bj_config_free (old);
+  u = bj_config_upstream (c, k->self->report.name);
+  if (u != NULL)
+    bj_kernel_drain (k, now, u->drain);
+  bj_guard_configure (k, now);
+  bj_log (BJ_LOG_INFO, "TICKET", "Ticket %" G_GINT64_FORMAT " is in force.", c->number);
+}
+
+const BjConfig *
+bj_kernel_config (const BjKernel *k)
+{
+  return k->config;
+}
+
+BjCall *
+bj_kernel_arrive (BjKernel *k, BjTime now, const BjRequest *r, void *data)
+{
+  BjCall *c = new_call (k, now, r, data);
+  uint64_t id = c->id;
+  const BjServiceConfig *s = NULL;
+  const BjRoute *route = bj_config_route (k->config, c->request.path, &s);
+  double deadline_ms;
+
+  c->is_front = true;
+  if (route == NULL)
+    {
+      answer (k,
+              now,
+              c,
+              (BjAnswer){ .code = BJ_E_NO_ROUTE, .outcome = BJ_NOT_RUN, .attempts_left = -1 });
+      return NULL;
+    }
+  c->service = bj_kernel_service (k, s->name);
+  c->klass = MAX (route->klass, MIN (r->klass, BJ_CLASSES - 1));
+  c->irreversible = route->irreversible;
+  c->attempts_left
+      = r->attempts_left >= 0 ? MIN (r->attempts_left, route->attempts) : route->attempts;
+  deadline_ms = r->deadline_ms > 0 ? MIN (r->deadline_ms, route->deadline_ms) : route->deadline_ms;
+  set_deadline (k, c, now + deadline_ms);
+  if (c->irreversible && c->request.key.len == 0)
+    {
+      answer (
+          k, now, c, (BjAnswer){ .code = BJ_E_KEY, .outcome = BJ_NOT_RUN, .attempts_left = -1 });
+      return NULL;
+    }
+  c->service->retry->ops->fresh (c->service->retry, now);
+  c->state = BJ_CALL_CLAIMING;
+  if (c->irreversible)
+    k->host->ops->claim (k->host, c);
+  else
+    bj_kernel_claimed (k, now, c, BJ_OK);
+  return g_hash_table_lookup (k->calls, &id);
+}
+
+BjCall *
+bj_kernel_arrive_peer (BjKernel *k, BjTime now, const BjRequest *r, BjStr service, void *data)
+{
+  BjCall *c = new_call (k, now, r, data);
+  uint64_t id = c->id;
+
+  c->klass = CLAMP (r->klass, 0, BJ_CLASSES - 1);
+  c->irreversible = r->irreversible;
+  c->attempts_left = r->attempts_left;
+  set_deadline (k, c, now + r->deadline_ms);
+  if (!bj_str_equal (service, k->guard.service))
+    {
+      answer (k,
+              now,
+              c,
+              (BjAnswer){ .code = BJ_E_NO_UPSTREAM, .outcome = BJ_NOT_RUN, .attempts_left = -1 });
+      return NULL;
+    }
+  c->service = bj_kernel_service (k, service);
+  bj_guard_admit (k, now, c);
+  return g_hash_table_lookup (k->calls, &id);
+}
+
+void
+bj_kernel_claimed (BjKernel *k, BjTime now, BjCall *c, BjStatus s)
+{
+  c->state = BJ_CALL_NEW;
+  if (s == BJ_OK)
+    {
+      dispatch (k, now, c);
+      return;
+    }
+  answer (k,
+          now,
+          c,
+          (BjAnswer){
+              .code = s,
+              .outcome = s == BJ_E_DUPLICATE ? BJ_UNKNOWN : BJ_NOT_RUN,
+              .attempts_left = -1,
+          });
+}
+
+BjVerdict
+bj_kernel_answer_begin (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
+{
+  BjAnswer copy = *a;
+
+  if (a->outcome == BJ_DONE)
+    {
+      c->answer_begun = true;
+      return BJ_RELAY;
+    }
+  if (c->state == BJ_CALL_RUNNING && copy.code == BJ_OK)
+    copy.code = BJ_E_SHED;
+  leave_state (k, now, c, copy.code);
+  failed (k, now, c, &copy);
+  return BJ_ABSORB;
+}
+
+void
+bj_kernel_answer_end (BjKernel *k, BjTime now, BjCall *c, bool whole)
+{
+  leave_state (k, now, c, whole ? BJ_OK : BJ_E_BROKEN);
+  end_call (k, c);
+}
+
+void
+bj_kernel_lost (BjKernel *k, BjTime now, BjCall *c, BjStatus s, BjOutcome o)
+{
+  BjAnswer a
+      = { .code = s, .outcome = o, .attempts_left = -1, .retry_after_ms = BJ_RETRY_AFTER_MIN_MS };
+
+  if (c->state == BJ_CALL_SENT)
+    c->target->skip_until = now + BJ_SKIP_MS;
+  leave_state (k, now, c, s);
+  failed (k, now, c, &a);
+}
+
+void
+bj_kernel_cancel (BjKernel *k, BjTime now, BjCall *c)
+{
+  bj_kernel_note (k, now, c, "CALL", "Cancelled by its caller");
+  if (cancel_work (k, now, c))
+    end_call (k, c);
+  else
+    detach (k, now, c);
+}
+
+void
+bj_kernel_announce (BjKernel *k, BjTime now, BjStr service, int slots)
+{
+  if (!bj_str_equal (k->guard.service, service))
+    {
+      if (k->self->service != NULL)
+        g_ptr_array_remove (k->self->service->peers, k->self);
+      bj_str_set (&k->guard.service, service);
+      bj_str_set (&k->self->report.service, service);
+      k->self->service = bj_kernel_service (k, service);
+      g_ptr_array_add (k->self->service->peers, k->self);
+      bj_log (BJ_LOG_INFO,
+              "MEMBER",
+              "The own upstream serves %.*s with %d slots.",
+              BJ_STR_ARG (service),
+              slots);
+    }
+  k->guard.slots = slots;
+  bj_guard_configure (k, now);
+}
+
+void
+bj_kernel_upstream_gone (BjKernel *k, BjTime now)
+{
+  (void)now;
+  if (k->self->service == NULL)
+    return;
+  bj_log (BJ_LOG_WARNING, "MEMBER", "The own upstream is gone.");
+  g_ptr_array_remove (k->self->service->peers, k->self);
+  k->self->service = NULL;
+  bj_str_set (&k->guard.service, BJ_STR_NULL);
+  bj_str_set (&k->self->report.service, BJ_STR_NULL);
+  if (k->guard.limiter != NULL)
+    k->guard.limiter->ops->destroy (k->guard.limiter);
+  k->guard.limiter = NULL;
+  k->guard.slots = 0;
+}
+
+void
+bj_kernel_drain (BjKernel *k, BjTime now, bool drain)
+{
+  (void)now;
+  if (k->guard.draining == drain)
+    return;
+  k->guard.draining = drain;
+  k->self->report.draining = drain;
+  bj_log (BJ_LOG_INFO,
+          "MEMBER",
+          drain ? "Draining, no new work is taken." : "Drain ended, new work is taken.");
+}
+
+void
+bj_kernel_tick (BjKernel *k, BjTime now)
+{
+  GSequenceIter *first;
+  BjCall *c;
+
+  for (;;)
+    {
+      first = g_sequence_get_begin_iter (k->deadlines);
+      if (g_sequence_iter_is_end (first))
+        return;
+      c = g_sequence_get (first);
+      if (c->deadline > now)
+        return;
+      expire (k, now, c);
+    }
+}
+
+BjTime
+bj_kernel_next (const BjKernel *k)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (k->deadlines);
+
+  if (g_sequence_iter_is_end (first))
+    return BJ_TIME_NEVER;
+  return ((BjCall *)g_sequence_get (first))->deadline;
+}
+
+int
+bj_kernel_open_calls (const BjKernel *k)
+{
+  return (int)g_hash_table_size (k->calls);
+}
+
+void
+bj_kernel_explain (const BjKernel *k, BjStr key, GString *out)
+{
+  for (guint i = 0; i < BJ_RING_SIZE; i++)
+    {
+      const BjDecision *d = &k->ring[(k->ring_next + i) % BJ_RING_SIZE];
+
+      if (d->text != NULL && bj_str_equal (d->key, key))
+        g_string_append_printf (out, "%.3f %s\n", d->at, d->text);
+    }
+}
+
+void
+bj_kernel_note (
+    BjKernel *k, BjTime now, const BjCall *c, const char *prefix, const char *format, ...)
+{
+  BjDecision *d;
+  va_list args;
+  char text[256];
+
+  if (c->request.key.len == 0 && !bj_log_enabled (BJ_LOG_DEBUG))
+    return;
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  bj_log (BJ_LOG_DEBUG, prefix, "%s, call %" G_GUINT64_FORMAT ".", text, c->id);
+  if (c->request.key.len == 0)
+    return;
+  d = &k->ring[k->ring_next++ % BJ_RING_SIZE];
+  d->at = now;
+  bj_str_set (&d->key, c->request.key);
+  g_free (d->text);
+  d->text = g_strdup_printf ("%s: %s.", prefix, text);
+}
+
+void
+bj_call_refuse (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
+{
+  bj_kernel_note (k,
+                  now,
+                  c,
+                  "LIMIT",
+                  "Refused, %s, %d of %d in flight",
+                  bj_status_name (a->code),
+                  k->guard.in_flight,
+                  k->guard.limiter != NULL ? bj_guard_limit (k, now) : 0);
+  failed (k, now, c, a);
+}
+
+void
+bj_call_run (BjKernel *k, BjTime now, BjCall *c)
+{
+  c->state = BJ_CALL_RUNNING;
+  c->started = now;
+  k->guard.in_flight++;
+  bj_kernel_note (k, now, c, "LIMIT", "Started, %d in flight", k->guard.in_flight);
+  k->host->ops->start_upstream (k->host, c);
+}
+
+static BjCall *
+new_call (BjKernel *k, BjTime now, const BjRequest *r, void *data)
+{
+  BjCall *c = g_new0 (BjCall, 1);
+
+  c->id = ++k->next_id;
+  c->state = BJ_CALL_NEW;
+  c->arrived = now;
+  c->data = data;
+  copy_request (&c->request, r);
+  c->cohort = (uint32_t)bj_str_hash (r->key.len > 0 ? r->key : r->path);
+  g_hash_table_insert (k->calls, &c->id, c);
+  set_deadline (k, c, now + BJ_DEADLINE_MS);
+  return c;
+}
+
+static void
+end_call (BjKernel *k, BjCall *c)
+{
+  c->state = BJ_CALL_ENDED;
+  g_sequence_remove (c->deadline_at);
+  g_hash_table_remove (k->calls, &c->id);
+  k->host->ops->freed (k->host, c);
+  clear_request (&c->request);
+  g_free (c);
+}
+
+static void
+set_deadline (BjKernel *k, BjCall *c, BjTime deadline)
+{
+  if (c->deadline_at != NULL)
+    g_sequence_remove (c->deadline_at);
+  c->deadline = deadline;
+  c->deadline_at = g_sequence_insert_sorted (k->deadlines, c, by_deadline, NULL);
+}
+
+static gint
+by_deadline (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const BjCall *x = a;
+  const BjCall *y = b;
+
+  (void)data;
+  if (x->deadline != y->deadline)
+    return x->deadline < y->deadline ? -1 : 1;
+  return x->id < y->id ? -1 : x->id > y->id;
+}
+
+static void
+dispatch (BjKernel *k, BjTime now, BjCall *c)
+{
+  int n_candidates = 0;
+  BjRouterAsk ask = {
+    .call = c,
+    .peers = (BjPeer *const *)c->service->peers->pdata,
+    .n = (int)c->service->peers->len,
+    .domain = k->self->report.domain,
+    .region = k->self->report.region,
+    .rand = k->rand,
+    .n_candidates = &n_candidates,
+  };
+  BjPeer *p = c->service->router->ops->pick (c->service->router, now, &ask);
+  BjAnswer a;
+
+  if (p != NULL)
+    {
+      send_to (k, now, c, p, n_candidates);
+      return;
+    }
+  bj_kernel_note (
+      k, now, c, "ROUTE", "No upstream of %.*s can take it", BJ_STR_ARG (c->service->name));
+  a = bj_guard_refusal (k, now, BJ_E_NO_UPSTREAM, c->klass);
+  answer (k, now, c, a);
+}
+
+static void
+send_to (BjKernel *k, BjTime now, BjCall *c, BjPeer *p, int n_candidates)
+{
+  c->target = p;
+  if (c->n_tried < BJ_TRIED_MAX)
+    c->tried[c->n_tried++] = p;
+  bj_kernel_note (k,
+                  now,
+                  c,
+                  "ROUTE",
+                  "%.*s to %.*s at %.*s, %d of %d in flight, %d candidates",
+                  BJ_STR_ARG (c->service->name),
+                  BJ_STR_ARG (p->report.name),
+                  BJ_STR_ARG (p->report.domain),
+                  p->own_in_flight,
+                  p->report.limit,
+                  n_candidates);
+  if (p->is_self)
+    {
+      bj_guard_admit (k, now, c);
+      return;
+    }
+  c->state = BJ_CALL_SENT;
+  p->own_in_flight++;
+  k->host->ops->send_peer (k->host, c, p);
+}
+
+static void
+leave_state (BjKernel *k, BjTime now, BjCall *c, BjStatus s)
+{
+  BjCallState was = c->state;
+
+  c->state = BJ_CALL_NEW;
+  if (was == BJ_CALL_SENT)
+    c->target->own_in_flight--;
+  if (was == BJ_CALL_QUEUED)
+    bj_guard_leave (k, c);
+  if (was == BJ_CALL_RUNNING)
+    bj_guard_finished (k, now, c, s);
+}
+
+static void
+failed (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
+{
+  if (c->detached)
+    {
+      end_call (k, c);
+      return;
+    }
+  if (c->is_front && may_try_again (now, c, a))
+    {
+      bj_kernel_note (k,
+                      now,
+                      c,
+                      "RETRY",
+                      "After %s, %d attempts left",
+                      bj_status_name (a->code),
+                      c->attempts_left);
+      dispatch (k, now, c);
+      return;
+    }
+  answer (k, now, c, *a);
+}
+
+static bool
+may_try_again (BjTime now, BjCall *c, const BjAnswer *a)
+{
+  if (c->deadline <= now || c->n_tried >= BJ_TRIED_MAX)
+    return false;
+  if (a->outcome == BJ_UNKNOWN && c->irreversible)
+    return false;
+  if (a->code == BJ_E_DRAINING)
+    return true;
+  return c->service->retry->ops->allow (c->service->retry, now, c);
+}
+
+static void
+answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a)
+{
+  if (a.http_status == 0)
+    a.http_status = http_status_of (a.code);
+  if (a.http_status >= 500 && a.retry_after_ms <= 0)
+    a.retry_after_ms = BJ_RETRY_AFTER_MIN_MS * g_rand_double_range (k->rand, 1, 2);
+  bj_kernel_note (k,
+                  now,
+                  c,
+                  "CALL",
+                  "Answered %s, %s, come back in %.0f ms",
+                  bj_status_name (a.code),
+                  bj_outcome_name (a.outcome),
+                  a.retry_after_ms);
+  k->host->ops->answer (k->host, c, &a);
+  end_call (k, c);
+}
+
+static void
+expire (BjKernel *k, BjTime now, BjCall *c)
+{
+  BjAnswer a
+      = { .code = BJ_E_DEADLINE, .outcome = BJ_UNKNOWN, .http_status = 504, .attempts_left = -1 };
+  bool ran = c->state == BJ_CALL_RUNNING || c->state == BJ_CALL_SENT;
+  bool ended = cancel_work (k, now, c);
+
+  if (!ran)
+    a.outcome = BJ_NOT_RUN;
+  if (ended && !c->answer_begun)
+    {
+      answer (k, now, c, a);
+      return;
+    }
+  if (ended)
+    {
+      end_call (k, c);
+      return;
+    }
+  if (!c->answer_begun)
+    k->host->ops->answer (k->host, c, &a);
+  detach (k, now, c);
+}
+
+// Lets an irreversible call that has been started run on without a caller.
+static void
+detach (BjKernel *k, BjTime now, BjCall *c)
+{
+  c->answer_begun = true;
+  c->detached = true;
+  set_deadline (k, c, now + DETACHED_MAX_MS);
+}
+
+// Stops the work of a call. False when it is irreversible and has been started.
+static bool
+cancel_work (BjKernel *k, BjTime now, BjCall *c)
+{
+  bool is_started = c->state == BJ_CALL_RUNNING || c->state == BJ_CALL_SENT;
+
+  if (is_started && c->irreversible && !c->detached)
+    return false;
+  if (is_started)
+    k->host->ops->cancel (k->host, c);
+  leave_state (k, now, c, BJ_E_DEADLINE);
+  return true;
+}
+
+static void
+copy_request (BjRequest *to, const BjRequest *from)
+{
+  *to = *from;
+  to->method = bj_str_dup (from->method);
+  to->path = bj_str_dup (from->path);
+  to->key = bj_str_dup (from->key);
+  to->content_type = bj_str_dup (from->content_type);
+  to->body = bj_str_dup (from->body);
+}
+
+static void
+clear_request (BjRequest *r)
+{
+  bj_str_free (&r->method);
+  bj_str_free (&r->path);
+  bj_str_free (&r->key);
+  bj_str_free (&r->content_type);
+  bj_str_free (&r->body);
+}
+
+static int
+http_status_of (BjStatus s)
+{
+  switch (s)
+    {
+    case BJ_E_NO_ROUTE:
+      return 404;
+    case BJ_E_KEY:
+      return 400;
+    case BJ_E_DUPLICATE:
+      return 409;
+    case BJ_E_QUARANTINED:
+      return 422;
+    case BJ_E_DEADLINE:
+      return 504;
+    case BJ_E_LOST:
+    case BJ_E_BROKEN:
+      return 502;
+    default:
+      return 503;
+    }
+}
--- /dev/null
+++ b/src/kernel.h
@@ -0,0 +1,70 @@
+// What the kernel's modules share: its state, the guard and the table of peers.
+
+#pragma once
+
+#include "boragejunction.h"
+
+typedef struct
+{
+  BjTime at;
+  BjStr key;  // owned
+  char *text; // owned
+} BjDecision;
+
+typedef struct
+{
+  BjStr service;      // owned, empty before the upstream announced itself
+  int slots;          // announced
+  BjLimiter *limiter; // NULL before
+  BjQueue *queue;     // NULL before
+  int in_flight;
+  bool draining;
+} BjGuard;
+
+struct BjKernel
+{
+  BjHost *host;
+  BjPeer *self;
+  GRand *rand;
+  BjConfig *config;
+  GHashTable *peers;    // BjStr* in BjPeer to BjPeer*
+  GHashTable *services; // BjStr* in BjService to BjService*
+  GSequence *deadlines; // BjCall*, earliest first
+  GHashTable *calls;    // call id to open BjCall*
+  BjGuard guard;
+  uint64_t next_id;
+  BjDecision ring[BJ_RING_SIZE];
+  guint ring_next;
+};
+
+// Calls
+void bj_call_refuse (BjKernel *k,
+                     BjTime now,
+                     BjCall *c,
+                     const BjAnswer *a);               // Guard said no: route elsewhere or answer
+void bj_call_run (BjKernel *k, BjTime now, BjCall *c); // Starts it on the own upstream
+void bj_kernel_note (
+    BjKernel *k, BjTime now, const BjCall *c, const char *prefix, const char *format, ...)
+    G_GNUC_PRINTF (5, 6); // Decision line, logged and kept for explain
+
+// Guard
+void bj_guard_configure (BjKernel *k, BjTime now); // After an announcement or a configuration
+void bj_guard_admit (BjKernel *k, BjTime now, BjCall *c); // Run, queue or refuse
+void bj_guard_finished (BjKernel *k,
+                        BjTime now,
+                        BjCall *c,
+                        BjStatus s);          // A running call ended; starts the next ones
+void bj_guard_leave (BjKernel *k, BjCall *c); // Takes a queued call out
+int bj_guard_limit (BjKernel *k, BjTime now); // Calls in flight allowed now
+BjAnswer bj_guard_refusal (BjKernel *k,
+                           BjTime now,
+                           BjStatus s,
+                           int klass); // Final answer with a time to come back
+
+// Peers
+guint bj_str_key_hash (gconstpointer s); // For tables keyed by BjStr*
+gboolean bj_str_key_equal (gconstpointer a, gconstpointer b);
+BjService *bj_kernel_service (BjKernel *k, BjStr name); // Found or made
+void bj_service_configure (BjKernel *k, BjService *s);  // Router and retry from the configuration
+void bj_service_free (gpointer s);
+void bj_peer_free (gpointer p);
--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,196 @@
+// Peer: the table of daemons known, by name and by service.
+
+#include "kernel.h"
+
+static void set_service (BjKernel *k, BjPeer *p);
+static bool is_newer (const BjPeerReport *a, const BjPeerReport *b);
+
+void
+bj_peer_report_copy (BjPeerReport *to, const BjPeerReport *from)
+{
+  BjPeerReport copy = *from;
+
+  copy.name = bj_str_dup (from->name);
+  copy.domain = bj_str_dup (from->domain);
+  copy.region = bj_str_dup (from->region);
+  copy.service = bj_str_dup (from->service);
+  copy.host = bj_str_dup (from->host);
+  bj_peer_report_clear (to);
+  *to = copy;
+}
+
+void
+bj_peer_report_clear (BjPeerReport *r)
+{
+  bj_str_free (&r->name);
+  bj_str_free (&r->domain);
+  bj_str_free (&r->region);
+  bj_str_free (&r->service);
+  bj_str_free (&r->host);
+}
+
+void
+bj_kernel_peer (BjKernel *k, BjTime now, const BjPeerReport *r)
+{
+  BjPeer *p = bj_kernel_find_peer (k, r->name);
+
+  if (p != NULL && p->is_self)
+    return;
+  if (p != NULL && !is_newer (r, &p->report))
+    return;
+  if (p == NULL)
+    {
+      p = g_new0 (BjPeer, 1);
+      bj_peer_report_copy (&p->report, r);
+      g_hash_table_insert (k->peers, &p->report.name, p);
+      bj_log (BJ_LOG_INFO,
+              "MEMBER",
+              "%.*s joined from %.*s.",
+              BJ_STR_ARG (r->name),
+              BJ_STR_ARG (r->domain));
+    }
+  else
+    {
+      // The name is the key in the table and does not change.
+      BjStr name = p->report.name;
+
+      p->report.name = bj_str_dup (name);
+      bj_peer_report_copy (&p->report, r);
+      bj_str_free (&p->report.name);
+      p->report.name = name;
+    }
+  p->reported = now;
+  set_service (k, p);
+}
+
+void
+bj_kernel_peer_gone (BjKernel *k, BjTime now, BjStr name)
+{
+  BjPeer *p = bj_kernel_find_peer (k, name);
+
+  (void)now;
+  if (p == NULL || p->is_self)
+    return;
+  bj_log (BJ_LOG_INFO, "MEMBER", "%.*s is gone.", BJ_STR_ARG (name));
+  if (p->service != NULL)
+    g_ptr_array_remove (p->service->peers, p);
+  g_hash_table_remove (k->peers, &p->report.name);
+}
+
+BjPeer *
+bj_kernel_find_peer (BjKernel *k, BjStr name)
+{
+  return g_hash_table_lookup (k->peers, &name);
+}
+
+void
+bj_kernel_each_peer (BjKernel *k, void (*fn) (BjPeer *p, void *data), void *data)
+{
+  GList *all = g_hash_table_get_values (k->peers);
+
+  for (GList *l = all; l != NULL; l = l->next)
+    fn (l->data, data);
+  g_list_free (all);
+}
+
+void
+bj_kernel_self (BjKernel *k, BjTime now, BjPeerReport *r)
+{
+  BjPeerReport *self = &k->self->report;
+
+  self->limit = k->guard.limiter != NULL ? bj_guard_limit (k, now) : 0;
+  self->in_flight = k->guard.in_flight;
+  self->queued = k->guard.queue != NULL ? k->guard.queue->ops->length (k->guard.queue) : 0;
+  self->draining = k->guard.draining;
+  self->config_number = k->config != NULL ? k->config->number : 0;
+  k->self->reported = now;
+  *r = *self;
+}
+
+guint
+bj_str_key_hash (gconstpointer s)
+{
+  return (guint)bj_str_hash (*(const BjStr *)s);
+}
+
+gboolean
+bj_str_key_equal (gconstpointer a, gconstpointer b)
+{
+  return bj_str_equal (*(const BjStr *)a, *(const BjStr *)b);
+}
+
+BjService *
+bj_kernel_service (BjKernel *k, BjStr name)
+{
+  BjService *s = g_hash_table_lookup (k->services, &name);
+
+  if (s != NULL)
+    return s;
+  s = g_new0 (BjService, 1);
+  s->name = bj_str_dup (name);
+  s->peers = g_ptr_array_new ();
+  g_hash_table_insert (k->services, &s->name, s);
+  bj_service_configure (k, s);
+  return s;
+}
+
+void
+bj_service_configure (BjKernel *k, BjService *s)
+{
+  const BjServiceConfig *old = s->config;
+
+  s->config = bj_config_service (k->config, s->name);
+  if (s->config == NULL || (old != NULL && s->router != NULL && old->number == s->config->number))
+    return;
+  if (s->router != NULL)
+    s->router->ops->destroy (s->router);
+  if (s->retry != NULL)
+    s->retry->ops->destroy (s->retry);
+  s->router = s->config->router->create ();
+  s->retry = s->config->retry->create (&s->config->retry_options);
+}
+
+void
+bj_service_free (gpointer data)
+{
+  BjService *s = data;
+
+  if (s->router != NULL)
+    s->router->ops->destroy (s->router);
+  if (s->retry != NULL)
+    s->retry->ops->destroy (s->retry);
+  g_ptr_array_free (s->peers, TRUE);
+  bj_str_free (&s->name);
+  g_free (s);
+}
+
+void
+bj_peer_free (gpointer data)
+{
+  BjPeer *p = data;
+
+  bj_peer_report_clear (&p->report);
+  g_free (p);
+}
+
+static void
+set_service (BjKernel *k, BjPeer *p)
+{
+  BjService *s = p->report.service.len > 0 ? bj_kernel_service (k, p->report.service) : NULL;
+
+  if (s == p->service)
+    return;
+  if (p->service != NULL)
+    g_ptr_array_remove (p->service->peers, p);
+  p->service = s;
+  if (s != NULL)
+    g_ptr_array_add (s->peers, p);
+}
+
+static bool
+is_newer (const BjPeerReport *a, const BjPeerReport *b)
+{
+  if (a->incarnation != b->incarnation)
+    return a->incarnation > b->incarnation;
+  return a->version > b->version;
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,261 @@
+// Settings: what one daemon is told at its start, JSON with comments.
+
+#include "internal.h"
+#include <arpa/inet.h>
+#include <string.h>
+
+#define NAME_MAX_BYTES 64
+#define PORT_MAX 65535
+#define SEEDS_MAX 64
+
+static const BjJsonKey setting_keys[] = {
+  { "name", BJ_JSON_STR, true, 1, NAME_MAX_BYTES },
+  { "domain", BJ_JSON_STR, true, 1, NAME_MAX_BYTES },
+  { "region", BJ_JSON_STR, true, 1, NAME_MAX_BYTES },
+  { "front", BJ_JSON_STR, true, 0, 0 },
+  { "admin", BJ_JSON_STR, true, 0, 0 },
+  { "link", BJ_JSON_STR, true, 0, 0 },
+  { "gossip", BJ_JSON_STR, true, 0, 0 },
+  { "seeds", BJ_JSON_ARRAY, false, 0, SEEDS_MAX },
+  { "platform", BJ_JSON_OBJECT, true, 0, 0 },
+  { "key_file", BJ_JSON_STR, false, 0, 0 },
+  { "log_level", BJ_JSON_STR, false, 0, 0 },
+  { "drain_ms", BJ_JSON_NUMBER, false, 0, 600000 },
+};
+static const BjJsonKey platform_keys[] = {
+  { "plugin", BJ_JSON_STR, false, 0, 0 },
+  { "url", BJ_JSON_STR, true, 1, 1024 },
+};
+
+static BjStatus read_all (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus read_address (const char *name, const char *key, BjStr text, BjAddress *a);
+static BjStatus read_addresses (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus read_seeds (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus read_platform (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus read_log_level (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus check_distinct (const char *name, const BjSettings *s);
+
+BjStatus
+bj_settings_read (const char *path, BjSettings *s)
+{
+  GError *error = NULL;
+  char *text;
+  gsize len;
+  BjStatus status;
+
+  if (!g_file_get_contents (path, &text, &len, &error))
+    {
+      status = bj_fail (BJ_E_IO, "%s: %s.", path, error->message);
+      g_error_free (error);
+      return status;
+    }
+  status = bj_settings_parse (path, (BjStr){ text, len }, s);
+  g_free (text);
+  return status;
+}
+
+BjStatus
+bj_settings_parse (const char *name, BjStr text, BjSettings *s)
+{
+  struct json_object *o;
+  BjStatus status;
+
+  memset (s, 0, sizeof *s);
+  status = bj_json_read (name, text, BJ_E_SETTINGS, &o);
+  if (status != BJ_OK)
+    return status;
+  status = bj_json_check (
+      name, "settings", o, BJ_E_SETTINGS, setting_keys, G_N_ELEMENTS (setting_keys));
+  if (status == BJ_OK)
+    status = read_all (name, o, s);
+  json_object_put (o);
+  if (status != BJ_OK)
+    bj_settings_clear (s);
+  return status;
+}
+
+void
+bj_settings_clear (BjSettings *s)
+{
+  bj_str_free (&s->name);
+  bj_str_free (&s->domain);
+  bj_str_free (&s->region);
+  bj_str_free (&s->front.host);
+  bj_str_free (&s->admin.host);
+  bj_str_free (&s->link.host);
+  bj_str_free (&s->gossip.host);
+  for (int i = 0; i < s->n_seeds; i++)
+    bj_str_free (&s->seeds[i].host);
+  g_free (s->seeds);
+  bj_str_free (&s->platform_name);
+  bj_str_free (&s->platform_url);
+  bj_str_free (&s->key_file);
+  memset (s, 0, sizeof *s);
+}
+
+static BjStatus
+read_all (const char *name, struct json_object *o, BjSettings *s)
+{
+  BjStatus status;
+
+  s->name = bj_str_dup (bj_json_str (o, "name"));
+  s->domain = bj_str_dup (bj_json_str (o, "domain"));
+  s->region = bj_str_dup (bj_json_str (o, "region"));
+  s->key_file = bj_str_dup (bj_json_str (o, "key_file"));
+  s->drain_ms = bj_json_number (o, "drain_ms", BJ_DRAIN_MS);
+  status = read_addresses (name, o, s);
+  if (status == BJ_OK)
+    status = read_seeds (name, o, s);
+  if (status == BJ_OK)
+    status = read_platform (name, o, s);
+  if (status == BJ_OK)
+    status = read_log_level (name, o, s);
+  if (status == BJ_OK)
+    status = check_distinct (name, s);
+  return status;
+}
+
+static BjStatus
+read_addresses (const char *name, struct json_object *o, BjSettings *s)
+{
+  struct
+  {
+    const char *key;
+    BjAddress *address;
+  } all[] = {
+    { "front", &s->front }, { "admin", &s->admin }, { "link", &s->link }, { "gossip", &s->gossip }
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (all); i++)
+    {
+      BjStatus status
+          = read_address (name, all[i].key, bj_json_str (o, all[i].key), all[i].address);
+
+      if (status != BJ_OK)
+        return status;
+    }
+  return BJ_OK;
+}
+
+static BjStatus
+read_address (const char *name, const char *key, BjStr text, BjAddress *a)
+{
+  const char *colon = text.len > 0 ? memrchr (text.data, ':', text.len) : NULL;
+  struct in_addr v4;
+  int64_t port = 0;
+  BjStr host;
+
+  if (colon == NULL || !bj_str_int ((BjStr){ colon + 1, text.len - (colon + 1 - text.data) }, &port)
+      || port < 1 || port > PORT_MAX)
+    return bj_fail (BJ_E_SETTINGS,
+                    "%s: settings.%s: \"%.*s\" is not IP:PORT with a port of 1 to %d.",
+                    name,
+                    key,
+                    BJ_STR_ARG (text),
+                    PORT_MAX);
+  host = bj_str_dup ((BjStr){ text.data, (size_t)(colon - text.data) });
+  if (inet_pton (AF_INET, host.data, &v4) != 1)
+    {
+      bj_str_free (&host);
+      return bj_fail (BJ_E_SETTINGS,
+                      "%s: settings.%s: \"%.*s\" does not begin with an IPv4 address in numbers.",
+                      name,
+                      key,
+                      BJ_STR_ARG (text));
+    }
+  a->host = host;
+  a->port = (int)port;
+  return BJ_OK;
+}
+
+static BjStatus
+read_seeds (const char *name, struct json_object *o, BjSettings *s)
+{
+  struct json_object *seeds;
+  size_t n;
+
+  if (!json_object_object_get_ex (o, "seeds", &seeds))
+    return BJ_OK;
+  n = json_object_array_length (seeds);
+  s->seeds = g_new0 (BjAddress, n);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct json_object *v = json_object_array_get_idx (seeds, i);
+      BjStatus status;
+
+      if (!json_object_is_type (v, json_type_string))
+        return bj_fail (
+            BJ_E_SETTINGS, "%s: settings.seeds[%zu]: must be a string IP:PORT.", name, i);
+      status = read_address (name, "seeds", bj_str (json_object_get_string (v)), &s->seeds[i]);
+      if (status != BJ_OK)
+        return status;
+      s->n_seeds++;
+    }
+  return BJ_OK;
+}
+
+static BjStatus
+read_platform (const char *name, struct json_object *o, BjSettings *s)
+{
+  struct json_object *p;
+  GString *names;
+  BjStatus status;
+
+  json_object_object_get_ex (o, "platform", &p);
+  status = bj_json_check (
+      name, "settings.platform", p, BJ_E_SETTINGS, platform_keys, G_N_ELEMENTS (platform_keys));
+  if (status != BJ_OK)
+    return status;
+  s->platform_url = bj_str_dup (bj_json_str (p, "url"));
+  s->platform_name = bj_str_dup (bj_json_str (p, "plugin").len > 0 ? bj_json_str (p, "plugin")
+                                                                   : BJ_STR ("http"));
+  if (bj_plugin_find (BJ_PLUGIN_PLATFORM, s->platform_name) != NULL)
+    return BJ_OK;
+  names = g_string_new (NULL);
+  bj_plugin_names (BJ_PLUGIN_PLATFORM, names);
+  status = bj_fail (BJ_E_SETTINGS,
+                    "%s: settings.platform.plugin: \"%s\" is unknown, allowed: %s.",
+                    name,
+                    s->platform_name.data,
+                    names->str);
+  g_string_free (names, TRUE);
+  return status;
+}
+
+static BjStatus
+read_log_level (const char *name, struct json_object *o, BjSettings *s)
+{
+  static const char *const names[] = { "error", "warning", "info", "debug" };
+  BjStr level = bj_json_str (o, "log_level");
+
+  s->log_level = BJ_LOG_INFO;
+  if (level.len == 0)
+    return BJ_OK;
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (bj_str_equal (level, bj_str (names[i])))
+      {
+        s->log_level = (BjLogLevel)i;
+        return BJ_OK;
+      }
+  return bj_fail (
+      BJ_E_SETTINGS,
+      "%s: settings.log_level: \"%.*s\" is unknown, allowed: error, warning, info, debug.",
+      name,
+      BJ_STR_ARG (level));
+}
+
+static BjStatus
+check_distinct (const char *name, const BjSettings *s)
+{
+  const BjAddress *tcp[] = { &s->front, &s->admin, &s->link };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (tcp); i++)
+    for (size_t j = i + 1; j < G_N_ELEMENTS (tcp); j++)
+      if (tcp[i]->port == tcp[j]->port && bj_str_equal (tcp[i]->host, tcp[j]->host))
+        return bj_fail (BJ_E_SETTINGS,
+                        "%s: settings: front, admin and link must differ, %s:%d stands twice.",
+                        name,
+                        tcp[i]->host.data,
+                        tcp[i]->port);
+  return BJ_OK;
+}
--- /dev/null
+++ b/src/ticket.c
@@ -0,0 +1,544 @@
+// Ticket: numbered configuration. A ticket carries the whole state of each service, upstream and
+// the priorities that it touches; the merged state of all tickets has the same form.
+
+#include "internal.h"
+#include <string.h>
+
+#define NAME_MAX_BYTES 64
+#define ROUTES_MAX 256
+#define NUMBER_MAX 9007199254740991.0
+#define MINUTE_MS 60000
+
+static const BjJsonKey ticket_keys[] = {
+  { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
+  { "base", BJ_JSON_INT, true, 0, NUMBER_MAX },
+  { "author", BJ_JSON_STR, false, 0, 0 },
+  { "services", BJ_JSON_OBJECT, false, 0, 0 },
+  { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
+  { "priorities", BJ_JSON_ARRAY, false, 1, BJ_CLASSES },
+};
+static const BjJsonKey merged_keys[] = {
+  { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
+  { "priorities_number", BJ_JSON_INT, false, 0, NUMBER_MAX },
+  { "services", BJ_JSON_OBJECT, false, 0, 0 },
+  { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
+  { "priorities", BJ_JSON_ARRAY, false, 1, BJ_CLASSES },
+};
+static const BjJsonKey service_keys[] = {
+  { "number", BJ_JSON_INT, false, 1, NUMBER_MAX }, { "routes", BJ_JSON_ARRAY, true, 1, ROUTES_MAX },
+  { "limiter", BJ_JSON_OBJECT, false, 0, 0 },      { "queue", BJ_JSON_OBJECT, false, 0, 0 },
+  { "router", BJ_JSON_OBJECT, false, 0, 0 },       { "retry", BJ_JSON_OBJECT, false, 0, 0 },
+};
+static const BjJsonKey route_keys[] = {
+  { "prefix", BJ_JSON_STR, true, 1, 256 },
+  { "class", BJ_JSON_STR, true, 1, NAME_MAX_BYTES },
+  { "irreversible", BJ_JSON_BOOL, false, 0, 0 },
+  { "deadline_ms", BJ_JSON_NUMBER, false, 1, 10 * MINUTE_MS },
+  { "attempts", BJ_JSON_INT, false, 0, 10 },
+};
+static const BjJsonKey limiter_keys[] = {
+  { "plugin", BJ_JSON_STR, false, 0, 0 },
+  { "ramp_ms", BJ_JSON_NUMBER, false, 0, MINUTE_MS },
+  { "tolerance", BJ_JSON_NUMBER, false, 1, 100 },
+};
+static const BjJsonKey queue_keys[] = {
+  { "plugin", BJ_JSON_STR, false, 0, 0 },
+  { "max_wait_ms", BJ_JSON_NUMBER, false, 0, MINUTE_MS },
+  { "max_length", BJ_JSON_INT, false, 0, 1000000 },
+};
+static const BjJsonKey router_keys[] = {
+  { "plugin", BJ_JSON_STR, false, 0, 0 },
+};
+static const BjJsonKey retry_keys[] = {
+  { "plugin", BJ_JSON_STR, false, 0, 0 },
+  { "ratio", BJ_JSON_NUMBER, false, 0, 1 },
+  { "burst", BJ_JSON_NUMBER, false, 0, 10000 },
+};
+static const BjJsonKey upstream_keys[] = {
+  { "number", BJ_JSON_INT, false, 1, NUMBER_MAX },
+  { "drain", BJ_JSON_BOOL, false, 0, 0 },
+  { "max_slots", BJ_JSON_INT, false, 0, 1000000 },
+};
+
+static BjStatus read_config (struct json_object *o, BjConfig *c);
+static BjStatus read_classes (struct json_object *o, BjConfig *c);
+static BjStatus read_services (struct json_object *o, BjConfig *c);
+static BjStatus
+read_service (const char *name, struct json_object *o, BjConfig *c, BjServiceConfig *s);
+static BjStatus read_route (const char *path, struct json_object *o, BjConfig *c, BjRoute *r);
+static BjStatus read_plugins (const char *path, struct json_object *o, BjServiceConfig *s);
+static BjStatus read_plugin (const char *path,
+                             struct json_object *o,
+                             const char *key,
+                             BjPluginKind kind,
+                             const char *absent,
+                             const BjJsonKey *keys,
+                             int n,
+                             struct json_object **options,
+                             const void **ops);
+static BjStatus read_upstreams (struct json_object *o, BjConfig *c);
+static BjStatus check_base (struct json_object *current, struct json_object *ticket, int64_t base);
+static BjStatus check_section_base (struct json_object *current,
+                                    struct json_object *ticket,
+                                    const char *section,
+                                    int64_t base);
+static void merge_section (struct json_object *into,
+                           struct json_object *ticket,
+                           const char *section,
+                           int64_t number);
+static int64_t number_of (struct json_object *o, const char *key);
+static int class_of (const BjConfig *c, BjStr name);
+
+BjStatus
+bj_config_parse (BjStr text, BjConfig **config)
+{
+  struct json_object *o;
+  BjStatus s;
+
+  *config = NULL;
+  s = bj_json_read ("configuration", text, BJ_E_TICKET, &o);
+  if (s != BJ_OK)
+    return s;
+  *config = g_new0 (BjConfig, 1);
+  s = read_config (o, *config);
+  if (s == BJ_OK)
+    (*config)->text = bj_str_dup (text);
+  json_object_put (o);
+  if (s != BJ_OK)
+    g_clear_pointer (config, bj_config_free);
+  return s;
+}
+
+void
+bj_config_free (BjConfig *c)
+{
+  if (c == NULL)
+    return;
+  for (int i = 0; i < c->n_services; i++)
+    {
+      for (int j = 0; j < c->services[i].n_routes; j++)
+        bj_str_free (&c->services[i].routes[j].prefix);
+      g_free (c->services[i].routes);
+      bj_str_free (&c->services[i].name);
+    }
+  g_free (c->services);
+  for (int i = 0; i < c->n_upstreams; i++)
+    bj_str_free (&c->upstreams[i].name);
+  g_free (c->upstreams);
+  if (c->classes != NULL)
+    g_ptr_array_free (c->classes, TRUE);
+  bj_str_free (&c->text);
+  g_free (c);
+}
+
+const BjServiceConfig *
+bj_config_service (const BjConfig *c, BjStr name)
+{
+  for (int i = 0; c != NULL && i < c->n_services; i++)
+    if (bj_str_equal (c->services[i].name, name))
+      return &c->services[i];
+  return NULL;
+}
+
+const BjUpstreamConfig *
+bj_config_upstream (const BjConfig *c, BjStr name)
+{
+  for (int i = 0; c != NULL && i < c->n_upstreams; i++)
+    if (bj_str_equal (c->upstreams[i].name, name))
+      return &c->upstreams[i];
+  return NULL;
+}
+
+const BjRoute *
+bj_config_route (const BjConfig *c, BjStr path, const BjServiceConfig **s)
+{
+  const BjRoute *best = NULL;
+
+  for (int i = 0; c != NULL && i < c->n_services; i++)
+    for (int j = 0; j < c->services[i].n_routes; j++)
+      {
+        const BjRoute *r = &c->services[i].routes[j];
+
+        if (!bj_str_starts (path, r->prefix) || (best != NULL && best->prefix.len >= r->prefix.len))
+          continue;
+        best = r;
+        *s = &c->services[i];
+      }
+  return best;
+}
+
+BjStatus
+bj_ticket_check (BjStr text, int64_t *number)
+{
+  struct json_object *o;
+  BjStatus s = bj_json_read ("ticket", text, BJ_E_TICKET, &o);
+
+  if (s != BJ_OK)
+    return s;
+  s = bj_json_check ("ticket", "ticket", o, BJ_E_TICKET, ticket_keys, G_N_ELEMENTS (ticket_keys));
+  *number = number_of (o, "number");
+  json_object_put (o);
+  return s;
+}
+
+BjStatus
+bj_ticket_merge (BjStr current, BjStr ticket, GString *merged)
+{
+  struct json_object *t = NULL;
+  struct json_object *c = NULL;
+  BjConfig *result = NULL;
+  BjStatus s = bj_json_read ("ticket", ticket, BJ_E_TICKET, &t);
+  int64_t number;
+
+  if (s == BJ_OK)
+    s = bj_json_check ("ticket", "ticket", t, BJ_E_TICKET, ticket_keys, G_N_ELEMENTS (ticket_keys));
+  if (s == BJ_OK)
+    s = bj_json_read ("configuration", current.len > 0 ? current : BJ_STR ("{}"), BJ_E_TICKET, &c);
+  if (s == BJ_OK)
+    s = check_base (c, t, number_of (t, "base"));
+  if (s == BJ_OK)
+    {
+      number = number_of (t, "number");
+      json_object_object_add (c, "number", json_object_new_int64 (number));
+      merge_section (c, t, "services", number);
+      merge_section (c, t, "upstreams", number);
+      if (json_object_object_get_ex (t, "priorities", NULL))
+        {
+          json_object_object_add (
+              c, "priorities", json_object_get (json_object_object_get (t, "priorities")));
+          json_object_object_add (c, "priorities_number", json_object_new_int64 (number));
+        }
+      g_string_assign (merged, json_object_to_json_string_ext (c, JSON_C_TO_STRING_PLAIN));
+      s = bj_config_parse ((BjStr){ merged->str, merged->len }, &result);
+      bj_config_free (result);
+    }
+  json_object_put (t);
+  json_object_put (c);
+  return s;
+}
+
+static BjStatus
+read_config (struct json_object *o, BjConfig *c)
+{
+  BjStatus s = bj_json_check (
+      "configuration", "configuration", o, BJ_E_TICKET, merged_keys, G_N_ELEMENTS (merged_keys));
+
+  c->number = number_of (o, "number");
+  if (s == BJ_OK)
+    s = read_classes (o, c);
+  if (s == BJ_OK)
+    s = read_services (o, c);
+  if (s == BJ_OK)
+    s = read_upstreams (o, c);
+  return s;
+}
+
+static BjStatus
+read_classes (struct json_object *o, BjConfig *c)
+{
+  struct json_object *a;
+
+  c->classes = g_ptr_array_new_with_free_func (g_free);
+  if (!json_object_object_get_ex (o, "priorities", &a))
+    return BJ_OK;
+  for (size_t i = 0; i < json_object_array_length (a); i++)
+    {
+      struct json_object *v = json_object_array_get_idx (a, i);
+      const char *name = json_object_get_string (v);
+
+      if (!json_object_is_type (v, json_type_string) || *name == '\0')
+        return bj_fail (BJ_E_TICKET, "priorities[%zu]: must be the name of a class.", i);
+      if (class_of (c, bj_str (name)) >= 0)
+        return bj_fail (BJ_E_TICKET, "priorities[%zu]: class \"%s\" stands twice.", i, name);
+      g_ptr_array_add (c->classes, g_strdup (name));
+    }
+  return BJ_OK;
+}
+
+static BjStatus
+read_services (struct json_object *o, BjConfig *c)
+{
+  struct json_object *all;
+
+  if (!json_object_object_get_ex (o, "services", &all))
+    return BJ_OK;
+  c->services = g_new0 (BjServiceConfig, json_object_object_length (all));
+  json_object_object_foreach (all, name, value)
+  {
+    BjStatus s = read_service (name, value, c, &c->services[c->n_services++]);
+
+    if (s != BJ_OK)
+      return s;
+  }
+  return BJ_OK;
+}
+
+static BjStatus
+read_service (const char *name, struct json_object *o, BjConfig *c, BjServiceConfig *s)
+{
+  char path[128];
+  struct json_object *routes;
+  BjStatus status;
+
+  g_snprintf (path, sizeof path, "services.%.64s", name);
+  s->name = bj_str_dup (bj_str (name));
+  status
+      = bj_json_check ("ticket", path, o, BJ_E_TICKET, service_keys, G_N_ELEMENTS (service_keys));
+  if (status != BJ_OK)
+    return status;
+  s->number = number_of (o, "number");
+  json_object_object_get_ex (o, "routes", &routes);
+  s->routes = g_new0 (BjRoute, json_object_array_length (routes));
+  for (size_t i = 0; i < json_object_array_length (routes) && status == BJ_OK; i++)
+    {
+      s->n_routes++;
+      status = read_route (path, json_object_array_get_idx (routes, i), c, &s->routes[i]);
+    }
+  return status == BJ_OK ? read_plugins (path, o, s) : status;
+}
+
+static BjStatus
+read_route (const char *path, struct json_object *o, BjConfig *c, BjRoute *r)
+{
+  BjStatus s
+      = bj_json_check ("ticket", path, o, BJ_E_TICKET, route_keys, G_N_ELEMENTS (route_keys));
+  BjStr klass;
+
+  if (s != BJ_OK)
+    return s;
+  klass = bj_json_str (o, "class");
+  r->prefix = bj_str_dup (bj_json_str (o, "prefix"));
+  r->klass = class_of (c, klass);
+  r->irreversible = bj_json_bool (o, "irreversible", false);
+  r->deadline_ms = bj_json_number (o, "deadline_ms", BJ_DEADLINE_MS);
+  r->attempts = (int)bj_json_number (o, "attempts", BJ_ATTEMPTS);
+  if (r->klass < 0)
+    return bj_fail (
+        BJ_E_TICKET, "%s: class \"%.*s\" is not among the priorities.", path, BJ_STR_ARG (klass));
+  if (r->prefix.data[0] != '/')
+    return bj_fail (
+        BJ_E_TICKET, "%s: prefix \"%s\" must begin with a slash.", path, r->prefix.data);
+  return BJ_OK;
+}
+
+static BjStatus
+read_plugins (const char *path, struct json_object *o, BjServiceConfig *s)
+{
+  struct json_object *p;
+  BjStatus status;
+
+  s->limiter_options = (BjLimiterOptions)BJ_LIMITER_OPTIONS_DEFAULT;
+  s->queue_options = (BjQueueOptions)BJ_QUEUE_OPTIONS_DEFAULT;
+  s->retry_options = (BjRetryOptions)BJ_RETRY_OPTIONS_DEFAULT;
+  status = read_plugin (path,
+                        o,
+                        "limiter",
+                        BJ_PLUGIN_LIMITER,
+                        "adaptive",
+                        limiter_keys,
+                        G_N_ELEMENTS (limiter_keys),
+                        &p,
+                        (const void **)&s->limiter);
+  if (status != BJ_OK)
+    return status;
+  s->limiter_options.ramp_ms = bj_json_number (p, "ramp_ms", s->limiter_options.ramp_ms);
+  s->limiter_options.tolerance = bj_json_number (p, "tolerance", s->limiter_options.tolerance);
+  status = read_plugin (path,
+                        o,
+                        "queue",
+                        BJ_PLUGIN_QUEUE,
+                        "priority-deadline",
+                        queue_keys,
+                        G_N_ELEMENTS (queue_keys),
+                        &p,
+                        (const void **)&s->queue);
+  if (status != BJ_OK)
+    return status;
+  s->queue_options.max_wait_ms = bj_json_number (p, "max_wait_ms", s->queue_options.max_wait_ms);
+  s->queue_options.max_length = (int)bj_json_number (p, "max_length", s->queue_options.max_length);
+  status = read_plugin (path,
+                        o,
+                        "router",
+                        BJ_PLUGIN_ROUTER,
+                        "p2c-load",
+                        router_keys,
+                        G_N_ELEMENTS (router_keys),
+                        &p,
+                        (const void **)&s->router);
+  if (status != BJ_OK)
+    return status;
+  status = read_plugin (path,
+                        o,
+                        "retry",
+                        BJ_PLUGIN_RETRY,
+                        "budget",
+                        retry_keys,
+                        G_N_ELEMENTS (retry_keys),
+                        &p,
+                        (const void **)&s->retry);
+  if (status != BJ_OK)
+    return status;
+  s->retry_options.ratio = bj_json_number (p, "ratio", s->retry_options.ratio);
+  s->retry_options.burst = bj_json_number (p, "burst", s->retry_options.burst);
+  return BJ_OK;
+}
+
+static BjStatus
+read_plugin (const char *path,
+             struct json_object *o,
+             const char *key,
+             BjPluginKind kind,
+             const char *absent,
+             const BjJsonKey *keys,
+             int n,
+             struct json_object **options,
+             const void **ops)
+{
+  char at[160];
+  BjStr name = bj_str (absent);
+  GString *names;
+  BjStatus s = BJ_OK;
+
+  g_snprintf (at, sizeof at, "%s.%s", path, key);
+  if (json_object_object_get_ex (o, key, options))
+    s = bj_json_check ("ticket", at, *options, BJ_E_TICKET, keys, n);
+  if (s != BJ_OK)
+    return s;
+  if (*options != NULL && bj_json_str (*options, "plugin").len > 0)
+    name = bj_json_str (*options, "plugin");
+  *ops = bj_plugin_find (kind, name);
+  if (*ops != NULL)
+    return BJ_OK;
+  names = g_string_new (NULL);
+  bj_plugin_names (kind, names);
+  s = bj_fail (BJ_E_TICKET,
+               "%s: plugin \"%.*s\" is unknown, allowed: %s.",
+               at,
+               BJ_STR_ARG (name),
+               names->str);
+  g_string_free (names, TRUE);
+  return s;
+}
+
+static BjStatus
+read_upstreams (struct json_object *o, BjConfig *c)
+{
+  struct json_object *all;
+
+  if (!json_object_object_get_ex (o, "upstreams", &all))
+    return BJ_OK;
+  c->upstreams = g_new0 (BjUpstreamConfig, json_object_object_length (all));
+  json_object_object_foreach (all, name, value)
+  {
+    BjUpstreamConfig *u = &c->upstreams[c->n_upstreams++];
+    char path[128];
+    BjStatus s;
+
+    g_snprintf (path, sizeof path, "upstreams.%.64s", name);
+    u->name = bj_str_dup (bj_str (name));
+    s = bj_json_check (
+        "ticket", path, value, BJ_E_TICKET, upstream_keys, G_N_ELEMENTS (upstream_keys));
+    if (s != BJ_OK)
+      return s;
+    u->number = number_of (value, "number");
+    u->drain = bj_json_bool (value, "drain", false);
+    u->max_slots = (int)bj_json_number (value, "max_slots", 0);
+  }
+  return BJ_OK;
+}
+
+static BjStatus
+check_base (struct json_object *current, struct json_object *ticket, int64_t base)
+{
+  int64_t in_force = number_of (current, "number");
+  int64_t number = number_of (ticket, "number");
+  BjStatus s;
+
+  if (number <= in_force)
+    return bj_fail (BJ_E_EXISTS,
+                    "Ticket %" PRId64 " is not above %" PRId64 ", the last one merged.",
+                    number,
+                    in_force);
+  if (json_object_object_get_ex (ticket, "priorities", NULL)
+      && number_of (current, "priorities_number") > base)
+    return bj_fail (BJ_E_BASE,
+                    "The priorities were changed by ticket %" PRId64 ", after base %" PRId64 ".",
+                    number_of (current, "priorities_number"),
+                    base);
+  s = check_section_base (current, ticket, "services", base);
+  if (s != BJ_OK)
+    return s;
+  return check_section_base (current, ticket, "upstreams", base);
+}
+
+static BjStatus
+check_section_base (struct json_object *current,
+                    struct json_object *ticket,
+                    const char *section,
+                    int64_t base)
+{
+  struct json_object *now;
+  struct json_object *then;
+
+  if (!json_object_object_get_ex (current, section, &now)
+      || !json_object_object_get_ex (ticket, section, &then))
+    return BJ_OK;
+  json_object_object_foreach (then, name, value)
+  {
+    struct json_object *o;
+
+    (void)value;
+    if (json_object_object_get_ex (now, name, &o) && number_of (o, "number") > base)
+      return bj_fail (BJ_E_BASE,
+                      "%s.%s was changed by ticket %" PRId64 ", after base %" PRId64 ".",
+                      section,
+                      name,
+                      number_of (o, "number"),
+                      base);
+  }
+  return BJ_OK;
+}
+
+static void
+merge_section (struct json_object *into,
+               struct json_object *ticket,
+               const char *section,
+               int64_t number)
+{
+  struct json_object *from;
+  struct json_object *to;
+
+  if (!json_object_object_get_ex (ticket, section, &from))
+    return;
+  if (!json_object_object_get_ex (into, section, &to))
+    {
+      to = json_object_new_object ();
+      json_object_object_add (into, section, to);
+    }
+  json_object_object_foreach (from, name, value)
+  {
+    struct json_object *copy = NULL;
+
+    json_object_deep_copy (value, &copy, NULL);
+    if (json_object_is_type (copy, json_type_object))
+      json_object_object_add (copy, "number", json_object_new_int64 (number));
+    json_object_object_add (to, name, copy);
+  }
+}
+
+static int64_t
+number_of (struct json_object *o, const char *key)
+{
+  struct json_object *v;
+
+  return json_object_object_get_ex (o, key, &v) ? json_object_get_int64 (v) : 0;
+}
+
+static int
+class_of (const BjConfig *c, BjStr name)
+{
+  for (guint i = 0; i < c->classes->len; i++)
+    if (bj_str_equal (name, bj_str (c->classes->pdata[i])))
+      return (int)i;
+  return -1;
+}
--- /dev/null
+++ b/tests/fleet.h
@@ -0,0 +1,74 @@
+// Fleet: test scaffolding that starts the stand-ins and daemons as real processes on loopback and
+// ends them by their process ids. Only tests and benches use it.
+
+#pragma once
+
+#include "internal.h"
+#include <sys/types.h>
+
+#define FLEET_NODES_MAX 256
+#define FLEET_TEXT_MAX 64
+
+typedef struct
+{
+  char name[FLEET_TEXT_MAX];
+  char domain[FLEET_TEXT_MAX];
+  char region[FLEET_TEXT_MAX];
+  char service[FLEET_TEXT_MAX];
+  int slots;
+  double service_ms;
+  char next[FLEET_TEXT_MAX]; // path that the upstream calls deeper, empty for none
+} FleetNode;
+
+typedef struct
+{
+  FleetNode node;
+  int front_port;
+  int admin_port;
+  int link_port;
+  int gossip_port;
+  int upstream_port;
+  pid_t daemon;   // 0 when not running
+  pid_t upstream; // 0 when not running
+} FleetMember;
+
+typedef struct
+{
+  char dir[256]; // settings and logs
+  int platform_port;
+  pid_t platform; // 0 when not running
+  int n;
+  FleetMember members[FLEET_NODES_MAX];
+  char log_level[16];       // of the daemons
+  char extra_settings[256]; // JSON members added to every daemon's settings, empty or beginning
+                            // with a comma
+  char seed_addresses[512]; // JSON array items, empty for the first daemon's gossip address
+} Fleet;
+
+bool fleet_parse_node (const char *text,
+                       FleetNode *n); // name:domain:region:service:slots:ms[:next]
+void
+fleet_init (Fleet *f, const FleetNode *nodes, int n); // Chooses ports and a folder, starts nothing
+bool fleet_start (Fleet *f); // Starts everything and waits until all daemons know each other
+void fleet_stop (Fleet *f);  // Ends every process and removes the folder
+void fleet_start_platform (Fleet *f);
+void fleet_start_daemon (Fleet *f, int i); // Writes its settings first
+void fleet_start_upstream (Fleet *f, int i);
+void fleet_end (pid_t *pid, int signal_number);      // Signals, waits, sets 0
+int fleet_wait_exit (pid_t *pid, double timeout_ms); // Exit code, -1 after the timeout
+bool fleet_wait_members (Fleet *f,
+                         int n,
+                         double timeout_ms); // Every running daemon knows n with a service
+bool
+fleet_wait_ticket (Fleet *f, int64_t number, double timeout_ms); // In force at every running daemon
+bool fleet_file_ticket (Fleet *f, const char *text); // Through bjctl; false when refused
+int fleet_run (char *const argv[], GString *out);    // Runs a program to its end, exit code
+int fleet_http (const char *method,
+                int port,
+                const char *path,
+                const char *const *headers,
+                const char *body,
+                GString *out); // HTTP status, 0 when there was no whole answer
+double fleet_number (const char *json, const char *key); // Top-level number, -1 if absent
+bool fleet_until (bool (*holds) (void *data), void *data, double timeout_ms); // Polls a condition
+int fleet_executions (Fleet *f, const char *key); // Over all running upstreams
