bjctl, bjbench: free the argument tables

Cause: the demo under ASan ended at bjctl's leak report. Change: free tables and parsed classes. After: the demo passes with all programs built with ASan and UBSan, no report in any daemon's log.

--- a/src/bjbench/bjbench.h
+++ b/src/bjbench/bjbench.h
@@ -11,6 +11,7 @@
 {
   const char *name;
   const char *path; // "?id=" or "&id=" is appended
+  char **parts;     // that name and path point into, NULL when they are literals
   double share;     // of the arrivals, in any unit
   bool has_key;     // sends an Idempotency-Key, fresh for each action
 } LoadClass;
--- a/src/bjbench/run.c
+++ b/src/bjbench/run.c
@@ -10,7 +10,7 @@
 #define ROUNDS 10 // straight and through the daemons take turns this often
 
 static void add_targets (LoadOptions *o, const char *text);
-static bool parse_class (char *text, LoadClass *c);
+static bool parse_class (const char *text, LoadClass *c);
 
 int
 scenario_load (int argc, char **argv)
@@ -41,7 +41,7 @@
       return 0;
     }
   for (int i = 0; i < klass->count; i++)
-    n_errors += !parse_class (g_strdup (klass->sval[i]), &classes[o.n_classes++]);
+    n_errors += !parse_class (klass->sval[i], &classes[o.n_classes++]);
   if (n_errors > 0)
     {
       arg_print_errors (stderr, end, "bjbench load");
@@ -61,6 +61,11 @@
   memset (stats, 0, sizeof stats);
   load_run (&o, stats);
   load_print (&o, stats);
+  for (int i = 0; i < o.n_targets; i++)
+    g_free (o.targets[i]);
+  for (int i = 0; i < o.n_classes; i++)
+    g_strfreev (classes[i].parts);
+  arg_freetable (table, G_N_ELEMENTS (table));
   return 0;
 }
 
@@ -108,6 +113,7 @@
           sides[0].whole,
           sides[1].whole);
   printf ("added_p50_ms=%.3f\nadded_p99_ms=%.3f\n", added[0], added[1]);
+  arg_freetable (table, G_N_ELEMENTS (table));
   return 0;
 }
 
@@ -122,7 +128,7 @@
 }
 
 static bool
-parse_class (char *text, LoadClass *c)
+parse_class (const char *text, LoadClass *c)
 {
   char **parts = g_strsplit (text, ":", 4);
 
@@ -132,6 +138,7 @@
       fprintf (stderr, "bjbench: \"%s\" is not NAME:PATH:SHARE[:key].\n", text);
       return false;
     }
+  c->parts = parts;
   c->name = parts[0];
   c->path = parts[1];
   c->share = g_ascii_strtod (parts[2], NULL);
--- a/src/bjctl/main.c
+++ b/src/bjctl/main.c
@@ -26,6 +26,7 @@
   { "explain", "KEY", "print a daemon's recent decisions about an action", ctl_explain },
 };
 
+static int run (const char *name, const CtlOptions *o);
 static void print_help (void **table);
 static const Command *find_command (const char *name);
 
@@ -40,30 +41,39 @@
   struct arg_end *end = arg_end (4);
   void *table[] = { platform, admin, help, version, words, end };
   int n_errors = arg_parse (argc, argv, table);
-  const Command *c = words->count > 0 ? find_command (words->sval[0]) : NULL;
   CtlOptions o = { 0 };
+  int code = 0;
 
+  o.platform = platform->count > 0 ? platform->sval[0] : NULL;
+  o.admin = admin->count > 0 ? admin->sval[0] : NULL;
+  o.argument = words->count > 1 ? words->sval[1] : NULL;
   if (help->count > 0)
+    print_help (table);
+  else if (version->count > 0)
+    printf ("bjctl %s\n", BJ_VERSION);
+  else if (n_errors > 0)
     {
-      print_help (table);
-      return 0;
-    }
-  if (version->count > 0)
-    {
-      printf ("bjctl %s\n", BJ_VERSION);
-      return 0;
+      arg_print_errors (stderr, end, "bjctl");
+      code = EXIT_USAGE;
     }
-  if (n_errors > 0 || c == NULL || (c->argument != NULL) != (words->count > 1))
+  else
+    code = run (words->count > 0 ? words->sval[0] : "", &o);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
+}
+
+static int
+run (const char *name, const CtlOptions *o)
+{
+  const Command *c = find_command (name);
+
+  if (c == NULL || (c->argument != NULL) != (o->argument != NULL))
     {
-      arg_print_errors (stderr, end, "bjctl");
       fprintf (stderr, "bjctl: a known command with its argument is needed, see bjctl --help.\n");
       return EXIT_USAGE;
     }
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  o.platform = platform->count > 0 ? platform->sval[0] : NULL;
-  o.admin = admin->count > 0 ? admin->sval[0] : NULL;
-  o.argument = words->count > 1 ? words->sval[1] : NULL;
-  return c->run (&o);
+  return c->run (o);
 }
 
 static void
