bj-fault and advertised addresses: faults between real processes

Cause: nothing could stand between two daemons. Change: bj-fault proxies TCP and UDP by tag and source address (cut, hold, one-way, silence, reset, lose answers, delay, rate); settings.advertise names the addresses that others are to use; a domain has a source address of its own; fleet scaffolding starts it all.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -447,6 +447,7 @@
   BjStr service; // empty until its upstream has announced itself
   BjStr host;    // IP address in numbers
   int link_port;
+  BjStr gossip_host; // IP address in numbers
   int gossip_port;
   uint64_t incarnation; // grows with every start
   uint64_t version;     // grows with every change in one incarnation
@@ -585,11 +586,13 @@
   BjStr name;
   BjStr domain;
   BjStr region;
-  BjAddress front;  // callers and the own upstream's calls, HTTP
-  BjAddress admin;  // announcements, status, metrics, HTTP
-  BjAddress link;   // other daemons, TCP
-  BjAddress gossip; // other daemons, UDP
-  BjAddress *seeds; // gossip addresses to begin with
+  BjAddress front;             // callers and the own upstream's calls, HTTP
+  BjAddress admin;             // announcements, status, metrics, HTTP
+  BjAddress link;              // other daemons, TCP
+  BjAddress gossip;            // other daemons, UDP
+  BjAddress advertised_link;   // where other daemons reach the link address
+  BjAddress advertised_gossip; // where other daemons reach the gossip address
+  BjAddress *seeds;            // gossip addresses to begin with
   int n_seeds;
   BjStr platform_name; // plug-in
   BjStr platform_url;
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -240,9 +240,10 @@
     .name = s->name,
     .domain = s->domain,
     .region = s->region,
-    .host = s->link.host,
-    .link_port = s->link.port,
-    .gossip_port = s->gossip.port,
+    .host = s->advertised_link.host,
+    .link_port = s->advertised_link.port,
+    .gossip_host = s->advertised_gossip.host,
+    .gossip_port = s->advertised_gossip.port,
     .incarnation = d->incarnation,
   };
 }
--- a/src/link.c
+++ b/src/link.c
@@ -307,6 +307,7 @@
 {
   struct sockaddr_in addr
       = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)p->report.link_port) };
+  struct sockaddr_in own = { .sin_family = AF_INET };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   Conn *c = new_conn (l, fd);
   BjFrame hello = {
@@ -317,6 +318,9 @@
   };
 
   inet_pton (AF_INET, p->report.host.data, &addr.sin_addr);
+  inet_pton (AF_INET, l->daemon->settings.link.host.data, &own.sin_addr);
+  // The source address tells the failure domain apart where its network has rules of its own.
+  (void)bind (fd, (struct sockaddr *)&own, sizeof own);
   c->is_dialled = true;
   c->peer = bj_str_dup (p->report.name);
   p->link = c;
--- a/src/member.c
+++ b/src/member.c
@@ -10,7 +10,7 @@
 #include <unistd.h>
 
 #define FANOUT 3 // daemons told in one round
-#define REPORT_FIELDS 15
+#define REPORT_FIELDS 16
 
 struct BjMembers
 {
@@ -163,7 +163,7 @@
     {
       const BjPeer *p = peers->pdata[g_random_int_range (0, (gint32)peers->len)];
 
-      send_to (m, p->report.host, p->report.gossip_port, &out);
+      send_to (m, p->report.gossip_host, p->report.gossip_port, &out);
     }
   if (d->settings.n_seeds > 0)
     {
@@ -211,7 +211,7 @@
 static void
 pack_report (msgpack_packer *p, const BjPeerReport *r)
 {
-  BjStr texts[] = { r->name, r->domain, r->region, r->service, r->host };
+  BjStr texts[] = { r->name, r->domain, r->region, r->service, r->host, r->gossip_host };
 
   msgpack_pack_array (p, REPORT_FIELDS);
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
@@ -240,7 +240,7 @@
     return false;
   f = o->via.array.ptr;
   for (int i = 0; i < REPORT_FIELDS; i++)
-    if (f[i].type != (i < 5 ? MSGPACK_OBJECT_BIN : MSGPACK_OBJECT_POSITIVE_INTEGER))
+    if (f[i].type != (i < 6 ? MSGPACK_OBJECT_BIN : MSGPACK_OBJECT_POSITIVE_INTEGER))
       return false;
   *r = (BjPeerReport){
     .name = str_of (&f[0]),
@@ -248,16 +248,17 @@
     .region = str_of (&f[2]),
     .service = str_of (&f[3]),
     .host = str_of (&f[4]),
-    .link_port = (int)f[5].via.u64,
-    .gossip_port = (int)f[6].via.u64,
-    .incarnation = f[7].via.u64,
-    .version = f[8].via.u64,
-    .limit = (int)f[9].via.u64,
-    .in_flight = (int)f[10].via.u64,
-    .queued = (int)f[11].via.u64,
-    .level = (int)f[12].via.u64,
-    .draining = f[13].via.u64 != 0,
-    .config_number = (int64_t)f[14].via.u64,
+    .gossip_host = str_of (&f[5]),
+    .link_port = (int)f[6].via.u64,
+    .gossip_port = (int)f[7].via.u64,
+    .incarnation = f[8].via.u64,
+    .version = f[9].via.u64,
+    .limit = (int)f[10].via.u64,
+    .in_flight = (int)f[11].via.u64,
+    .queued = (int)f[12].via.u64,
+    .level = (int)f[13].via.u64,
+    .draining = f[14].via.u64 != 0,
+    .config_number = (int64_t)f[15].via.u64,
   };
   return r->name.len > 0;
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -15,6 +15,7 @@
   copy.region = bj_str_dup (from->region);
   copy.service = bj_str_dup (from->service);
   copy.host = bj_str_dup (from->host);
+  copy.gossip_host = bj_str_dup (from->gossip_host);
   bj_peer_report_clear (to);
   *to = copy;
 }
@@ -27,6 +28,7 @@
   bj_str_free (&r->region);
   bj_str_free (&r->service);
   bj_str_free (&r->host);
+  bj_str_free (&r->gossip_host);
 }
 
 void
--- a/src/settings.c
+++ b/src/settings.c
@@ -19,9 +19,14 @@
   { "seeds", BJ_JSON_ARRAY, false, 0, SEEDS_MAX },
   { "platform", BJ_JSON_OBJECT, true, 0, 0 },
   { "key_file", BJ_JSON_STR, false, 0, 0 },
+  { "advertise", BJ_JSON_OBJECT, false, 0, 0 },
   { "log_level", BJ_JSON_STR, false, 0, 0 },
   { "drain_ms", BJ_JSON_NUMBER, false, 0, 600000 },
 };
+static const BjJsonKey advertise_keys[] = {
+  { "link", BJ_JSON_STR, false, 0, 0 },
+  { "gossip", BJ_JSON_STR, false, 0, 0 },
+};
 static const BjJsonKey platform_keys[] = {
   { "plugin", BJ_JSON_STR, false, 0, 0 },
   { "url", BJ_JSON_STR, true, 1, 1024 },
@@ -30,6 +35,7 @@
 static BjStatus read_all (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_address (const char *name, const char *key, BjStr text, BjAddress *a);
 static BjStatus read_addresses (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus read_advertised (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_seeds (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_platform (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_log_level (const char *name, struct json_object *o, BjSettings *s);
@@ -84,6 +90,8 @@
   bj_str_free (&s->admin.host);
   bj_str_free (&s->link.host);
   bj_str_free (&s->gossip.host);
+  bj_str_free (&s->advertised_link.host);
+  bj_str_free (&s->advertised_gossip.host);
   for (int i = 0; i < s->n_seeds; i++)
     bj_str_free (&s->seeds[i].host);
   g_free (s->seeds);
@@ -104,6 +112,8 @@
   s->key_file = bj_str_dup (bj_json_str (o, "key_file"));
   s->drain_ms = bj_json_number (o, "drain_ms", BJ_DRAIN_MS);
   status = read_addresses (name, o, s);
+  if (status == BJ_OK)
+    status = read_advertised (name, o, s);
   if (status == BJ_OK)
     status = read_seeds (name, o, s);
   if (status == BJ_OK)
@@ -168,6 +178,35 @@
   return BJ_OK;
 }
 
+static BjStatus
+read_advertised (const char *name, struct json_object *o, BjSettings *s)
+{
+  struct json_object *a = NULL;
+  BjStr link;
+  BjStr gossip;
+  BjStatus status = BJ_OK;
+
+  if (json_object_object_get_ex (o, "advertise", &a))
+    status = bj_json_check (name,
+                            "settings.advertise",
+                            a,
+                            BJ_E_SETTINGS,
+                            advertise_keys,
+                            G_N_ELEMENTS (advertise_keys));
+  if (status != BJ_OK)
+    return status;
+  link = bj_json_str (a, "link");
+  gossip = bj_json_str (a, "gossip");
+  status = read_address (
+      name, "advertise.link", link.len > 0 ? link : bj_json_str (o, "link"), &s->advertised_link);
+  if (status != BJ_OK)
+    return status;
+  return read_address (name,
+                       "advertise.gossip",
+                       gossip.len > 0 ? gossip : bj_json_str (o, "gossip"),
+                       &s->advertised_gossip);
+}
+
 static BjStatus
 read_seeds (const char *name, struct json_object *o, BjSettings *s)
 {
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -16,7 +16,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define PORTS_PER_NODE 5
+#define PORTS_PER_NODE 8
+#define DOMAINS_MAX 16
 #define PORT_FIRST 20000
 #define PORT_LAST 32000 // below the ephemeral range
 #define POLL_MS 20
@@ -32,6 +33,8 @@
 static int take_ports (int n);
 static bool port_is_free (int port, int type);
 static pid_t spawn (char *const argv[], const char *log);
+static void start_fault (Fleet *f);
+static int domain_index (const Fleet *f, const char *domain);
 static void write_settings (Fleet *f, int i, const char *path);
 static bool all_know (void *data);
 static bool all_in_force (void *data);
@@ -62,7 +65,7 @@
 void
 fleet_init (Fleet *f, const FleetNode *nodes, int n)
 {
-  int port = take_ports (1 + n * PORTS_PER_NODE);
+  int port = take_ports (2 + DOMAINS_MAX + n * PORTS_PER_NODE);
 
   memset (f, 0, sizeof *f);
   g_strlcpy (f->dir, "/tmp/bj-fleet-XXXXXX", sizeof f->dir);
@@ -70,6 +73,9 @@
     abort ();
   g_strlcpy (f->log_level, "info", sizeof f->log_level);
   f->platform_port = port++;
+  f->fault_port = port++;
+  f->fault_platform_port = port;
+  port += DOMAINS_MAX;
   f->n = n;
   for (int i = 0; i < n; i++)
     {
@@ -81,6 +87,10 @@
       m->link_port = port++;
       m->gossip_port = port++;
       m->upstream_port = port++;
+      m->fault_link_port = port++;
+      m->fault_gossip_port = port++;
+      m->fault_upstream_port = port++;
+      g_snprintf (m->ip, sizeof m->ip, "127.0.1.%d", 1 + domain_index (f, m->node.domain));
     }
 }
 
@@ -90,6 +100,8 @@
   int n_services = 0;
 
   fleet_start_platform (f);
+  if (f->use_fault)
+    start_fault (f);
   for (int i = 0; i < f->n; i++)
     {
       fleet_start_daemon (f, i);
@@ -109,6 +121,7 @@
       fleet_end (&f->members[i].daemon, SIGKILL);
       fleet_end (&f->members[i].upstream, SIGKILL);
     }
+  fleet_end (&f->fault, SIGKILL);
   fleet_end (&f->platform, SIGKILL);
   if (getenv ("BJ_KEEP_LOGS") == NULL)
     fleet_run (argv, NULL);
@@ -141,7 +154,7 @@
 fleet_start_upstream (Fleet *f, int i)
 {
   FleetMember *m = &f->members[i];
-  char port[16], admin[32], front[32], slots[16], ms[32];
+  char port[16], announced[16], admin[32], front[32], slots[16], ms[32];
   char *argv[] = { BJ_BUILD_DIR "/bj-upstream",
                    "--service",
                    m->node.service,
@@ -155,6 +168,8 @@
                    slots,
                    "--service-ms",
                    ms,
+                   "--announced-port",
+                   announced,
                    NULL,
                    NULL,
                    NULL };
@@ -162,14 +177,16 @@
   if (m->node.service[0] == '\0')
     return;
   g_snprintf (port, sizeof port, "%d", m->upstream_port);
+  g_snprintf (
+      announced, sizeof announced, "%d", f->use_fault ? m->fault_upstream_port : m->upstream_port);
   g_snprintf (admin, sizeof admin, "127.0.0.1:%d", m->admin_port);
   g_snprintf (front, sizeof front, "127.0.0.1:%d", m->front_port);
   g_snprintf (slots, sizeof slots, "%d", m->node.slots);
   g_snprintf (ms, sizeof ms, "%g", m->node.service_ms);
   if (m->node.next[0] != '\0')
     {
-      argv[13] = "--next";
-      argv[14] = m->node.next;
+      argv[15] = "--next";
+      argv[16] = m->node.next;
     }
   m->upstream = spawn (argv, NULL);
 }
@@ -324,6 +341,27 @@
   return true;
 }
 
+bool
+fleet_fault (Fleet *f, const char *tag, const char *src, const char *mode, double value)
+{
+  char path[256];
+
+  g_snprintf (
+      path, sizeof path, "/control/rule?tag=%s&src=%s&mode=%s&value=%g", tag, src, mode, value);
+  return fleet_http ("POST", f->fault_port, path, NULL, "", NULL) == 200;
+}
+
+void
+fleet_cut (Fleet *f, const char *from, const char *to, const char *mode)
+{
+  char tag[FLEET_TEXT_MAX + 8];
+  char src[32];
+
+  g_snprintf (tag, sizeof tag, "link-%s", to);
+  g_snprintf (src, sizeof src, "127.0.1.%d", 1 + domain_index (f, from));
+  fleet_fault (f, tag, src, mode, 0);
+}
+
 int
 fleet_executions (Fleet *f, const char *key)
 {
@@ -397,21 +435,96 @@
   return pid;
 }
 
+static void
+start_fault (Fleet *f)
+{
+  GPtrArray *argv = g_ptr_array_new_with_free_func (g_free);
+
+  g_ptr_array_add (argv, g_strdup (BJ_BUILD_DIR "/bj-fault"));
+  g_ptr_array_add (argv, g_strdup ("--control"));
+  g_ptr_array_add (argv, g_strdup_printf ("%d", f->fault_port));
+  for (int i = 0; i < f->n; i++)
+    {
+      const FleetMember *m = &f->members[i];
+      const char *domain = m->node.domain;
+
+      g_ptr_array_add (argv, g_strdup ("--tcp"));
+      g_ptr_array_add (
+          argv,
+          g_strdup_printf (
+              "link-%s=127.0.0.1:%d/%s:%d", domain, m->fault_link_port, m->ip, m->link_port));
+      g_ptr_array_add (argv, g_strdup ("--udp"));
+      g_ptr_array_add (
+          argv,
+          g_strdup_printf (
+              "link-%s=127.0.0.1:%d/%s:%d", domain, m->fault_gossip_port, m->ip, m->gossip_port));
+      g_ptr_array_add (argv, g_strdup ("--tcp"));
+      g_ptr_array_add (argv,
+                       g_strdup_printf ("upstream-%s=127.0.0.1:%d/127.0.0.1:%d",
+                                        m->node.name,
+                                        m->fault_upstream_port,
+                                        m->upstream_port));
+      // The first member of a domain brings the domain's way to the store.
+      if (i > 0 && domain_index (f, domain) <= domain_index (f, f->members[i - 1].node.domain))
+        continue;
+      g_ptr_array_add (argv, g_strdup ("--tcp"));
+      g_ptr_array_add (argv,
+                       g_strdup_printf ("platform-%s=127.0.0.1:%d/127.0.0.1:%d",
+                                        domain,
+                                        f->fault_platform_port + domain_index (f, domain),
+                                        f->platform_port));
+    }
+  g_ptr_array_add (argv, NULL);
+  f->fault = spawn ((char *const *)argv->pdata, NULL);
+  g_ptr_array_free (argv, TRUE);
+}
+
+// Domains are numbered in the order of their first member.
+static int
+domain_index (const Fleet *f, const char *domain)
+{
+  int n = 0;
+
+  for (int i = 0; i < f->n; i++)
+    {
+      bool is_new = true;
+
+      if (strcmp (f->members[i].node.domain, domain) == 0)
+        return n;
+      for (int j = 0; j < i; j++)
+        is_new = is_new && strcmp (f->members[j].node.domain, f->members[i].node.domain) != 0;
+      n += is_new;
+    }
+  return n;
+}
+
 static void
 write_settings (Fleet *f, int i, const char *path)
 {
   const FleetMember *m = &f->members[i];
+  const char *ip = f->use_fault ? m->ip : "127.0.0.1";
   char seeds[576];
+  char advertised[256] = "";
   char *text;
 
   if (f->seed_addresses[0] != '\0')
     g_strlcpy (seeds, f->seed_addresses, sizeof seeds);
   else
-    g_snprintf (seeds, sizeof seeds, "\"127.0.0.1:%d\"", f->members[0].gossip_port);
+    g_snprintf (seeds,
+                sizeof seeds,
+                "\"127.0.0.1:%d\"",
+                f->use_fault ? f->members[0].fault_gossip_port : f->members[0].gossip_port);
+  if (f->use_fault)
+    g_snprintf (advertised,
+                sizeof advertised,
+                "  \"advertise\": { \"link\": \"127.0.0.1:%d\", \"gossip\": \"127.0.0.1:%d\" },\n",
+                m->fault_link_port,
+                m->fault_gossip_port);
   text = g_strdup_printf ("{\n"
                           "  \"name\": \"%s\", \"domain\": \"%s\", \"region\": \"%s\",\n"
                           "  \"front\": \"127.0.0.1:%d\", \"admin\": \"127.0.0.1:%d\",\n"
-                          "  \"link\": \"127.0.0.1:%d\", \"gossip\": \"127.0.0.1:%d\",\n"
+                          "  \"link\": \"%s:%d\", \"gossip\": \"%s:%d\",\n"
+                          "%s"
                           "  \"seeds\": [%s],\n"
                           "  \"platform\": { \"url\": \"http://127.0.0.1:%d\" },\n"
                           "  \"log_level\": \"%s\"%s\n"
@@ -421,10 +534,14 @@
                           m->node.region,
                           m->front_port,
                           m->admin_port,
+                          ip,
                           m->link_port,
+                          ip,
                           m->gossip_port,
+                          advertised,
                           seeds,
-                          f->platform_port,
+                          f->use_fault ? f->fault_platform_port + domain_index (f, m->node.domain)
+                                       : f->platform_port,
                           f->log_level,
                           f->extra_settings);
   g_file_set_contents (path, text, -1, NULL);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -6,6 +6,10 @@
 #include "internal.h"
 #include <sys/types.h>
 
+// With use_fault the tags of bj-fault are: "link-DOMAIN" for TCP and UDP to daemons of a domain
+// (sources are the domains' addresses, FleetMember.ip), "platform-DOMAIN" for the store as that
+// domain reaches it, and "upstream-NAME" for the upstream beside daemon NAME (sources "*").
+
 #define FLEET_NODES_MAX 256
 #define FLEET_TEXT_MAX 64
 
@@ -28,6 +32,10 @@
   int link_port;
   int gossip_port;
   int upstream_port;
+  int fault_link_port; // of bj-fault in front of link, gossip and upstream
+  int fault_gossip_port;
+  int fault_upstream_port;
+  char ip[32];    // source address of the domain
   pid_t daemon;   // 0 when not running
   pid_t upstream; // 0 when not running
 } FleetMember;
@@ -36,7 +44,11 @@
 {
   char dir[256]; // settings and logs
   int platform_port;
-  pid_t platform; // 0 when not running
+  pid_t platform;          // 0 when not running
+  bool use_fault;          // set after fleet_init: bj-fault stands between all processes
+  int fault_port;          // its control port
+  int fault_platform_port; // first of one a domain
+  pid_t fault;             // 0 when not running
   int n;
   FleetMember members[FLEET_NODES_MAX];
   char log_level[16];       // of the daemons
@@ -71,4 +83,13 @@
                 GString *out); // HTTP status, 0 when there was no whole answer
 double fleet_number (const char *json, const char *key); // Top-level number, -1 if absent
 bool fleet_until (bool (*holds) (void *data), void *data, double timeout_ms); // Polls a condition
+bool fleet_fault (Fleet *f,
+                  const char *tag,
+                  const char *src,
+                  const char *mode,
+                  double value); // Sets a rule; tags below
+void fleet_cut (Fleet *f,
+                const char *from,
+                const char *to,
+                const char *mode);                // Rule for one domain's traffic to another
 int fleet_executions (Fleet *f, const char *key); // Over all running upstreams
--- /dev/null
+++ b/tests/standins/fault.c
@@ -0,0 +1,624 @@
+// bj-fault: TCP and UDP proxy that injects faults between processes.
+//
+//   bj-fault --control PORT --tcp TAG=IP:PORT/IP:PORT ... --udp TAG=IP:PORT/IP:PORT ...
+//
+// Each listener has a tag and a target. POST /control/rule?tag=T&src=S&mode=M&value=V sets what
+// happens to traffic from source address S ("*" for any) to listeners of that tag; GET
+// /control/bytes?tag=T prints the bytes forwarded. Modes:
+//   ok       forwards
+//   cut      resets open connections, refuses new ones, drops datagrams
+//   hold     forwards nothing and closes nothing
+//   oneway   forwards towards the target only
+//   silence  open connections go silent for good, new ones work
+//   reset    resets open connections once, new ones work
+//   lose     forwards requests, resets the connection in place of the answer (value: how many
+//   answers) delay    adds value ms each way rate     forwards value bytes a second, shared by all
+//   traffic of the rule
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <ev.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BLOCK 65536
+#define BUFFERED_MAX (256 * 1024)
+#define BACKLOG 512
+#define DATAGRAM_MAX 65536
+
+typedef enum
+{
+  MODE_OK,
+  MODE_CUT,
+  MODE_HOLD,
+  MODE_ONEWAY,
+  MODE_SILENCE,
+  MODE_RESET,
+  MODE_LOSE,
+  MODE_DELAY,
+  MODE_RATE,
+  MODES,
+} Mode;
+
+typedef struct
+{
+  char tag[64];
+  char src[32];
+  bool on[MODES];
+  double value[MODES];
+  double free_at; // when a rate rule's line is free again, seconds
+} Rule;
+
+typedef struct
+{
+  char tag[64];
+  bool is_tcp;
+  int fd;
+  struct sockaddr_in target;
+  ev_io io;
+} Listener;
+
+typedef struct
+{
+  double due;
+  GBytes *data;
+} Chunk;
+
+typedef struct Pair Pair;
+
+typedef struct
+{
+  Pair *pair;
+  int from;
+  int to;
+  bool is_answer; // from the target
+  bool is_ended;  // from closed
+  size_t buffered;
+  size_t written; // of the first chunk
+  GQueue chunks;
+  ev_io read;
+  ev_io write;
+  ev_timer timer;
+} Flow;
+
+struct Pair
+{
+  Listener *listener;
+  char src[32];
+  bool is_silent;
+  bool is_connected;
+  Flow flows[2];
+};
+
+static const char *const mode_names[MODES]
+    = { "ok", "cut", "hold", "oneway", "silence", "reset", "lose", "delay", "rate" };
+static struct ev_loop *loop;
+static struct MHD_Daemon *control;
+static GPtrArray *rules;
+static GPtrArray *listeners;
+static GHashTable *pairs;
+static GHashTable *bytes_by_tag;
+
+static bool add_listener (const char *text, bool is_tcp);
+static bool read_address (const char *text, struct sockaddr_in *a);
+static void on_accept (struct ev_loop *l, ev_io *w, int events);
+static void on_datagram (struct ev_loop *l, ev_io *w, int events);
+static void start_pair (Listener *l, int fd, const char *src);
+static void init_flow (Flow *f, Pair *p, int from, int to, bool is_answer);
+static void on_read (struct ev_loop *l, ev_io *w, int events);
+static void on_write (struct ev_loop *l, ev_io *w, int events);
+static void on_due (struct ev_loop *l, ev_timer *w, int events);
+static void pass (Flow *f, const char *data, size_t n);
+static void push_out (Flow *f);
+static void end_pair (Pair *p, bool reset);
+static Rule *find_rule (const char *tag, const char *src);
+static double due_time (Rule *r, size_t n);
+static void count_bytes (const char *tag, size_t n);
+static enum MHD_Result on_control (void *cls,
+                                   struct MHD_Connection *conn,
+                                   const char *url,
+                                   const char *method,
+                                   const char *version,
+                                   const char *data,
+                                   size_t *size,
+                                   void **state);
+static int set_rule (const char *tag, const char *src, const char *mode, const char *value);
+static void apply (Rule *r, Mode m);
+static void on_mhd (struct ev_loop *l, ev_timer *w, int events);
+
+int
+main (int argc, char **argv)
+{
+  ev_timer poll;
+  int port = 0;
+
+  loop = ev_default_loop (0);
+  rules = g_ptr_array_new ();
+  listeners = g_ptr_array_new ();
+  pairs = g_hash_table_new (NULL, NULL);
+  bytes_by_tag = g_hash_table_new (g_str_hash, g_str_equal);
+  for (int i = 1; i + 1 < argc; i += 2)
+    {
+      bool ok = true;
+
+      if (strcmp (argv[i], "--control") == 0)
+        port = atoi (argv[i + 1]);
+      else
+        ok = add_listener (argv[i + 1], strcmp (argv[i], "--tcp") == 0);
+      if (!ok)
+        {
+          fprintf (stderr, "bj-fault: %s %s can't be opened.\n", argv[i], argv[i + 1]);
+          return 1;
+        }
+    }
+  control = MHD_start_daemon (MHD_USE_EPOLL,
+                              (uint16_t)port,
+                              NULL,
+                              NULL,
+                              on_control,
+                              NULL,
+                              MHD_OPTION_LISTENING_ADDRESS_REUSE,
+                              1U,
+                              MHD_OPTION_END);
+  if (port == 0 || control == NULL)
+    {
+      fprintf (stderr,
+               "Usage: bj-fault --control PORT --tcp TAG=IP:PORT/IP:PORT ... --udp "
+               "TAG=IP:PORT/IP:PORT ...\n");
+      return 2;
+    }
+  ev_timer_init (&poll, on_mhd, 0, 0.005);
+  ev_timer_start (loop, &poll);
+  ev_run (loop, 0);
+  return 0;
+}
+
+static bool
+add_listener (const char *text, bool is_tcp)
+{
+  char **parts = g_strsplit_set (text, "=/", 3);
+  Listener *l = g_new0 (Listener, 1);
+  struct sockaddr_in addr;
+  int on = 1;
+
+  l->is_tcp = is_tcp;
+  l->fd = socket (AF_INET, (is_tcp ? SOCK_STREAM : SOCK_DGRAM) | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  setsockopt (l->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (g_strv_length (parts) != 3 || !read_address (parts[1], &addr)
+      || !read_address (parts[2], &l->target)
+      || bind (l->fd, (struct sockaddr *)&addr, sizeof addr) != 0
+      || (is_tcp && listen (l->fd, BACKLOG) != 0))
+    return false;
+  g_strlcpy (l->tag, parts[0], sizeof l->tag);
+  g_strfreev (parts);
+  ev_io_init (&l->io, is_tcp ? on_accept : on_datagram, l->fd, EV_READ);
+  l->io.data = l;
+  ev_io_start (loop, &l->io);
+  g_ptr_array_add (listeners, l);
+  return true;
+}
+
+static bool
+read_address (const char *text, struct sockaddr_in *a)
+{
+  char **parts = g_strsplit (text, ":", 2);
+  bool ok = g_strv_length (parts) == 2;
+
+  memset (a, 0, sizeof *a);
+  a->sin_family = AF_INET;
+  ok = ok && inet_pton (AF_INET, parts[0], &a->sin_addr) == 1;
+  if (ok)
+    a->sin_port = htons ((uint16_t)atoi (parts[1]));
+  g_strfreev (parts);
+  return ok;
+}
+
+static void
+on_accept (struct ev_loop *l, ev_io *w, int events)
+{
+  Listener *listener = w->data;
+  struct sockaddr_in from;
+  socklen_t len = sizeof from;
+  char src[32];
+  int fd;
+
+  (void)l;
+  (void)events;
+  while ((fd = accept4 (listener->fd, (struct sockaddr *)&from, &len, SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      inet_ntop (AF_INET, &from.sin_addr, src, sizeof src);
+      start_pair (listener, fd, src);
+    }
+}
+
+static void
+on_datagram (struct ev_loop *l, ev_io *w, int events)
+{
+  Listener *listener = w->data;
+  struct sockaddr_in from;
+  socklen_t len = sizeof from;
+  char data[DATAGRAM_MAX];
+  char src[32];
+  ssize_t n;
+
+  (void)l;
+  (void)events;
+  while ((n = recvfrom (listener->fd, data, sizeof data, 0, (struct sockaddr *)&from, &len)) > 0)
+    {
+      const Rule *r;
+
+      inet_ntop (AF_INET, &from.sin_addr, src, sizeof src);
+      r = find_rule (listener->tag, src);
+      if (r != NULL && (r->on[MODE_CUT] || r->on[MODE_HOLD]))
+        continue;
+      count_bytes (listener->tag, (size_t)n);
+      sendto (listener->fd,
+              data,
+              (size_t)n,
+              0,
+              (struct sockaddr *)&listener->target,
+              sizeof listener->target);
+    }
+}
+
+static void
+start_pair (Listener *l, int fd, const char *src)
+{
+  const Rule *r = find_rule (l->tag, src);
+  struct linger abort_close = { 1, 0 };
+  int on = 1;
+  int out;
+  Pair *p;
+
+  if (r != NULL && r->on[MODE_CUT])
+    {
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &abort_close, sizeof abort_close);
+      close (fd);
+      return;
+    }
+  out = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (out, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  (void)connect (out, (struct sockaddr *)&l->target, sizeof l->target);
+  p = g_new0 (Pair, 1);
+  p->listener = l;
+  g_strlcpy (p->src, src, sizeof p->src);
+  init_flow (&p->flows[0], p, fd, out, false);
+  init_flow (&p->flows[1], p, out, fd, true);
+  g_hash_table_add (pairs, p);
+  ev_io_start (loop, &p->flows[0].read);
+  ev_io_start (loop, &p->flows[0].write);
+}
+
+static void
+init_flow (Flow *f, Pair *p, int from, int to, bool is_answer)
+{
+  f->pair = p;
+  f->from = from;
+  f->to = to;
+  f->is_answer = is_answer;
+  g_queue_init (&f->chunks);
+  ev_io_init (&f->read, on_read, from, EV_READ);
+  ev_io_init (&f->write, on_write, to, EV_WRITE);
+  ev_timer_init (&f->timer, on_due, 0, 0);
+  f->read.data = f;
+  f->write.data = f;
+  f->timer.data = f;
+}
+
+static void
+on_read (struct ev_loop *l, ev_io *w, int events)
+{
+  Flow *f = w->data;
+  char data[BLOCK];
+  ssize_t n = recv (f->from, data, sizeof data, 0);
+
+  (void)events;
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (n < 0)
+    {
+      end_pair (f->pair, true);
+      return;
+    }
+  if (n == 0)
+    {
+      f->is_ended = true;
+      ev_io_stop (l, w);
+      push_out (f);
+      return;
+    }
+  pass (f, data, (size_t)n);
+}
+
+static void
+pass (Flow *f, const char *data, size_t n)
+{
+  Rule *r = find_rule (f->pair->listener->tag, f->pair->src);
+  Chunk *c;
+
+  if (f->pair->is_silent || (r != NULL && r->on[MODE_HOLD])
+      || (r != NULL && r->on[MODE_ONEWAY] && f->is_answer))
+    return;
+  if (r != NULL && r->on[MODE_LOSE] && f->is_answer)
+    {
+      r->on[MODE_LOSE] = --r->value[MODE_LOSE] > 0;
+      end_pair (f->pair, true);
+      return;
+    }
+  count_bytes (f->pair->listener->tag, n);
+  c = g_new (Chunk, 1);
+  c->due = due_time (r, n);
+  c->data = g_bytes_new (data, n);
+  f->buffered += n;
+  g_queue_push_tail (&f->chunks, c);
+  if (f->buffered > BUFFERED_MAX)
+    ev_io_stop (loop, &f->read);
+  push_out (f);
+}
+
+static void
+on_write (struct ev_loop *l, ev_io *w, int events)
+{
+  Flow *f = w->data;
+
+  (void)events;
+  ev_io_stop (l, w);
+  if (!f->pair->is_connected)
+    {
+      int error = 0;
+      socklen_t len = sizeof error;
+
+      getsockopt (f->to, SOL_SOCKET, SO_ERROR, &error, &len);
+      if (error != 0)
+        {
+          end_pair (f->pair, true);
+          return;
+        }
+      f->pair->is_connected = true;
+      ev_io_start (l, &f->pair->flows[1].read);
+    }
+  push_out (f);
+}
+
+static void
+on_due (struct ev_loop *l, ev_timer *w, int events)
+{
+  (void)l;
+  (void)events;
+  push_out (w->data);
+}
+
+static void
+push_out (Flow *f)
+{
+  double now = ev_time ();
+
+  while (f->pair->is_connected && !g_queue_is_empty (&f->chunks))
+    {
+      Chunk *c = g_queue_peek_head (&f->chunks);
+      gsize size;
+      const char *data = g_bytes_get_data (c->data, &size);
+      ssize_t n;
+
+      if (c->due > now)
+        {
+          ev_timer_stop (loop, &f->timer);
+          ev_timer_set (&f->timer, c->due - now, 0);
+          ev_timer_start (loop, &f->timer);
+          return;
+        }
+      n = send (f->to, data + f->written, size - f->written, MSG_NOSIGNAL);
+      if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        {
+          ev_io_start (loop, &f->write);
+          return;
+        }
+      if (n < 0)
+        {
+          end_pair (f->pair, true);
+          return;
+        }
+      f->written += (size_t)n;
+      if (f->written < size)
+        continue;
+      f->written = 0;
+      f->buffered -= size;
+      g_bytes_unref (c->data);
+      g_free (g_queue_pop_head (&f->chunks));
+    }
+  if (!f->is_ended && f->buffered <= BUFFERED_MAX / 2 && (f->pair->is_connected || !f->is_answer))
+    ev_io_start (loop, &f->read);
+  if (f->is_ended && g_queue_is_empty (&f->chunks))
+    shutdown (f->to, SHUT_WR);
+  if (f->pair->flows[0].is_ended && f->pair->flows[1].is_ended
+      && g_queue_is_empty (&f->pair->flows[0].chunks)
+      && g_queue_is_empty (&f->pair->flows[1].chunks))
+    end_pair (f->pair, false);
+}
+
+static void
+end_pair (Pair *p, bool reset)
+{
+  struct linger abort_close = { 1, 0 };
+
+  for (int i = 0; i < 2; i++)
+    {
+      Flow *f = &p->flows[i];
+      Chunk *c;
+
+      ev_io_stop (loop, &f->read);
+      ev_io_stop (loop, &f->write);
+      ev_timer_stop (loop, &f->timer);
+      while ((c = g_queue_pop_head (&f->chunks)) != NULL)
+        {
+          g_bytes_unref (c->data);
+          g_free (c);
+        }
+      if (reset)
+        setsockopt (f->from, SOL_SOCKET, SO_LINGER, &abort_close, sizeof abort_close);
+      close (f->from);
+    }
+  g_hash_table_remove (pairs, p);
+  g_free (p);
+}
+
+static Rule *
+find_rule (const char *tag, const char *src)
+{
+  Rule *any = NULL;
+
+  for (guint i = 0; i < rules->len; i++)
+    {
+      Rule *r = rules->pdata[i];
+
+      if (strcmp (r->tag, tag) != 0)
+        continue;
+      if (strcmp (r->src, src) == 0)
+        return r;
+      if (strcmp (r->src, "*") == 0)
+        any = r;
+    }
+  return any;
+}
+
+static double
+due_time (Rule *r, size_t n)
+{
+  double now = ev_time ();
+  double due = now;
+
+  if (r != NULL && r->on[MODE_RATE])
+    {
+      r->free_at = MAX (r->free_at, now) + (double)n / r->value[MODE_RATE];
+      due = r->free_at;
+    }
+  if (r != NULL && r->on[MODE_DELAY])
+    due += r->value[MODE_DELAY] / 1000.0;
+  return due;
+}
+
+static void
+count_bytes (const char *tag, size_t n)
+{
+  gsize old = GPOINTER_TO_SIZE (g_hash_table_lookup (bytes_by_tag, tag));
+
+  g_hash_table_insert (bytes_by_tag, (gpointer)tag, GSIZE_TO_POINTER (old + n));
+}
+
+static enum MHD_Result
+on_control (void *cls,
+            struct MHD_Connection *conn,
+            const char *url,
+            const char *method,
+            const char *version,
+            const char *data,
+            size_t *size,
+            void **state)
+{
+  static int seen;
+  const char *tag = MHD_lookup_connection_value (conn, MHD_GET_ARGUMENT_KIND, "tag");
+  char text[64] = "{}\n";
+  struct MHD_Response *r;
+  enum MHD_Result result;
+  int status;
+
+  (void)cls;
+  (void)method;
+  (void)version;
+  (void)data;
+  if (*state == NULL)
+    {
+      *state = &seen;
+      return MHD_YES;
+    }
+  *size = 0;
+  if (tag != NULL && strcmp (url, "/control/bytes") == 0)
+    {
+      status = 200;
+      g_snprintf (text,
+                  sizeof text,
+                  "%" G_GSIZE_FORMAT "\n",
+                  GPOINTER_TO_SIZE (g_hash_table_lookup (bytes_by_tag, tag)));
+    }
+  else
+    status = set_rule (tag,
+                       MHD_lookup_connection_value (conn, MHD_GET_ARGUMENT_KIND, "src"),
+                       MHD_lookup_connection_value (conn, MHD_GET_ARGUMENT_KIND, "mode"),
+                       MHD_lookup_connection_value (conn, MHD_GET_ARGUMENT_KIND, "value"));
+  r = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
+  result = MHD_queue_response (conn, (unsigned int)status, r);
+  MHD_destroy_response (r);
+  return result;
+}
+
+static int
+set_rule (const char *tag, const char *src, const char *mode, const char *value)
+{
+  Rule *r = NULL;
+
+  if (tag == NULL || src == NULL || mode == NULL)
+    return 400;
+  for (guint i = 0; i < rules->len; i++)
+    if (strcmp (((Rule *)rules->pdata[i])->tag, tag) == 0
+        && strcmp (((Rule *)rules->pdata[i])->src, src) == 0)
+      r = rules->pdata[i];
+  if (r == NULL)
+    {
+      r = g_new0 (Rule, 1);
+      g_strlcpy (r->tag, tag, sizeof r->tag);
+      g_strlcpy (r->src, src, sizeof r->src);
+      g_ptr_array_add (rules, r);
+    }
+  for (int m = 0; m < MODES; m++)
+    if (strcmp (mode_names[m], mode) == 0)
+      {
+        r->value[m] = value != NULL ? g_ascii_strtod (value, NULL) : 1;
+        apply (r, (Mode)m);
+        return 200;
+      }
+  return 400;
+}
+
+static void
+apply (Rule *r, Mode m)
+{
+  GList *all = g_hash_table_get_keys (pairs);
+
+  r->on[m] = true;
+  if (m == MODE_OK)
+    memset (r->on, 0, sizeof r->on);
+  if (m == MODE_SILENCE || m == MODE_RESET)
+    r->on[m] = false;
+  for (GList *i = all; i != NULL; i = i->next)
+    {
+      Pair *p = i->data;
+
+      if (strcmp (p->listener->tag, r->tag) != 0
+          || (strcmp (r->src, "*") != 0 && strcmp (r->src, p->src) != 0))
+        continue;
+      if (m == MODE_SILENCE)
+        p->is_silent = true;
+      if (m == MODE_CUT || m == MODE_RESET)
+        end_pair (p, true);
+    }
+  g_list_free (all);
+}
+
+static void
+on_mhd (struct ev_loop *l, ev_timer *w, int events)
+{
+  (void)l;
+  (void)w;
+  (void)events;
+  MHD_run (control);
+}
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -57,7 +57,7 @@
 static GHashTable *executions; // action id to count
 static GQueue waiting = G_QUEUE_INIT;
 static const char *service, *admin_address, *front_address, *next_path;
-static int port, in_flight;
+static int port, announced_port, in_flight;
 static gint64 service_us, slots = 16, announced_slots, mute, shed, cold_ms, started_ms, n_shed,
                           n_run;
 
@@ -109,8 +109,11 @@
   struct arg_int *slots_arg = arg_int0 (NULL, "slots", "N", "calls run at once");
   struct arg_dbl *ms_arg = arg_dbl0 (NULL, "service-ms", "MS", "service time");
   struct arg_str *next_arg = arg_str0 (NULL, "next", "PATH", "path called deeper before answering");
+  struct arg_int *announced_arg
+      = arg_int0 (NULL, "announced-port", "N", "port announced to the daemon");
   struct arg_end *end = arg_end (8);
-  void *table[] = { service_arg, port_arg, admin_arg, front_arg, slots_arg, ms_arg, next_arg, end };
+  void *table[] = { service_arg, port_arg, admin_arg,     front_arg, slots_arg,
+                    ms_arg,      next_arg, announced_arg, end };
 
   slots_arg->ival[0] = 16;
   ms_arg->dval[0] = 5;
@@ -121,6 +124,7 @@
     }
   service = service_arg->sval[0];
   port = port_arg->ival[0];
+  announced_port = announced_arg->count > 0 ? announced_arg->ival[0] : port;
   admin_address = admin_arg->sval[0];
   front_address = front_arg->count > 0 ? front_arg->sval[0] : NULL;
   next_path = next_arg->count > 0 ? next_arg->sval[0] : NULL;
@@ -496,7 +500,7 @@
       "{\"service\":\"%s\",\"host\":\"127.0.0.1\",\"port\":%d,\"slots\":%" G_GINT64_FORMAT
       ",\"load\":%.2f}",
       service,
-      port,
+      announced_port,
       announced_slots,
       (double)in_flight / (double)MAX (1, slots));
   bj_http_start (http,
