Relay HTTP headers end to end

Cause: only Content-Type passed the daemons, so Location, ETag or Authorization were lost. Change: request and answer headers travel as a block, without hop-by-hop ones and our own; blocks from peers are checked line by line.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -177,6 +177,7 @@
   BjStr path;         // with query
   BjStr key;          // Idempotency-Key, empty if none
   BjStr content_type; // of the body
+  BjStr headers;      // others to relay, "Name: value" lines, each ended by a line feed
   BjStr body;         // whole
   int klass;          // asked for by the caller, -1 if none; may only lower the route's
   double deadline_ms; // remaining, 0 if none
@@ -195,6 +196,7 @@
   int attempts_left;     // of the chain's allowance, -1 if not known
   int level;             // admission level of the guard that answered, 0 admits all
   BjStr content_type;
+  BjStr headers;  // others to relay, "Name: value" lines, each ended by a line feed
   int64_t length; // of the body, -1 if not known
 } BjAnswer;
 
--- a/src/frame.c
+++ b/src/frame.c
@@ -113,6 +113,7 @@
   pack_str (p, r->path);
   pack_str (p, r->key);
   pack_str (p, r->content_type);
+  pack_str (p, r->headers);
   pack_str (p, r->body);
   msgpack_pack_int (p, r->klass);
   msgpack_pack_double (p, r->deadline_ms);
@@ -133,6 +134,7 @@
   msgpack_pack_int (p, a->attempts_left);
   msgpack_pack_int (p, a->level);
   pack_str (p, a->content_type);
+  pack_str (p, a->headers);
   msgpack_pack_int64 (p, a->length);
 }
 
@@ -147,7 +149,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 2, [BJ_FRAME_CALL] = 11,  [BJ_FRAME_ANSWER] = 8, [BJ_FRAME_DATA] = 1,
+    [BJ_FRAME_HELLO] = 2, [BJ_FRAME_CALL] = 12,  [BJ_FRAME_ANSWER] = 9, [BJ_FRAME_DATA] = 1,
     [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_CONFIG] = 1,
   };
 
@@ -196,6 +198,7 @@
   r->path = read_str (in);
   r->key = read_str (in);
   r->content_type = read_str (in);
+  r->headers = read_str (in);
   r->body = read_str (in);
   r->klass = (int)read_int (in);
   r->deadline_ms = read_double (in);
@@ -216,6 +219,7 @@
   a->attempts_left = (int)read_int (in);
   a->level = (int)read_int (in);
   a->content_type = read_str (in);
+  a->headers = read_str (in);
   a->length = read_int (in);
 }
 
--- a/src/front.c
+++ b/src/front.c
@@ -33,6 +33,7 @@
   ev_io gone; // sees a caller that hangs up while suspended
   BjStr path; // raw, with query
   GString *body;
+  GString *headers; // of the request, to relay
   GString *out; // answer bytes not yet taken
   size_t out_at;
   BjAnswer answer;
@@ -68,6 +69,8 @@
 static void dispatch (Caller *c, const char *method);
 static void dispatch_admin (Caller *c, const char *method);
 static void read_request (Caller *c, const char *method, BjRequest *r);
+static enum MHD_Result add_header (void *block, enum MHD_ValueKind kind, const char *name, const char *value);
+static void relay_headers (struct MHD_Response *r, BjStr block);
 static double header_number (Caller *c, const char *name, double absent);
 static enum MHD_Result queue_answer (Caller *c);
 static void add_headers (struct MHD_Response *r, const BjAnswer *a);
@@ -206,6 +209,7 @@
   c->conn = conn;
   c->path = bj_str_dup (bj_str (uri));
   c->body = g_string_new (NULL);
+  c->headers = g_string_new (NULL);
   c->out = g_string_new (NULL);
   return c;
 }
@@ -272,6 +276,7 @@
   bj_str_free (&c->path);
   bj_str_free (&c->content_type);
   g_string_free (c->body, TRUE);
+  g_string_free (c->headers, TRUE);
   g_string_free (c->out, TRUE);
   g_free (c);
   *caller = NULL;
@@ -324,6 +329,8 @@
   r->key = bj_str (MHD_lookup_connection_value (c->conn, MHD_HEADER_KIND, "Idempotency-Key"));
   r->content_type = bj_str (MHD_lookup_connection_value (c->conn, MHD_HEADER_KIND, "Content-Type"));
   r->body = (BjStr){ c->body->str, c->body->len };
+  MHD_get_connection_values (c->conn, MHD_HEADER_KIND, add_header, c->headers);
+  r->headers = (BjStr){ c->headers->str, c->headers->len };
   r->klass = (int)header_number (c, "Bj-Class", -1);
   r->deadline_ms = header_number (c, "Bj-Deadline-Ms", 0);
   r->attempts_left = (int)header_number (c, "Bj-Attempts-Left", -1);
@@ -331,6 +338,31 @@
   r->parent = (uint64_t)header_number (c, "Bj-Call", 0);
 }
 
+static enum MHD_Result
+add_header (void *block, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  (void)kind;
+  bj_header_add (block, bj_str (name), bj_str (value));
+  return MHD_YES;
+}
+
+static void
+relay_headers (struct MHD_Response *r, BjStr block)
+{
+  BjStr name;
+  BjStr value;
+
+  while (bj_header_next (&block, &name, &value))
+    {
+      BjStr n = bj_str_dup (name);
+      BjStr v = bj_str_dup (value);
+
+      MHD_add_response_header (r, n.data, v.data);
+      bj_str_free (&n);
+      bj_str_free (&v);
+    }
+}
+
 static double
 header_number (Caller *c, const char *name, double absent)
 {
@@ -351,6 +383,7 @@
   r = MHD_create_response_from_callback (length, READ_BLOCK, read_answer, c, NULL);
   if (c->content_type.len > 0)
     MHD_add_response_header (r, "Content-Type", c->content_type.data);
+  relay_headers (r, (BjStr){ c->headers->str, c->headers->len });
   if (!c->front->is_admin)
     add_headers (r, &c->answer);
   result = MHD_queue_response (c->conn, (unsigned int)c->answer.http_status, r);
@@ -486,6 +519,9 @@
 
   c->answer = *a;
   bj_str_set (&c->content_type, a->content_type);
+  g_string_truncate (c->headers, 0);
+  if (a->headers.len > 0)
+    g_string_append_len (c->headers, a->headers.data, (gssize)a->headers.len);
   c->has_answer = true;
 }
 
--- /dev/null
+++ b/src/header.c
@@ -0,0 +1,91 @@
+// Header: which HTTP headers pass the daemons between caller and upstream. A block holds "Name: value"
+// lines, each ended by a line feed.
+
+#include "internal.h"
+#include <string.h>
+#include <strings.h>
+
+// RFC 9110 section 7.6.1, and what libcurl, libmicrohttpd or the frames carry themselves.
+static const char *const not_relayed[] = {
+  "Connection", "Content-Length", "Content-Type", "Date",    "Expect",            "Host",    "Idempotency-Key",
+  "Keep-Alive", "Retry-After",    "TE",           "Trailer", "Transfer-Encoding", "Upgrade",
+};
+static const char *const not_relayed_prefixes[] = { "Bj-", "Proxy-" };
+
+static bool is_relayed (BjStr name);
+static bool is_token (BjStr name);
+static bool is_text (BjStr value);
+
+void
+bj_header_add (GString *block, BjStr name, BjStr value)
+{
+  if (!is_relayed (name) || !is_token (name) || !is_text (value))
+    return;
+  g_string_append_len (block, name.data, (gssize)name.len);
+  g_string_append (block, ": ");
+  if (value.len > 0)
+    g_string_append_len (block, value.data, (gssize)value.len);
+  g_string_append_c (block, '\n');
+}
+
+bool
+bj_header_next (BjStr *block, BjStr *name, BjStr *value)
+{
+  const char *end = block->len > 0 ? memchr (block->data, '\n', block->len) : NULL;
+  const char *colon = end != NULL ? memchr (block->data, ':', (size_t)(end - block->data)) : NULL;
+  size_t line;
+
+  if (colon == NULL || end - colon < 2)
+    return false;
+  line = (size_t)(end - block->data) + 1;
+  *name = (BjStr){ block->data, (size_t)(colon - block->data) };
+  *value = (BjStr){ colon + 2, (size_t)(end - colon) - 2 };
+  *block = (BjStr){ block->data + line, block->len - line };
+  return true;
+}
+
+bool
+bj_header_is_sound (BjStr block)
+{
+  BjStr name;
+  BjStr value;
+
+  while (bj_header_next (&block, &name, &value))
+    if (!is_relayed (name) || !is_token (name) || !is_text (value))
+      return false;
+  return block.len == 0;
+}
+
+static bool
+is_relayed (BjStr name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (not_relayed); i++)
+    if (name.len == strlen (not_relayed[i]) && strncasecmp (name.data, not_relayed[i], name.len) == 0)
+      return false;
+  for (size_t i = 0; i < G_N_ELEMENTS (not_relayed_prefixes); i++)
+    {
+      size_t n = strlen (not_relayed_prefixes[i]);
+
+      if (name.len >= n && strncasecmp (name.data, not_relayed_prefixes[i], n) == 0)
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_token (BjStr name)
+{
+  for (size_t i = 0; i < name.len; i++)
+    if (!g_ascii_isalnum (name.data[i]) && strchr ("!#$%&'*+-.^_`|~", name.data[i]) == NULL)
+      return false;
+  return name.len > 0;
+}
+
+static bool
+is_text (BjStr value)
+{
+  for (size_t i = 0; i < value.len; i++)
+    if (((unsigned char)value.data[i] < ' ' && value.data[i] != '\t') || value.data[i] == 0x7f)
+      return false;
+  return true;
+}
--- a/src/http.c
+++ b/src/http.c
@@ -29,6 +29,7 @@
   BjHttpHead head;
   char content_type[128];
   char outcome[16];
+  GString *relayed; // headers to relay
   bool head_told;
   bool paused;
   bool cancelled;
@@ -102,6 +103,7 @@
   c->o = *o;
   c->url = g_strdup (o->url);
   c->body = bj_str_dup (o->body);
+  c->relayed = g_string_new (NULL);
   c->head.length = -1;
   c->head.attempts_left = -1;
   c->easy = curl_easy_init ();
@@ -273,6 +275,9 @@
 
   if (c->cancelled)
     return 0;
+  // A status line begins a new head, after an interim one too.
+  if (bj_str_starts (line, BJ_STR ("HTTP/")))
+    g_string_truncate (c->relayed, 0);
   if (colon == NULL)
     return line.len;
   name = (BjStr){ line.data, (size_t)(colon - line.data) };
@@ -282,7 +287,8 @@
   while (value.len > 0 && g_ascii_isspace (value.data[value.len - 1]))
     value.len--;
   read_header (c, name, value);
-  return line.len;
+  bj_header_add (c->relayed, name, value);
+  return c->relayed->len <= BJ_HEADER_MAX ? line.len : 0;
 }
 
 static size_t
@@ -319,6 +325,7 @@
   c->head.length = length;
   c->head.content_type = bj_str (c->content_type);
   c->head.outcome = bj_str (c->outcome);
+  c->head.headers = (BjStr){ c->relayed->str, c->relayed->len };
   if (c->o.head != NULL)
     c->o.head (c->o.data, &c->head);
 }
@@ -373,6 +380,7 @@
   curl_easy_cleanup (c->easy);
   curl_slist_free_all (c->headers);
   bj_str_free (&c->body);
+  g_string_free (c->relayed, TRUE);
   g_free (c->url);
   g_free (c);
 }
--- a/src/internal.h
+++ b/src/internal.h
@@ -48,6 +48,14 @@
                        double absent); // Number or the value for absent
 bool bj_json_bool (struct json_object *o, const char *key, bool absent);
 
+// ---------------------------------------------------------------------------------------------
+// Header: which HTTP headers pass the daemons
+// ---------------------------------------------------------------------------------------------
+
+void bj_header_add (GString *block, BjStr name, BjStr value);   // Unless it belongs to one hop or is our own
+bool bj_header_next (BjStr *block, BjStr *name, BjStr *value);  // Takes the first line off; false at the end
+bool bj_header_is_sound (BjStr block);                          // Every line is a name, a colon and printable text
+
 // ---------------------------------------------------------------------------------------------
 // Http: requests through libcurl multi on the loop
 // ---------------------------------------------------------------------------------------------
@@ -59,6 +67,7 @@
 {
   int status;
   BjStr content_type;
+  BjStr headers;  // others to relay
   int64_t length; // -1 when not known
   BjStr outcome;  // Bj-Outcome
   double retry_after_ms;
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -608,6 +608,7 @@
   to->path = bj_str_dup (from->path);
   to->key = bj_str_dup (from->key);
   to->content_type = bj_str_dup (from->content_type);
+  to->headers = bj_str_dup (from->headers);
   to->body = bj_str_dup (from->body);
 }
 
@@ -618,6 +619,7 @@
   bj_str_free (&r->path);
   bj_str_free (&r->key);
   bj_str_free (&r->content_type);
+  bj_str_free (&r->headers);
   bj_str_free (&r->body);
 }
 
--- a/src/link.c
+++ b/src/link.c
@@ -654,6 +654,8 @@
     for (size_t j = 0; j < texts[i].len; j++)
       if ((unsigned char)texts[i].data[j] < ' ' || texts[i].data[j] == 0x7f)
         return false;
+  if (!bj_header_is_sound (r->headers))
+    return false;
   return r->method.len > 0 && r->path.len > 0 && r->path.data[0] == '/' && r->deadline_ms > 0;
 }
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -2,8 +2,6 @@
 
 #include "internal.h"
 
-#define URL_MAX_BYTES (BJ_HEADER_MAX + 64)
-
 typedef struct
 {
   BjSource source; // first
@@ -11,6 +9,7 @@
   BjHttpCall *http;
 } Run;
 
+static GPtrArray *write_headers (const BjCall *c);
 static void on_drained (BjSource *s, size_t n);
 static void on_cancel (BjSource *s);
 static void on_head (void *data, const BjHttpHead *h);
@@ -25,40 +24,9 @@
 {
   Run *r = g_new0 (Run, 1);
   const BjCall *c = x->call;
-  BjTime left = MAX (1, c->deadline - bj_clock_now ());
-  char *url = g_strdup_printf (
-      "http://%s:%d%s", d->upstream.host.data, d->upstream.port, c->request.path.data);
-  char type[160];
-  char key[160];
-  char deadline[64];
-  char attempts[64];
-  char depth[32];
-  char klass[32];
-  char parent[64];
-  const char *headers[8];
-  int n = 0;
-
-  g_snprintf (deadline, sizeof deadline, "Bj-Deadline-Ms: %.0f", MAX (1, left - BJ_HOP_MS));
-  g_snprintf (attempts, sizeof attempts, "Bj-Attempts-Left: %d", c->attempts_left);
-  g_snprintf (depth, sizeof depth, "Bj-Path: %d", c->request.depth);
-  g_snprintf (klass, sizeof klass, "Bj-Class: %d", c->klass);
-  g_snprintf (parent, sizeof parent, "Bj-Call: %" G_GUINT64_FORMAT, c->id);
-  headers[n++] = deadline;
-  headers[n++] = attempts;
-  headers[n++] = depth;
-  headers[n++] = klass;
-  headers[n++] = parent;
-  if (c->request.key.len > 0)
-    {
-      g_snprintf (key, sizeof key, "Idempotency-Key: %.*s", BJ_STR_ARG (c->request.key));
-      headers[n++] = key;
-    }
-  if (c->request.content_type.len > 0)
-    {
-      g_snprintf (type, sizeof type, "Content-Type: %.*s", BJ_STR_ARG (c->request.content_type));
-      headers[n++] = type;
-    }
-  headers[n] = NULL;
+  char *url = g_strdup_printf ("http://%s:%d%s", d->upstream.host.data, d->upstream.port, c->request.path.data);
+  GPtrArray *headers = write_headers (c);
+
   r->source.ops = &run_ops;
   r->x = x;
   x->source = &r->source;
@@ -66,16 +34,44 @@
                            &(BjHttpOptions){
                                .method = c->request.method.data,
                                .url = url,
-                               .headers = headers,
+                               .headers = (const char *const *)headers->pdata,
                                .body = c->request.body,
                                .head = on_head,
                                .body_part = on_body,
                                .done = on_done,
                                .data = r,
                            });
+  g_ptr_array_free (headers, TRUE);
   g_free (url);
 }
 
+static GPtrArray *
+write_headers (const BjCall *c)
+{
+  GPtrArray *lines = g_ptr_array_new_with_free_func (g_free);
+  BjTime left = MAX (1, c->deadline - bj_clock_now () - BJ_HOP_MS);
+  BjStr block = c->request.headers;
+  BjStr name;
+  BjStr value;
+
+  g_ptr_array_add (lines, g_strdup_printf ("Bj-Deadline-Ms: %.0f", left));
+  g_ptr_array_add (lines, g_strdup_printf ("Bj-Attempts-Left: %d", c->attempts_left));
+  g_ptr_array_add (lines, g_strdup_printf ("Bj-Path: %d", c->request.depth));
+  g_ptr_array_add (lines, g_strdup_printf ("Bj-Class: %d", c->klass));
+  g_ptr_array_add (lines, g_strdup_printf ("Bj-Call: %" G_GUINT64_FORMAT, c->id));
+  if (c->request.key.len > 0)
+    g_ptr_array_add (lines, g_strdup_printf ("Idempotency-Key: %.*s", BJ_STR_ARG (c->request.key)));
+  if (c->request.content_type.len > 0)
+    g_ptr_array_add (lines, g_strdup_printf ("Content-Type: %.*s", BJ_STR_ARG (c->request.content_type)));
+  // libcurl sends a header without a value when its line ends in a semicolon.
+  while (bj_header_next (&block, &name, &value))
+    g_ptr_array_add (lines,
+                     value.len > 0 ? g_strdup_printf ("%.*s: %.*s", BJ_STR_ARG (name), BJ_STR_ARG (value))
+                                   : g_strdup_printf ("%.*s;", BJ_STR_ARG (name)));
+  g_ptr_array_add (lines, NULL);
+  return lines;
+}
+
 static void
 on_drained (BjSource *s, size_t n)
 {
@@ -102,6 +98,7 @@
     .retry_after_ms = h->retry_after_ms,
     .attempts_left = h->attempts_left,
     .content_type = h->content_type,
+    .headers = h->headers,
     .length = h->length,
   };
 
--- a/tests/standins/fault.c
+++ b/tests/standins/fault.c
@@ -196,7 +196,10 @@
       || !read_address (parts[2], &l->target)
       || bind (l->fd, (struct sockaddr *)&addr, sizeof addr) != 0
       || (is_tcp && listen (l->fd, BACKLOG) != 0))
-    return false;
+    {
+      g_free (l);
+      return false;
+    }
   g_strlcpy (l->tag, parts[0], sizeof l->tag);
   g_strfreev (parts);
   ev_io_init (&l->io, is_tcp ? on_accept : on_datagram, l->fd, EV_READ);
