Bad input on every port; the tick that never came

Cause 1: a frame or datagram that claims an array of 4 billion fields made msgpack-c ask for 64 GiB (abort under ASan); it has no limit of its own, so the bytes are walked first. Cause 2: the loop's prepare step set the tick anew on every wake, and gossip wakes it every 200 ms, so the 250 ms tick never came: a stopped daemon did not end and a silent upstream was never noticed. Cause 3: a request without Host was served. Ruled out for 2: open calls (0 in the log).

--- a/src/config.h
+++ b/src/config.h
@@ -17,6 +17,7 @@
 #define BJ_TICKET_MAX (512 * 1024)                 // bytes of one ticket
 #define BJ_TICKET_DEPTH_MAX 16                     // nested values in a ticket or in settings
 #define BJ_DATAGRAM_MAX 1400                       // bytes of one gossip datagram
+#define BJ_MSGPACK_DEPTH_MAX 4                     // nested arrays in a message between daemons
 #define BJ_RING_SIZE 4096                          // decisions kept for explain
 #define BJ_LOG_BUFFER (1024 * 1024)                // bytes of log lines not yet written
 
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -12,6 +12,7 @@
 {
   ev_prepare prepare;
   ev_timer tick;
+  BjTime ticked;
   ev_idle idle; // keeps the loop from blocking while a module has work
 };
 
@@ -270,7 +271,7 @@
     ev_idle_stop (loop, &d->watchers->idle);
   bj_log_flush ();
   now = bj_clock_now ();
-  next = MIN (bj_kernel_next (d->kernel) - now, TICK_MAX_MS);
+  next = MIN (bj_kernel_next (d->kernel), d->watchers->ticked + TICK_MAX_MS) - now;
   ev_timer_stop (loop, &d->watchers->tick);
   ev_timer_set (&d->watchers->tick, MAX (0, next) / 1000.0, 0);
   ev_timer_start (loop, &d->watchers->tick);
@@ -284,6 +285,7 @@
 
   (void)loop;
   (void)events;
+  d->watchers->ticked = now;
   bj_kernel_tick (d->kernel, now);
   check_announcement (d, now);
   check_stop (d, now);
--- a/src/front.c
+++ b/src/front.c
@@ -118,6 +118,8 @@
                               (unsigned int)IDLE_TIMEOUT_S,
                               MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                               (size_t)CONNECTION_MEMORY,
+                              MHD_OPTION_STRICT_FOR_CLIENT,
+                              1,
                               MHD_OPTION_LISTENING_ADDRESS_REUSE,
                               1U,
                               MHD_OPTION_END);
--- a/src/internal.h
+++ b/src/internal.h
@@ -192,6 +192,9 @@
                           msgpack_unpacked *keep,
                           BjFrame *f); // Without the length; strings live in bytes and keep
 
+bool bj_msgpack_is_bounded (
+    BjStr bytes); // No value claims more elements than bytes, or is nested too deep
+
 // ---------------------------------------------------------------------------------------------
 // Link: TCP connections to other daemons
 // ---------------------------------------------------------------------------------------------
--- a/src/member.c
+++ b/src/member.c
@@ -109,6 +109,11 @@
       msgpack_unpacked keep;
       size_t at = 0;
 
+      if (!bj_msgpack_is_bounded ((BjStr){ buffer, (size_t)n }))
+        {
+          n_bad.value++;
+          continue;
+        }
       msgpack_unpacked_init (&keep);
       while (msgpack_unpack_next (&keep, buffer, (size_t)n, &at) == MSGPACK_UNPACK_SUCCESS)
         {
