bjbench: overload and recovery, one guard against a fake upstream

Cause: nothing measured the decisions of one guard. Open-loop Poisson arrivals of three classes (10, 40 and 50 %), up to 5 resends after the time to come back, an upstream that carries 20 calls of 10 ms, announces 40 slots, loses 30 % to contention for each further multiple and sheds beyond 230 connections. Injected clock; the same seed prints the same bytes.

--- a/src/bjbench/bjbench.h
+++ b/src/bjbench/bjbench.h
@@ -54,3 +54,5 @@
 
 int scenario_load (int argc, char **argv);
 int scenario_overhead (int argc, char **argv);
+int scenario_overload (int argc, char **argv);
+int scenario_recovery (int argc, char **argv);
--- /dev/null
+++ b/src/bjbench/guard.c
@@ -0,0 +1,595 @@
+// Scenarios "overload" and "recovery": one kernel as the guard of a fake upstream, with an injected
+// clock. The same seed gives the same bytes.
+
+#include "bjbench.h"
+#include <argtable2.h>
+#include <json-c/json.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define EXIT_USAGE 2
+#define CLASSES 3
+#define SERVICE_MS 10.0 // mean of one call while the upstream is not overloaded
+#define CARRIES 20      // calls that run at once without slowing each other down
+#define SLOTS 40        // announced, more than the upstream carries
+#define CONNECTIONS 230 // more calls are shed by the upstream itself
+#define CONTENTION 0.3  // lost to contention for each multiple of CARRIES beyond the first
+#define SHED_MS 1.0     // until the upstream answers that it sheds
+#define CALL_DEADLINE_MS 1000.0
+#define RESENDS 5      // of one action
+#define WARM_MS 5000.0 // not measured, while limits settle
+#define MEASURED_MS 15000.0
+#define IDLE_SHARE 0.7  // of capacity, before and after the surge
+#define SURGE_SHARE 5.0 // of capacity
+#define SURGE_MS 60000.0
+#define AFTER_MS 20000.0  // observed after the surge
+#define BIN_MS 250.0      // of observation after the surge
+#define BINS 80           // AFTER_MS / BIN_MS
+#define FULL_GOODPUT 0.95 // of the actions of one bin, whole
+
+static const double class_shares[CLASSES] = { 0.1, 0.4, 0.5 };
+static const char *const class_names[CLASSES] = { "acceptance", "preview", "lookup" };
+
+typedef enum
+{
+  EVENT_ARRIVAL,
+  EVENT_RESEND,
+  EVENT_FINISH,
+} EventKind;
+
+typedef struct
+{
+  double at;
+  uint64_t order; // ties go by order of insertion
+  EventKind kind;
+  void *subject; // Action or BjCall
+} Event;
+
+typedef struct
+{
+  uint64_t actions;
+  uint64_t requests;
+  uint64_t whole;
+  uint64_t refused; // not-run answers
+  uint64_t unknown; // timed out while running
+  BjHist latency;   // of whole answers, from the action's first request
+} ClassStats;
+
+typedef struct
+{
+  double rate_until[3]; // ends of the phases
+  double rates[3];      // actions a millisecond in each
+  int n_phases;
+  double measure_from;
+  double measure_until;
+  double bins_from; // end of the surge, BJ_TIME_NEVER without one
+} Load;
+
+typedef struct
+{
+  BjHost host;
+  BjKernel *kernel;
+  GRand *rand;
+  GSequence *events;
+  uint64_t n_events;
+  const Load *load;
+  BjTime now;
+  int running; // on the fake upstream
+  int waiting[CLASSES];
+  bool is_top_refused; // and calls of the top class still wait
+  uint64_t n_wrong_order;
+  uint64_t n_expired_run;
+  ClassStats stats[CLASSES];
+  uint64_t bin_actions[BINS];
+  uint64_t bin_whole[BINS];
+  BjHist bin_latency[BINS];
+} Sim;
+
+typedef struct
+{
+  int klass;
+  int resends;
+  double first; // request
+  char key[24];
+  uint64_t call; // 0 when none is open
+  bool is_started;
+  GSequenceIter *finish;
+  bool sheds;
+  bool is_answered; // it runs on without a caller
+} Action;
+
+typedef struct
+{
+  const char *policy;
+  struct json_object *json;
+  uint32_t seed;
+} Report;
+
+static int run_scenario (int argc, char **argv, const char *name, void (*run) (Report *r));
+static void run_overload (Report *r);
+static void run_recovery (Report *r);
+static Sim *simulate (const Report *r, const Load *load);
+static void free_sim (Sim *s);
+static void print_value (Report *r, double value, const char *format, ...) G_GNUC_PRINTF (3, 4);
+static BjConfig *make_config (const char *policy);
+static void next_arrival (Sim *s);
+static void new_action (Sim *s);
+static void send_request (Sim *s, Action *a);
+static void finish (Sim *s, BjCall *c);
+static GSequenceIter *add_event (Sim *s, double at, EventKind kind, void *subject);
+static gint by_time (gconstpointer a, gconstpointer b, gpointer data);
+static double service_time (Sim *s);
+static bool is_measured (const Sim *s);
+static int bin_of (const Sim *s, const Action *a);
+static void count_whole (Sim *s, Action *a);
+static void note_admitted (Sim *s, int klass);
+static void note_left_queue (Sim *s, Action *a);
+static void host_start (BjHost *h, BjCall *c);
+static void host_cancel (BjHost *h, BjCall *c);
+static void host_answer (BjHost *h, BjCall *c, const BjAnswer *a);
+static void host_send (BjHost *h, BjCall *c, BjPeer *p);
+static void host_nothing (BjHost *h, BjCall *c);
+
+static const BjHostOps host_ops
+    = { host_send, host_start, host_cancel, host_answer, host_nothing, host_nothing };
+
+int
+scenario_overload (int argc, char **argv)
+{
+  return run_scenario (argc, argv, "overload", run_overload);
+}
+
+int
+scenario_recovery (int argc, char **argv)
+{
+  return run_scenario (argc, argv, "recovery", run_recovery);
+}
+
+static int
+run_scenario (int argc, char **argv, const char *name, void (*run) (Report *r))
+{
+  struct arg_str *policy = arg_str0 (NULL, "policy", "borage|baseline|both", "plug-ins, both");
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "of every random choice, 1");
+  struct arg_file *json = arg_file0 (NULL, "json", "FILE", "gets the figures as one JSON object");
+  struct arg_lit *inside = arg_lit0 (NULL, "in-process", "one kernel, no sockets; the only way");
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { policy, seed, json, inside, help, end };
+  int n_errors = arg_parse (argc, argv, table);
+  const char *which = policy->count > 0 ? policy->sval[0] : "both";
+  bool is_both = strcmp (which, "both") == 0;
+  Report r = { .seed = seed->count > 0 ? (uint32_t)seed->ival[0] : 1 };
+  int code = 0;
+
+  if (help->count > 0)
+    {
+      printf ("Usage: bjbench %s", name);
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-32s %s\n");
+    }
+  else if (n_errors > 0)
+    {
+      arg_print_errors (stderr, end, name);
+      code = EXIT_USAGE;
+    }
+  else if (!is_both && strcmp (which, "borage") != 0 && strcmp (which, "baseline") != 0)
+    {
+      fprintf (stderr, "%s: policy \"%s\" is none of borage, baseline, both.\n", name, which);
+      code = EXIT_USAGE;
+    }
+  else
+    {
+      bj_log_open (BJ_LOG_ERROR);
+      r.json = json_object_new_object ();
+      for (int i = 0; i < 2; i++)
+        {
+          r.policy = i == 0 ? "borage" : "baseline";
+          if (is_both || strcmp (which, r.policy) == 0)
+            run (&r);
+        }
+      if (json->count > 0 && json_object_to_file (json->filename[0], r.json) != 0)
+        {
+          fprintf (stderr, "%s: %s can't be written.\n", name, json->filename[0]);
+          code = 1;
+        }
+      json_object_put (r.json);
+    }
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
+}
+
+static void
+run_overload (Report *r)
+{
+  static const int multiples[] = { 1, 2, 5, 10 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (multiples); i++)
+    {
+      int m = multiples[i];
+      Load load = { .rate_until = { WARM_MS + MEASURED_MS },
+                    .rates = { m * CARRIES / SERVICE_MS },
+                    .n_phases = 1,
+                    .measure_from = WARM_MS,
+                    .measure_until = WARM_MS + MEASURED_MS,
+                    .bins_from = BJ_TIME_NEVER };
+      Sim *s = simulate (r, &load);
+      uint64_t whole = 0;
+
+      for (int c = 0; c < CLASSES; c++)
+        whole += s->stats[c].whole;
+      print_value (r, (double)whole / (MEASURED_MS * CARRIES / SERVICE_MS), "%dx_goodput_share", m);
+      for (int c = 0; c < CLASSES; c++)
+        {
+          const ClassStats *st = &s->stats[c];
+
+          print_value (r, (double)st->actions, "%dx_%s_actions", m, class_names[c]);
+          print_value (r, (double)st->requests, "%dx_%s_requests", m, class_names[c]);
+          print_value (r, (double)st->whole, "%dx_%s_whole", m, class_names[c]);
+          print_value (r, (double)st->refused, "%dx_%s_refused", m, class_names[c]);
+          print_value (r, (double)st->unknown, "%dx_%s_unknown", m, class_names[c]);
+          print_value (r, bj_hist_quantile (&st->latency, 0.5), "%dx_%s_p50_ms", m, class_names[c]);
+          print_value (
+              r, bj_hist_quantile (&st->latency, 0.99), "%dx_%s_p99_ms", m, class_names[c]);
+        }
+      print_value (r, (double)s->n_wrong_order, "%dx_wrong_order", m);
+      print_value (r, (double)s->n_expired_run, "%dx_expired_run", m);
+      free_sim (s);
+    }
+}
+
+static void
+run_recovery (Report *r)
+{
+  double surge_from = WARM_MS + MEASURED_MS;
+  double surge_until = surge_from + SURGE_MS;
+  double idle_rate = IDLE_SHARE * CARRIES / SERVICE_MS;
+  Load load = { .rate_until = { surge_from, surge_until, surge_until + AFTER_MS },
+                .rates = { idle_rate, SURGE_SHARE * CARRIES / SERVICE_MS, idle_rate },
+                .n_phases = 3,
+                .measure_from = WARM_MS,
+                .measure_until = surge_from,
+                .bins_from = surge_until };
+  Sim *s = simulate (r, &load);
+  BjHist idle = { 0 };
+  double goodput_back = 0;
+  double p99_back = 0;
+  double worst = 0;
+
+  for (int c = 0; c < CLASSES; c++)
+    bj_hist_merge (&idle, &s->stats[c].latency);
+  for (int b = 0; b < BINS; b++)
+    {
+      double p99 = bj_hist_quantile (&s->bin_latency[b], 0.99);
+
+      if ((double)s->bin_whole[b] < FULL_GOODPUT * (double)s->bin_actions[b])
+        goodput_back = (b + 1) * BIN_MS;
+      if (p99 > 2 * bj_hist_quantile (&idle, 0.99))
+        p99_back = (b + 1) * BIN_MS;
+      worst = MAX (worst, p99);
+    }
+  print_value (r, bj_hist_quantile (&idle, 0.99), "idle_p99_ms");
+  print_value (r, goodput_back, "goodput_back_ms");
+  print_value (r, p99_back, "p99_back_ms");
+  print_value (r, worst, "worst_p99_after_ms");
+  print_value (r, (double)s->n_expired_run, "expired_run");
+  free_sim (s);
+}
+
+static Sim *
+simulate (const Report *r, const Load *load)
+{
+  Sim *s = g_new0 (Sim, 1);
+  BjKernelOptions o = { .self = { .name = BJ_STR ("one"), .domain = BJ_STR ("north-a") },
+                        .host = &s->host,
+                        .seed = r->seed };
+
+  s->host.ops = &host_ops;
+  s->load = load;
+  s->rand = g_rand_new_with_seed (r->seed);
+  s->events = g_sequence_new (g_free);
+  s->kernel = bj_kernel_new (&o, 0);
+  bj_kernel_set_config (s->kernel, 0, make_config (r->policy));
+  bj_kernel_announce (s->kernel, 0, BJ_STR ("orders"), SLOTS);
+  next_arrival (s);
+  while (!g_sequence_is_empty (s->events))
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (s->events);
+      Event e = *(Event *)g_sequence_get (first);
+      BjTime next = bj_kernel_next (s->kernel);
+
+      if (next <= e.at)
+        {
+          s->now = next;
+          bj_kernel_tick (s->kernel, s->now);
+          continue;
+        }
+      g_sequence_remove (first);
+      s->now = e.at;
+      if (e.kind == EVENT_ARRIVAL)
+        new_action (s);
+      else if (e.kind == EVENT_RESEND)
+        send_request (s, e.subject);
+      else
+        finish (s, e.subject);
+    }
+  return s;
+}
+
+static void
+free_sim (Sim *s)
+{
+  bj_kernel_free (s->kernel);
+  g_sequence_free (s->events);
+  g_rand_free (s->rand);
+  g_free (s);
+}
+
+static void
+print_value (Report *r, double value, const char *format, ...)
+{
+  va_list args;
+  char name[80];
+  char full[96];
+  char text[32];
+
+  va_start (args, format);
+  vsnprintf (name, sizeof name, format, args);
+  va_end (args);
+  g_snprintf (full, sizeof full, "%s_%s", r->policy, name);
+  g_snprintf (text, sizeof text, value == floor (value) ? "%.0f" : "%.3f", value);
+  printf ("%s=%s\n", full, text);
+  json_object_object_add (r->json, full, json_object_new_double_s (value, text));
+}
+
+static BjConfig *
+make_config (const char *policy)
+{
+  static const char format[]
+      = "{\"number\":1,\"priorities\":[\"acceptance\",\"preview\",\"lookup\"],\"services\":{"
+        "\"orders\":{\"routes\":[{\"prefix\":\"/\",\"class\":\"lookup\"}]%s}}}";
+  static const char plain[]
+      = ",\"limiter\":{\"plugin\":\"none\"},\"queue\":{\"plugin\":\"fifo\"},"
+        "\"router\":{\"plugin\":\"round-robin\"},\"retry\":{\"plugin\":\"naive\"}";
+  char *text = g_strdup_printf (format, strcmp (policy, "baseline") == 0 ? plain : "");
+  BjConfig *c;
+
+  if (bj_config_parse (bj_str (text), &c) != BJ_OK)
+    g_error ("%s", bj_last_message ());
+  g_free (text);
+  return c;
+}
+
+static void
+next_arrival (Sim *s)
+{
+  const Load *l = s->load;
+  int phase = 0;
+
+  while (phase < l->n_phases && s->now >= l->rate_until[phase])
+    phase++;
+  if (phase == l->n_phases)
+    return;
+  add_event (s, s->now - log (1 - g_rand_double (s->rand)) / l->rates[phase], EVENT_ARRIVAL, NULL);
+}
+
+static void
+new_action (Sim *s)
+{
+  Action *a = g_new0 (Action, 1);
+  double at = g_rand_double (s->rand);
+
+  while (a->klass < CLASSES - 1 && at >= class_shares[a->klass])
+    at -= class_shares[a->klass++];
+  a->first = s->now;
+  a->resends = RESENDS;
+  g_snprintf (a->key, sizeof a->key, "%016" G_GINT64_MODIFIER "x", s->n_events);
+  if (is_measured (s))
+    s->stats[a->klass].actions++;
+  if (bin_of (s, a) >= 0)
+    s->bin_actions[bin_of (s, a)]++;
+  next_arrival (s);
+  send_request (s, a);
+}
+
+static void
+send_request (Sim *s, Action *a)
+{
+  BjRequest r = { .method = BJ_STR ("GET"),
+                  .path = BJ_STR ("/"),
+                  .key = bj_str (a->key),
+                  .klass = a->klass,
+                  .deadline_ms = CALL_DEADLINE_MS,
+                  .irreversible = a->klass == 0 };
+  BjCall *c;
+
+  if (is_measured (s))
+    s->stats[a->klass].requests++;
+  a->is_started = false;
+  s->waiting[a->klass]++;
+  c = bj_kernel_arrive_peer (s->kernel, s->now, &r, BJ_STR ("orders"), a);
+  if (c != NULL)
+    note_admitted (s, a->klass);
+}
+
+static void
+finish (Sim *s, BjCall *c)
+{
+  Action *a = c->data;
+
+  a->finish = NULL;
+  if (a->sheds)
+    {
+      a->sheds = false;
+      bj_kernel_answer_begin (
+          s->kernel,
+          s->now,
+          c,
+          &(BjAnswer){ .outcome = BJ_NOT_RUN, .http_status = 503, .attempts_left = -1 });
+      return;
+    }
+  s->running--;
+  bj_kernel_answer_begin (
+      s->kernel, s->now, c, &(BjAnswer){ .outcome = BJ_DONE, .http_status = 200 });
+  bj_kernel_answer_end (s->kernel, s->now, c, true);
+  if (!a->is_answered)
+    count_whole (s, a);
+  g_free (a);
+}
+
+static GSequenceIter *
+add_event (Sim *s, double at, EventKind kind, void *subject)
+{
+  Event *e = g_new0 (Event, 1);
+
+  *e = (Event){ at, s->n_events++, kind, subject };
+  return g_sequence_insert_sorted (s->events, e, by_time, NULL);
+}
+
+static gint
+by_time (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const Event *x = a;
+  const Event *y = b;
+
+  (void)data;
+  if (x->at != y->at)
+    return x->at < y->at ? -1 : 1;
+  return x->order < y->order ? -1 : x->order > y->order;
+}
+
+// Half of the time is fixed and half is exponential. Beyond CARRIES calls share what there is and
+// lose more to contention.
+static double
+service_time (Sim *s)
+{
+  double noise = 0.5 - 0.5 * log (1 - g_rand_double (s->rand));
+  double crowd = MAX (1, (double)s->running / CARRIES);
+
+  return SERVICE_MS * noise * crowd * (1 + CONTENTION * (crowd - 1));
+}
+
+static bool
+is_measured (const Sim *s)
+{
+  return s->now >= s->load->measure_from && s->now < s->load->measure_until;
+}
+
+static int
+bin_of (const Sim *s, const Action *a)
+{
+  double since = a->first - s->load->bins_from;
+
+  return since < 0 || since >= AFTER_MS ? -1 : (int)(since / BIN_MS);
+}
+
+static void
+count_whole (Sim *s, Action *a)
+{
+  int b = bin_of (s, a);
+
+  if (is_measured (s))
+    {
+      s->stats[a->klass].whole++;
+      bj_hist_add (&s->stats[a->klass].latency, s->now - a->first);
+    }
+  if (b < 0)
+    return;
+  s->bin_whole[b]++;
+  bj_hist_add (&s->bin_latency[b], s->now - a->first);
+}
+
+// A lower class that is admitted while refused irreversible calls would still have to wait stands
+// before them.
+static void
+note_admitted (Sim *s, int klass)
+{
+  if (klass == 0)
+    s->is_top_refused = false;
+  else if (s->is_top_refused)
+    s->n_wrong_order++;
+}
+
+static void
+note_left_queue (Sim *s, Action *a)
+{
+  if (a->is_started)
+    return;
+  a->is_started = true;
+  s->waiting[a->klass]--;
+  if (s->waiting[0] == 0)
+    s->is_top_refused = false;
+}
+
+static void
+host_start (BjHost *h, BjCall *c)
+{
+  Sim *s = (Sim *)h;
+  Action *a = c->data;
+
+  note_left_queue (s, a);
+  s->n_expired_run += c->deadline <= s->now;
+  if (s->running >= CONNECTIONS)
+    {
+      a->sheds = true;
+      a->finish = add_event (s, s->now + SHED_MS, EVENT_FINISH, c);
+      return;
+    }
+  s->running++;
+  a->finish = add_event (s, s->now + service_time (s), EVENT_FINISH, c);
+}
+
+static void
+host_cancel (BjHost *h, BjCall *c)
+{
+  Sim *s = (Sim *)h;
+  Action *a = c->data;
+
+  if (a->finish == NULL)
+    return;
+  g_sequence_remove (a->finish);
+  a->finish = NULL;
+  s->running -= !a->sheds;
+  a->sheds = false;
+}
+
+static void
+host_answer (BjHost *h, BjCall *c, const BjAnswer *answer)
+{
+  Sim *s = (Sim *)h;
+  Action *a = c->data;
+  bool is_load = answer->code == BJ_E_OVERLOAD;
+
+  note_left_queue (s, a);
+  if (is_measured (s) && answer->outcome == BJ_NOT_RUN)
+    s->stats[a->klass].refused++;
+  if (is_measured (s) && answer->outcome != BJ_NOT_RUN)
+    s->stats[a->klass].unknown++;
+  if (is_load && c->irreversible)
+    {
+      s->is_top_refused = s->waiting[0] > 0;
+      for (int i = 1; i < CLASSES; i++)
+        s->n_wrong_order += s->waiting[i] > 0;
+    }
+  if (a->resends-- > 0 && (answer->outcome == BJ_NOT_RUN || !c->irreversible))
+    add_event (s, s->now + MAX (1, answer->retry_after_ms), EVENT_RESEND, a);
+  else if (c->irreversible && answer->outcome != BJ_NOT_RUN)
+    a->is_answered = true; // finish () frees it
+  else
+    g_free (a);
+}
+
+static void
+host_send (BjHost *h, BjCall *c, BjPeer *p)
+{
+  (void)h;
+  (void)c;
+  (void)p;
+}
+
+static void
+host_nothing (BjHost *h, BjCall *c)
+{
+  (void)h;
+  (void)c;
+}
--- a/src/bjbench/main.c
+++ b/src/bjbench/main.c
@@ -13,6 +13,8 @@
   { "overhead",
     "compares a call through two daemons with the same call sent straight",
     scenario_overhead },
+  { "overload", "one guard at 1, 2, 5 and 10 times its capacity, in process", scenario_overload },
+  { "recovery", "one guard after a surge at 5 times its capacity, in process", scenario_recovery },
 };
 
 static void print_list (void);
