bjbench: scenarios with real processes, both policies side by side

Cause: what many nodes do together could only be tried by hand. First scenarios: domain-loss, cold-start, lying-load. The stand-in upstream announces a late or a claimed load; cold_ms counts from when it is set.

--- a/src/bjbench/main.c
+++ b/src/bjbench/main.c
@@ -13,6 +13,9 @@
   { "overhead",
     "compares a call through two daemons with the same call sent straight",
     scenario_overhead },
+  { "domain-loss", "a domain goes and its callers spill to the others", scenario_domain_loss },
+  { "cold-start", "one upstream joins cold, one fails", scenario_cold_start },
+  { "lying-load", "load comes late, one upstream claims idle, one sick", scenario_lying_load },
 };
 
 static void print_list (void);
--- a/src/bjbench/run.c
+++ b/src/bjbench/run.c
@@ -59,7 +59,7 @@
     o.resends = CLAMP (resends->ival[0], 0, 1000);
   o.executions = keys->count > 0 ? keys->filename[0] : NULL;
   memset (stats, 0, sizeof stats);
-  load_run (&o, stats);
+  load_run (&o, stats, NULL);
   load_print (&o, stats);
   for (int i = 0; i < o.n_targets; i++)
     g_free (o.targets[i]);
@@ -98,7 +98,7 @@
     {
       o.targets[0] = (char *)(i % 2 == 0 ? straight->sval[0] : target->sval[0]);
       o.seed = (uint32_t)(i / 2 + 1);
-      load_run (&o, &sides[i % 2]);
+      load_run (&o, &sides[i % 2], NULL);
     }
   added[0] = bj_hist_quantile (&sides[1].latency, 0.5) - bj_hist_quantile (&sides[0].latency, 0.5);
   added[1]
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -8,7 +8,9 @@
 // Paths: /<service>/... runs; "?bytes=N" sets the answer's size and "id=TEXT" what its body
 // repeats, so that a caller can tell its own answer; a path with "poison" ends the process. GET
 // /control/executions prints one line an action: id, executions. POST /control/<what>?value=N sets
-// service_ms, slots, announced_slots, mute (no announcements), shed (refuse everything), cold_ms.
+// service_us, slots, announced_slots, mute (no announcements), shed (refuse everything), cold_ms
+// (ten times the service time for so long from now), load_lag_ms (announced load is so old),
+// load_claim (percent announced instead of the load, -1 for the truth).
 
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -29,6 +31,8 @@
 #define ANNOUNCE_MS 500
 #define BLOCK 16384
 #define CONNECTIONS_MAX 4096
+#define SHEDDING_LOAD 2.0 // announced while everything is refused
+#define LOADS_MAX 64      // announcements remembered for a lag
 
 typedef struct
 {
@@ -58,8 +62,10 @@
 static GQueue waiting = G_QUEUE_INIT;
 static const char *service, *admin_address, *front_address, *next_path;
 static int port, announced_port, in_flight;
-static gint64 service_us, slots = 16, announced_slots, mute, shed, cold_ms, started_ms, n_shed,
-                          n_run;
+static gint64 service_us, slots = 16, announced_slots, mute, shed, cold_ms, cold_from_ms, n_shed,
+                          n_run, load_lag_ms, load_claim = -1;
+static double loads[LOADS_MAX]; // ring of the loads at past announcements
+static guint n_loads;
 
 static enum MHD_Result on_request (void *cls,
                                    struct MHD_Connection *conn,
@@ -89,6 +95,7 @@
 static ssize_t read_pattern (void *cls, uint64_t pos, char *buf, size_t max);
 static const char *header (Run *r, const char *name);
 static void on_announce (struct ev_loop *l, ev_timer *w, int events);
+static double announced_load (void);
 static void ignore_done (void *data, BjStatus s, bool sent);
 static size_t ignore_body (void *data, BjStr part);
 static void on_mhd (struct ev_loop *l, ev_io *w, int events);
@@ -145,7 +152,7 @@
   loop = ev_default_loop (0);
   http = bj_http_new (loop);
   executions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  started_ms = (gint64)now_ms ();
+  cold_from_ms = (gint64)now_ms ();
   daemon_http = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO,
                                   0,
                                   NULL,
@@ -262,7 +269,9 @@
               { "announced_slots", &announced_slots },
               { "mute", &mute },
               { "shed", &shed },
-              { "cold_ms", &cold_ms } };
+              { "cold_ms", &cold_ms },
+              { "load_lag_ms", &load_lag_ms },
+              { "load_claim", &load_claim } };
   const char *value = MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, "value");
   char text[128];
 
@@ -281,6 +290,8 @@
     if (strcmp (what, all[i].name) == 0)
       {
         *all[i].value = g_ascii_strtoll (value, NULL, 10);
+        if (all[i].value == &cold_ms)
+          cold_from_ms = (gint64)now_ms ();
         return reply (r, 200, "", 0);
       }
   return reply (r, 404, "", 0);
@@ -343,7 +354,7 @@
 {
   gint64 us = service_us;
 
-  if (cold_ms > 0 && now_ms () - (double)started_ms < (double)cold_ms)
+  if (cold_ms > 0 && now_ms () - (double)cold_from_ms < (double)cold_ms)
     us *= 10;
   in_flight++;
   r->holds_slot = true;
@@ -502,7 +513,7 @@
       service,
       announced_port,
       announced_slots,
-      (double)in_flight / (double)MAX (1, slots));
+      announced_load ());
   bj_http_start (http,
                  &(BjHttpOptions){
                      .method = "POST",
@@ -516,6 +527,17 @@
   g_free (body);
 }
 
+static double
+announced_load (void)
+{
+  guint lag = (guint)MIN (load_lag_ms / ANNOUNCE_MS, LOADS_MAX - 1);
+
+  loads[n_loads++ % LOADS_MAX] = shed ? SHEDDING_LOAD : (double)in_flight / (double)MAX (1, slots);
+  if (load_claim >= 0)
+    return (double)load_claim / 100.0;
+  return n_loads > lag ? loads[(n_loads - 1 - lag) % LOADS_MAX] : 0;
+}
+
 static void
 ignore_done (void *data, BjStatus s, bool sent)
 {
