--- a/src/bjbench/main.c
+++ b/src/bjbench/main.c
@@ -15,6 +15,9 @@
     scenario_overhead },
   { "overload", "one guard at 1, 2, 5 and 10 times its capacity, in process", scenario_overload },
   { "recovery", "one guard after a surge at 5 times its capacity, in process", scenario_recovery },
+  { "domain-loss", "a domain goes and its callers spill to the others", scenario_domain_loss },
+  { "cold-start", "one upstream joins cold, one fails", scenario_cold_start },
+  { "lying-load", "load comes late, one upstream claims idle, one sick", scenario_lying_load },
 };
 
 static void print_list (void);
