--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -79,6 +79,8 @@
   BJ_E_TICKET = 34,      // a ticket is malformed or names unknown things
   BJ_E_BASE = 35,        // something the ticket touches changed after its base
   BJ_E_GONE = 36,        // the watched version is gone, read afresh
+  BJ_E_GAP = 37,         // a ticket's number leaves a gap
+  BJ_E_PENDING = 38,     // a ticket is or may be filed, and not decided yet
 } BjStatus;
 
 const char *bj_status_name (BjStatus s); // "BJ_E_OVERLOAD"
@@ -434,6 +436,69 @@
 BjStatus bj_ticket_merge (BjStr current,
                           BjStr ticket,
                           GString *merged); // current may be empty; BJ_E_BASE, BJ_E_TICKET
+BjStatus bj_ticket_decide (BjStr current,
+                           int64_t number,
+                           BjStr filed,
+                           GString *next); // Merges or refuses the object tickets/<number>
+void bj_ticket_difference (BjStr current,
+                           BjStr ticket,
+                           GString *out); // A line for each touched value that is not the same
+
+// ---------------------------------------------------------------------------------------------
+// Filing: brings one ticket, or what others left undone, into config/current. Does no I/O
+// ---------------------------------------------------------------------------------------------
+
+typedef enum
+{
+  BJ_STORE_READ,
+  BJ_STORE_CREATE, // only if absent
+  BJ_STORE_UPDATE, // only if the version is still the object's
+} BjStoreAction;
+
+typedef struct
+{
+  BjStoreAction action;
+  char name[BJ_OBJECT_NAME_MAX]; // "tickets/12"
+  BjStr version;                 // of an update, opaque
+  BjStr spec;                    // JSON text of a create or update
+  double pause_ms;               // to wait before the call
+} BjStoreCall;
+
+typedef struct
+{
+  BjStatus code;
+  BjStr version;
+  BjStr spec; // JSON text, empty on failure
+} BjStoreReply;
+
+typedef struct
+{
+  BjStr ticket;  // to file, empty to complete what others began
+  BjStr writer;  // unique id of this filing
+  BjStr held;    // configuration in force here, empty if none; written back over an older one
+  int tries;     // failed calls before the filing ends
+  uint32_t seed; // of the pauses
+} BjFilingOptions;
+
+#define BJ_FILING_OPTIONS_DEFAULT                                                                  \
+  {                                                                                                \
+    .tries = BJ_FILING_TRIES                                                                       \
+  }
+
+typedef struct BjFiling BjFiling;
+
+BjStatus bj_filing_new (const BjFilingOptions *o, BjFiling **f); // BJ_E_TICKET, BJ_E_TOO_LARGE
+void bj_filing_free (BjFiling *f);                               // NULL does nothing
+bool bj_filing_next (const BjFiling *f,
+                     BjStoreCall *c); // The call to make now, strings borrowed; false at the end
+void bj_filing_reply (BjFiling *f, const BjStoreReply *r); // What became of that call
+BjStatus bj_filing_result (
+    const BjFiling *f); // At the end: BJ_OK accepted; BJ_E_EXISTS, _BASE, _GAP, _TICKET,
+                        // _TOO_LARGE: not; BJ_E_PLATFORM: not filed; BJ_E_PENDING: may still be
+const char *bj_filing_message (const BjFiling *f); // Sentence that belongs to the result
+BjStr bj_filing_current (const BjFiling *f,
+                         BjStr *version);      // config/current as last seen, empty before
+bool bj_filing_wrote_back (const BjFiling *f); // The store held an older one than held
 
 // ---------------------------------------------------------------------------------------------
 // Peer: another daemon and the upstream beside it
--- a/src/config.h
+++ b/src/config.h
@@ -16,6 +16,8 @@
 #define BJ_HEADER_MAX 16384                        // bytes of one caller's request head
 #define BJ_TICKET_MAX (512 * 1024)                 // bytes of one ticket
 #define BJ_TICKET_DEPTH_MAX 16                     // nested values in a ticket or in settings
+#define BJ_OBJECT_NAME_MAX 64                      // bytes of an object's name in the store
+#define BJ_DECISIONS_MAX 32                        // latest decisions kept in config/current
 #define BJ_DATAGRAM_MAX 1400                       // bytes of one gossip datagram
 #define BJ_RING_SIZE 4096                          // decisions kept for explain
 #define BJ_LOG_BUFFER (1024 * 1024)                // bytes of log lines not yet written
@@ -42,3 +44,9 @@
 #define BJ_QUEUE_MAX_WAIT_MS 100 // estimated wait above which a call is refused
 #define BJ_QUEUE_MAX_LENGTH 4096 // calls, a bound on memory only
 #define BJ_LIMIT_MIN 1           // in flight, whatever happens
+
+// Configuration
+#define BJ_FILING_TRIES 12          // failed store calls before a filing ends
+#define BJ_FILING_PAUSE_MIN_MS 20   // first pause after a failed store call
+#define BJ_FILING_PAUSE_MAX_MS 2000 // longest pause after a failed store call
+#define BJ_READERS 2                // daemons of a domain that watch the store
--- a/src/internal.h
+++ b/src/internal.h
@@ -45,7 +45,8 @@
 BjStr bj_json_str (struct json_object *o, const char *key); // View, empty if absent
 double bj_json_number (struct json_object *o,
                        const char *key,
-                       double absent); // Number or the value for absent
+                       double absent);                        // Number or the value for absent
+int64_t bj_json_int (struct json_object *o, const char *key); // Whole number, 0 if absent
 bool bj_json_bool (struct json_object *o, const char *key, bool absent);
 
 // ---------------------------------------------------------------------------------------------
--- a/src/json.c
+++ b/src/json.c
@@ -92,6 +92,14 @@
   return json_object_object_get_ex (o, key, &v) ? json_object_get_double (v) : absent;
 }
 
+int64_t
+bj_json_int (struct json_object *o, const char *key)
+{
+  struct json_object *v;
+
+  return json_object_object_get_ex (o, key, &v) ? json_object_get_int64 (v) : 0;
+}
+
 bool
 bj_json_bool (struct json_object *o, const char *key, bool absent)
 {
--- /dev/null
+++ b/src/merge.c
@@ -0,0 +1,388 @@
+// Merge: decides a ticket against the configuration it is filed on. The same configuration and
+// ticket give the same decision whoever computes it.
+
+#include "internal.h"
+#include <string.h>
+
+#define NUMBER_MAX 9007199254740991.0
+#define REASON_MAX 200 // bytes of a refusal's reason kept in the configuration
+#define SHOWN_MAX 160  // bytes of one value in a difference
+
+static const BjJsonKey ticket_keys[] = {
+  { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
+  { "base", BJ_JSON_INT, true, 0, NUMBER_MAX },
+  { "author", BJ_JSON_STR, false, 0, 0 },
+  { "services", BJ_JSON_OBJECT, false, 0, 0 },
+  { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
+  { "priorities", BJ_JSON_ARRAY, false, 1, BJ_CLASSES },
+};
+
+static BjStatus read_pair (BjStr current,
+                           BjStr ticket,
+                           struct json_object **current_object,
+                           struct json_object **ticket_object);
+static BjStatus check_base (struct json_object *current, struct json_object *ticket);
+static BjStatus check_section_base (struct json_object *current,
+                                    struct json_object *ticket,
+                                    const char *section,
+                                    int64_t base);
+static void
+merge_objects (struct json_object *current, struct json_object *ticket, int64_t number);
+static void merge_section (struct json_object *into,
+                           struct json_object *ticket,
+                           const char *section,
+                           int64_t number);
+static BjStatus print_checked (struct json_object *o, GString *out);
+static BjStatus
+decide_ticket (struct json_object *current, struct json_object *filed, int64_t number);
+static void add_decision (struct json_object *o, int64_t number, BjStr writer, BjStatus code);
+static void compare_section (struct json_object *current,
+                             struct json_object *ticket,
+                             const char *section,
+                             GString *out);
+static void compare_item (const char *path,
+                          struct json_object *now,
+                          struct json_object *then,
+                          GString *out);
+static void
+print_difference (const char *path, struct json_object *now, struct json_object *then, GString *out);
+static void print_value (struct json_object *v, GString *out);
+
+BjStatus
+bj_ticket_check (BjStr text, int64_t *number)
+{
+  struct json_object *o;
+  BjStatus s = bj_json_read ("ticket", text, BJ_E_TICKET, &o);
+
+  if (s != BJ_OK)
+    return s;
+  s = bj_json_check ("ticket", "ticket", o, BJ_E_TICKET, ticket_keys, G_N_ELEMENTS (ticket_keys));
+  *number = bj_json_int (o, "number");
+  json_object_put (o);
+  return s;
+}
+
+BjStatus
+bj_ticket_merge (BjStr current, BjStr ticket, GString *merged)
+{
+  struct json_object *c;
+  struct json_object *t;
+  BjStatus s = read_pair (current, ticket, &c, &t);
+
+  if (s == BJ_OK)
+    s = check_base (c, t);
+  if (s == BJ_OK)
+    {
+      merge_objects (c, t, bj_json_int (t, "number"));
+      s = print_checked (c, merged);
+    }
+  json_object_put (t);
+  json_object_put (c);
+  return s;
+}
+
+BjStatus
+bj_ticket_decide (BjStr current, int64_t number, BjStr filed, GString *next)
+{
+  struct json_object *c;
+  struct json_object *f = NULL;
+  struct json_object *before = NULL;
+  BjStr empty = BJ_STR ("{}");
+  BjStatus code;
+  BjStatus s = bj_json_read ("configuration", current.len > 0 ? current : empty, BJ_E_TICKET, &c);
+
+  if (s != BJ_OK)
+    return s;
+  json_object_deep_copy (c, &before, NULL);
+  code = bj_json_read ("filed ticket", filed, BJ_E_TICKET, &f);
+  if (code == BJ_OK)
+    code = decide_ticket (c, f, number);
+  if (code == BJ_OK)
+    {
+      add_decision (c, number, bj_json_str (f, "writer"), BJ_OK);
+      code = print_checked (c, next);
+    }
+  if (code != BJ_OK)
+    {
+      json_object_object_add (before, "number", json_object_new_int64 (number));
+      add_decision (before, number, bj_json_str (f, "writer"), code);
+      s = print_checked (before, next);
+    }
+  json_object_put (before);
+  json_object_put (f);
+  json_object_put (c);
+  return s;
+}
+
+void
+bj_ticket_difference (BjStr current, BjStr ticket, GString *out)
+{
+  struct json_object *c;
+  struct json_object *t;
+
+  if (read_pair (current, ticket, &c, &t) == BJ_OK)
+    {
+      struct json_object *now = json_object_object_get (c, "priorities");
+      struct json_object *then = json_object_object_get (t, "priorities");
+
+      if (then != NULL)
+        print_difference ("priorities", now, then, out);
+      compare_section (c, t, "services", out);
+      compare_section (c, t, "upstreams", out);
+    }
+  json_object_put (t);
+  json_object_put (c);
+}
+
+static BjStatus
+read_pair (BjStr current,
+           BjStr ticket,
+           struct json_object **current_object,
+           struct json_object **ticket_object)
+{
+  int64_t number;
+  BjStr empty = BJ_STR ("{}");
+  BjStatus s = bj_ticket_check (ticket, &number);
+
+  *current_object = NULL;
+  *ticket_object = NULL;
+  if (s == BJ_OK)
+    s = bj_json_read ("ticket", ticket, BJ_E_TICKET, ticket_object);
+  if (s == BJ_OK)
+    s = bj_json_read (
+        "configuration", current.len > 0 ? current : empty, BJ_E_TICKET, current_object);
+  return s;
+}
+
+static BjStatus
+check_base (struct json_object *current, struct json_object *ticket)
+{
+  int64_t in_force = bj_json_int (current, "number");
+  int64_t number = bj_json_int (ticket, "number");
+  int64_t base = bj_json_int (ticket, "base");
+  BjStatus s;
+
+  if (number <= in_force)
+    return bj_fail (BJ_E_EXISTS,
+                    "Ticket %" PRId64 " is not above %" PRId64 ", the last one decided.",
+                    number,
+                    in_force);
+  if (base >= number)
+    return bj_fail (BJ_E_BASE,
+                    "Base %" PRId64 " must be below the ticket's own number %" PRId64 ".",
+                    base,
+                    number);
+  if (json_object_object_get_ex (ticket, "priorities", NULL)
+      && bj_json_int (current, "priorities_number") > base)
+    return bj_fail (BJ_E_BASE,
+                    "The priorities were changed by ticket %" PRId64 ", after base %" PRId64 ".",
+                    bj_json_int (current, "priorities_number"),
+                    base);
+  s = check_section_base (current, ticket, "services", base);
+  if (s != BJ_OK)
+    return s;
+  return check_section_base (current, ticket, "upstreams", base);
+}
+
+static BjStatus
+check_section_base (struct json_object *current,
+                    struct json_object *ticket,
+                    const char *section,
+                    int64_t base)
+{
+  struct json_object *now;
+  struct json_object *then;
+
+  if (!json_object_object_get_ex (current, section, &now)
+      || !json_object_object_get_ex (ticket, section, &then))
+    return BJ_OK;
+  json_object_object_foreach (then, name, value)
+  {
+    struct json_object *o;
+
+    (void)value;
+    if (json_object_object_get_ex (now, name, &o) && bj_json_int (o, "number") > base)
+      return bj_fail (BJ_E_BASE,
+                      "%s.%s was changed by ticket %" PRId64 ", after base %" PRId64 ".",
+                      section,
+                      name,
+                      bj_json_int (o, "number"),
+                      base);
+  }
+  return BJ_OK;
+}
+
+static void
+merge_objects (struct json_object *current, struct json_object *ticket, int64_t number)
+{
+  struct json_object *priorities = json_object_object_get (ticket, "priorities");
+
+  json_object_object_add (current, "number", json_object_new_int64 (number));
+  merge_section (current, ticket, "services", number);
+  merge_section (current, ticket, "upstreams", number);
+  if (priorities == NULL)
+    return;
+  json_object_object_add (current, "priorities", json_object_get (priorities));
+  json_object_object_add (current, "priorities_number", json_object_new_int64 (number));
+}
+
+static void
+merge_section (struct json_object *into,
+               struct json_object *ticket,
+               const char *section,
+               int64_t number)
+{
+  struct json_object *from;
+  struct json_object *to;
+
+  if (!json_object_object_get_ex (ticket, section, &from))
+    return;
+  if (!json_object_object_get_ex (into, section, &to))
+    {
+      to = json_object_new_object ();
+      json_object_object_add (into, section, to);
+    }
+  json_object_object_foreach (from, name, value)
+  {
+    struct json_object *copy = NULL;
+
+    json_object_deep_copy (value, &copy, NULL);
+    if (json_object_is_type (copy, json_type_object))
+      json_object_object_add (copy, "number", json_object_new_int64 (number));
+    json_object_object_add (to, name, copy);
+  }
+}
+
+// Prints o when it is a valid configuration.
+static BjStatus
+print_checked (struct json_object *o, GString *out)
+{
+  BjConfig *result = NULL;
+  BjStatus s;
+
+  g_string_assign (out, json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
+  s = bj_config_parse ((BjStr){ out->str, out->len }, &result);
+  bj_config_free (result);
+  return s;
+}
+
+static BjStatus
+decide_ticket (struct json_object *current, struct json_object *filed, int64_t number)
+{
+  struct json_object *t = json_object_object_get (filed, "ticket");
+  BjStatus s
+      = bj_json_check ("ticket", "ticket", t, BJ_E_TICKET, ticket_keys, G_N_ELEMENTS (ticket_keys));
+
+  if (s != BJ_OK)
+    return s;
+  if (bj_json_int (t, "number") != number)
+    return bj_fail (BJ_E_TICKET,
+                    "The ticket's number %" PRId64 " is not that of its object, %" PRId64 ".",
+                    bj_json_int (t, "number"),
+                    number);
+  s = check_base (current, t);
+  if (s == BJ_OK)
+    merge_objects (current, t, number);
+  return s;
+}
+
+static void
+add_decision (struct json_object *o, int64_t number, BjStr writer, BjStatus code)
+{
+  struct json_object *all;
+  struct json_object *d = json_object_new_object ();
+  size_t n;
+
+  if (!json_object_object_get_ex (o, "decisions", &all))
+    {
+      all = json_object_new_array ();
+      json_object_object_add (o, "decisions", all);
+    }
+  json_object_object_add (d, "number", json_object_new_int64 (number));
+  json_object_object_add (
+      d,
+      "writer",
+      json_object_new_string_len (writer.len > 0 ? writer.data : "", (int)writer.len));
+  json_object_object_add (d, "code", json_object_new_int (code));
+  if (code != BJ_OK)
+    {
+      char *reason = g_strndup (bj_last_message (), REASON_MAX);
+      char *valid = g_utf8_make_valid (reason, -1);
+
+      json_object_object_add (d, "reason", json_object_new_string (valid));
+      g_free (valid);
+      g_free (reason);
+    }
+  json_object_array_add (all, d);
+  n = json_object_array_length (all);
+  if (n > BJ_DECISIONS_MAX)
+    json_object_array_del_idx (all, 0, n - BJ_DECISIONS_MAX);
+}
+
+static void
+compare_section (struct json_object *current,
+                 struct json_object *ticket,
+                 const char *section,
+                 GString *out)
+{
+  struct json_object *now = json_object_object_get (current, section);
+  struct json_object *then = json_object_object_get (ticket, section);
+
+  if (then == NULL)
+    return;
+  json_object_object_foreach (then, name, value)
+  {
+    char path[128];
+
+    g_snprintf (path, sizeof path, "%s.%.64s", section, name);
+    compare_item (path, json_object_object_get (now, name), value, out);
+  }
+}
+
+static void
+compare_item (const char *path, struct json_object *now, struct json_object *then, GString *out)
+{
+  char at[256];
+
+  if (now == NULL || !json_object_is_type (then, json_type_object))
+    {
+      print_difference (path, now, then, out);
+      return;
+    }
+  json_object_object_foreach (then, key, value)
+  {
+    g_snprintf (at, sizeof at, "%s.%.64s", path, key);
+    if (strcmp (key, "number") != 0)
+      print_difference (at, json_object_object_get (now, key), value, out);
+  }
+  json_object_object_foreach (now, old, left)
+  {
+    g_snprintf (at, sizeof at, "%s.%.64s", path, old);
+    if (strcmp (old, "number") != 0 && !json_object_object_get_ex (then, old, NULL))
+      print_difference (at, left, NULL, out);
+  }
+}
+
+static void
+print_difference (const char *path, struct json_object *now, struct json_object *then, GString *out)
+{
+  if (json_object_equal (now, then))
+    return;
+  g_string_append_printf (out, "%s: in force ", path);
+  print_value (now, out);
+  g_string_append (out, ", ticket ");
+  print_value (then, out);
+  g_string_append_c (out, '\n');
+}
+
+static void
+print_value (struct json_object *v, GString *out)
+{
+  const char *text
+      = v != NULL ? json_object_to_json_string_ext (v, JSON_C_TO_STRING_PLAIN) : "nothing";
+  size_t n = strlen (text);
+
+  g_string_append_len (out, text, (gssize)MIN (n, SHOWN_MAX));
+  if (n > SHOWN_MAX)
+    g_string_append (out, "...");
+}
--- a/src/status.c
+++ b/src/status.c
@@ -42,6 +42,8 @@
       NAME (BJ_E_TICKET);
       NAME (BJ_E_BASE);
       NAME (BJ_E_GONE);
+      NAME (BJ_E_GAP);
+      NAME (BJ_E_PENDING);
 #undef NAME
     }
   return "BJ_E_UNKNOWN";
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -2,23 +2,15 @@
 // the priorities that it touches; the merged state of all tickets has the same form.
 
 #include "internal.h"
-#include <string.h>
 
 #define NAME_MAX_BYTES 64
 #define ROUTES_MAX 256
 #define NUMBER_MAX 9007199254740991.0
 #define MINUTE_MS 60000
 
-static const BjJsonKey ticket_keys[] = {
-  { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
-  { "base", BJ_JSON_INT, true, 0, NUMBER_MAX },
-  { "author", BJ_JSON_STR, false, 0, 0 },
-  { "services", BJ_JSON_OBJECT, false, 0, 0 },
-  { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
-  { "priorities", BJ_JSON_ARRAY, false, 1, BJ_CLASSES },
-};
 static const BjJsonKey merged_keys[] = {
   { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
+  { "decisions", BJ_JSON_ARRAY, false, 0, BJ_DECISIONS_MAX },
   { "priorities_number", BJ_JSON_INT, false, 0, NUMBER_MAX },
   { "services", BJ_JSON_OBJECT, false, 0, 0 },
   { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
@@ -77,16 +69,6 @@
                              struct json_object **options,
                              const void **ops);
 static BjStatus read_upstreams (struct json_object *o, BjConfig *c);
-static BjStatus check_base (struct json_object *current, struct json_object *ticket, int64_t base);
-static BjStatus check_section_base (struct json_object *current,
-                                    struct json_object *ticket,
-                                    const char *section,
-                                    int64_t base);
-static void merge_section (struct json_object *into,
-                           struct json_object *ticket,
-                           const char *section,
-                           int64_t number);
-static int64_t number_of (struct json_object *o, const char *key);
 static int class_of (const BjConfig *c, BjStr name);
 
 BjStatus
@@ -167,63 +149,13 @@
   return best;
 }
 
-BjStatus
-bj_ticket_check (BjStr text, int64_t *number)
-{
-  struct json_object *o;
-  BjStatus s = bj_json_read ("ticket", text, BJ_E_TICKET, &o);
-
-  if (s != BJ_OK)
-    return s;
-  s = bj_json_check ("ticket", "ticket", o, BJ_E_TICKET, ticket_keys, G_N_ELEMENTS (ticket_keys));
-  *number = number_of (o, "number");
-  json_object_put (o);
-  return s;
-}
-
-BjStatus
-bj_ticket_merge (BjStr current, BjStr ticket, GString *merged)
-{
-  struct json_object *t = NULL;
-  struct json_object *c = NULL;
-  BjConfig *result = NULL;
-  BjStatus s = bj_json_read ("ticket", ticket, BJ_E_TICKET, &t);
-  int64_t number;
-
-  if (s == BJ_OK)
-    s = bj_json_check ("ticket", "ticket", t, BJ_E_TICKET, ticket_keys, G_N_ELEMENTS (ticket_keys));
-  if (s == BJ_OK)
-    s = bj_json_read ("configuration", current.len > 0 ? current : BJ_STR ("{}"), BJ_E_TICKET, &c);
-  if (s == BJ_OK)
-    s = check_base (c, t, number_of (t, "base"));
-  if (s == BJ_OK)
-    {
-      number = number_of (t, "number");
-      json_object_object_add (c, "number", json_object_new_int64 (number));
-      merge_section (c, t, "services", number);
-      merge_section (c, t, "upstreams", number);
-      if (json_object_object_get_ex (t, "priorities", NULL))
-        {
-          json_object_object_add (
-              c, "priorities", json_object_get (json_object_object_get (t, "priorities")));
-          json_object_object_add (c, "priorities_number", json_object_new_int64 (number));
-        }
-      g_string_assign (merged, json_object_to_json_string_ext (c, JSON_C_TO_STRING_PLAIN));
-      s = bj_config_parse ((BjStr){ merged->str, merged->len }, &result);
-      bj_config_free (result);
-    }
-  json_object_put (t);
-  json_object_put (c);
-  return s;
-}
-
 static BjStatus
 read_config (struct json_object *o, BjConfig *c)
 {
   BjStatus s = bj_json_check (
       "configuration", "configuration", o, BJ_E_TICKET, merged_keys, G_N_ELEMENTS (merged_keys));
 
-  c->number = number_of (o, "number");
+  c->number = bj_json_int (o, "number");
   if (s == BJ_OK)
     s = read_classes (o, c);
   if (s == BJ_OK)
@@ -286,7 +218,7 @@
       = bj_json_check ("ticket", path, o, BJ_E_TICKET, service_keys, G_N_ELEMENTS (service_keys));
   if (status != BJ_OK)
     return status;
-  s->number = number_of (o, "number");
+  s->number = bj_json_int (o, "number");
   json_object_object_get_ex (o, "routes", &routes);
   s->routes = g_new0 (BjRoute, json_object_array_length (routes));
   for (size_t i = 0; i < json_object_array_length (routes) && status == BJ_OK; i++)
@@ -440,100 +372,13 @@
         "ticket", path, value, BJ_E_TICKET, upstream_keys, G_N_ELEMENTS (upstream_keys));
     if (s != BJ_OK)
       return s;
-    u->number = number_of (value, "number");
+    u->number = bj_json_int (value, "number");
     u->drain = bj_json_bool (value, "drain", false);
     u->max_slots = (int)bj_json_number (value, "max_slots", 0);
   }
   return BJ_OK;
 }
 
-static BjStatus
-check_base (struct json_object *current, struct json_object *ticket, int64_t base)
-{
-  int64_t in_force = number_of (current, "number");
-  int64_t number = number_of (ticket, "number");
-  BjStatus s;
-
-  if (number <= in_force)
-    return bj_fail (BJ_E_EXISTS,
-                    "Ticket %" PRId64 " is not above %" PRId64 ", the last one merged.",
-                    number,
-                    in_force);
-  if (json_object_object_get_ex (ticket, "priorities", NULL)
-      && number_of (current, "priorities_number") > base)
-    return bj_fail (BJ_E_BASE,
-                    "The priorities were changed by ticket %" PRId64 ", after base %" PRId64 ".",
-                    number_of (current, "priorities_number"),
-                    base);
-  s = check_section_base (current, ticket, "services", base);
-  if (s != BJ_OK)
-    return s;
-  return check_section_base (current, ticket, "upstreams", base);
-}
-
-static BjStatus
-check_section_base (struct json_object *current,
-                    struct json_object *ticket,
-                    const char *section,
-                    int64_t base)
-{
-  struct json_object *now;
-  struct json_object *then;
-
-  if (!json_object_object_get_ex (current, section, &now)
-      || !json_object_object_get_ex (ticket, section, &then))
-    return BJ_OK;
-  json_object_object_foreach (then, name, value)
-  {
-    struct json_object *o;
-
-    (void)value;
-    if (json_object_object_get_ex (now, name, &o) && number_of (o, "number") > base)
-      return bj_fail (BJ_E_BASE,
-                      "%s.%s was changed by ticket %" PRId64 ", after base %" PRId64 ".",
-                      section,
-                      name,
-                      number_of (o, "number"),
-                      base);
-  }
-  return BJ_OK;
-}
-
-static void
-merge_section (struct json_object *into,
-               struct json_object *ticket,
-               const char *section,
-               int64_t number)
-{
-  struct json_object *from;
-  struct json_object *to;
-
-  if (!json_object_object_get_ex (ticket, section, &from))
-    return;
-  if (!json_object_object_get_ex (into, section, &to))
-    {
-      to = json_object_new_object ();
-      json_object_object_add (into, section, to);
-    }
-  json_object_object_foreach (from, name, value)
-  {
-    struct json_object *copy = NULL;
-
-    json_object_deep_copy (value, &copy, NULL);
-    if (json_object_is_type (copy, json_type_object))
-      json_object_object_add (copy, "number", json_object_new_int64 (number));
-    json_object_object_add (to, name, copy);
-  }
-}
-
-static int64_t
-number_of (struct json_object *o, const char *key)
-{
-  struct json_object *v;
-
-  return json_object_object_get_ex (o, key, &v) ? json_object_get_int64 (v) : 0;
-}
-
 static int
 class_of (const BjConfig *c, BjStr name)
 {
--- a/tests/test_ticket.c
+++ b/tests/test_ticket.c
@@ -45,6 +45,7 @@
   { "not UTF-8", "", "{\"number\":1,\"base\":0,\"author\":\"\xff\"}", BJ_E_TICKET },
   { "too deep", "", "[[[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]]]", BJ_E_TICKET },
   { "number not above the last", "{\"number\":4}", "{\"number\":4,\"base\":4}", BJ_E_EXISTS },
+  { "base is not below the number", "", "{\"number\":4,\"base\":4}", BJ_E_BASE },
   { "service changed after base",
     "{\"number\":4,\"priorities\":[\"high\"],\"services\":{\"a\":{\"number\":4," ROUTES "}}}",
     "{\"number\":5,\"base\":3,\"services\":{\"a\":{" ROUTES "}}}",
