--- a/src/config.h
+++ b/src/config.h
@@ -43,3 +43,14 @@
 #define BJ_QUEUE_MAX_WAIT_MS 100 // estimated wait above which a call is refused
 #define BJ_QUEUE_MAX_LENGTH 4096 // calls, a bound on memory only
 #define BJ_LIMIT_MIN 1           // in flight, whatever happens
+
+// Claims of irreversible work
+#define BJ_CLAIM_SHARDS 64                    // objects in the platform's store
+#define BJ_CLAIM_SHARD_MAX 256                // claims of one shard
+#define BJ_CLAIM_SHARD_BODY_BYTES (32 * 1024) // recorded answers of one shard
+#define BJ_CLAIM_BODY_BYTES 1024              // longest answer recorded
+#define BJ_CLAIM_PENDING_MAX 1024             // requests of one shard that wait for the store
+#define BJ_CLAIM_PATIENCE_MS 500              // a store call this old refuses new claims at once
+#define BJ_CLAIM_BACKOFF_MS 200               // after a failed store call, doubled up to the next
+#define BJ_CLAIM_BACKOFF_MAX_MS 2000
+#define BJ_KEY_FUTURE_MS 60000 // a key whose time is further ahead is refused
--- a/src/internal.h
+++ b/src/internal.h
@@ -287,6 +287,117 @@
 void bj_reader_free (BjReader *r);
 void bj_reader_peer_has (BjReader *r, BjPeer *p); // A report showed a larger number
 
+// ---------------------------------------------------------------------------------------------
+// Shard: a bounded table of claims with a low watermark
+// ---------------------------------------------------------------------------------------------
+
+typedef enum
+{
+  BJ_CLAIM_HELD,    // may be running at its claimant
+  BJ_CLAIM_DONE,    // it ran
+  BJ_CLAIM_UNKNOWN, // it may have run, the claimant knows no more
+} BjClaimState;
+
+typedef struct
+{
+  BjStr id;          // of the action, key and service
+  uint64_t order;    // time of the key in ms, or number of a home-bound id; the lowest goes first
+  BjStr claimant;    // daemon and incarnation, "name/incarnation"
+  uint64_t sequence; // of the attempt, unique at its claimant
+  uint64_t fingerprint; // of the request
+  BjClaimState state;
+  bool has_answer; // the three below are recorded
+  int http_status;
+  BjStr content_type;
+  BjStr body;
+  GSequenceIter *at; // the shard's
+} BjClaim;
+
+typedef struct
+{
+  GHashTable *claims;  // BjStr* in BjClaim to BjClaim*
+  GSequence *by_order; // BjClaim*, lowest order first
+  uint64_t watermark;  // orders at or below it are forgotten unless they are in the table
+  size_t body_bytes;   // of recorded answers
+  int claims_max;
+  size_t body_bytes_max;
+} BjShard;
+
+BjShard *bj_shard_new (int claims_max, size_t body_bytes_max);
+void bj_shard_free (BjShard *s);
+const BjClaim *bj_shard_find (const BjShard *s, BjStr id);      // NULL when absent
+bool bj_shard_has_forgotten (const BjShard *s, uint64_t order); // An absent id may have run
+void bj_shard_insert (BjShard *s, const BjClaim *c);            // Copies; the lowest orders go
+bool bj_shard_remove (BjShard *s, const BjClaim *c);            // Same id, claimant, sequence
+bool bj_shard_record (BjShard *s, const BjClaim *c);            // Outcome of the same attempt
+struct json_object *bj_shard_print (const BjShard *s);          // Spec of the store's object
+BjStatus bj_shard_parse (BjShard *s,
+                         struct json_object *spec); // Replaces all but a higher watermark; NULL is
+                                                    // an empty object; BJ_E_FORMAT
+void bj_claim_copy (BjClaim *to, const BjClaim *from); // Deep copy; frees what was there
+void bj_claim_clear (BjClaim *c);                      // Frees the strings
+BjStatus bj_key_time (BjStr key, uint64_t *ms);        // Time in a UUID of version 7; BJ_E_KEY
+
+// ---------------------------------------------------------------------------------------------
+// Claims: irreversible work at most once, by conditional updates of the store. Does no I/O
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjClaims BjClaims;
+typedef struct BjClaimHost BjClaimHost;
+
+typedef struct
+{
+  BjStatus code;        // BJ_OK, BJ_E_DUPLICATE, BJ_E_KEY, BJ_E_PLATFORM
+  const BjClaim *claim; // that stands in the way, NULL when it is forgotten
+  double retry_after_ms;
+} BjClaimResult;
+
+typedef struct
+{
+  void (*get) (BjClaimHost *h, int shard); // Then bj_claims_got, never at once
+  void (*put) (BjClaimHost *h,
+               int shard,
+               BjStr version,
+               struct json_object *spec); // Then bj_claims_put, never at once; empty creates
+  void (*decided) (BjClaimHost *h, void *data, const BjClaimResult *r); // BJ_OK: may run once
+} BjClaimHostOps;
+
+struct BjClaimHost
+{
+  const BjClaimHostOps *ops;
+};
+
+typedef struct
+{
+  BjClaimHost *host;
+  BjStr claimant; // copied
+  uint64_t first_sequence;
+  int shards;
+  int claims_max;        // of one shard
+  size_t body_bytes_max; // of the recorded answers in one shard
+} BjClaimsOptions;
+
+#define BJ_CLAIMS_OPTIONS_DEFAULT                                                                  \
+  {                                                                                                \
+    .first_sequence = 1, .shards = BJ_CLAIM_SHARDS, .claims_max = BJ_CLAIM_SHARD_MAX,              \
+    .body_bytes_max = BJ_CLAIM_SHARD_BODY_BYTES                                                    \
+  }
+
+BjClaims *bj_claims_new (const BjClaimsOptions *o);
+void bj_claims_free (BjClaims *c);
+uint64_t bj_claims_sequence (BjClaims *c); // A fresh one for the next attempt
+void bj_claims_ask (BjClaims *c,
+                    BjTime now,
+                    const BjClaim *claim,
+                    void *data); // Id, order, sequence, fingerprint; decided is called once
+void bj_claims_drop (BjClaims *c, uint64_t sequence); // The asker is gone; decided is not called
+void bj_claims_release (BjClaims *c, BjTime now, const BjClaim *claim); // Held, and not run
+void bj_claims_record (BjClaims *c, BjTime now, const BjClaim *claim);  // Held, outcome and answer
+void bj_claims_got (BjClaims *c, BjTime now, int shard, const BjPlatformReply *r);
+void bj_claims_put (BjClaims *c, BjTime now, int shard, const BjPlatformReply *r);
+void bj_claims_tick (BjClaims *c, BjTime now); // Tries again what the store refused
+int bj_claims_unwritten (const BjClaims *c);   // Requests that wait for the store
+
 // ---------------------------------------------------------------------------------------------
 // Daemon: what its modules share
 // ---------------------------------------------------------------------------------------------
--- /dev/null
+++ b/src/shard.c
@@ -0,0 +1,341 @@
+// Shard: a bounded table of claims. The lowest orders go first; the low watermark tells which
+// orders the table no longer remembers.
+
+#include "internal.h"
+#include <string.h>
+
+#define FIELDS 9
+#define UUID_LENGTH 36
+
+typedef enum
+{
+  FIELD_ID,
+  FIELD_ORDER,
+  FIELD_CLAIMANT,
+  FIELD_SEQUENCE,
+  FIELD_FINGERPRINT,
+  FIELD_STATE,
+  FIELD_STATUS, // 0 when no answer is recorded
+  FIELD_TYPE,
+  FIELD_BODY, // base64
+} Field;
+
+static gint by_order (gconstpointer a, gconstpointer b, gpointer data);
+static guint hash_id (gconstpointer id);
+static gboolean equal_id (gconstpointer a, gconstpointer b);
+static void free_claim (gpointer claim);
+static BjClaim *find_attempt (const BjShard *s, const BjClaim *c);
+static void remove_claim (BjShard *s, BjClaim *c);
+static void evict_lowest (BjShard *s);
+static void forget_answer (BjShard *s, BjClaim *c);
+static void make_room (BjShard *s, size_t bytes);
+static struct json_object *print_claim (const BjClaim *c);
+static bool parse_claim (BjShard *s, struct json_object *o);
+static struct json_object *field (struct json_object *o, Field f, json_type type);
+static struct json_object *new_str (BjStr s);
+static BjStr str_of (struct json_object *o);
+
+BjShard *
+bj_shard_new (int claims_max, size_t body_bytes_max)
+{
+  BjShard *s = g_new0 (BjShard, 1);
+
+  s->claims = g_hash_table_new_full (hash_id, equal_id, NULL, free_claim);
+  s->by_order = g_sequence_new (NULL);
+  s->claims_max = claims_max;
+  s->body_bytes_max = body_bytes_max;
+  return s;
+}
+
+void
+bj_shard_free (BjShard *s)
+{
+  if (s == NULL)
+    return;
+  g_sequence_free (s->by_order);
+  g_hash_table_destroy (s->claims);
+  g_free (s);
+}
+
+const BjClaim *
+bj_shard_find (const BjShard *s, BjStr id)
+{
+  return g_hash_table_lookup (s->claims, &id);
+}
+
+bool
+bj_shard_has_forgotten (const BjShard *s, uint64_t order)
+{
+  return order <= s->watermark;
+}
+
+void
+bj_shard_insert (BjShard *s, const BjClaim *c)
+{
+  BjClaim *copy = g_new0 (BjClaim, 1);
+
+  while (g_hash_table_size (s->claims) >= (guint)s->claims_max)
+    evict_lowest (s);
+  bj_claim_copy (copy, c);
+  s->body_bytes += copy->body.len;
+  copy->at = g_sequence_insert_sorted (s->by_order, copy, by_order, NULL);
+  g_hash_table_insert (s->claims, &copy->id, copy);
+}
+
+bool
+bj_shard_remove (BjShard *s, const BjClaim *c)
+{
+  BjClaim *old = find_attempt (s, c);
+
+  if (old == NULL)
+    return false;
+  remove_claim (s, old);
+  return true;
+}
+
+bool
+bj_shard_record (BjShard *s, const BjClaim *c)
+{
+  BjClaim *old = find_attempt (s, c);
+
+  if (old == NULL || old->state != BJ_CLAIM_HELD)
+    return false;
+  old->state = c->state;
+  old->http_status = c->http_status;
+  bj_str_set (&old->content_type, c->content_type);
+  if (!c->has_answer || c->body.len > s->body_bytes_max)
+    return true;
+  make_room (s, c->body.len);
+  old->has_answer = true;
+  bj_str_set (&old->body, c->body);
+  s->body_bytes += c->body.len;
+  return true;
+}
+
+struct json_object *
+bj_shard_print (const BjShard *s)
+{
+  struct json_object *o = json_object_new_object ();
+  struct json_object *all = json_object_new_array ();
+  GSequenceIter *i = g_sequence_get_begin_iter (s->by_order);
+
+  for (; !g_sequence_iter_is_end (i); i = g_sequence_iter_next (i))
+    json_object_array_add (all, print_claim (g_sequence_get (i)));
+  json_object_object_add (o, "watermark", json_object_new_int64 ((int64_t)s->watermark));
+  json_object_object_add (o, "claims", all);
+  return o;
+}
+
+BjStatus
+bj_shard_parse (BjShard *s, struct json_object *spec)
+{
+  struct json_object *all = NULL;
+  bool sound = spec == NULL
+               || (json_object_object_get_ex (spec, "claims", &all)
+                   && json_object_is_type (all, json_type_array));
+
+  g_sequence_remove_range (g_sequence_get_begin_iter (s->by_order),
+                           g_sequence_get_end_iter (s->by_order));
+  g_hash_table_remove_all (s->claims);
+  s->body_bytes = 0;
+  if (spec == NULL)
+    return BJ_OK;
+  s->watermark = MAX (s->watermark, (uint64_t)bj_json_number (spec, "watermark", 0));
+  for (size_t i = 0; sound && i < json_object_array_length (all); i++)
+    sound = parse_claim (s, json_object_array_get_idx (all, i));
+  return sound ? BJ_OK : bj_fail (BJ_E_FORMAT, "A shard of claims is malformed.");
+}
+
+void
+bj_claim_copy (BjClaim *to, const BjClaim *from)
+{
+  BjClaim copy = *from;
+
+  copy.id = bj_str_dup (from->id);
+  copy.claimant = bj_str_dup (from->claimant);
+  copy.content_type = bj_str_dup (from->content_type);
+  copy.body = bj_str_dup (from->body);
+  copy.at = NULL;
+  bj_claim_clear (to);
+  *to = copy;
+}
+
+void
+bj_claim_clear (BjClaim *c)
+{
+  bj_str_free (&c->id);
+  bj_str_free (&c->claimant);
+  bj_str_free (&c->content_type);
+  bj_str_free (&c->body);
+}
+
+BjStatus
+bj_key_time (BjStr key, uint64_t *ms)
+{
+  bool sound = key.len == UUID_LENGTH;
+
+  *ms = 0;
+  for (size_t i = 0; sound && i < UUID_LENGTH; i++)
+    {
+      bool is_dash = i == 8 || i == 13 || i == 18 || i == 23;
+
+      sound = is_dash ? key.data[i] == '-' : g_ascii_isxdigit (key.data[i]);
+      if (i < 13 && !is_dash)
+        *ms = *ms * 16 + (uint64_t)MAX (0, g_ascii_xdigit_value (key.data[i]));
+    }
+  if (!sound || key.data[14] != '7' || strchr ("89abAB", key.data[19]) == NULL)
+    return bj_fail (BJ_E_KEY, "Idempotency-Key: must be a UUID of version 7 or minted here.");
+  return BJ_OK;
+}
+
+static gint
+by_order (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const BjClaim *x = a;
+  const BjClaim *y = b;
+
+  (void)data;
+  if (x->order != y->order)
+    return x->order < y->order ? -1 : 1;
+  return 0;
+}
+
+static guint
+hash_id (gconstpointer id)
+{
+  return (guint)bj_str_hash (*(const BjStr *)id);
+}
+
+static gboolean
+equal_id (gconstpointer a, gconstpointer b)
+{
+  return bj_str_equal (*(const BjStr *)a, *(const BjStr *)b);
+}
+
+static void
+free_claim (gpointer claim)
+{
+  bj_claim_clear (claim);
+  g_free (claim);
+}
+
+static BjClaim *
+find_attempt (const BjShard *s, const BjClaim *c)
+{
+  BjClaim *old = g_hash_table_lookup (s->claims, &c->id);
+
+  if (old == NULL || old->sequence != c->sequence || !bj_str_equal (old->claimant, c->claimant))
+    return NULL;
+  return old;
+}
+
+static void
+remove_claim (BjShard *s, BjClaim *c)
+{
+  s->body_bytes -= c->body.len;
+  g_sequence_remove (c->at);
+  g_hash_table_remove (s->claims, &c->id);
+}
+
+static void
+evict_lowest (BjShard *s)
+{
+  BjClaim *lowest = g_sequence_get (g_sequence_get_begin_iter (s->by_order));
+
+  s->watermark = MAX (s->watermark, lowest->order);
+  remove_claim (s, lowest);
+}
+
+static void
+forget_answer (BjShard *s, BjClaim *c)
+{
+  s->body_bytes -= c->body.len;
+  c->has_answer = false;
+  bj_str_free (&c->body);
+}
+
+static void
+make_room (BjShard *s, size_t bytes)
+{
+  GSequenceIter *i = g_sequence_get_begin_iter (s->by_order);
+
+  for (; s->body_bytes + bytes > s->body_bytes_max && !g_sequence_iter_is_end (i);
+       i = g_sequence_iter_next (i))
+    forget_answer (s, g_sequence_get (i));
+}
+
+static struct json_object *
+print_claim (const BjClaim *c)
+{
+  struct json_object *o = json_object_new_array ();
+  char *body = g_base64_encode ((const guchar *)(c->body.len > 0 ? c->body.data : ""), c->body.len);
+
+  json_object_array_add (o, new_str (c->id));
+  json_object_array_add (o, json_object_new_int64 ((int64_t)c->order));
+  json_object_array_add (o, new_str (c->claimant));
+  json_object_array_add (o, json_object_new_int64 ((int64_t)c->sequence));
+  json_object_array_add (o, json_object_new_int64 ((int64_t)c->fingerprint));
+  json_object_array_add (o, json_object_new_int (c->state));
+  json_object_array_add (o, json_object_new_int (c->has_answer ? c->http_status : 0));
+  json_object_array_add (o, new_str (c->content_type));
+  json_object_array_add (o, json_object_new_string (body));
+  g_free (body);
+  return o;
+}
+
+static bool
+parse_claim (BjShard *s, struct json_object *o)
+{
+  static const json_type types[FIELDS]
+      = { json_type_string, json_type_int, json_type_string, json_type_int,   json_type_int,
+          json_type_int,    json_type_int, json_type_string, json_type_string };
+  struct json_object *f[FIELDS];
+  BjClaim c = { 0 };
+  gsize len;
+  guchar *body;
+
+  for (Field i = 0; i < FIELDS; i++)
+    {
+      f[i] = field (o, i, types[i]);
+      if (f[i] == NULL)
+        return false;
+    }
+  body = g_base64_decode (json_object_get_string (f[FIELD_BODY]), &len);
+  c.id = str_of (f[FIELD_ID]);
+  c.order = (uint64_t)json_object_get_int64 (f[FIELD_ORDER]);
+  c.claimant = str_of (f[FIELD_CLAIMANT]);
+  c.sequence = (uint64_t)json_object_get_int64 (f[FIELD_SEQUENCE]);
+  c.fingerprint = (uint64_t)json_object_get_int64 (f[FIELD_FINGERPRINT]);
+  c.state
+      = (BjClaimState)CLAMP (json_object_get_int (f[FIELD_STATE]), BJ_CLAIM_HELD, BJ_CLAIM_UNKNOWN);
+  c.http_status = json_object_get_int (f[FIELD_STATUS]);
+  c.has_answer = c.http_status > 0;
+  c.content_type = str_of (f[FIELD_TYPE]);
+  c.body = (BjStr){ (const char *)body, len };
+  bj_shard_insert (s, &c);
+  g_free (body);
+  return true;
+}
+
+static struct json_object *
+field (struct json_object *o, Field f, json_type type)
+{
+  struct json_object *v;
+
+  if (!json_object_is_type (o, json_type_array))
+    return NULL;
+  v = json_object_array_get_idx (o, (size_t)f);
+  return json_object_is_type (v, type) ? v : NULL;
+}
+
+static struct json_object *
+new_str (BjStr s)
+{
+  return json_object_new_string_len (s.len > 0 ? s.data : "", (int)s.len);
+}
+
+static BjStr
+str_of (struct json_object *o)
+{
+  return (BjStr){ json_object_get_string (o), (size_t)json_object_get_string_len (o) };
+}
