--- a/src/config.h
+++ b/src/config.h
@@ -52,3 +52,13 @@
 #define BJ_FILING_PAUSE_MIN_MS 20   // first pause after a failed store call
 #define BJ_FILING_PAUSE_MAX_MS 2000 // longest pause after a failed store call
 #define BJ_READERS 2                // daemons of a domain that watch the store
+// Claims of irreversible work
+#define BJ_CLAIM_SHARDS 64                    // objects in the platform's store
+#define BJ_CLAIM_SHARD_MAX 256                // claims of one shard
+#define BJ_CLAIM_SHARD_BODY_BYTES (32 * 1024) // recorded answers of one shard
+#define BJ_CLAIM_BODY_BYTES 1024              // longest answer recorded
+#define BJ_CLAIM_PENDING_MAX 1024             // requests of one shard that wait for the store
+#define BJ_CLAIM_PATIENCE_MS 500              // a store call this old refuses new claims at once
+#define BJ_CLAIM_BACKOFF_MS 200               // after a failed store call, doubled up to the next
+#define BJ_CLAIM_BACKOFF_MAX_MS 2000
+#define BJ_KEY_FUTURE_MS 60000 // a key whose time is further ahead is refused
