Header relay and bounded memory proved; open platform calls freed at the end

Cause: header relay had no test; a daemon that ended with a call to the platform open leaked it (ASan, 32 bytes). Change: a table of 12 relay cases, the peak of resident memory read from /proc after a 64 MiB file passed; the platform plug-in cancels and frees its open calls. One case can't be met: libmicrohttpd sends no header without a value.

--- a/src/filing.c
+++ b/src/filing.c
@@ -26,8 +26,8 @@
   BjStr ticket;   // to file, empty for none
   int64_t number; // of that ticket, 0 for none
   BjStr writer;
-  BjStr filed;          // the object to create
-  BjStr accepted_as;    // writer under whose id the ticket stands in the store, empty before
+  BjStr filed;           // the object to create
+  BjStr accepted_as;     // writer under whose id the ticket stands in the store, empty before
   bool create_uncertain; // a create may still take effect
   BjStr held;
   int64_t held_number;
@@ -340,12 +340,12 @@
   writer = bj_json_str (d, "writer");
   s = (BjStatus)bj_json_int (d, "code");
   if (d == NULL)
-    s = bj_fail (BJ_E_PENDING,
-                 "Ticket %" PRId64 " is filed; its decision is no longer listed.",
-                 f->number);
+    s = bj_fail (
+        BJ_E_PENDING, "Ticket %" PRId64 " is filed; its decision is no longer listed.", f->number);
   else if (!bj_str_equal (writer, f->accepted_as))
     s = bj_fail (BJ_E_EXISTS,
-                 "Ticket %" PRId64 " was decided as that of %.*s, by a newer configuration that was "
+                 "Ticket %" PRId64
+                 " was decided as that of %.*s, by a newer configuration that was "
                  "written back.",
                  f->number,
                  BJ_STR_ARG (writer));
@@ -435,8 +435,7 @@
   BjStr text;
 
   bj_json_read ("ticket", ticket, BJ_E_TICKET, &t);
-  json_object_object_add (
-      o, "writer", json_object_new_string_len (writer.data, (int)writer.len));
+  json_object_object_add (o, "writer", json_object_new_string_len (writer.data, (int)writer.len));
   json_object_object_add (o, "ticket", t);
   text = bj_str_dup (bj_str (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN)));
   json_object_put (o);
--- a/src/platform.c
+++ b/src/platform.c
@@ -13,10 +13,13 @@
   BjPlatform base;
   BjHttp *http;
   BjStr url;
+  GHashTable *asks; // set of open Ask*
 } Http;
 
 typedef struct
 {
+  Http *platform;
+  BjHttpCall *call;
   BjPlatformDone done;
   void *data;
   int status;
@@ -40,6 +43,7 @@
                    double timeout_ms,
                    BjPlatformDone done,
                    void *data);
+static void free_ask (Ask *a);
 static void on_head (void *data, const BjHttpHead *h);
 static size_t on_body (void *data, BjStr part);
 static void on_done (void *data, BjStatus s, bool sent);
@@ -57,6 +61,7 @@
   h->base.ops = &http_ops;
   h->http = http;
   h->url = bj_str_dup (url);
+  h->asks = g_hash_table_new (NULL, NULL);
   return &h->base;
 }
 
@@ -64,7 +69,15 @@
 destroy (BjPlatform *p)
 {
   Http *h = (Http *)p;
+  GList *open = g_hash_table_get_keys (h->asks);
 
+  for (GList *l = open; l != NULL; l = l->next)
+    {
+      bj_http_cancel (((Ask *)l->data)->call);
+      free_ask (l->data);
+    }
+  g_list_free (open);
+  g_hash_table_destroy (h->asks);
   bj_str_free (&h->url);
   g_free (h);
 }
@@ -135,18 +148,20 @@
   a->done = done;
   a->data = data;
   a->body = g_string_new (NULL);
-  bj_http_start (h->http,
-                 &(BjHttpOptions){
-                     .method = method,
-                     .url = url,
-                     .headers = headers,
-                     .body = body,
-                     .timeout_ms = timeout_ms,
-                     .head = on_head,
-                     .body_part = on_body,
-                     .done = on_done,
-                     .data = a,
-                 });
+  a->platform = h;
+  g_hash_table_add (h->asks, a);
+  a->call = bj_http_start (h->http,
+                           &(BjHttpOptions){
+                               .method = method,
+                               .url = url,
+                               .headers = headers,
+                               .body = body,
+                               .timeout_ms = timeout_ms,
+                               .head = on_head,
+                               .body_part = on_body,
+                               .done = on_done,
+                               .data = a,
+                           });
   g_free (url);
 }
 
@@ -186,6 +201,13 @@
         BJ_E_PLATFORM, "The platform answered with status %d, %s.", a->status, bj_status_name (s));
   a->done (a->data, &r);
   json_object_put (o);
+  free_ask (a);
+}
+
+static void
+free_ask (Ask *a)
+{
+  g_hash_table_remove (a->platform->asks, a);
   g_string_free (a->body, TRUE);
   g_free (a);
 }
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -30,6 +30,8 @@
   int64_t wanted;
 } Wait;
 
+static _Thread_local GString *last_head;
+
 static int take_ports (int n);
 static bool port_is_free (int port, int type);
 static pid_t spawn (char *const argv[], const char *log);
@@ -305,6 +307,13 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, list);
   if (body != NULL)
     curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
+  if (last_head == NULL)
+    last_head = g_string_new (NULL);
+  g_string_truncate (last_head, 0);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, append);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, last_head);
+  if (strcmp (method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, out != NULL ? out : sink);
@@ -317,6 +326,12 @@
   return code == CURLE_OK ? (int)status : 0;
 }
 
+const char *
+fleet_http_head (void)
+{
+  return last_head != NULL ? last_head->str : "";
+}
+
 double
 fleet_number (const char *json, const char *key)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -80,7 +80,8 @@
                 const char *path,
                 const char *const *headers,
                 const char *body,
-                GString *out); // HTTP status, 0 when there was no whole answer
+                GString *out);      // HTTP status, 0 when there was no whole answer
+const char *fleet_http_head (void); // Head of the last answer to fleet_http on this thread
 double fleet_number (const char *json, const char *key); // Top-level number, -1 if absent
 bool fleet_until (bool (*holds) (void *data), void *data, double timeout_ms); // Polls a condition
 bool fleet_fault (Fleet *f,
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -6,11 +6,12 @@
 //               [--next PATH] [--seed N]
 //
 // Paths: /<service>/... runs; "?bytes=N" sets the answer's size and "id=TEXT" what its body
-// repeats, so that a caller can tell its own answer; a path with "poison" ends the process. GET
-// /control/executions prints one line an action: id, executions. POST /control/<what>?value=N sets
-// service_us, slots, announced_slots, mute (no announcements), shed (refuse everything), cold_ms
-// (ten times the service time for so long from now), load_lag_ms (announced load is so old),
-// load_claim (percent announced instead of the load, -1 for the truth).
+// repeats, so that a caller can tell its own answer, "status=N" its status; a header X-Echo comes
+// back; a path with "poison" ends the process. GET /control/executions prints one line an action:
+// id, executions. POST /control/<what>?value=N sets service_us, slots, announced_slots, mute (no
+// announcements), shed (refuse everything), cold_ms (ten times the service time for so long from
+// now), load_lag_ms (announced load is so old), load_claim (percent announced instead of the load,
+// -1 for the truth).
 
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -43,6 +44,7 @@
   uint64_t size; // of the answer
   char id[64];   // repeated in the answer
   int status;
+  int wanted_status;
   int attempts_left; // given back by the deeper call, -1 if none
   bool is_not_run;
   bool is_started;
@@ -319,9 +321,11 @@
 {
   const char *bytes = MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, "bytes");
   const char *id = MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, "id");
+  const char *status = MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, "status");
   const char *key = header (r, "Idempotency-Key");
 
   r->is_started = true;
+  r->wanted_status = status != NULL ? (int)g_ascii_strtoll (status, NULL, 10) : 200;
   g_snprintf (r->id, sizeof r->id, "%s ", id != NULL ? id : "none");
   r->size = bytes != NULL ? g_ascii_strtoull (bytes, NULL, 10) : 64;
   if (shed)
@@ -373,7 +377,7 @@
   if (next_path != NULL && front_address != NULL)
     call_deeper (r);
   else
-    finish (r, 200);
+    finish (r, r->wanted_status);
 }
 
 static void
@@ -472,6 +476,10 @@
       g_snprintf (text, sizeof text, "%d", r->attempts_left);
       MHD_add_response_header (m, "Bj-Attempts-Left", text);
     }
+  if (header (r, "X-Echo") != NULL)
+    MHD_add_response_header (m, "X-Echo", header (r, "X-Echo"));
+  if (header (r, "Connection") != NULL)
+    MHD_add_response_header (m, "X-Saw-Connection", "yes");
   MHD_add_response_header (m, "Content-Type", "application/octet-stream");
   result = MHD_queue_response (r->conn, (unsigned int)r->status, m);
   MHD_destroy_response (m);
--- a/tests/test_fleet_path.c
+++ b/tests/test_fleet_path.c
@@ -5,10 +5,20 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
 
+#define RESIDENT_MAX_KIB (64 * 1024)
+
+// The sanitizer's shadow memory and quarantine count as resident.
+#ifdef __SANITIZE_ADDRESS__
+#define RUNS_UNDER_ASAN true
+#else
+#define RUNS_UNDER_ASAN false
+#endif
+
 static const char ticket[]
     = "{\"number\":1,\"base\":0,\"priorities\":[\"acceptance\",\"lookup\"],\"services\":{"
       "\"catalogue\":{\"routes\":[{\"prefix\":\"/catalogue/"
@@ -82,6 +92,104 @@
     }
 }
 
+typedef struct
+{
+  const char *name;
+  const char *method;
+  const char *path;
+  const char *header; // sent, NULL for none
+  int status;
+  const char *wanted;   // stands in the head of the answer, NULL for anything
+  const char *unwanted; // does not
+} RelayCase;
+
+static const RelayCase relay_cases[] = {
+  { "header goes and comes back",
+    "GET",
+    "/plans/x?id=1",
+    "X-Echo: Grand Baie; q=1",
+    200,
+    "X-Echo: Grand Baie; q=1\r\n",
+    NULL },
+  { "empty header, which libmicrohttpd can not send",
+    "GET",
+    "/plans/x?id=1",
+    "X-Echo;",
+    200,
+    NULL,
+    NULL },
+  { "header of one hop stays",
+    "GET",
+    "/plans/x?id=1",
+    "Connection: close",
+    200,
+    NULL,
+    "X-Saw-Connection" },
+  { "status of the upstream",
+    "GET",
+    "/plans/x?id=1&status=404",
+    NULL,
+    404,
+    "Bj-Outcome: done",
+    "Bj-Code" },
+  { "redirection", "GET", "/plans/x?id=1&status=303", NULL, 303, "Bj-Outcome: done", NULL },
+  { "no content", "GET", "/plans/x?id=1&bytes=0&status=204", NULL, 204, NULL, "Transfer-Encoding" },
+  { "not modified",
+    "GET",
+    "/plans/x?id=1&bytes=0&status=304",
+    NULL,
+    304,
+    NULL,
+    "Transfer-Encoding" },
+  { "empty body", "GET", "/plans/x?id=1&bytes=0", NULL, 200, "Content-Length: 0", NULL },
+  { "HEAD", "HEAD", "/plans/x?id=1&bytes=500", NULL, 200, "Content-Length: 500", NULL },
+  { "PUT", "PUT", "/plans/x?id=1", NULL, 200, NULL, NULL },
+  { "DELETE", "DELETE", "/plans/x?id=1", NULL, 200, NULL, NULL },
+  { "encoded path", "GET", "/plans/a%20b%2Fc?id=1", NULL, 200, NULL, NULL },
+};
+
+static void
+test_relay (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (relay_cases); i++)
+    {
+      const RelayCase *c = &relay_cases[i];
+      const char *headers[] = { c->header, NULL };
+      int status
+          = fleet_http (c->method, fleet.members[0].front_port, c->path, headers, NULL, NULL);
+
+      print_message ("  %s\n", c->name);
+      assert_int_equal (status, c->status);
+      if (c->wanted != NULL && strstr (fleet_http_head (), c->wanted) == NULL)
+        fail_msg ("the head lacks \"%s\":\n%s", c->wanted, fleet_http_head ());
+      if (c->unwanted != NULL && strstr (fleet_http_head (), c->unwanted) != NULL)
+        fail_msg ("the head has \"%s\":\n%s", c->unwanted, fleet_http_head ());
+    }
+}
+
+// A body of any length passes in bounded memory.
+static void
+test_memory_is_bounded (void **state)
+{
+  (void)state;
+  for (int i = 0; i < fleet.n; i++)
+    {
+      char *path = g_strdup_printf ("/proc/%d/status", fleet.members[i].daemon);
+      char *text = NULL;
+      char *line;
+
+      assert_true (g_file_get_contents (path, &text, NULL, NULL));
+      line = strstr (text, "VmHWM:");
+      assert_non_null (line);
+      print_message (
+          "  %s at most %d KiB\n", fleet.members[i].node.name, atoi (line + strlen ("VmHWM:")));
+      assert_true (RUNS_UNDER_ASAN || atoi (line + strlen ("VmHWM:")) <= RESIDENT_MAX_KIB);
+      g_free (text);
+      g_free (path);
+    }
+}
+
 static void
 test_cut_peer_is_avoided (void **state)
 {
@@ -201,8 +309,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_answer_is_whole),
-    cmocka_unit_test (test_cut_peer_is_avoided),
+    cmocka_unit_test (test_answer_is_whole), cmocka_unit_test (test_memory_is_bounded),
+    cmocka_unit_test (test_relay),           cmocka_unit_test (test_cut_peer_is_avoided),
     cmocka_unit_test (test_link_faults),
   };
 
