bjctl and readers file, complete and write back through the filing; few readers a domain

Cause: bjctl wrote the store by itself, every daemon watched it, and a store that went back to an older copy stayed behind.

Change: src/filer.c makes a filing's calls on the loop; bjctl and the readers use it. In each domain the two daemons with the highest rendezvous hash watch config/current, after a watch without news they read afresh, decide tickets that others left and write a newer configuration back. The rest fetch from a peer that reports a larger number: in the own domain at once, from elsewhere after 500 ms unless they read the store. The platform plug-in can forget a caller's open calls.

--- a/src/bjctl/ask.c
+++ b/src/bjctl/ask.c
@@ -1,4 +1,4 @@
-// One HTTP request of bjctl, through the library's client on a loop of its own.
+// How bjctl asks: HTTP to a daemon's admin address, and the platform through its plug-in.
 
 #include "bjctl.h"
 #include <ev.h>
@@ -6,7 +6,7 @@
 #include <stdio.h>
 
 #define ASK_TIMEOUT_MS 5000
-#define EXIT_FAILED 1
+#define HTTP_OK 200
 
 typedef struct
 {
@@ -15,9 +15,23 @@
   int status;
 } Ask;
 
+typedef struct
+{
+  struct ev_loop *loop;
+  BjHttp *http;
+  BjPlatform *platform;
+  GString *spec; // of the object read, or writer of the filing
+  BjStatus result;
+} Store;
+
+static void open_store (const CtlOptions *o, Store *s);
+static void close_store (Store *s);
+static void on_read (void *data, const BjPlatformReply *r);
+static void on_filed (void *data, const BjFiling *f);
 static void on_head (void *data, const BjHttpHead *h);
 static size_t on_body (void *data, BjStr part);
 static void on_done (void *data, BjStatus s, bool sent);
+static int exit_code (BjStatus s);
 
 int
 ctl_ask (const char *method, const char *url, BjStr body, GString *out)
@@ -45,16 +59,115 @@
 }
 
 int
-ctl_fail (const char *format, ...)
+ctl_ask_admin (const CtlOptions *o, const char *path, GString *out)
+{
+  char *url;
+  int status;
+
+  if (o->admin == NULL)
+    return ctl_fail (o, BJ_E_ARGUMENT, "--admin IP:PORT is needed.");
+  url = g_strdup_printf ("http://%s%s", o->admin, path);
+  status = ctl_ask ("GET", url, BJ_STR_NULL, out);
+  g_free (url);
+  if (status == HTTP_OK)
+    return CTL_OK;
+  return ctl_fail (o, BJ_E_IO, "The daemon at %s answered with status %d.", o->admin, status);
+}
+
+BjStatus
+ctl_store_read (const CtlOptions *o, const char *name, GString *spec)
+{
+  Store s = { .spec = spec };
+
+  open_store (o, &s);
+  s.platform->ops->get (s.platform, name, on_read, &s);
+  ev_run (s.loop, 0);
+  close_store (&s);
+  return s.result;
+}
+
+BjStatus
+ctl_run_filing (const CtlOptions *o, BjFiling *f, GString *writer)
+{
+  Store s = { .spec = writer };
+  BjFiler *filer;
+
+  open_store (o, &s);
+  filer = bj_filer_new (s.loop, s.platform, f, on_filed, &s);
+  ev_run (s.loop, 0);
+  bj_filer_free (filer);
+  close_store (&s);
+  return s.result;
+}
+
+int
+ctl_fail (const CtlOptions *o, BjStatus s, const char *format, ...)
 {
   va_list args;
+  char *text;
 
-  fprintf (stderr, "bjctl: ");
   va_start (args, format);
-  vfprintf (stderr, format, args);
+  text = g_strdup_vprintf (format, args);
   va_end (args);
-  fprintf (stderr, "\n");
-  return EXIT_FAILED;
+  if (o->json)
+    {
+      struct json_object *j = json_object_new_object ();
+
+      json_object_object_add (j, "code", json_object_new_int (s));
+      json_object_object_add (j, "name", json_object_new_string (bj_status_name (s)));
+      json_object_object_add (j, "message", json_object_new_string (text));
+      printf ("%s\n", json_object_to_json_string_ext (j, JSON_C_TO_STRING_PLAIN));
+      json_object_put (j);
+    }
+  else
+    fprintf (stderr, "bjctl: %s (%d): %s\n", bj_status_name (s), s, text);
+  g_free (text);
+  return exit_code (s);
+}
+
+static void
+open_store (const CtlOptions *o, Store *s)
+{
+  const BjPlatformOps *ops = bj_plugin_find (BJ_PLUGIN_PLATFORM, BJ_STR ("http"));
+
+  s->loop = ev_loop_new (EVFLAG_AUTO);
+  s->http = bj_http_new (s->loop);
+  s->platform = ops->create (s->loop, s->http, bj_str (o->platform));
+}
+
+static void
+close_store (Store *s)
+{
+  s->platform->ops->destroy (s->platform);
+  bj_http_free (s->http);
+  ev_loop_destroy (s->loop);
+}
+
+static void
+on_read (void *data, const BjPlatformReply *r)
+{
+  Store *s = data;
+
+  s->result = r->code;
+  if (r->code == BJ_E_NOT_FOUND)
+    bj_fail (r->code, "The store does not hold this object yet.");
+  if (r->code == BJ_OK)
+    g_string_assign (s->spec, json_object_to_json_string_ext (r->spec, JSON_C_TO_STRING_PLAIN));
+  ev_break (s->loop, EVBREAK_ALL);
+}
+
+static void
+on_filed (void *data, const BjFiling *f)
+{
+  Store *s = data;
+
+  BjStr writer = bj_filing_writer (f);
+
+  s->result = bj_filing_result (f);
+  if (writer.len > 0)
+    g_string_assign (s->spec, writer.data);
+  bj_fail (s->result, "%s", bj_filing_message (f));
+  ev_break (s->loop, EVBREAK_ALL);
 }
 
 static void
@@ -80,3 +193,20 @@
     a->status = 0;
   ev_break (a->loop, EVBREAK_ALL);
 }
+
+static int
+exit_code (BjStatus s)
+{
+  switch (s)
+    {
+    case BJ_E_ARGUMENT:
+      return CTL_USAGE;
+    case BJ_E_PLATFORM:
+    case BJ_E_IO:
+      return CTL_NO_ANSWER;
+    case BJ_E_PENDING:
+      return CTL_PENDING;
+    default:
+      return CTL_REFUSED;
+    }
+}
--- a/src/bjctl/main.c
+++ b/src/bjctl/main.c
@@ -6,8 +6,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define EXIT_USAGE 2
-
 typedef struct
 {
   const char *name;
@@ -35,17 +33,26 @@
 {
   struct arg_str *platform = arg_str0 (NULL, "platform", "URL", "platform's object API");
   struct arg_str *admin = arg_str0 (NULL, "admin", "IP:PORT", "admin address of any daemon");
+  struct arg_dbl *wait
+      = arg_dbl0 (NULL, "wait", "SECONDS", "file, drain: until in force everywhere, with --admin");
+  struct arg_lit *force = arg_lit0 (NULL, "force", "file: with --base, on a newer base");
+  struct arg_int *base = arg_int0 (NULL, "base", "NUMBER", "in place of the ticket's base");
+  struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
   struct arg_lit *version = arg_lit0 (NULL, "version", "print the version and exit");
   struct arg_str *words = arg_strn (NULL, NULL, "COMMAND [ARGUMENT]", 0, 2, "what to do");
   struct arg_end *end = arg_end (4);
-  void *table[] = { platform, admin, help, version, words, end };
+  void *table[] = { platform, admin, wait, force, base, json, help, version, words, end };
   int n_errors = arg_parse (argc, argv, table);
   CtlOptions o = { 0 };
   int code = 0;
 
   o.platform = platform->count > 0 ? platform->sval[0] : NULL;
   o.admin = admin->count > 0 ? admin->sval[0] : NULL;
+  o.wait_ms = wait->count > 0 ? wait->dval[0] * 1000 : 0;
+  o.force = force->count > 0;
+  o.base = base->count > 0 ? base->ival[0] : -1;
+  o.json = json->count > 0;
   o.argument = words->count > 1 ? words->sval[1] : NULL;
   if (help->count > 0)
     print_help (table);
@@ -54,7 +61,7 @@
   else if (n_errors > 0)
     {
       arg_print_errors (stderr, end, "bjctl");
-      code = EXIT_USAGE;
+      code = CTL_USAGE;
     }
   else
     code = run (words->count > 0 ? words->sval[0] : "", &o);
@@ -70,7 +77,12 @@
   if (c == NULL || (c->argument != NULL) != (o->argument != NULL))
     {
       fprintf (stderr, "bjctl: a known command with its argument is needed, see bjctl --help.\n");
-      return EXIT_USAGE;
+      return CTL_USAGE;
+    }
+  if (o->force != (o->base >= 0) || (o->wait_ms > 0 && o->admin == NULL))
+    {
+      fprintf (stderr, "bjctl: --force and --base go together, and --wait needs --admin.\n");
+      return CTL_USAGE;
     }
   curl_global_init (CURL_GLOBAL_DEFAULT);
   return c->run (o);
--- a/src/bjctl/tickets.c
+++ b/src/bjctl/tickets.c
@@ -2,65 +2,65 @@
 
 #include "bjctl.h"
 #include <stdio.h>
-#include <string.h>
+#include <unistd.h>
 
-#define ROOT "/apis/boragejunction/v1/"
-#define MERGE_TRIES 10
+#define FILE_TRIES 10 // failed store calls before a filing is given up
 
+static int file_text (const CtlOptions *o, BjStr text);
+static int run_filing (const CtlOptions *o, int64_t number, BjStr text, GString *writer);
+static int confirm_decision (const CtlOptions *o, int64_t number, const char *writer);
+static int fail_last (const CtlOptions *o, BjStatus s);
 static int need_platform (const CtlOptions *o);
-static BjStatus read_file (const char *path, char **text, gsize *len);
-static int create_ticket (const CtlOptions *o, int64_t number, BjStr text);
-static int merge_ticket (const CtlOptions *o, int64_t number, BjStr text);
-static int get_current (const CtlOptions *o, GString *spec, GString *version);
-static int put_current (const CtlOptions *o, const GString *spec, const GString *version);
+static BjStatus read_ticket (const CtlOptions *o, GString *text);
+static BjStatus set_base (const CtlOptions *o, GString *text);
+static void show_difference (const CtlOptions *o, BjStr text);
+static GString *make_writer (void);
+static char *make_drain (BjStr current, const char *upstream);
 
 int
 ctl_check (const CtlOptions *o)
 {
-  int64_t number;
-  char *text;
-  gsize len;
-  BjStatus s = read_file (o->argument, &text, &len);
+  GString *text = g_string_new (NULL);
+  GString *current = g_string_new (NULL);
+  GString *merged = g_string_new (NULL);
+  BjStatus s = read_ticket (o, text);
+  int code = CTL_OK;
 
+  if (s == BJ_OK && o->platform != NULL)
+    s = ctl_store_read (o, "config/current", current);
+  if (s == BJ_E_NOT_FOUND)
+    s = BJ_OK;
+  if (s == BJ_OK)
+    s = bj_ticket_merge (
+        (BjStr){ current->str, current->len }, (BjStr){ text->str, text->len }, merged);
   if (s != BJ_OK)
-    return ctl_fail ("%s", bj_last_message ());
-  s = bj_ticket_check ((BjStr){ text, len }, &number);
-  g_free (text);
-  if (s != BJ_OK)
-    return ctl_fail ("%s", bj_last_message ());
-  printf ("Ticket %" G_GINT64_FORMAT " is well-formed.\n", number);
-  return 0;
+    code = fail_last (o, s);
+  else if (o->json)
+    printf ("{\"code\":0,\"name\":\"BJ_OK\"}\n");
+  else
+    printf ("The ticket can be filed on %s.\n",
+            o->platform != NULL ? "the current configuration" : "an empty configuration");
+  if (s == BJ_E_BASE)
+    show_difference (o, (BjStr){ text->str, text->len });
+  g_string_free (merged, TRUE);
+  g_string_free (current, TRUE);
+  g_string_free (text, TRUE);
+  return code;
 }
 
 int
 ctl_file (const CtlOptions *o)
 {
-  char *text;
-  gsize len;
+  GString *text = g_string_new (NULL);
   int code = need_platform (o);
+  BjStatus s;
 
-  if (code != 0)
-    return code;
-  if (read_file (o->argument, &text, &len) != BJ_OK)
-    return ctl_fail ("%s", bj_last_message ());
-  code = ctl_file_text (o, (BjStr){ text, len });
-  g_free (text);
-  return code;
-}
-
-int
-ctl_file_text (const CtlOptions *o, BjStr text)
-{
-  int64_t number;
-  int code;
-
-  if (bj_ticket_check (text, &number) != BJ_OK)
-    return ctl_fail ("%s", bj_last_message ());
-  code = create_ticket (o, number, text);
-  if (code == 0)
-    code = merge_ticket (o, number, text);
-  if (code == 0)
-    printf ("Ticket %" G_GINT64_FORMAT " is filed.\n", number);
+  if (code == CTL_OK)
+    {
+      s = read_ticket (o, text);
+      code = s == BJ_OK ? file_text (o, (BjStr){ text->str, text->len }) : fail_last (o, s);
+    }
+  g_string_free (text, TRUE);
   return code;
 }
 
@@ -68,151 +68,236 @@
 ctl_show (const CtlOptions *o)
 {
   GString *spec = g_string_new (NULL);
-  GString *version = g_string_new (NULL);
   int code = need_platform (o);
+  BjStatus s;
 
-  if (code == 0)
-    code = get_current (o, spec, version);
-  if (code == 0)
+  if (code == CTL_OK)
+    {
+      s = ctl_store_read (o, "config/current", spec);
+      code = s == BJ_OK ? CTL_OK : fail_last (o, s);
+    }
+  if (code == CTL_OK)
     printf ("%s\n", spec->str);
   g_string_free (spec, TRUE);
-  g_string_free (version, TRUE);
   return code;
 }
 
 int
 ctl_drain (const CtlOptions *o)
 {
-  GString *spec = g_string_new (NULL);
-  GString *version = g_string_new (NULL);
-  struct json_object *current;
-  int64_t number;
-  char *ticket;
+  GString *current = g_string_new (NULL);
   int code = need_platform (o);
+  BjStatus s;
 
-  if (code == 0)
-    code = get_current (o, spec, version);
-  if (code == 0)
+  if (code == CTL_OK)
     {
-      current = json_tokener_parse (spec->str);
-      number = (int64_t)bj_json_number (current, "number", 0);
-      ticket = g_strdup_printf ("{\"number\":%" G_GINT64_FORMAT ",\"base\":%" G_GINT64_FORMAT
-                                ",\"upstreams\":{\"%s\":{\"drain\":true}}}",
-                                number + 1,
-                                number,
-                                o->argument);
-      code = ctl_file_text (o, bj_str (ticket));
-      g_free (ticket);
-      json_object_put (current);
+      s = ctl_store_read (o, "config/current", current);
+      if (s == BJ_OK || s == BJ_E_NOT_FOUND)
+        {
+          char *ticket = make_drain ((BjStr){ current->str, current->len }, o->argument);
+
+          code = file_text (o, bj_str (ticket));
+          g_free (ticket);
+        }
+      else
+        code = fail_last (o, s);
     }
-  g_string_free (spec, TRUE);
-  g_string_free (version, TRUE);
+  g_string_free (current, TRUE);
   return code;
 }
 
 static int
-need_platform (const CtlOptions *o)
+file_text (const CtlOptions *o, BjStr text)
 {
-  return o->platform != NULL ? 0 : ctl_fail ("--platform URL is needed.");
+  int64_t number;
+  BjStatus s = bj_ticket_check (text, &number);
+  GString *writer;
+  int code;
+
+  if (s != BJ_OK)
+    return fail_last (o, s);
+  writer = make_writer ();
+  code = run_filing (o, number, text, writer);
+  if (code == CTL_OK && o->wait_ms > 0)
+    code = ctl_wait_in_force (o, number);
+  if (code == CTL_OK && o->wait_ms > 0)
+    code = confirm_decision (o, number, writer->str);
+  g_string_free (writer, TRUE);
+  return code;
 }
 
-static BjStatus
-read_file (const char *path, char **text, gsize *len)
+static int
+run_filing (const CtlOptions *o, int64_t number, BjStr text, GString *writer)
 {
-  GError *error = NULL;
+  GString *held = g_string_new (NULL);
+  BjFilingOptions fo = BJ_FILING_OPTIONS_DEFAULT;
+  BjFiling *f;
   BjStatus s;
 
-  if (g_file_get_contents (path, text, len, &error))
-    return BJ_OK;
-  s = bj_fail (BJ_E_IO, "%s: %s.", path, error->message);
-  g_error_free (error);
-  return s;
+  if (o->admin != NULL)
+    {
+      char *url = g_strdup_printf ("http://%s/v1/config", o->admin);
+
+      if (ctl_ask ("GET", url, BJ_STR_NULL, held) != 200)
+        g_string_truncate (held, 0);
+      g_free (url);
+    }
+  fo.ticket = text;
+  fo.writer = (BjStr){ writer->str, writer->len };
+  fo.held = (BjStr){ held->str, held->len };
+  fo.tries = FILE_TRIES;
+  fo.seed = g_random_int ();
+  s = bj_filing_new (&fo, &f);
+  if (s == BJ_OK)
+    s = ctl_run_filing (o, f, writer);
+  g_string_free (held, TRUE);
+  if (s == BJ_OK && o->json)
+    printf ("{\"code\":0,\"name\":\"BJ_OK\",\"number\":%" PRId64 ",\"writer\":\"%s\"}\n",
+            number,
+            writer->str);
+  else if (s == BJ_OK)
+    printf ("Ticket %" PRId64 " is accepted.\n", number);
+  if (s == BJ_OK)
+    return CTL_OK;
+  fail_last (o, s);
+  if (s == BJ_E_BASE)
+    show_difference (o, text);
+  return s == BJ_E_PLATFORM ? CTL_NO_ANSWER : s == BJ_E_PENDING ? CTL_PENDING : CTL_REFUSED;
 }
 
+// The store may have been restored since: what the daemons hold is what counts.
 static int
-create_ticket (const CtlOptions *o, int64_t number, BjStr text)
+confirm_decision (const CtlOptions *o, int64_t number, const char *writer)
 {
-  char *url = g_strdup_printf ("%s" ROOT "tickets/%" G_GINT64_FORMAT, o->platform, number);
-  struct json_object *spec = NULL;
-  GString *out = g_string_new (NULL);
-  char *body;
-  int status;
-
-  bj_json_read ("ticket", text, BJ_E_TICKET, &spec);
-  body = g_strdup_printf ("{\"metadata\":{},\"spec\":%s}", json_object_to_json_string (spec));
-  status = ctl_ask ("POST", url, bj_str (body), out);
-  g_free (url);
-  g_free (body);
-  json_object_put (spec);
-  g_string_free (out, TRUE);
-  if (status == 201)
-    return 0;
-  if (status == 409)
-    return ctl_fail ("Ticket %" G_GINT64_FORMAT " exists already.", number);
-  return ctl_fail ("The platform answered with status %d.", status);
+  GString *config = g_string_new (NULL);
+  int code = ctl_ask_admin (o, "/v1/config", config);
+  struct json_object *c = code == CTL_OK ? json_tokener_parse (config->str) : NULL;
+  struct json_object *d = bj_ticket_decision (c, number);
+  BjStr holder = bj_json_str (d, "writer");
+
+  if (d != NULL && !bj_str_equal (holder, bj_str (writer)))
+    code = ctl_fail (o,
+                     BJ_E_EXISTS,
+                     "Ticket %" PRId64 " in force is that of %.*s.",
+                     number,
+                     BJ_STR_ARG (holder));
+  json_object_put (c);
+  g_string_free (config, TRUE);
+  return code;
 }
 
 static int
-merge_ticket (const CtlOptions *o, int64_t number, BjStr text)
+fail_last (const CtlOptions *o, BjStatus s)
 {
-  GString *spec = g_string_new (NULL);
-  GString *version = g_string_new (NULL);
-  GString *merged = g_string_new (NULL);
-  int status = 409;
-  int code = 0;
+  char *text = g_strdup (bj_last_message ());
+  int code = ctl_fail (o, s, "%s", text);
 
-  for (int i = 0; i < MERGE_TRIES && status == 409 && code == 0; i++)
-    {
-      code = get_current (o, spec, version);
-      if (code == 0 && bj_ticket_merge ((BjStr){ spec->str, spec->len }, text, merged) != BJ_OK)
-        code = ctl_fail ("%s", bj_last_message ());
-      if (code == 0)
-        status = put_current (o, merged, version);
-    }
-  if (code == 0 && status != 200 && status != 201)
-    code = ctl_fail ("Ticket %" G_GINT64_FORMAT " could not be merged, status %d.", number, status);
-  g_string_free (spec, TRUE);
-  g_string_free (version, TRUE);
-  g_string_free (merged, TRUE);
+  g_free (text);
   return code;
 }
 
 static int
-get_current (const CtlOptions *o, GString *spec, GString *version)
+need_platform (const CtlOptions *o)
 {
-  char *url = g_strdup_printf ("%s" ROOT "config/current", o->platform);
-  GString *out = g_string_new (NULL);
-  int status = ctl_ask ("GET", url, BJ_STR_NULL, out);
-  struct json_object *root = status == 200 ? json_tokener_parse (out->str) : NULL;
-  struct json_object *part;
-
-  g_string_truncate (spec, 0);
-  g_string_truncate (version, 0);
-  if (json_object_object_get_ex (root, "spec", &part))
-    g_string_assign (spec, json_object_to_json_string_ext (part, JSON_C_TO_STRING_PLAIN));
-  if (json_object_object_get_ex (root, "metadata", &part))
-    g_string_append_len (version,
-                         bj_json_str (part, "resourceVersion").data,
-                         (gssize)bj_json_str (part, "resourceVersion").len);
-  json_object_put (root);
-  g_string_free (out, TRUE);
-  g_free (url);
-  if (status == 200 || status == 404)
-    return 0;
-  return ctl_fail ("The platform answered with status %d.", status);
+  if (o->platform != NULL)
+    return CTL_OK;
+  return ctl_fail (o, BJ_E_ARGUMENT, "--platform URL is needed.");
 }
 
-static int
-put_current (const CtlOptions *o, const GString *spec, const GString *version)
+static BjStatus
+read_ticket (const CtlOptions *o, GString *text)
 {
-  char *url = g_strdup_printf ("%s" ROOT "config/current", o->platform);
-  char *body = g_strdup_printf (
-      "{\"metadata\":{\"resourceVersion\":\"%s\"},\"spec\":%s}", version->str, spec->str);
-  GString *out = g_string_new (NULL);
-  int status = ctl_ask (version->len > 0 ? "PUT" : "POST", url, bj_str (body), out);
-
-  g_string_free (out, TRUE);
-  g_free (body);
-  g_free (url);
-  return status;
+  GError *error = NULL;
+  char *data;
+  gsize len;
+  BjStatus s;
+
+  if (!g_file_get_contents (o->argument, &data, &len, &error))
+    {
+      s = bj_fail (BJ_E_IO, "%s: %s.", o->argument, error->message);
+      g_error_free (error);
+      return s;
+    }
+  g_string_append_len (text, data, (gssize)len);
+  g_free (data);
+  return o->base >= 0 ? set_base (o, text) : BJ_OK;
+}
+
+static BjStatus
+set_base (const CtlOptions *o, GString *text)
+{
+  struct json_object *t;
+  BjStatus s = bj_json_read ("ticket", (BjStr){ text->str, text->len }, BJ_E_TICKET, &t);
+
+  if (s != BJ_OK)
+    return s;
+  if (json_object_is_type (t, json_type_object))
+    json_object_object_add (t, "base", json_object_new_int (o->base));
+  g_string_assign (text, json_object_to_json_string_ext (t, JSON_C_TO_STRING_PLAIN));
+  json_object_put (t);
+  return BJ_OK;
+}
+
+static void
+show_difference (const CtlOptions *o, BjStr text)
+{
+  GString *current = g_string_new (NULL);
+  GString *lines = g_string_new (NULL);
+
+  if (o->platform != NULL && ctl_store_read (o, "config/current", current) == BJ_OK)
+    bj_ticket_difference ((BjStr){ current->str, current->len }, text, lines);
+  fputs (lines->str, stderr);
+  if (lines->len > 0)
+    fprintf (stderr, "To file it all the same, give the new base: --force --base NUMBER.\n");
+  g_string_free (lines, TRUE);
+  g_string_free (current, TRUE);
+}
+
+// Unique: who, where, which process, and 64 random bits.
+static GString *
+make_writer (void)
+{
+  GString *s = g_string_new (NULL);
+
+  g_string_printf (s,
+                   "%s@%s:%d-%08x%08x",
+                   g_get_user_name (),
+                   g_get_host_name (),
+                   (int)getpid (),
+                   g_random_int (),
+                   g_random_int ());
+  return s;
+}
+
+// A ticket with the upstream's whole state as it is, but drained.
+static char *
+make_drain (BjStr current, const char *upstream)
+{
+  struct json_object *c = NULL;
+  struct json_object *old;
+  struct json_object *u = NULL;
+  struct json_object *upstreams = json_object_new_object ();
+  struct json_object *t = json_object_new_object ();
+  int64_t number;
+  char *text;
+
+  if (current.len > 0)
+    bj_json_read ("configuration", current, BJ_E_TICKET, &c);
+  number = bj_json_int (c, "number");
+  old = json_object_object_get (json_object_object_get (c, "upstreams"), upstream);
+  if (old != NULL)
+    json_object_deep_copy (old, &u, NULL);
+  else
+    u = json_object_new_object ();
+  json_object_object_del (u, "number");
+  json_object_object_add (u, "drain", json_object_new_boolean (true));
+  json_object_object_add (upstreams, upstream, u);
+  json_object_object_add (t, "number", json_object_new_int64 (number + 1));
+  json_object_object_add (t, "base", json_object_new_int64 (number));
+  json_object_object_add (t, "author", json_object_new_string (g_get_user_name ()));
+  json_object_object_add (t, "upstreams", upstreams);
+  text = g_strdup (json_object_to_json_string_ext (t, JSON_C_TO_STRING_PLAIN));
+  json_object_put (t);
+  json_object_put (c);
+  return text;
 }
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -499,7 +499,8 @@
                         // _TOO_LARGE: not; BJ_E_PLATFORM: not filed; BJ_E_PENDING: may still be
 const char *bj_filing_message (const BjFiling *f); // Sentence that belongs to the result
 BjStr bj_filing_current (const BjFiling *f,
-                         BjStr *version);      // config/current as last seen, empty before
+                         BjStr *version);   // config/current as last seen, empty before
+BjStr bj_filing_writer (const BjFiling *f); // Under which the ticket stands in the store, or empty
 bool bj_filing_wrote_back (const BjFiling *f); // The store held an older one than held
 
 // ---------------------------------------------------------------------------------------------
--- a/src/config.h
+++ b/src/config.h
@@ -48,10 +48,16 @@
 #define BJ_LIMIT_MIN 1           // in flight, whatever happens
 
 // Configuration
-#define BJ_FILING_TRIES 12          // failed store calls before a filing ends
-#define BJ_FILING_PAUSE_MIN_MS 20   // first pause after a failed store call
-#define BJ_FILING_PAUSE_MAX_MS 2000 // longest pause after a failed store call
-#define BJ_READERS 2                // daemons of a domain that watch the store
+#define BJ_FILING_TRIES 12             // failed store calls before a filing ends
+#define BJ_FILING_PAUSE_MIN_MS 20      // first pause after a failed store call
+#define BJ_FILING_PAUSE_MAX_MS 2000    // longest pause after a failed store call
+#define BJ_READERS 2                   // daemons of a domain that watch the store
+#define BJ_READER_TICK_MS 100          // between two looks at who reads and who holds a newer one
+#define BJ_READER_JOIN_MS 1000         // a new daemon hears its peers before it reads the store
+#define BJ_READER_BACKOFF_MAX_MS 10000 // longest pause of a reader while the store fails
+#define BJ_FETCH_AGAIN_MS 300          // an unanswered peer fetch goes to another peer after this
+#define BJ_FETCH_FAR_MS 500 // wait for a holder in the own domain before asking elsewhere
+
 // Claims of irreversible work
 #define BJ_CLAIM_SHARDS 64                    // objects in the platform's store
 #define BJ_CLAIM_SHARD_MAX 256                // claims of one shard
--- a/src/filing.c
+++ b/src/filing.c
@@ -26,8 +26,8 @@
   BjStr ticket;   // to file, empty for none
   int64_t number; // of that ticket, 0 for none
   BjStr writer;
-  BjStr filed;          // the object to create
-  BjStr accepted_as;    // writer under whose id the ticket stands in the store, empty before
+  BjStr filed;           // the object to create
+  BjStr accepted_as;     // writer under whose id the ticket stands in the store, empty before
   bool create_uncertain; // a create may still take effect
   BjStr held;
   int64_t held_number;
@@ -59,7 +59,6 @@
 static void end (BjFiling *f, BjStatus s);
 static BjStr make_filed (BjStr ticket, BjStr writer);
 static int64_t number_in (BjStr text);
-static struct json_object *find_decision (struct json_object *config, int64_t number);
 
 BjStatus
 bj_filing_new (const BjFilingOptions *o, BjFiling **filing)
@@ -181,6 +180,12 @@
   return f->current;
 }
 
+BjStr
+bj_filing_writer (const BjFiling *f)
+{
+  return f->accepted_as;
+}
+
 bool
 bj_filing_wrote_back (const BjFiling *f)
 {
@@ -336,16 +341,16 @@
       end (f, BJ_E_TICKET);
       return;
     }
-  d = find_decision (config, f->number);
+  d = bj_ticket_decision (config, f->number);
   writer = bj_json_str (d, "writer");
   s = (BjStatus)bj_json_int (d, "code");
   if (d == NULL)
-    s = bj_fail (BJ_E_PENDING,
-                 "Ticket %" PRId64 " is filed; its decision is no longer listed.",
-                 f->number);
+    s = bj_fail (
+        BJ_E_PENDING, "Ticket %" PRId64 " is filed; its decision is no longer listed.", f->number);
   else if (!bj_str_equal (writer, f->accepted_as))
     s = bj_fail (BJ_E_EXISTS,
-                 "Ticket %" PRId64 " was decided as that of %.*s, by a newer configuration that was "
+                 "Ticket %" PRId64
+                 " was decided as that of %.*s, by a newer configuration that was "
                  "written back.",
                  f->number,
                  BJ_STR_ARG (writer));
@@ -435,8 +440,7 @@
   BjStr text;
 
   bj_json_read ("ticket", ticket, BJ_E_TICKET, &t);
-  json_object_object_add (
-      o, "writer", json_object_new_string_len (writer.data, (int)writer.len));
+  json_object_object_add (o, "writer", json_object_new_string_len (writer.data, (int)writer.len));
   json_object_object_add (o, "ticket", t);
   text = bj_str_dup (bj_str (json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN)));
   json_object_put (o);
@@ -455,18 +459,3 @@
   json_object_put (o);
   return number;
 }
-
-static struct json_object *
-find_decision (struct json_object *config, int64_t number)
-{
-  struct json_object *all = json_object_object_get (config, "decisions");
-
-  for (size_t i = 0; all != NULL && i < json_object_array_length (all); i++)
-    {
-      struct json_object *d = json_object_array_get_idx (all, i);
-
-      if (bj_json_int (d, "number") == number)
-        return d;
-    }
-  return NULL;
-}
--- a/src/internal.h
+++ b/src/internal.h
@@ -49,6 +49,9 @@
 int64_t bj_json_int (struct json_object *o, const char *key); // Whole number, 0 if absent
 bool bj_json_bool (struct json_object *o, const char *key, bool absent);
 
+struct json_object *bj_ticket_decision (struct json_object *config,
+                                        int64_t number); // Borrowed, NULL when it is not listed
+
 // ---------------------------------------------------------------------------------------------
 // Header: which HTTP headers pass the daemons
 // ---------------------------------------------------------------------------------------------
@@ -274,6 +277,8 @@
                  BjStr version,
                  BjPlatformDone done,
                  void *data); // Replies when newer; BJ_E_NOT_FOUND after BJ_WATCH_MS without change
+  void (*forget) (BjPlatform *p,
+                  void *data); // Drops the open calls of data; a write may still take effect
 } BjPlatformOps;
 
 struct BjPlatform
@@ -281,6 +286,20 @@
   const BjPlatformOps *ops;
 };
 
+// ---------------------------------------------------------------------------------------------
+// Filer: makes the calls of one filing at the platform
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjFiler BjFiler;
+typedef void (*BjFilerDone) (void *data, const BjFiling *f);
+
+BjFiler *bj_filer_new (struct ev_loop *loop,
+                       BjPlatform *p,
+                       BjFiling *f,
+                       BjFilerDone done,
+                       void *data); // Takes f over; done is called later, never at once
+void bj_filer_free (BjFiler *f);    // NULL does nothing; may be called within done
+
 // ---------------------------------------------------------------------------------------------
 // Reader: brings the configuration in force from the platform and from peers
 // ---------------------------------------------------------------------------------------------
--- a/src/merge.c
+++ b/src/merge.c
@@ -26,8 +26,7 @@
                                     struct json_object *ticket,
                                     const char *section,
                                     int64_t base);
-static void
-merge_objects (struct json_object *current, struct json_object *ticket, int64_t number);
+static void merge_objects (struct json_object *current, struct json_object *ticket, int64_t number);
 static void merge_section (struct json_object *into,
                            struct json_object *ticket,
                            const char *section,
@@ -40,12 +39,12 @@
                              struct json_object *ticket,
                              const char *section,
                              GString *out);
-static void compare_item (const char *path,
-                          struct json_object *now,
-                          struct json_object *then,
-                          GString *out);
 static void
-print_difference (const char *path, struct json_object *now, struct json_object *then, GString *out);
+compare_item (const char *path, struct json_object *now, struct json_object *then, GString *out);
+static void print_difference (const char *path,
+                              struct json_object *now,
+                              struct json_object *then,
+                              GString *out);
 static void print_value (struct json_object *v, GString *out);
 
 BjStatus
@@ -134,6 +133,21 @@
   json_object_put (c);
 }
 
+struct json_object *
+bj_ticket_decision (struct json_object *config, int64_t number)
+{
+  struct json_object *all = json_object_object_get (config, "decisions");
+
+  for (size_t i = 0; all != NULL && i < json_object_array_length (all); i++)
+    {
+      struct json_object *d = json_object_array_get_idx (all, i);
+
+      if (bj_json_int (d, "number") == number)
+        return d;
+    }
+  return NULL;
+}
+
 static BjStatus
 read_pair (BjStr current,
            BjStr ticket,
@@ -300,9 +314,7 @@
     }
   json_object_object_add (d, "number", json_object_new_int64 (number));
   json_object_object_add (
-      d,
-      "writer",
-      json_object_new_string_len (writer.len > 0 ? writer.data : "", (int)writer.len));
+      d, "writer", json_object_new_string_len (writer.len > 0 ? writer.data : "", (int)writer.len));
   json_object_object_add (d, "code", json_object_new_int (code));
   if (code != BJ_OK)
     {
--- a/src/platform.c
+++ b/src/platform.c
@@ -13,10 +13,13 @@
   BjPlatform base;
   BjHttp *http;
   BjStr url;
+  GHashTable *asks; // open ones
 } Http;
 
 typedef struct
 {
+  Http *platform;
+  BjHttpCall *call;
   BjPlatformDone done;
   void *data;
   int status;
@@ -33,6 +36,7 @@
                  BjPlatformDone done,
                  void *data);
 static void watch (BjPlatform *p, const char *name, BjStr version, BjPlatformDone done, void *data);
+static void forget (BjPlatform *p, void *data);
 static void start (Http *h,
                    const char *method,
                    char *url,
@@ -43,10 +47,11 @@
 static void on_head (void *data, const BjHttpHead *h);
 static size_t on_body (void *data, BjStr part);
 static void on_done (void *data, BjStatus s, bool sent);
+static void free_ask (gpointer ask);
 static BjStatus status_of (int http_status);
 static void read_object (struct json_object *o, BjPlatformReply *r);
 
-static const BjPlatformOps http_ops = { create, destroy, get, put, watch };
+static const BjPlatformOps http_ops = { create, destroy, get, put, watch, forget };
 
 static BjPlatform *
 create (struct ev_loop *loop, BjHttp *http, BjStr url)
@@ -57,6 +62,7 @@
   h->base.ops = &http_ops;
   h->http = http;
   h->url = bj_str_dup (url);
+  h->asks = g_hash_table_new_full (NULL, NULL, free_ask, NULL);
   return &h->base;
 }
 
@@ -65,6 +71,7 @@
 {
   Http *h = (Http *)p;
 
+  g_hash_table_destroy (h->asks);
   bj_str_free (&h->url);
   g_free (h);
 }
@@ -120,6 +127,19 @@
   start (h, "GET", url, BJ_STR_NULL, BJ_WATCH_MS + WATCH_GRACE_MS, done, data);
 }
 
+static void
+forget (BjPlatform *p, void *data)
+{
+  Http *h = (Http *)p;
+  GHashTableIter i;
+  gpointer key;
+
+  g_hash_table_iter_init (&i, h->asks);
+  while (g_hash_table_iter_next (&i, &key, NULL))
+    if (((Ask *)key)->data == data)
+      g_hash_table_iter_remove (&i);
+}
+
 static void
 start (Http *h,
        const char *method,
@@ -132,21 +152,23 @@
   static const char *const headers[] = { "Content-Type: application/json", NULL };
   Ask *a = g_new0 (Ask, 1);
 
+  a->platform = h;
   a->done = done;
   a->data = data;
   a->body = g_string_new (NULL);
-  bj_http_start (h->http,
-                 &(BjHttpOptions){
-                     .method = method,
-                     .url = url,
-                     .headers = headers,
-                     .body = body,
-                     .timeout_ms = timeout_ms,
-                     .head = on_head,
-                     .body_part = on_body,
-                     .done = on_done,
-                     .data = a,
-                 });
+  g_hash_table_add (h->asks, a);
+  a->call = bj_http_start (h->http,
+                           &(BjHttpOptions){
+                               .method = method,
+                               .url = url,
+                               .headers = headers,
+                               .body = body,
+                               .timeout_ms = timeout_ms,
+                               .head = on_head,
+                               .body_part = on_body,
+                               .done = on_done,
+                               .data = a,
+                           });
   g_free (url);
 }
 
@@ -174,6 +196,8 @@
   struct json_object *o = NULL;
 
   (void)sent;
+  a->call = NULL;
+  g_hash_table_steal (a->platform->asks, a);
   if (s == BJ_OK)
     r.code = status_of (a->status);
   if (r.code == BJ_OK)
@@ -186,6 +210,16 @@
         BJ_E_PLATFORM, "The platform answered with status %d, %s.", a->status, bj_status_name (s));
   a->done (a->data, &r);
   json_object_put (o);
+  free_ask (a);
+}
+
+static void
+free_ask (gpointer ask)
+{
+  Ask *a = ask;
+
+  if (a->call != NULL)
+    bj_http_cancel (a->call);
   g_string_free (a->body, TRUE);
   g_free (a);
 }
--- a/tests/fakestore.c
+++ b/tests/fakestore.c
@@ -98,8 +98,8 @@
   g_clear_pointer (&s->answered, free_message);
   if (s->messages->len == 0)
     return false;
-  m = g_ptr_array_steal_index_fast (
-      s->messages, (guint)g_rand_int_range (s->rand, 0, (gint32)s->messages->len));
+  m = g_ptr_array_steal_index_fast (s->messages,
+                                    (guint)g_rand_int_range (s->rand, 0, (gint32)s->messages->len));
   if (!m->is_answer)
     {
       perform (s, m);
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1,8 +1,9 @@
 // bj-platform: stand-in for the platform's object API. One object a path under
 // /apis/boragejunction/v1/, versions, conditional updates, watches as long polls. POST
 // /control/<what>?value=N sets a fault: outage (0 or 1), delay_ms, lose_answers (next N writes take
-// effect and get no answer), rate (calls a second, 0 for no limit). GET /control/stats prints
-// counts.
+// effect and get no answer; with &name=PREFIX only writes of such objects), stale (next N reads see
+// the object's previous version), rate (calls a second, 0 for no limit), snapshot and restore (keep
+// a copy of all objects, go back to it, versions included). GET /control/stats prints counts.
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -23,6 +24,7 @@
   char *name;
   int64_t version;
   char *spec;
+  char *previous; // spec before the last write, NULL if none
 } Object;
 
 typedef struct
@@ -32,6 +34,7 @@
   int64_t version;
   gint64 until_us; // when a watch or a delayed call goes on
   GString *body;
+  gint64 restores; // when the watch began
   bool is_watch;
   bool is_held;
   bool is_delayed;
@@ -40,10 +43,15 @@
 
 static GHashTable *objects;
 static int64_t last_version;
-static GList *held; // Ask* suspended
+static GHashTable *kept; // objects of the snapshot
+static int64_t kept_version;
+static gint64 n_restores; // a watch that was begun before one ends with 410
+static GList *held;       // Ask* suspended
 static gint64 outage;
 static gint64 delay_ms;
 static gint64 lose_answers;
+static char *lose_name; // prefix of the objects that lose_answers counts
+static gint64 stale;
 static gint64 rate;
 static double tokens;
 static gint64 tokens_at_us;
@@ -70,6 +78,11 @@
 static enum MHD_Result reply_object (Ask *a, int status, const Object *o);
 static void hold (Ask *a, gint64 until_us);
 static void release_due (void);
+static GHashTable *copy_objects (GHashTable *from);
+static void snapshot (void);
+static void restore (void);
+static bool lose_answer (const Object *o);
+static int64_t count_watches (void);
 static bool take_token (void);
 static const char *argument (Ask *a, const char *name);
 static void on_signal (int signal_number);
@@ -211,6 +224,7 @@
   } all[] = { { "outage", &outage },
               { "delay_ms", &delay_ms },
               { "lose_answers", &lose_answers },
+              { "stale", &stale },
               { "rate", &rate } };
   const char *value = argument (a, "value");
   char *text;
@@ -220,16 +234,28 @@
     if (strcmp (what, all[i].name) == 0)
       {
         *all[i].value = g_ascii_strtoll (value, NULL, 10);
+        if (all[i].value == &lose_answers)
+          {
+            g_free (lose_name);
+            lose_name = g_strdup (argument (a, "name"));
+          }
         return reply (a, 200, "{}");
       }
+  if (strcmp (what, "snapshot") == 0 || (strcmp (what, "restore") == 0 && kept != NULL))
+    {
+      (*what == 's' ? snapshot : restore) ();
+      return reply (a, 200, "{}");
+    }
   if (strcmp (what, "stats") != 0)
     return reply (a, 404, "{}");
   text = g_strdup_printf ("{\"reads\":%" G_GINT64_FORMAT ",\"writes\":%" G_GINT64_FORMAT
-                          ",\"watches\":%" G_GINT64_FORMAT ",\"refused\":%" G_GINT64_FORMAT "}\n",
+                          ",\"watches\":%" G_GINT64_FORMAT ",\"refused\":%" G_GINT64_FORMAT
+                          ",\"waiting\":%" G_GINT64_FORMAT "}\n",
                           n_reads,
                           n_writes,
                           n_watches,
-                          n_refused);
+                          n_refused,
+                          count_watches ());
   r = reply (a, 200, text);
   g_free (text);
   return r;
@@ -247,17 +273,25 @@
   if (watch == NULL)
     {
       n_reads++;
+      if (o != NULL && stale > 0 && o->previous != NULL)
+        {
+          Object old = { o->name, o->version - 1, o->previous, NULL };
+
+          stale--;
+          return reply_object (a, 200, &old);
+        }
       return o != NULL ? reply_object (a, 200, o) : reply (a, 404, "{}");
     }
   if (!a->is_watch)
     {
       n_watches++;
       a->is_watch = true;
+      a->restores = n_restores;
       a->version = since != NULL ? g_ascii_strtoll (since, NULL, 10) : 0;
       a->until_us = now + (timeout != NULL ? g_ascii_strtoll (timeout, NULL, 10) : 10000) * 1000;
     }
   // A version from the future is one this store has never given out: it was restored from a copy.
-  if (a->version > last_version)
+  if (a->version > last_version || a->restores != n_restores)
     return reply (a, 410, "{}");
   if (o != NULL && o->version > a->version)
     return reply_object (a, 200, o);
@@ -296,11 +330,11 @@
           old->name = g_strdup (a->name);
           g_hash_table_insert (objects, old->name, old);
         }
-      g_free (old->spec);
+      g_free (old->previous);
+      old->previous = old->spec;
       old->spec = g_strdup (json_object_to_json_string_ext (spec, JSON_C_TO_STRING_PLAIN));
       old->version = ++last_version;
-      r = lose_answers > 0 ? (lose_answers--, MHD_NO)
-                           : reply_object (a, is_create ? 201 : 200, old);
+      r = lose_answer (old) ? MHD_NO : reply_object (a, is_create ? 201 : 200, old);
     }
   json_object_put (o);
   return r;
@@ -354,7 +388,8 @@
       const Object *o = a->name != NULL ? g_hash_table_lookup (objects, a->name) : NULL;
 
       next = l->next;
-      if (now < a->until_us && !outage && !(a->is_watch && o != NULL && o->version > a->version))
+      if (now < a->until_us && !outage && !(a->is_watch && a->restores != n_restores)
+          && !(a->is_watch && o != NULL && o->version > a->version))
         continue;
       held = g_list_delete_link (held, l);
       a->is_held = false;
@@ -362,6 +397,61 @@
     }
 }
 
+static GHashTable *
+copy_objects (GHashTable *from)
+{
+  GHashTable *to = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, from);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const Object *o = value;
+      Object *copy = g_new0 (Object, 1);
+
+      copy->name = g_strdup (o->name);
+      copy->version = o->version;
+      copy->spec = g_strdup (o->spec);
+      g_hash_table_insert (to, copy->name, copy);
+    }
+  return to;
+}
+
+static void
+snapshot (void)
+{
+  kept = copy_objects (objects);
+  kept_version = last_version;
+}
+
+static void
+restore (void)
+{
+  objects = copy_objects (kept);
+  last_version = kept_version;
+  n_restores++;
+}
+
+static bool
+lose_answer (const Object *o)
+{
+  if (lose_answers <= 0 || (lose_name != NULL && !g_str_has_prefix (o->name, lose_name)))
+    return false;
+  lose_answers--;
+  return true;
+}
+
+static int64_t
+count_watches (void)
+{
+  int64_t n = 0;
+
+  for (GList *l = held; l != NULL; l = l->next)
+    n += ((Ask *)l->data)->is_watch;
+  return n;
+}
+
 static bool
 take_token (void)
 {
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -40,7 +40,7 @@
   int n_names;
   bool restores; // the store goes back to a snapshot
   int64_t held_number;
-  char *held; // newest configuration that a reader has seen
+  char *held;                  // newest configuration that a reader has seen
   char *accepted[NUMBERS_MAX]; // writer told that its ticket is accepted
   char *rejected[NUMBERS_MAX][WRITERS * TICKETS_EACH];
   int n_rejected[NUMBERS_MAX];
@@ -98,14 +98,13 @@
                                  w->number,
                                  w->name);
   else
-    w->ticket
-        = g_strdup_printf ("{\"number\":%" PRId64 ",\"base\":%" PRId64 ",\"author\":\"%s\","
-                           "\"services\":{\"%s\":{" ROUTES "}}}",
-                           w->number,
-                           MAX (0, current - g_rand_int_range (r->rand, 0, 2)),
-                           w->name,
-                           service,
-                           w->name);
+    w->ticket = g_strdup_printf ("{\"number\":%" PRId64 ",\"base\":%" PRId64 ",\"author\":\"%s\","
+                                 "\"services\":{\"%s\":{" ROUTES "}}}",
+                                 w->number,
+                                 MAX (0, current - g_rand_int_range (r->rand, 0, 2)),
+                                 w->name,
+                                 service,
+                                 w->name);
   o.ticket = bj_str (w->ticket);
   o.writer = bj_str (w->name);
   o.seed = g_rand_int (r->rand);
