--- a/src/filing.c
+++ b/src/filing.c
@@ -59,7 +59,6 @@
 static void end (BjFiling *f, BjStatus s);
 static BjStr make_filed (BjStr ticket, BjStr writer);
 static int64_t number_in (BjStr text);
-static struct json_object *find_decision (struct json_object *config, int64_t number);
 
 BjStatus
 bj_filing_new (const BjFilingOptions *o, BjFiling **filing)
@@ -181,6 +180,12 @@
   return f->current;
 }
 
+BjStr
+bj_filing_writer (const BjFiling *f)
+{
+  return f->accepted_as;
+}
+
 bool
 bj_filing_wrote_back (const BjFiling *f)
 {
@@ -336,7 +341,7 @@
       end (f, BJ_E_TICKET);
       return;
     }
-  d = find_decision (config, f->number);
+  d = bj_ticket_decision (config, f->number);
   writer = bj_json_str (d, "writer");
   s = (BjStatus)bj_json_int (d, "code");
   if (d == NULL)
@@ -454,18 +459,3 @@
   json_object_put (o);
   return number;
 }
-
-static struct json_object *
-find_decision (struct json_object *config, int64_t number)
-{
-  struct json_object *all = json_object_object_get (config, "decisions");
-
-  for (size_t i = 0; all != NULL && i < json_object_array_length (all); i++)
-    {
-      struct json_object *d = json_object_array_get_idx (all, i);
-
-      if (bj_json_int (d, "number") == number)
-        return d;
-    }
-  return NULL;
-}
--- a/src/merge.c
+++ b/src/merge.c
@@ -133,6 +133,21 @@
   json_object_put (c);
 }
 
+struct json_object *
+bj_ticket_decision (struct json_object *config, int64_t number)
+{
+  struct json_object *all = json_object_object_get (config, "decisions");
+
+  for (size_t i = 0; all != NULL && i < json_object_array_length (all); i++)
+    {
+      struct json_object *d = json_object_array_get_idx (all, i);
+
+      if (bj_json_int (d, "number") == number)
+        return d;
+    }
+  return NULL;
+}
+
 static BjStatus
 read_pair (BjStr current,
            BjStr ticket,
--- a/src/platform.c
+++ b/src/platform.c
@@ -13,7 +13,7 @@
   BjPlatform base;
   BjHttp *http;
   BjStr url;
-  GHashTable *asks; // set of open Ask*
+  GHashTable *asks; // open ones
 } Http;
 
 typedef struct
@@ -36,6 +36,7 @@
                  BjPlatformDone done,
                  void *data);
 static void watch (BjPlatform *p, const char *name, BjStr version, BjPlatformDone done, void *data);
+static void forget (BjPlatform *p, void *data);
 static void start (Http *h,
                    const char *method,
                    char *url,
@@ -43,14 +44,14 @@
                    double timeout_ms,
                    BjPlatformDone done,
                    void *data);
-static void free_ask (Ask *a);
 static void on_head (void *data, const BjHttpHead *h);
 static size_t on_body (void *data, BjStr part);
 static void on_done (void *data, BjStatus s, bool sent);
+static void free_ask (gpointer ask);
 static BjStatus status_of (int http_status);
 static void read_object (struct json_object *o, BjPlatformReply *r);
 
-static const BjPlatformOps http_ops = { create, destroy, get, put, watch };
+static const BjPlatformOps http_ops = { create, destroy, get, put, watch, forget };
 
 static BjPlatform *
 create (struct ev_loop *loop, BjHttp *http, BjStr url)
@@ -61,7 +62,7 @@
   h->base.ops = &http_ops;
   h->http = http;
   h->url = bj_str_dup (url);
-  h->asks = g_hash_table_new (NULL, NULL);
+  h->asks = g_hash_table_new_full (NULL, NULL, free_ask, NULL);
   return &h->base;
 }
 
@@ -69,14 +70,7 @@
 destroy (BjPlatform *p)
 {
   Http *h = (Http *)p;
-  GList *open = g_hash_table_get_keys (h->asks);
 
-  for (GList *l = open; l != NULL; l = l->next)
-    {
-      bj_http_cancel (((Ask *)l->data)->call);
-      free_ask (l->data);
-    }
-  g_list_free (open);
   g_hash_table_destroy (h->asks);
   bj_str_free (&h->url);
   g_free (h);
@@ -133,6 +127,19 @@
   start (h, "GET", url, BJ_STR_NULL, BJ_WATCH_MS + WATCH_GRACE_MS, done, data);
 }
 
+static void
+forget (BjPlatform *p, void *data)
+{
+  Http *h = (Http *)p;
+  GHashTableIter i;
+  gpointer key;
+
+  g_hash_table_iter_init (&i, h->asks);
+  while (g_hash_table_iter_next (&i, &key, NULL))
+    if (((Ask *)key)->data == data)
+      g_hash_table_iter_remove (&i);
+}
+
 static void
 start (Http *h,
        const char *method,
@@ -145,10 +152,10 @@
   static const char *const headers[] = { "Content-Type: application/json", NULL };
   Ask *a = g_new0 (Ask, 1);
 
+  a->platform = h;
   a->done = done;
   a->data = data;
   a->body = g_string_new (NULL);
-  a->platform = h;
   g_hash_table_add (h->asks, a);
   a->call = bj_http_start (h->http,
                            &(BjHttpOptions){
@@ -189,6 +196,8 @@
   struct json_object *o = NULL;
 
   (void)sent;
+  a->call = NULL;
+  g_hash_table_steal (a->platform->asks, a);
   if (s == BJ_OK)
     r.code = status_of (a->status);
   if (r.code == BJ_OK)
@@ -205,9 +214,12 @@
 }
 
 static void
-free_ask (Ask *a)
+free_ask (gpointer ask)
 {
-  g_hash_table_remove (a->platform->asks, a);
+  Ask *a = ask;
+
+  if (a->call != NULL)
+    bj_http_cancel (a->call);
   g_string_free (a->body, TRUE);
   g_free (a);
 }
