Measure membership: bench-members with 50, 100 and 200 daemons

Cause: the budget of a daemon (7 KB/s, 2.4 % of a core, 64 MB) needs figures before the gossip is replaced. Ruled out: a shell loop over curl, a fork a question is slower than the times asked for. Change: tests/bench_members.c starts daemons only, announces an upstream to each, reads bytes and datagrams from /metrics and processor time from /proc. Bytes include 28 of IP and UDP head.

--- a/src/member.c
+++ b/src/member.c
@@ -41,7 +41,11 @@
 
 static BjCounter n_bad
     = { "member_malformed_datagrams_total", "Datagrams that could not be decoded.", 0 };
+static BjCounter n_sent = { "member_sent_datagrams_total", "Datagrams sent.", 0 };
 static BjCounter n_sent_bytes = { "member_sent_bytes_total", "Bytes of datagrams sent.", 0 };
+static BjCounter n_received = { "member_received_datagrams_total", "Datagrams received.", 0 };
+static BjCounter n_received_bytes
+    = { "member_received_bytes_total", "Bytes of datagrams received.", 0 };
 
 BjStatus
 bj_members_new (BjDaemon *d, BjMembers **members)
@@ -65,7 +69,10 @@
                       g_strerror (error));
     }
   bj_metric_register (&n_bad);
+  bj_metric_register (&n_sent);
   bj_metric_register (&n_sent_bytes);
+  bj_metric_register (&n_received);
+  bj_metric_register (&n_received_bytes);
   m = g_new0 (BjMembers, 1);
   m->daemon = d;
   m->fd = fd;
@@ -114,6 +121,8 @@
           n_bad.value++;
           continue;
         }
+      n_received.value++;
+      n_received_bytes.value += (uint64_t)n;
       msgpack_unpacked_init (&keep);
       while (msgpack_unpack_next (&keep, buffer, (size_t)n, &at) == MSGPACK_UNPACK_SUCCESS)
         {
@@ -209,6 +218,7 @@
 
   if (inet_pton (AF_INET, host.data, &addr.sin_addr) != 1)
     return;
+  n_sent.value++;
   n_sent_bytes.value += out->size;
   sendto (m->fd, out->data, out->size, 0, (struct sockaddr *)&addr, sizeof addr);
 }
--- /dev/null
+++ b/tests/bench_members.c
@@ -0,0 +1,239 @@
+// bench-members: what membership costs a daemon and how fast it tells, with real processes.
+//
+//   bench-members DAEMONS [SECONDS]
+//
+// Starts the daemons in 8 failure domains of 3 regions with 22 services, announces an upstream to
+// each, and prints one line: bytes a second sent and received (28 bytes of IP and UDP head a
+// datagram included), processor time, memory, and how long news takes to reach every daemon.
+
+#include "fleet.h"
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DOMAINS 8
+#define REGIONS 3
+#define SERVICES 22
+#define HEAD_BYTES 28 // of IP and UDP in front of a datagram
+#define ANNOUNCE_EVERY_MS 1500
+#define POLL_US 10000
+#define WAIT_MS 60000
+
+typedef struct
+{
+  double sent;
+  double received;
+  double datagrams_sent;
+  double datagrams_received;
+  double cpu_ms;
+} Cost;
+
+static Fleet fleet;
+static BjTime announced;
+
+static void announce_all (void);
+static Cost read_cost (void);
+static double metric (const char *text, const char *name);
+static double cpu_ms (pid_t pid);
+static double rss_kb (pid_t pid);
+static double wait_news (int from, int n, const char *name, const char *wanted);
+static bool has_news (int i, const char *name, const char *wanted);
+static int count_members (int i);
+static double wait_all_known (int n);
+
+int
+main (int argc, char **argv)
+{
+  static FleetNode nodes[FLEET_NODES_MAX];
+  int n = argc > 1 ? atoi (argv[1]) : 50;
+  double seconds = argc > 2 ? atof (argv[2]) : 10;
+  double rss = 0;
+  char killed[FLEET_TEXT_MAX];
+  char stopped[FLEET_TEXT_MAX];
+  BjTime start;
+  Cost a;
+  Cost b;
+
+  if (n < 4 || n > FLEET_NODES_MAX)
+    return 2;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  for (int i = 0; i < n; i++)
+    {
+      g_snprintf (nodes[i].name, FLEET_TEXT_MAX, "up-%d", i);
+      g_snprintf (nodes[i].domain, FLEET_TEXT_MAX, "domain-%d", i % DOMAINS);
+      g_snprintf (nodes[i].region, FLEET_TEXT_MAX, "region-%d", i % DOMAINS % REGIONS);
+    }
+  g_snprintf (killed, sizeof killed, "\"up-%d\"", n - 1);
+  g_snprintf (stopped, sizeof stopped, "\"up-%d\"", n - 2);
+  fleet_init (&fleet, nodes, n);
+  fleet_start_platform (&fleet);
+  for (int i = 0; i < n; i++)
+    fleet_start_daemon (&fleet, i);
+  printf ("daemons %d", n);
+  printf (", all known after %.1f s", wait_all_known (n) / 1000);
+  fflush (stdout);
+  g_usleep (5 * G_USEC_PER_SEC);
+  a = read_cost ();
+  start = bj_clock_now ();
+  while (bj_clock_now () - start < seconds * 1000)
+    {
+      announce_all ();
+      g_usleep (POLL_US);
+    }
+  b = read_cost ();
+  seconds = (bj_clock_now () - start) / 1000;
+  for (int i = 0; i < n; i++)
+    rss = MAX (rss, rss_kb (fleet.members[i].daemon));
+  printf (", sent %.0f B/s, received %.0f B/s, processor %.3f %%, memory %.1f MB",
+          (b.sent - a.sent + HEAD_BYTES * (b.datagrams_sent - a.datagrams_sent)) / seconds / n,
+          (b.received - a.received + HEAD_BYTES * (b.datagrams_received - a.datagrams_received))
+              / seconds / n,
+          (b.cpu_ms - a.cpu_ms) / seconds / 10 / n,
+          rss / 1024);
+  fflush (stdout);
+  fleet_end (&fleet.members[n - 1].daemon, SIGKILL);
+  printf (", killed one gone everywhere after %.1f s", wait_news (0, n - 1, killed, NULL) / 1000);
+  fflush (stdout);
+  kill (fleet.members[n - 2].daemon, SIGTERM);
+  printf (", stopping one known everywhere after %.1f s\n",
+          wait_news (0, n - 2, stopped, "\"draining\":true") / 1000);
+  fleet_stop (&fleet);
+  return 0;
+}
+
+static void
+announce_all (void)
+{
+  char body[160];
+
+  if (bj_clock_now () - announced < ANNOUNCE_EVERY_MS)
+    return;
+  announced = bj_clock_now ();
+  for (int i = 0; i < fleet.n; i++)
+    {
+      g_snprintf (body,
+                  sizeof body,
+                  "{\"service\":\"service-%d\",\"host\":\"127.0.0.1\",\"port\":%d,\"slots\":16}",
+                  i % SERVICES,
+                  fleet.members[i].upstream_port);
+      fleet_http ("POST", fleet.members[i].admin_port, "/v1/announce", NULL, body, NULL);
+    }
+}
+
+static Cost
+read_cost (void)
+{
+  GString *out = g_string_new (NULL);
+  Cost c = { 0 };
+
+  for (int i = 0; i < fleet.n; i++)
+    {
+      g_string_truncate (out, 0);
+      fleet_http ("GET", fleet.members[i].admin_port, "/metrics", NULL, NULL, out);
+      c.sent += metric (out->str, "\nbj_member_sent_bytes_total ");
+      c.received += metric (out->str, "\nbj_member_received_bytes_total ");
+      c.datagrams_sent += metric (out->str, "\nbj_member_sent_datagrams_total ");
+      c.datagrams_received += metric (out->str, "\nbj_member_received_datagrams_total ");
+      c.cpu_ms += cpu_ms (fleet.members[i].daemon);
+    }
+  g_string_free (out, TRUE);
+  return c;
+}
+
+static double
+metric (const char *text, const char *name)
+{
+  const char *at = strstr (text, name);
+
+  return at != NULL ? g_ascii_strtod (at + strlen (name), NULL) : 0;
+}
+
+static double
+cpu_ms (pid_t pid)
+{
+  char path[64];
+  char *text = NULL;
+  double ms = 0;
+
+  g_snprintf (path, sizeof path, "/proc/%d/schedstat", pid);
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    ms = g_ascii_strtod (text, NULL) / 1e6;
+  g_free (text);
+  return ms;
+}
+
+static double
+rss_kb (pid_t pid)
+{
+  char path[64];
+  char *text = NULL;
+  double kb = 0;
+
+  g_snprintf (path, sizeof path, "/proc/%d/status", pid);
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    kb = metric (text, "VmRSS:");
+  g_free (text);
+  return kb;
+}
+
+// Asks one daemon after the other, each until it has the news.
+static double
+wait_news (int from, int n, const char *name, const char *wanted)
+{
+  BjTime start = bj_clock_now ();
+
+  for (int i = from; i < n; i++)
+    while (!has_news (i, name, wanted) && bj_clock_now () - start < WAIT_MS)
+      {
+        announce_all ();
+        g_usleep (POLL_US);
+      }
+  return bj_clock_now () - start;
+}
+
+static bool
+has_news (int i, const char *name, const char *wanted)
+{
+  GString *out = g_string_new (NULL);
+  const char *at;
+  const char *end;
+  bool known = false;
+
+  if (fleet_http ("GET", fleet.members[i].admin_port, "/v1/members", NULL, NULL, out) == 200)
+    {
+      at = strstr (out->str, name);
+      end = at != NULL ? strchr (at, '}') : NULL;
+      known = at == NULL || (wanted != NULL && g_strstr_len (at, end - at, wanted) != NULL);
+    }
+  g_string_free (out, TRUE);
+  return known;
+}
+
+static int
+count_members (int i)
+{
+  GString *out = g_string_new (NULL);
+  int n = 0;
+
+  fleet_http ("GET", fleet.members[i].admin_port, "/v1/members", NULL, NULL, out);
+  for (const char *at = out->str; (at = strstr (at, "\"name\"")) != NULL; at++)
+    n++;
+  g_string_free (out, TRUE);
+  return n;
+}
+
+static double
+wait_all_known (int n)
+{
+  BjTime start = bj_clock_now ();
+
+  for (int i = 0; i < n; i++)
+    while (count_members (i) < n && bj_clock_now () - start < WAIT_MS)
+      {
+        announce_all ();
+        g_usleep (POLL_US);
+      }
+  return bj_clock_now () - start;
+}
