Silent connections to the upstream cost one call, not one each

Cause: idle connections that something between had lost track of stayed in libcurl's pool; each failed one call at its deadline. Change: after a reused connection gave no answer for 500 ms, one call is tried on a new connection; when that one answers, idle ones are left to age out (5 s).

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -48,6 +48,7 @@
   o = (BjKernelOptions){ .self = own_report (d), .host = &d->host, .seed = g_random_int () };
   d->kernel = bj_kernel_new (&o, now);
   d->http = bj_http_new (loop);
+  d->upstream_http = bj_http_new (loop);
   d->watchers = g_new0 (struct BjDaemonWatchers, 1);
   ev_prepare_init (&d->watchers->prepare, on_prepare);
   ev_timer_init (&d->watchers->tick, on_tick, 0, 0);
@@ -96,6 +97,7 @@
   if (d->platform != NULL)
     d->platform->ops->destroy (d->platform);
   bj_http_free (d->http);
+  bj_http_free (d->upstream_http);
   bj_str_free (&d->upstream.host);
   g_free (d->watchers);
   g_free (d);
--- a/src/http.c
+++ b/src/http.c
@@ -7,6 +7,17 @@
 #include <strings.h>
 
 #define IDLE_CONNECTIONS_MAX 256
+#define IDLE_MAX_S 5   // an idle connection older than this is not used again
+#define SUSPECT_MS 500 // without an answer on a reused connection
+
+// A connection can go silent for good while new ones work. After a reused one gave no answer, one
+// call is tried on a new connection; when that one answers, the idle ones are no longer used.
+typedef enum
+{
+  POOL_TRUSTED,
+  POOL_PROBED,
+  POOL_DISTRUSTED,
+} PoolState;
 
 struct BjHttp
 {
@@ -16,6 +27,9 @@
   GHashTable *calls; // set of BjHttpCall*
   GPtrArray *dead;   // calls cancelled inside a callback
   int depth;         // of callbacks from libcurl
+  PoolState pool;
+  BjTime distrusted; // since
+  BjHttpCall *probe; // on a new connection, NULL if none
 };
 
 struct BjHttpCall
@@ -33,6 +47,7 @@
   bool head_told;
   bool paused;
   bool cancelled;
+  BjTime started;
 };
 
 typedef struct
@@ -56,6 +71,9 @@
 static void set_method (BjHttpCall *c);
 static void set_headers (BjHttpCall *c);
 static void free_call (BjHttpCall *c);
+static bool use_new_connection (BjHttpCall *c);
+static bool was_reused (const BjHttpCall *c);
+static void judge_pool (BjHttpCall *c);
 static BjStatus status_of (CURLcode code, const BjHttpCall *c);
 static bool was_sent (const BjHttpCall *c);
 
@@ -106,6 +124,7 @@
   c->relayed = g_string_new (NULL);
   c->head.length = -1;
   c->head.attempts_left = -1;
+  c->started = bj_clock_now ();
   c->easy = curl_easy_init ();
   curl_easy_setopt (c->easy, CURLOPT_URL, c->url);
   curl_easy_setopt (c->easy, CURLOPT_PRIVATE, c);
@@ -114,7 +133,8 @@
   curl_easy_setopt (c->easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (c->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)BJ_CONNECT_TIMEOUT_MS);
   curl_easy_setopt (c->easy, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
-  curl_easy_setopt (c->easy, CURLOPT_FRESH_CONNECT, o->fresh_connection ? 1L : 0L);
+  curl_easy_setopt (c->easy, CURLOPT_FRESH_CONNECT, use_new_connection (c) ? 1L : 0L);
+  curl_easy_setopt (c->easy, CURLOPT_MAXAGE_CONN, (long)IDLE_MAX_S);
   curl_easy_setopt (c->easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (c->easy, CURLOPT_HEADERDATA, c);
   curl_easy_setopt (c->easy, CURLOPT_WRITEFUNCTION, on_body);
@@ -375,6 +395,7 @@
 static void
 free_call (BjHttpCall *c)
 {
+  judge_pool (c);
   g_hash_table_remove (c->http->calls, c);
   curl_multi_remove_handle (c->http->multi, c->easy);
   curl_easy_cleanup (c->easy);
@@ -385,6 +406,50 @@
   g_free (c);
 }
 
+static bool
+use_new_connection (BjHttpCall *c)
+{
+  BjHttp *h = c->http;
+
+  if (h->pool == POOL_DISTRUSTED && c->started - h->distrusted > IDLE_MAX_S * 1000.0)
+    h->pool = POOL_TRUSTED;
+  if (h->pool == POOL_PROBED && h->probe == NULL)
+    h->probe = c;
+  return c->o.fresh_connection || h->probe == c || h->pool == POOL_DISTRUSTED;
+}
+
+static bool
+was_reused (const BjHttpCall *c)
+{
+  long n_connects = 0;
+
+  curl_easy_getinfo (c->easy, CURLINFO_NUM_CONNECTS, &n_connects);
+  return n_connects == 0;
+}
+
+static void
+judge_pool (BjHttpCall *c)
+{
+  BjHttp *h = c->http;
+  bool is_probe = h->probe == c;
+
+  if (is_probe)
+    h->probe = NULL;
+  if (is_probe && c->head_told)
+    {
+      h->pool = POOL_DISTRUSTED;
+      h->distrusted = bj_clock_now ();
+      bj_log (BJ_LOG_INFO,
+              "LINK",
+              "A new connection answers where a reused one was silent, idle ones are dropped.");
+    }
+  else if (is_probe || (c->head_told && was_reused (c) && h->pool == POOL_PROBED))
+    h->pool = POOL_TRUSTED;
+  else if (!c->head_told && h->pool == POOL_TRUSTED && was_reused (c)
+           && bj_clock_now () - c->started >= SUSPECT_MS)
+    h->pool = POOL_PROBED;
+}
+
 static BjStatus
 status_of (CURLcode code, const BjHttpCall *c)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -432,7 +432,8 @@
   BjSettings settings;
   uint64_t incarnation;
   BjKernel *kernel;
-  BjHttp *http;
+  BjHttp *http;          // to the platform
+  BjHttp *upstream_http; // to the own upstream
   BjLinks *links;
   BjFront *front;
   BjFront *admin;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -31,7 +31,7 @@
   r->source.ops = &run_ops;
   r->x = x;
   x->source = &r->source;
-  r->http = bj_http_start (d->http,
+  r->http = bj_http_start (d->upstream_http,
                            &(BjHttpOptions){
                                .method = c->request.method.data,
                                .url = url,
--- a/tests/test_fleet_path.c
+++ b/tests/test_fleet_path.c
@@ -24,7 +24,8 @@
       "\"catalogue\":{\"routes\":[{\"prefix\":\"/catalogue/"
       "\",\"class\":\"lookup\",\"deadline_ms\":5000}]},"
       "\"plans\":{\"routes\":[{\"prefix\":\"/plans/"
-      "\",\"class\":\"lookup\",\"deadline_ms\":20000}]}}}";
+      "\",\"class\":\"lookup\",\"deadline_ms\":20000}],"
+      "\"limiter\":{\"plugin\":\"fixed\"}}}}";
 
 static Fleet fleet;
 
@@ -305,13 +306,47 @@
       "POST", fleet.members[2].upstream_port, "/control/service_us?value=2000", NULL, "", NULL);
 }
 
+#define WARM_CONNECTIONS 8
+#define CALLS_AFTER 10
+
+// Idle connections to an upstream that went silent cost one call, not one each.
+static void
+test_silent_upstream_connections (void **state)
+{
+  GThread *threads[WARM_CONNECTIONS];
+  Request requests[WARM_CONNECTIONS];
+  const char *headers[] = { "Bj-Deadline-Ms: 800", NULL };
+  int n_failed = 0;
+
+  (void)state;
+  fleet_http (
+      "POST", fleet.members[2].upstream_port, "/control/service_us?value=200000", NULL, "", NULL);
+  for (int i = 0; i < WARM_CONNECTIONS; i++)
+    {
+      requests[i].out = NULL;
+      g_snprintf (requests[i].path, sizeof requests[i].path, "/plans/warm?id=%d", i);
+      threads[i] = g_thread_new ("request", request, &requests[i]);
+    }
+  for (int i = 0; i < WARM_CONNECTIONS; i++)
+    g_thread_join (threads[i]);
+  fleet_http (
+      "POST", fleet.members[2].upstream_port, "/control/service_us?value=2000", NULL, "", NULL);
+  assert_true (fleet_fault (&fleet, "upstream-b-plans", "*", "silence", 1));
+  for (int i = 0; i < CALLS_AFTER; i++)
+    n_failed
+        += fleet_http ("GET", fleet.members[0].front_port, "/plans/x?id=1", headers, NULL, NULL)
+           != 200;
+  print_message ("  %d of %d calls failed\n", n_failed, CALLS_AFTER);
+  assert_true (n_failed <= 1);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_answer_is_whole), cmocka_unit_test (test_memory_is_bounded),
     cmocka_unit_test (test_relay),           cmocka_unit_test (test_cut_peer_is_avoided),
-    cmocka_unit_test (test_link_faults),
+    cmocka_unit_test (test_link_faults),     cmocka_unit_test (test_silent_upstream_connections),
   };
 
   return cmocka_run_group_tests (tests, start, stop);
