--- /dev/null
+++ b/tests/spread.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# How long a ticket takes until it is in force at every daemon, and what the readers cost the store.
+#   tests/spread.sh BUILD DAEMONS [TICKETS]     four domains in two regions
+set -eu
+
+build=$1
+daemons=$2
+tickets=${3:-10}
+samples=10 # of the waiting watches, 2.1 s apart
+
+if [ -z "${BJ_FLEET:-}" ]; then
+  nodes=()
+  for ((i = 0; i < daemons; i++)); do
+    region=$((i % 4 / 2))
+    nodes+=("d$i:domain-$((i % 4)):region-$region:a:4:1")
+  done
+  exec "$build/bj-fleet" --ticket examples/tickets/1.json "${nodes[@]}" -- "$0" "$build" "$daemons" "$tickets"
+fi
+
+platform="http://127.0.0.1:$(awk '$1 == "platform" { print $2 }' "$BJ_FLEET")"
+admin="127.0.0.1:$(awk '$1 == "d0" { print $6 }' "$BJ_FLEET")"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+stat() { curl -s "$platform/control/stats" | sed "s/.*\"$1\":\([0-9]*\).*/\1/"; }
+
+for ((n = 2; n <= tickets + 1; n++)); do
+  printf '{"number":%d,"base":%d,"upstreams":{"d%d":{"max_slots":%d}}}' \
+    "$n" "$((n - 1))" "$((n % daemons))" "$n" >"$work/ticket.json"
+  "$build/bjctl" --platform "$platform" --admin "$admin" --wait 20 file "$work/ticket.json"
+done | sed -n 's/.*after \([0-9.]*\) s\.$/\1/p' | sort -n >"$work/seconds"
+awk -v d="$daemons" '{ s[NR] = $1 } END {
+  printf "daemons=%d tickets=%d in_force_s_median=%s in_force_s_max=%s\n", d, NR, s[int((NR + 1) / 2)], s[NR] }' "$work/seconds"
+
+reads=$(stat reads)
+watches=$(stat watches)
+waiting=0
+for ((i = 0; i < samples; i++)); do
+  sleep 2.1
+  waiting=$((waiting + $(stat waiting)))
+done
+echo "daemons=$daemons waiting_watches_mean=$(echo "scale=1; $waiting / $samples" | bc)" \
+  "quiet_reads_per_s=$(echo "scale=2; ($(stat reads) - $reads) / ($samples * 2.1)" | bc)" \
+  "quiet_watches_per_s=$(echo "scale=2; ($(stat watches) - $watches) / ($samples * 2.1)" | bc)"
