Claims on the path: durable before the first byte, outcomes recorded, home-bound ids

Cause: the daemon let irreversible calls run with nothing durable.

The kernel reads the deadline again once the claim is durable, and no longer says not-run after an attempt that may have run. A key must be a UUID of version 7, not more than 60 s ahead, and always with the same request. POST /v1/actions mints home-bound ids that only the minting incarnation runs, from memory. Outcomes and releases wait up to 200 ms for a claim of their shard to go out with. A stop waits up to 2 s for outcomes to be recorded.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -72,6 +72,7 @@
   BJ_E_DUPLICATE = 19,   // the action was claimed before
   BJ_E_QUARANTINED = 20, // the request has crashed upstreams
   BJ_E_SHED = 21,        // the upstream itself refused it as not run
+  BJ_E_HOME = 22,        // the action id was minted by another daemon
   BJ_E_EXISTS = 30,      // the object exists already
   BJ_E_CONFLICT = 31,    // a conditional update lost the race
   BJ_E_NOT_FOUND = 32,   // the object does not exist
@@ -200,6 +201,7 @@
   BjStr content_type;
   BjStr headers;  // others to relay, "Name: value" lines, each ended by a line feed
   int64_t length; // of the body, -1 if not known
+  BjStr body;     // of a recorded answer, empty for others
 } BjAnswer;
 
 typedef struct BjPeer BjPeer;
@@ -223,6 +225,7 @@
   bool is_front; // arrived from a caller; otherwise from a peer
   bool irreversible;
   bool answer_begun; // nothing can be retried any more
+  bool may_have_run; // an attempt ended without telling
   bool detached;     // runs on without a caller
   BjRequest request; // owned copies
   BjService *service;
@@ -602,7 +605,7 @@
 void bj_kernel_claimed (BjKernel *k,
                         BjTime now,
                         BjCall *c,
-                        BjStatus s); // BJ_OK lets it run, others refuse it
+                        const BjAnswer *a); // NULL lets it run, others are its final answer
 BjVerdict bj_kernel_answer_begin (BjKernel *k,
                                   BjTime now,
                                   BjCall *c,
--- a/src/claim.c
+++ b/src/claim.c
@@ -23,6 +23,7 @@
 {
   RequestKind kind;
   BjClaim claim;    // owned
+  BjTime due;       // goes out by then, or with the next claim
   bool is_applied;  // part of the write under way
   bool was_written; // part of a write that may have taken effect
 } Request;
@@ -57,7 +58,8 @@
 } Decision;
 
 static Lane *lane_of (BjClaims *c, BjStr id);
-static void add (Lane *l, RequestKind kind, const BjClaim *claim);
+static void add (Lane *l, BjTime due, RequestKind kind, const BjClaim *claim);
+static bool is_due (const Lane *l, BjTime now);
 static void pump (BjClaims *c, BjTime now, Lane *l);
 static bool apply_all (BjClaims *c, Lane *l, GArray *decisions, bool *must_read);
 static bool apply_claim (BjClaims *c, Lane *l, Request *r, GArray *decisions, bool *must_read);
@@ -150,7 +152,7 @@
   mine.claimant = c->o.claimant;
   mine.state = BJ_CLAIM_HELD;
   g_hash_table_insert (c->waiting, g_memdup2 (&claim->sequence, sizeof claim->sequence), data);
-  add (l, REQUEST_CLAIM, &mine);
+  add (l, now, REQUEST_CLAIM, &mine);
   pump (c, now, l);
 }
 
@@ -167,7 +169,7 @@
   BjClaim mine = *claim;
 
   mine.claimant = c->o.claimant;
-  add (l, REQUEST_RELEASE, &mine);
+  add (l, now + BJ_CLAIM_RECORD_MS, REQUEST_RELEASE, &mine);
   pump (c, now, l);
 }
 
@@ -178,7 +180,7 @@
   BjClaim mine = *claim;
 
   mine.claimant = c->o.claimant;
-  add (l, REQUEST_RECORD, &mine);
+  add (l, now + BJ_CLAIM_RECORD_MS, REQUEST_RECORD, &mine);
   pump (c, now, l);
 }
 
@@ -257,15 +259,25 @@
 }
 
 static void
-add (Lane *l, RequestKind kind, const BjClaim *claim)
+add (Lane *l, BjTime due, RequestKind kind, const BjClaim *claim)
 {
   Request *r = g_new0 (Request, 1);
 
   r->kind = kind;
+  r->due = due;
   bj_claim_copy (&r->claim, claim);
   g_queue_push_tail (&l->requests, r);
 }
 
+static bool
+is_due (const Lane *l, BjTime now)
+{
+  for (const GList *i = l->requests.head; i != NULL; i = i->next)
+    if (((const Request *)i->data)->due <= now)
+      return true;
+  return false;
+}
+
 static void
 pump (BjClaims *c, BjTime now, Lane *l)
 {
@@ -273,7 +285,7 @@
   bool must_read = false;
   bool must_write;
 
-  if (l->state != STORE_IDLE || l->requests.length == 0 || now < l->down_until)
+  if (l->state != STORE_IDLE || now < l->down_until || !is_due (l, now))
     return;
   if (!l->is_known)
     {
--- a/src/config.h
+++ b/src/config.h
@@ -67,4 +67,9 @@
 #define BJ_CLAIM_PATIENCE_MS 500              // a store call this old refuses new claims at once
 #define BJ_CLAIM_BACKOFF_MS 200               // after a failed store call, doubled up to the next
 #define BJ_CLAIM_BACKOFF_MAX_MS 2000
+#define BJ_CLAIM_RECORD_MS 200 // an outcome waits this long for a claim to go out with
 #define BJ_KEY_FUTURE_MS 60000 // a key whose time is further ahead is refused
+
+// Home-bound action ids
+#define BJ_ACTIONS_MAX 8192                     // that one daemon remembers
+#define BJ_ACTIONS_BODY_BYTES (2 * 1024 * 1024) // of their recorded answers
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -5,8 +5,9 @@
 #include <ev.h>
 #include <string.h>
 
-#define TICK_MAX_MS 250 // longest pause between two looks at the clock
-#define TURNS_MAX 8     // rounds of the modules before the loop polls again
+#define TICK_MAX_MS 250       // longest pause between two looks at the clock
+#define OUTCOME_FLUSH_MS 2000 // longest wait of a stop for outcomes to be recorded
+#define TURNS_MAX 8           // rounds of the modules before the loop polls again
 
 struct BjDaemonWatchers
 {
@@ -89,6 +90,7 @@
   if (d->members != NULL)
     bj_members_free (d->members);
   bj_kernel_free (d->kernel);
+  bj_outcomes_free (d->outcomes);
   d->kernel = NULL;
   bj_links_free (d->links);
   bj_front_free (d->front);
@@ -162,6 +164,7 @@
       return;
     }
   x->source = source;
+  bj_outcomes_begin (x, a);
   if (x->sink != NULL)
     x->sink->ops->begin (x->sink, a);
 }
@@ -175,6 +178,7 @@
 void
 bj_exchange_data (BjExchange *x, BjStr part)
 {
+  bj_outcomes_data (x, part);
   if (x->sink != NULL)
     x->sink->ops->data (x->sink, part);
   else if (x->source != NULL)
@@ -188,6 +192,7 @@
 
   x->source = NULL;
   x->sink = NULL;
+  bj_outcomes_end (x, whole);
   bj_kernel_answer_end (x->daemon->kernel, bj_clock_now (), x->call, whole);
   if (sink != NULL)
     sink->ops->end (sink, whole);
@@ -229,6 +234,7 @@
   if (s != BJ_OK)
     return s;
   d->platform = platform->create (d->loop, d->http, d->settings.platform_url);
+  d->outcomes = bj_outcomes_new (d);
   d->reader = bj_reader_new (d);
   return BJ_OK;
 }
@@ -287,6 +293,7 @@
   (void)events;
   d->watchers->ticked = now;
   bj_kernel_tick (d->kernel, now);
+  bj_outcomes_tick (d->outcomes);
   check_announcement (d, now);
   check_stop (d, now);
 }
@@ -313,6 +320,10 @@
 {
   if (!d->stopping || (bj_kernel_open_calls (d->kernel) > 0 && now < d->stop_by))
     return;
+  if (d->flush_by == 0)
+    d->flush_by = now + OUTCOME_FLUSH_MS;
+  if (bj_outcomes_unwritten (d->outcomes) > 0 && now < MIN (d->flush_by, d->stop_by))
+    return;
   bj_log (BJ_LOG_INFO, "MEMBER", "Stopped, %d calls open.", bj_kernel_open_calls (d->kernel));
   ev_break (d->loop, EVBREAK_ALL);
 }
@@ -368,19 +379,24 @@
                   bj_status_name (a->code),
                   bj_outcome_name (a->outcome),
                   a->retry_after_ms);
-  copy.content_type = BJ_STR ("application/json");
-  copy.length = n;
+  if (a->code != BJ_OK)
+    {
+      copy.content_type = BJ_STR ("application/json");
+      copy.length = n;
+      copy.body = (BjStr){ text, (size_t)n };
+    }
   sink->ops->begin (sink, &copy);
-  sink->ops->data (sink, (BjStr){ text, (size_t)n });
+  sink->ops->data (sink, copy.body);
   sink->ops->end (sink, true);
 }
 
 static void
 claim (BjHost *h, BjCall *c)
 {
-  BjDaemon *d = (BjDaemon *)h;
+  BjExchange *x = c->data;
 
-  bj_kernel_claimed (d->kernel, bj_clock_now (), c, BJ_OK);
+  x->call = c;
+  bj_outcomes_claim (((BjDaemon *)h)->outcomes, x);
 }
 
 static void
@@ -389,6 +405,8 @@
   BjExchange *x = c->data;
   BjSink *sink = x->sink;
 
+  x->call = c;
+  bj_outcomes_freed (x);
   cancel (h, c);
   g_free (x);
   if (sink != NULL)
--- a/src/front.c
+++ b/src/front.c
@@ -13,6 +13,7 @@
 #define IDLE_TIMEOUT_S 120
 #define CONNECTION_MEMORY (2 * BJ_HEADER_MAX)
 #define READ_BLOCK 16384
+#define ACTIONS_PATH "/v1/actions" // mints home-bound action ids
 
 struct BjFront
 {
@@ -67,6 +68,7 @@
                           enum MHD_RequestTerminationCode code);
 static void read_body (Caller *c, const char *data, size_t size);
 static void dispatch (Caller *c, const char *method);
+static void mint (Caller *c);
 static void dispatch_admin (Caller *c, const char *method);
 static void read_request (Caller *c, const char *method, BjRequest *r);
 static enum MHD_Result
@@ -305,11 +307,27 @@
           c, 413, BJ_E_TOO_LARGE, BJ_STR ("{\"error\":\"The request body is over the limit.\"}\n"));
       return;
     }
+  if (strcmp (method, "POST") == 0 && bj_str_equal (c->path, BJ_STR (ACTIONS_PATH)))
+    {
+      mint (c);
+      return;
+    }
   read_request (c, method, &r);
   // The answer may come at once, before the exchange is known here.
   c->x = bj_daemon_arrive (c->front->daemon, &r, &c->sink);
 }
 
+static void
+mint (Caller *c)
+{
+  GString *out = g_string_new ("{\"id\":\"");
+
+  bj_outcomes_mint (c->front->daemon->outcomes, out);
+  g_string_append (out, "\"}\n");
+  fill (c, 201, BJ_OK, (BjStr){ out->str, out->len });
+  g_string_free (out, TRUE);
+}
+
 static void
 dispatch_admin (Caller *c, const char *method)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -141,9 +141,10 @@
 struct BjExchange
 {
   BjDaemon *daemon;
-  BjCall *call;     // NULL after the kernel freed it
-  BjSource *source; // where the answer comes from, NULL before
-  BjSink *sink;     // where it goes
+  BjCall *call;                  // NULL after the kernel freed it
+  BjSource *source;              // where the answer comes from, NULL before
+  BjSink *sink;                  // where it goes
+  struct BjOutcomeCall *outcome; // of irreversible work, NULL for other calls
 };
 
 void bj_exchange_begin (BjExchange *x,
@@ -329,9 +330,10 @@
   uint64_t sequence; // of the attempt, unique at its claimant
   uint64_t fingerprint; // of the request
   BjClaimState state;
-  bool has_answer; // the three below are recorded
+  bool has_answer; // what follows is recorded
   int http_status;
   BjStr content_type;
+  BjStr headers; // to relay
   BjStr body;
   GSequenceIter *at; // the shard's
 } BjClaim;
@@ -421,6 +423,40 @@
 void bj_claims_tick (BjClaims *c, BjTime now); // Tries again what the store refused
 int bj_claims_unwritten (const BjClaims *c);   // Requests that wait for the store
 
+// ---------------------------------------------------------------------------------------------
+// Actions: home-bound action ids, which only the daemon that minted them runs, from memory
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjActions BjActions;
+
+BjActions *bj_actions_new (BjStr name, uint64_t incarnation);
+void bj_actions_free (BjActions *a);
+void bj_actions_mint (BjActions *a, GString *id); // Appends a fresh id
+bool bj_actions_is_home_bound (BjStr key);        // Written like an id minted by some daemon
+void bj_actions_claim (BjActions *a,
+                       BjStr key,
+                       BjClaim *claim,
+                       BjClaimResult *r); // Sets claim->order; BJ_E_HOME, BJ_E_KEY, BJ_E_DUPLICATE
+BjShard *bj_actions_table (BjActions *a); // Where outcomes are recorded
+
+// ---------------------------------------------------------------------------------------------
+// Outcome: ties calls of irreversible work to their claims
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjOutcomes BjOutcomes;
+typedef struct BjOutcomeCall BjOutcomeCall;
+
+BjOutcomes *bj_outcomes_new (BjDaemon *d);
+void bj_outcomes_free (BjOutcomes *o);
+void bj_outcomes_claim (BjOutcomes *o, BjExchange *x); // Then bj_kernel_claimed, perhaps at once
+void bj_outcomes_begin (BjExchange *x, const BjAnswer *a); // Head of the upstream's answer
+void bj_outcomes_data (BjExchange *x, BjStr part);         // Its body
+void bj_outcomes_end (BjExchange *x, bool whole);          // Records that it ran
+void bj_outcomes_freed (BjExchange *x); // Records, releases or drops what was not ended
+void bj_outcomes_tick (BjOutcomes *o);
+int bj_outcomes_unwritten (const BjOutcomes *o);
+void bj_outcomes_mint (BjOutcomes *o, GString *id); // A home-bound action id
+
 // ---------------------------------------------------------------------------------------------
 // Daemon: what its modules share
 // ---------------------------------------------------------------------------------------------
@@ -439,6 +475,7 @@
   BjMembers *members;
   BjPlatform *platform;
   BjReader *reader;
+  BjOutcomes *outcomes;
   BjStr upstream_service;
   BjAddress upstream; // of the own upstream, port 0 before it announces
   int upstream_slots;
@@ -446,6 +483,7 @@
   bool draining;
   bool stopping;
   BjTime stop_by;
+  BjTime flush_by; // while stopping, after the last call ended
   struct BjDaemonWatchers *watchers;
 };
 
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -146,7 +146,7 @@
   if (c->irreversible)
     k->host->ops->claim (k->host, c);
   else
-    bj_kernel_claimed (k, now, c, BJ_OK);
+    bj_kernel_claimed (k, now, c, NULL);
   return g_hash_table_lookup (k->calls, &id);
 }
 
@@ -174,22 +174,18 @@
 }
 
 void
-bj_kernel_claimed (BjKernel *k, BjTime now, BjCall *c, BjStatus s)
+bj_kernel_claimed (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
 {
+  BjAnswer late = { .code = BJ_E_DEADLINE, .outcome = BJ_NOT_RUN, .attempts_left = -1 };
+
   c->state = BJ_CALL_NEW;
-  if (s == BJ_OK)
-    {
-      dispatch (k, now, c);
-      return;
-    }
-  answer (k,
-          now,
-          c,
-          (BjAnswer){
-              .code = s,
-              .outcome = s == BJ_E_DUPLICATE ? BJ_UNKNOWN : BJ_NOT_RUN,
-              .attempts_left = -1,
-          });
+  // The claim may have taken long, or this process may have stood still since.
+  if (a == NULL && c->deadline <= now)
+    a = &late;
+  if (a != NULL)
+    answer (k, now, c, *a);
+  else
+    dispatch (k, now, c);
 }
 
 BjVerdict
@@ -197,6 +193,8 @@
 {
   BjAnswer copy = *a;
 
+  if (a->outcome != BJ_NOT_RUN)
+    c->may_have_run = true;
   if (a->outcome == BJ_DONE)
     {
       c->answer_begun = true;
@@ -222,6 +220,8 @@
   BjAnswer a
       = { .code = s, .outcome = o, .attempts_left = -1, .retry_after_ms = BJ_RETRY_AFTER_MIN_MS };
 
+  if (o != BJ_NOT_RUN)
+    c->may_have_run = true;
   if (c->state == BJ_CALL_SENT)
     c->target->skip_until = now + BJ_SKIP_MS;
   leave_state (k, now, c, s);
@@ -536,6 +536,9 @@
 static void
 answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a)
 {
+  // The last refusal says nothing about the attempts before it.
+  if (a.outcome == BJ_NOT_RUN && c->may_have_run)
+    a.outcome = BJ_UNKNOWN;
   if (a.http_status == 0)
     a.http_status = http_status_of (a.code);
   if (a.http_status >= 500 && a.retry_after_ms <= 0)
@@ -595,7 +598,10 @@
   if (is_started && c->irreversible && !c->detached)
     return false;
   if (is_started)
-    k->host->ops->cancel (k->host, c);
+    {
+      c->may_have_run = true;
+      k->host->ops->cancel (k->host, c);
+    }
   leave_state (k, now, c, BJ_E_DEADLINE);
   return true;
 }
@@ -634,6 +640,8 @@
       return 400;
     case BJ_E_DUPLICATE:
       return 409;
+    case BJ_E_HOME:
+      return 421;
     case BJ_E_QUARANTINED:
       return 422;
     case BJ_E_DEADLINE:
--- a/src/shard.c
+++ b/src/shard.c
@@ -4,7 +4,7 @@
 #include "internal.h"
 #include <string.h>
 
-#define FIELDS 9
+#define FIELDS 10
 #define UUID_LENGTH 36
 
 typedef enum
@@ -16,8 +16,9 @@
   FIELD_FINGERPRINT,
   FIELD_STATE,
   FIELD_STATUS, // 0 when no answer is recorded
-  FIELD_TYPE,
-  FIELD_BODY, // base64
+  FIELD_TYPE,   // these three in base64
+  FIELD_HEADERS,
+  FIELD_BODY,
 } Field;
 
 static gint by_order (gconstpointer a, gconstpointer b, gpointer data);
@@ -28,11 +29,14 @@
 static void remove_claim (BjShard *s, BjClaim *c);
 static void evict_lowest (BjShard *s);
 static void forget_answer (BjShard *s, BjClaim *c);
+static size_t answer_bytes (const BjClaim *c);
 static void make_room (BjShard *s, size_t bytes);
 static struct json_object *print_claim (const BjClaim *c);
 static bool parse_claim (BjShard *s, struct json_object *o);
 static struct json_object *field (struct json_object *o, Field f, json_type type);
 static struct json_object *new_str (BjStr s);
+static struct json_object *new_base64 (BjStr s);
+static BjStr decode (struct json_object *o);
 static BjStr str_of (struct json_object *o);
 
 BjShard *
@@ -77,7 +81,7 @@
   while (g_hash_table_size (s->claims) >= (guint)s->claims_max)
     evict_lowest (s);
   bj_claim_copy (copy, c);
-  s->body_bytes += copy->body.len;
+  s->body_bytes += answer_bytes (copy);
   copy->at = g_sequence_insert_sorted (s->by_order, copy, by_order, NULL);
   g_hash_table_insert (s->claims, &copy->id, copy);
 }
@@ -102,13 +106,14 @@
     return false;
   old->state = c->state;
   old->http_status = c->http_status;
-  bj_str_set (&old->content_type, c->content_type);
-  if (!c->has_answer || c->body.len > s->body_bytes_max)
+  if (!c->has_answer || answer_bytes (c) > s->body_bytes_max)
     return true;
-  make_room (s, c->body.len);
+  make_room (s, answer_bytes (c));
   old->has_answer = true;
+  bj_str_set (&old->content_type, c->content_type);
+  bj_str_set (&old->headers, c->headers);
   bj_str_set (&old->body, c->body);
-  s->body_bytes += c->body.len;
+  s->body_bytes += answer_bytes (old);
   return true;
 }
 
@@ -154,6 +159,7 @@
   copy.id = bj_str_dup (from->id);
   copy.claimant = bj_str_dup (from->claimant);
   copy.content_type = bj_str_dup (from->content_type);
+  copy.headers = bj_str_dup (from->headers);
   copy.body = bj_str_dup (from->body);
   copy.at = NULL;
   bj_claim_clear (to);
@@ -166,6 +172,7 @@
   bj_str_free (&c->id);
   bj_str_free (&c->claimant);
   bj_str_free (&c->content_type);
+  bj_str_free (&c->headers);
   bj_str_free (&c->body);
 }
 
@@ -232,7 +239,7 @@
 static void
 remove_claim (BjShard *s, BjClaim *c)
 {
-  s->body_bytes -= c->body.len;
+  s->body_bytes -= answer_bytes (c);
   g_sequence_remove (c->at);
   g_hash_table_remove (s->claims, &c->id);
 }
@@ -249,11 +256,19 @@
 static void
 forget_answer (BjShard *s, BjClaim *c)
 {
-  s->body_bytes -= c->body.len;
+  s->body_bytes -= answer_bytes (c);
   c->has_answer = false;
+  bj_str_free (&c->content_type);
+  bj_str_free (&c->headers);
   bj_str_free (&c->body);
 }
 
+static size_t
+answer_bytes (const BjClaim *c)
+{
+  return c->content_type.len + c->headers.len + c->body.len;
+}
+
 static void
 make_room (BjShard *s, size_t bytes)
 {
@@ -268,7 +283,6 @@
 print_claim (const BjClaim *c)
 {
   struct json_object *o = json_object_new_array ();
-  char *body = g_base64_encode ((const guchar *)(c->body.len > 0 ? c->body.data : ""), c->body.len);
 
   json_object_array_add (o, new_str (c->id));
   json_object_array_add (o, json_object_new_int64 ((int64_t)c->order));
@@ -277,9 +291,9 @@
   json_object_array_add (o, json_object_new_int64 ((int64_t)c->fingerprint));
   json_object_array_add (o, json_object_new_int (c->state));
   json_object_array_add (o, json_object_new_int (c->has_answer ? c->http_status : 0));
-  json_object_array_add (o, new_str (c->content_type));
-  json_object_array_add (o, json_object_new_string (body));
-  g_free (body);
+  json_object_array_add (o, new_base64 (c->content_type));
+  json_object_array_add (o, new_base64 (c->headers));
+  json_object_array_add (o, new_base64 (c->body));
   return o;
 }
 
@@ -287,12 +301,10 @@
 parse_claim (BjShard *s, struct json_object *o)
 {
   static const json_type types[FIELDS]
-      = { json_type_string, json_type_int, json_type_string, json_type_int,   json_type_int,
-          json_type_int,    json_type_int, json_type_string, json_type_string };
+      = { json_type_string, json_type_int, json_type_string, json_type_int,    json_type_int,
+          json_type_int,    json_type_int, json_type_string, json_type_string, json_type_string };
   struct json_object *f[FIELDS];
   BjClaim c = { 0 };
-  gsize len;
-  guchar *body;
 
   for (Field i = 0; i < FIELDS; i++)
     {
@@ -300,7 +312,6 @@
       if (f[i] == NULL)
         return false;
     }
-  body = g_base64_decode (json_object_get_string (f[FIELD_BODY]), &len);
   c.id = str_of (f[FIELD_ID]);
   c.order = (uint64_t)json_object_get_int64 (f[FIELD_ORDER]);
   c.claimant = str_of (f[FIELD_CLAIMANT]);
@@ -310,10 +321,13 @@
       = (BjClaimState)CLAMP (json_object_get_int (f[FIELD_STATE]), BJ_CLAIM_HELD, BJ_CLAIM_UNKNOWN);
   c.http_status = json_object_get_int (f[FIELD_STATUS]);
   c.has_answer = c.http_status > 0;
-  c.content_type = str_of (f[FIELD_TYPE]);
-  c.body = (BjStr){ (const char *)body, len };
+  c.content_type = decode (f[FIELD_TYPE]);
+  c.headers = decode (f[FIELD_HEADERS]);
+  c.body = decode (f[FIELD_BODY]);
   bj_shard_insert (s, &c);
-  g_free (body);
+  g_free ((char *)c.content_type.data);
+  g_free ((char *)c.headers.data);
+  g_free ((char *)c.body.data);
   return true;
 }
 
@@ -334,6 +348,26 @@
   return json_object_new_string_len (s.len > 0 ? s.data : "", (int)s.len);
 }
 
+static struct json_object *
+new_base64 (BjStr s)
+{
+  char *text = g_base64_encode ((const guchar *)(s.len > 0 ? s.data : ""), s.len);
+  struct json_object *o = json_object_new_string (text);
+
+  g_free (text);
+  return o;
+}
+
+// The caller frees the bytes.
+static BjStr
+decode (struct json_object *o)
+{
+  gsize len;
+  guchar *bytes = g_base64_decode (json_object_get_string (o), &len);
+
+  return (BjStr){ (const char *)bytes, len };
+}
+
 static BjStr
 str_of (struct json_object *o)
 {
