--- a/src/bjbench/main.c
+++ b/src/bjbench/main.c
@@ -17,6 +17,7 @@
   { "recovery", "one guard after a surge at 5 times its capacity, in process", scenario_recovery },
   { "domain-loss", "a domain goes and its callers spill to the others", scenario_domain_loss },
   { "cold-start", "one upstream joins cold, one fails", scenario_cold_start },
+  { "claims", "false refusals of old keys against claims kept, in process", scenario_claims },
   { "lying-load", "load comes late, one upstream claims idle, one sick", scenario_lying_load },
 };
 
