--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -156,7 +156,7 @@
 fleet_start_upstream (Fleet *f, int i)
 {
   FleetMember *m = &f->members[i];
-  char port[16], announced[16], admin[32], front[32], slots[16], ms[32];
+  char port[16], announced[16], admin[32], front[32], slots[16], ms[32], record[512];
   char *argv[] = { BJ_BUILD_DIR "/bj-upstream",
                    "--service",
                    m->node.service,
@@ -172,6 +172,8 @@
                    ms,
                    "--announced-port",
                    announced,
+                   "--record",
+                   record,
                    NULL,
                    NULL,
                    NULL };
@@ -185,10 +187,11 @@
   g_snprintf (front, sizeof front, "127.0.0.1:%d", m->front_port);
   g_snprintf (slots, sizeof slots, "%d", m->node.slots);
   g_snprintf (ms, sizeof ms, "%g", m->node.service_ms);
+  g_snprintf (record, sizeof record, "%s/" FLEET_RECORD, f->dir);
   if (m->node.next[0] != '\0')
     {
-      argv[15] = "--next";
-      argv[16] = m->node.next;
+      argv[17] = "--next";
+      argv[18] = m->node.next;
     }
   m->upstream = spawn (argv, NULL);
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -12,6 +12,7 @@
 
 #define FLEET_NODES_MAX 256
 #define FLEET_TEXT_MAX 64
+#define FLEET_RECORD "runs" // file in the fleet's folder: a line "key id" for each run
 
 typedef struct
 {
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -3,7 +3,7 @@
 //
 //   bj-upstream --service NAME --port N --admin IP:PORT --front IP:PORT [--slots N] [--service-ms
 //   N]
-//               [--next PATH] [--seed N]
+//               [--next PATH] [--seed N] [--record FILE]
 //
 // Paths: /<service>/... runs; "?bytes=N" sets the answer's size and "id=TEXT" what its body
 // repeats, so that a caller can tell its own answer, "status=N" its status; a header X-Echo comes
@@ -11,7 +11,8 @@
 // id, executions. POST /control/<what>?value=N sets service_us, slots, announced_slots, mute (no
 // announcements), shed (refuse everything), cold_ms (ten times the service time for so long from
 // now), load_lag_ms (announced load is so old), load_claim (percent announced instead of the load,
-// -1 for the truth).
+// -1 for the truth). With --record a line "key id" is appended to FILE before each run, "-" for no
+// key, so that what ran is known after the process was killed.
 
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -56,6 +57,7 @@
 static struct ev_loop *loop;
 static struct MHD_Daemon *daemon_http;
 static BjHttp *http;
+static FILE *record;
 static ev_io mhd_io;
 static ev_timer mhd_timer, announce_timer;
 static ev_prepare mhd_prepare;
@@ -120,9 +122,10 @@
   struct arg_str *next_arg = arg_str0 (NULL, "next", "PATH", "path called deeper before answering");
   struct arg_int *announced_arg
       = arg_int0 (NULL, "announced-port", "N", "port announced to the daemon");
+  struct arg_file *record_arg = arg_file0 (NULL, "record", "FILE", "gets a line a run");
   struct arg_end *end = arg_end (8);
-  void *table[] = { service_arg, port_arg, admin_arg,     front_arg, slots_arg,
-                    ms_arg,      next_arg, announced_arg, end };
+  void *table[] = { service_arg, port_arg, admin_arg,     front_arg,  slots_arg,
+                    ms_arg,      next_arg, announced_arg, record_arg, end };
 
   slots_arg->ival[0] = 16;
   ms_arg->dval[0] = 5;
@@ -139,6 +142,8 @@
   next_path = next_arg->count > 0 ? next_arg->sval[0] : NULL;
   slots = announced_slots = slots_arg->ival[0];
   service_us = (gint64)(ms_arg->dval[0] * 1000);
+  if (record_arg->count > 0)
+    record = fopen (record_arg->filename[0], "a");
   serve ();
   return 0;
 }
@@ -337,6 +342,11 @@
       return reply_run (r);
     }
   n_run++;
+  if (record != NULL)
+    {
+      fprintf (record, "%s %s\n", key != NULL ? key : "-", r->id);
+      fflush (record);
+    }
   if (key != NULL)
     g_hash_table_insert (
         executions,
