Irreversible calls go to the upstream on a fresh connection; fault cases with real processes

Cause, found by the new test: libcurl sends a request again by itself when a reused connection closes before an answer byte, so an upstream that ran an acceptance and lost its answer ran it a second time.

Ruled out: an option of libcurl against it (there is none for reused connections); giving up the pool for all calls (1 ms a call). Change: irreversible calls never take a pooled connection.

Test: tests/test_fleet_faults.c, 14 faults, 6 pairs and 2 twice on 4 domains behind bj-fault, 8 callers that resend to every domain, the checker after each.

--- a/src/upstream.c
+++ b/src/upstream.c
@@ -37,6 +37,9 @@
                                .url = url,
                                .headers = (const char *const *)headers->pdata,
                                .body = c->request.body,
+                               // libcurl sends a request again when a reused connection
+                               // closes without an answer, though it may have run.
+                               .fresh_connection = c->irreversible,
                                .head = on_head,
                                .body_part = on_body,
                                .done = on_done,
--- /dev/null
+++ b/tests/test_fleet_faults.c
@@ -0,0 +1,473 @@
+// Faults between real processes: callers keep sending irreversible work and resend it to every
+// domain while the fault lasts; afterwards the checker reads their records, the upstreams' runs and
+// the store.
+
+#include "checker.h"
+#include "fleet.h"
+#include <curl/curl.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define DOMAINS 4
+#define CALLERS 8
+#define SENDS_MAX 4
+#define FAULTS_MAX 2
+#define LOAD_MS 700
+#define PAUSE_MS 3500 // above the time after which a silent daemon is gone
+#define ANSWER_BYTES 64
+#define BACK_MAX_MS 300 // longest time a caller waits before it comes back
+#define STORE_ROOT "/apis/boragejunction/v1/claims/"
+
+static const char ticket[]
+    = "{\"number\":1,\"base\":0,\"priorities\":[\"acceptance\",\"lookup\"],\"services\":{"
+      "\"orders\":{\"routes\":[{\"prefix\":\"/orders/accept\",\"class\":\"acceptance\","
+      "\"irreversible\":true,\"deadline_ms\":800},"
+      "{\"prefix\":\"/orders/\",\"class\":\"lookup\",\"deadline_ms\":800}]}}}";
+
+typedef struct
+{
+  char key[64];
+  char id[32];
+  int sends;
+  int done; // times told done
+} Action;
+
+typedef struct
+{
+  int index;
+  int64_t n;
+  bool is_home_bound;
+} Caller;
+
+static Fleet fleet;
+static Checker *checker;
+static GMutex lock; // of checker and counts
+static gint stopping;
+static int n_done, n_not_run, n_unknown;
+static gint64 n_keys;
+
+static int
+start (void **state)
+{
+  static const char *const domains[DOMAINS] = { "north-a", "north-b", "south-a", "south-b" };
+  FleetNode nodes[DOMAINS];
+
+  (void)state;
+  memset (nodes, 0, sizeof nodes);
+  for (int i = 0; i < DOMAINS; i++)
+    {
+      g_snprintf (nodes[i].name, sizeof nodes[i].name, "%s-1", domains[i]);
+      g_strlcpy (nodes[i].domain, domains[i], sizeof nodes[i].domain);
+      g_strlcpy (nodes[i].region, i < 2 ? "north" : "south", sizeof nodes[i].region);
+      g_strlcpy (nodes[i].service, "orders", sizeof nodes[i].service);
+      nodes[i].slots = 32;
+      nodes[i].service_ms = 5;
+    }
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  fleet_init (&fleet, nodes, DOMAINS);
+  fleet.use_fault = true;
+  return fleet_start (&fleet) && fleet_file_ticket (&fleet, ticket)
+                 && fleet_wait_ticket (&fleet, 1, 10000)
+             ? 0
+             : -1;
+}
+
+static int
+stop (void **state)
+{
+  (void)state;
+  fleet_stop (&fleet);
+  return 0;
+}
+
+// A UUID of version 7, unique in this process.
+static void
+make_key (char *key, size_t size)
+{
+  uint64_t ms = (uint64_t)bj_clock_wall ();
+  gint64 n = g_atomic_pointer_add (&n_keys, 1);
+
+  g_snprintf (key,
+              size,
+              "%08x-%04x-7%03x-8%03x-%012" G_GINT64_MODIFIER "x",
+              (guint32)(ms >> 16),
+              (guint32)(ms & 0xffff),
+              (guint32)g_random_int_range (0, 0x1000),
+              (guint32)g_random_int_range (0, 0x1000),
+              n);
+}
+
+static bool
+mint (int member, char *key, size_t size)
+{
+  GString *out = g_string_new (NULL);
+  int status = fleet_http ("POST", fleet.members[member].front_port, "/v1/actions", NULL, "", out);
+  struct json_object *o = status == 201 ? json_tokener_parse (out->str) : NULL;
+
+  g_strlcpy (key, o != NULL ? bj_json_str (o, "id").data : "", size);
+  json_object_put (o);
+  g_string_free (out, TRUE);
+  return status == 201;
+}
+
+static BjOutcome
+read_outcome (int status, const GString *body)
+{
+  struct json_object *o;
+  BjOutcome result = BJ_UNKNOWN;
+
+  if (status == 200)
+    return BJ_DONE;
+  o = status > 0 ? json_tokener_parse (body->str) : NULL;
+  if (o != NULL && bj_str_equal (bj_json_str (o, "outcome"), BJ_STR ("done")))
+    result = BJ_DONE;
+  if (o != NULL && bj_str_equal (bj_json_str (o, "outcome"), BJ_STR ("not-run")))
+    result = BJ_NOT_RUN;
+  json_object_put (o);
+  return result;
+}
+
+static BjOutcome
+send_action (Action *a, int member, const char *path_prefix, int *status, double *retry_ms)
+{
+  char path[160];
+  char header[96];
+  const char *headers[] = { header, NULL };
+  GString *out = g_string_new (NULL);
+  CheckSend s = { .key = a->key, .id = a->id, .wanted = ANSWER_BYTES };
+
+  g_snprintf (path, sizeof path, "%s?id=%s&bytes=%d", path_prefix, a->id, ANSWER_BYTES);
+  g_snprintf (header, sizeof header, "Idempotency-Key: %s", a->key);
+  *status = fleet_http ("POST", fleet.members[member].front_port, path, headers, "", out);
+  s.outcome = read_outcome (*status, out);
+  s.is_answer = *status == 200;
+  s.is_complete = *status != 0;
+  s.body = (BjStr){ out->str, out->len };
+  *retry_ms = *status > 0 ? fleet_number (out->str, "retry_after_ms") : -1;
+  g_mutex_lock (&lock);
+  a->sends++;
+  a->done += s.outcome == BJ_DONE;
+  n_done += s.outcome == BJ_DONE;
+  n_not_run += s.outcome == BJ_NOT_RUN;
+  n_unknown += s.outcome == BJ_UNKNOWN;
+  if (checker != NULL)
+    checker_told (checker, &s);
+  g_mutex_unlock (&lock);
+  g_string_free (out, TRUE);
+  return s.outcome;
+}
+
+static gpointer
+call (gpointer data)
+{
+  Caller *c = data;
+  int home = c->index % DOMAINS;
+
+  while (!g_atomic_int_get (&stopping))
+    {
+      Action a = { 0 };
+      int member = home;
+      int status;
+      double retry_ms;
+
+      make_key (a.key, sizeof a.key);
+      if (c->is_home_bound && !mint (home, a.key, sizeof a.key))
+        continue;
+      g_snprintf (a.id, sizeof a.id, "c%d-%" G_GINT64_FORMAT, c->index, c->n++);
+      for (int i = 0; i < SENDS_MAX; i++)
+        {
+          BjOutcome o = send_action (&a, member, "/orders/accept", &status, &retry_ms);
+
+          // Now and then a caller that has its answer asks again elsewhere.
+          if (o == BJ_DONE && (i > 0 || c->n % 4 != 0))
+            break;
+          g_usleep ((gulong)CLAMP (retry_ms, 1, BACK_MAX_MS) * 1000);
+          if (!c->is_home_bound)
+            member = (member + 1) % DOMAINS;
+        }
+    }
+  return NULL;
+}
+
+static void
+load_begin (GThread **threads, Caller *callers, bool is_home_bound)
+{
+  g_atomic_int_set (&stopping, 0);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      callers[i] = (Caller){ .index = i, .is_home_bound = is_home_bound };
+      threads[i] = g_thread_new ("caller", call, &callers[i]);
+    }
+}
+
+static void
+load_end (GThread **threads)
+{
+  g_atomic_int_set (&stopping, 1);
+  for (int i = 0; i < CALLERS; i++)
+    g_thread_join (threads[i]);
+}
+
+static bool
+is_serving (void *data)
+{
+  (void)data;
+  for (int i = 0; i < DOMAINS; i++)
+    {
+      Action a = { .id = "probe" };
+      Checker *kept = checker;
+      int status;
+      double retry_ms;
+      bool is_done;
+
+      checker = NULL;
+      make_key (a.key, sizeof a.key);
+      is_done = send_action (&a, i, "/orders/accept", &status, &retry_ms) == BJ_DONE;
+      checker = kept;
+      if (!is_done)
+        return false;
+    }
+  return true;
+}
+
+static void
+check_store (void)
+{
+  for (int i = 0; i < BJ_CLAIM_SHARDS; i++)
+    {
+      char path[64];
+      GString *out = g_string_new (NULL);
+      struct json_object *o = NULL;
+      struct json_object *spec = NULL;
+
+      g_snprintf (path, sizeof path, STORE_ROOT "%d", i);
+      if (fleet_http ("GET", fleet.platform_port, path, NULL, NULL, out) == 200)
+        o = json_tokener_parse (out->str);
+      if (json_object_object_get_ex (o, "spec", &spec))
+        checker_store (checker, spec);
+      json_object_put (o);
+      g_string_free (out, TRUE);
+    }
+}
+
+static void
+check_tickets (void)
+{
+  for (int i = 0; i < DOMAINS; i++)
+    {
+      GString *out = g_string_new (NULL);
+
+      if (fleet_http ("GET", fleet.members[i].admin_port, "/v1/status", NULL, NULL, out) == 200)
+        checker_ticket (
+            checker, fleet.members[i].node.name, (int64_t)fleet_number (out->str, "ticket"));
+      g_string_free (out, TRUE);
+    }
+}
+
+static void
+check_begin (void)
+{
+  n_done = n_not_run = n_unknown = 0;
+  checker = checker_new ();
+  check_tickets ();
+}
+
+static void
+check_end (const char *name)
+{
+  char path[512];
+  GString *out = g_string_new (NULL);
+  int total;
+
+  g_snprintf (path, sizeof path, "%s/" FLEET_RECORD, fleet.dir);
+  checker_runs (checker, path);
+  check_tickets ();
+  check_store ();
+  total = checker_finish (checker, NULL, out);
+  print_message ("  %s: %d done, %d not-run, %d unknown\n", name, n_done, n_not_run, n_unknown);
+  if (total > 0)
+    print_error ("%s: %d breaches\n%s", name, total, out->str);
+  checker_free (checker);
+  checker = NULL;
+  g_string_free (out, TRUE);
+  assert_int_equal (total, 0);
+}
+
+static void
+set_platform (const char *what, int value)
+{
+  char path[64];
+
+  g_snprintf (path, sizeof path, "/control/%s?value=%d", what, value);
+  fleet_http ("POST", fleet.platform_port, path, NULL, "", NULL);
+}
+
+static void
+kill_daemon (bool begin)
+{
+  if (begin)
+    fleet_end (&fleet.members[0].daemon, SIGKILL);
+  else
+    fleet_start_daemon (&fleet, 0);
+}
+
+static void
+pause_daemon (bool begin)
+{
+  kill (fleet.members[1].daemon, begin ? SIGSTOP : SIGCONT);
+  if (begin)
+    g_usleep ((PAUSE_MS - LOAD_MS) * 1000);
+}
+
+static void
+kill_upstream (bool begin)
+{
+  if (begin)
+    fleet_end (&fleet.members[2].upstream, SIGKILL);
+  else
+    fleet_start_upstream (&fleet, 2);
+}
+
+static void
+cut_domain (bool begin)
+{
+  fleet_cut (&fleet, "north-a", "south-a", begin ? "cut" : "ok");
+  fleet_cut (&fleet, "south-a", "north-a", begin ? "cut" : "ok");
+}
+
+static void
+cut_one_way (bool begin)
+{
+  fleet_cut (&fleet, "north-a", "north-b", begin ? "oneway" : "ok");
+}
+
+static void
+hold_domain (bool begin)
+{
+  fleet_cut (&fleet, "south-b", "north-a", begin ? "hold" : "ok");
+}
+
+static void
+cut_platform (bool begin)
+{
+  fleet_fault (&fleet, "platform-south-a", "*", begin ? "cut" : "ok", 0);
+}
+
+static void
+platform_down (bool begin)
+{
+  set_platform ("outage", begin);
+}
+
+static void
+platform_slow (bool begin)
+{
+  set_platform ("delay_ms", begin ? 300 : 0);
+}
+
+static void
+lose_store_answers (bool begin)
+{
+  set_platform ("lose_answers", begin ? 20 : 0);
+}
+
+static void
+silence_links (bool begin)
+{
+  if (!begin)
+    return;
+  fleet_fault (&fleet, "link-north-b", "*", "silence", 1);
+  fleet_fault (&fleet, "link-south-a", "*", "silence", 1);
+}
+
+static void
+lose_link_answers (bool begin)
+{
+  fleet_fault (&fleet, "link-south-a", "*", begin ? "lose" : "ok", 3);
+}
+
+static void
+lose_upstream_answers (bool begin)
+{
+  for (int i = 0; i < DOMAINS; i++)
+    {
+      char tag[96];
+
+      g_snprintf (tag, sizeof tag, "upstream-%s", fleet.members[i].node.name);
+      fleet_fault (&fleet, tag, "*", begin ? "lose" : "ok", 3);
+    }
+}
+
+typedef struct
+{
+  const char *name;
+  void (*faults[FAULTS_MAX]) (bool begin);
+} Case;
+
+static const Case cases[] = {
+  { "no fault", { NULL } },
+  { "a daemon is killed", { kill_daemon } },
+  { "a daemon stands still", { pause_daemon } },
+  { "an upstream is killed", { kill_upstream } },
+  { "two domains are cut", { cut_domain } },
+  { "a cut one way", { cut_one_way } },
+  { "traffic held one way", { hold_domain } },
+  { "a domain is cut from the platform", { cut_platform } },
+  { "the platform is down", { platform_down } },
+  { "the platform is slow", { platform_slow } },
+  { "answers of the store lost after the write", { lose_store_answers } },
+  { "connections silent", { silence_links } },
+  { "answers between daemons lost", { lose_link_answers } },
+  { "answers of upstreams lost", { lose_upstream_answers } },
+  { "answers of the store lost, and a daemon stands still", { lose_store_answers, pause_daemon } },
+  { "answers of the store lost, and a daemon is killed", { lose_store_answers, kill_daemon } },
+  { "the platform is slow, and a daemon is killed", { platform_slow, kill_daemon } },
+  { "two domains cut, and the platform is down", { cut_domain, platform_down } },
+  { "connections silent, and an upstream is killed", { silence_links, kill_upstream } },
+  { "answers of upstreams and of the store lost", { lose_upstream_answers, lose_store_answers } },
+  { "answers of the store lost twice", { lose_store_answers, lose_store_answers } },
+  { "connections silent twice", { silence_links, silence_links } },
+};
+
+static void
+test_cases (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      GThread *threads[CALLERS];
+      Caller callers[CALLERS];
+
+      assert_true (fleet_until (is_serving, NULL, 15000));
+      check_begin ();
+      load_begin (threads, callers, false);
+      g_usleep (LOAD_MS / 4 * 1000);
+      for (int f = 0; f < FAULTS_MAX && c->faults[f] != NULL; f++)
+        {
+          c->faults[f](true);
+          g_usleep (LOAD_MS / 2 * 1000);
+        }
+      for (int f = 0; f < FAULTS_MAX && c->faults[f] != NULL; f++)
+        c->faults[f](false);
+      g_usleep (LOAD_MS / 4 * 1000);
+      load_end (threads);
+      check_end (c->name);
+      assert_true (n_done > 0);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_cases),
+  };
+
+  return cmocka_run_group_tests (tests, start, stop);
+}
