--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -234,7 +234,9 @@
   BjPeer *target;  // where it was sent
   BjPeer *tried[BJ_TRIED_MAX];
   int n_tried;
-  BjTime started; // on the own upstream
+  BjTime started;       // on the own upstream
+  uint64_t start_order; // among all calls started there, from 1
+  int start_in_flight;  // there when it started, itself included
   GSequenceIter *deadline_at;
   struct BjCall *queue_next; // for queues and lists of evicted calls
   BjTime queued;
@@ -249,19 +251,22 @@
 {
   int slots;        // announced by the upstream
   double ramp_ms;   // slow start after an announcement, 0 for none
-  double tolerance; // service time over its floor that counts as overload, at least 1
+  double tolerance; // mean service time over its floor that counts as overload, at least 1
 } BjLimiterOptions;
 
 #define BJ_LIMITER_OPTIONS_DEFAULT                                                                 \
   {                                                                                                \
-    .slots = 1, .ramp_ms = 2000, .tolerance = 2.0                                                  \
+    .slots = 1, .ramp_ms = 2000, .tolerance = 1.15                                                 \
   }
 
 typedef struct
 {
   double service_ms;
-  int in_flight; // when it ended, itself included
-  BjStatus code; // BJ_OK, BJ_E_SHED, BJ_E_DEADLINE, BJ_E_LOST, BJ_E_BROKEN
+  int klass;
+  uint64_t order;     // of its start among all calls of this guard, from 1
+  uint64_t n_started; // calls of this guard so far
+  int in_flight;      // when it started, itself included
+  BjStatus code;      // BJ_OK, BJ_E_SHED, BJ_E_DEADLINE, BJ_E_CANCELLED, BJ_E_LOST, BJ_E_BROKEN
 } BjLimiterSample;
 
 typedef struct BjLimiter BjLimiter;
@@ -271,8 +276,8 @@
   BjLimiter *(*create) (const BjLimiterOptions *o, BjTime now);
   void (*destroy) (BjLimiter *l);
   int (*limit) (BjLimiter *l, BjTime now); // calls, at least BJ_LIMIT_MIN
-  void (*sample) (BjLimiter *l, BjTime now, const BjLimiterSample *s); // one call ended
-  void (*slots) (BjLimiter *l, BjTime now, int slots);                 // the upstream announced
+  void (*sample) (BjLimiter *l, BjTime now, const BjLimiterSample *s);     // one call ended
+  void (*configure) (BjLimiter *l, BjTime now, const BjLimiterOptions *o); // new slots or options
 } BjLimiterOps;
 
 struct BjLimiter
@@ -301,6 +306,7 @@
 {
   BjQueue *(*create) (const BjQueueOptions *o);
   void (*destroy) (BjQueue *q); // must be empty
+  void (*configure) (BjQueue *q, const BjQueueOptions *o);
   bool (*offer) (BjQueue *q,
                  BjTime now,
                  BjCall *c,
--- a/src/guard.c
+++ b/src/guard.c
@@ -2,6 +2,8 @@
 
 #include "kernel.h"
 
+static void configure_queue (BjKernel *k, BjTime now, const BjServiceConfig *s);
+static void refuse_all (BjKernel *k, BjTime now, BjCall *list);
 static void start_next (BjKernel *k, BjTime now);
 static bool has_slot (BjKernel *k, BjTime now);
 static double time_to_return (BjKernel *k, BjTime now, int klass);
@@ -22,15 +24,14 @@
   o = s->limiter_options;
   o.slots = slots;
   if (g->limiter != NULL && g->limiter->ops == s->limiter)
-    g->limiter->ops->slots (g->limiter, now, slots);
+    g->limiter->ops->configure (g->limiter, now, &o);
   else
     {
       if (g->limiter != NULL)
         g->limiter->ops->destroy (g->limiter);
       g->limiter = s->limiter->create (&o, now);
     }
-  if (g->queue == NULL)
-    g->queue = s->queue->create (&s->queue_options);
+  configure_queue (k, now, s);
   start_next (k, now);
 }
 
@@ -60,15 +61,7 @@
     }
   c->state = BJ_CALL_QUEUED;
   c->queued = now;
-  while (evicted != NULL)
-    {
-      BjCall *next = evicted->queue_next;
-
-      a = bj_guard_refusal (k, now, BJ_E_OVERLOAD, evicted->klass);
-      evicted->state = BJ_CALL_NEW;
-      bj_call_refuse (k, now, evicted, &a);
-      evicted = next;
-    }
+  refuse_all (k, now, evicted);
   start_next (k, now);
 }
 
@@ -76,7 +69,12 @@
 bj_guard_finished (BjKernel *k, BjTime now, BjCall *c, BjStatus s)
 {
   BjGuard *g = &k->guard;
-  BjLimiterSample sample = { .service_ms = now - c->started, .in_flight = g->in_flight, .code = s };
+  BjLimiterSample sample = { .service_ms = now - c->started,
+                             .klass = c->klass,
+                             .order = c->start_order,
+                             .n_started = g->n_started,
+                             .in_flight = c->start_in_flight,
+                             .code = s };
 
   g->in_flight--;
   if (g->limiter == NULL)
@@ -111,6 +109,49 @@
   };
 }
 
+// Calls move from a queue of another plug-in to the new one; those that it refuses are refused.
+static void
+configure_queue (BjKernel *k, BjTime now, const BjServiceConfig *s)
+{
+  BjGuard *g = &k->guard;
+  BjQueue *old = g->queue;
+  BjCall *c;
+
+  if (old != NULL && old->ops == s->queue)
+    {
+      old->ops->configure (old, &s->queue_options);
+      return;
+    }
+  g->queue = s->queue->create (&s->queue_options);
+  while (old != NULL && (c = old->ops->take (old, now)) != NULL)
+    {
+      BjCall *refused = NULL;
+
+      c->queue_next = NULL;
+      if (!g->queue->ops->offer (g->queue, now, c, &refused))
+        refused = c;
+      refuse_all (k, now, refused);
+    }
+  if (old != NULL)
+    old->ops->destroy (old);
+}
+
+// list goes by queue_next.
+static void
+refuse_all (BjKernel *k, BjTime now, BjCall *list)
+{
+  while (list != NULL)
+    {
+      BjCall *c = list;
+      BjAnswer a = bj_guard_refusal (k, now, BJ_E_OVERLOAD, c->klass);
+
+      list = c->queue_next;
+      c->queue_next = NULL;
+      c->state = BJ_CALL_NEW;
+      bj_call_refuse (k, now, c, &a);
+    }
+}
+
 static void
 start_next (BjKernel *k, BjTime now)
 {
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -20,7 +20,7 @@
 static void answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a);
 static void expire (BjKernel *k, BjTime now, BjCall *c);
 static void detach (BjKernel *k, BjTime now, BjCall *c);
-static bool cancel_work (BjKernel *k, BjTime now, BjCall *c);
+static bool cancel_work (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
 static void copy_request (BjRequest *to, const BjRequest *from);
 static void clear_request (BjRequest *r);
 static int http_status_of (BjStatus s);
@@ -232,7 +232,7 @@
 bj_kernel_cancel (BjKernel *k, BjTime now, BjCall *c)
 {
   bj_kernel_note (k, now, c, "CALL", "Cancelled by its caller");
-  if (cancel_work (k, now, c))
+  if (cancel_work (k, now, c, BJ_E_CANCELLED))
     end_call (k, c);
   else
     detach (k, now, c);
@@ -377,7 +377,8 @@
 {
   c->state = BJ_CALL_RUNNING;
   c->started = now;
-  k->guard.in_flight++;
+  c->start_order = ++k->guard.n_started;
+  c->start_in_flight = ++k->guard.in_flight;
   bj_kernel_note (k, now, c, "LIMIT", "Started, %d in flight", k->guard.in_flight);
   k->host->ops->start_upstream (k->host, c);
 }
@@ -558,7 +559,7 @@
   BjAnswer a
       = { .code = BJ_E_DEADLINE, .outcome = BJ_UNKNOWN, .http_status = 504, .attempts_left = -1 };
   bool ran = c->state == BJ_CALL_RUNNING || c->state == BJ_CALL_SENT;
-  bool ended = cancel_work (k, now, c);
+  bool ended = cancel_work (k, now, c, BJ_E_DEADLINE);
 
   if (!ran)
     a.outcome = BJ_NOT_RUN;
@@ -588,7 +589,7 @@
 
 // Stops the work of a call. False when it is irreversible and has been started.
 static bool
-cancel_work (BjKernel *k, BjTime now, BjCall *c)
+cancel_work (BjKernel *k, BjTime now, BjCall *c, BjStatus s)
 {
   bool is_started = c->state == BJ_CALL_RUNNING || c->state == BJ_CALL_SENT;
 
@@ -596,7 +597,7 @@
     return false;
   if (is_started)
     k->host->ops->cancel (k->host, c);
-  leave_state (k, now, c, BJ_E_DEADLINE);
+  leave_state (k, now, c, s);
   return true;
 }
 
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -18,6 +18,7 @@
   BjLimiter *limiter; // NULL before
   BjQueue *queue;     // NULL before
   int in_flight;
+  uint64_t n_started;
   bool draining;
 } BjGuard;
 
--- a/src/queue.c
+++ b/src/queue.c
@@ -19,6 +19,7 @@
 static BjQueue *fifo_create (const BjQueueOptions *o);
 static BjQueue *priority_create (const BjQueueOptions *o);
 static void destroy (BjQueue *q);
+static void configure (BjQueue *q, const BjQueueOptions *o);
 static bool fifo_offer (BjQueue *q, BjTime now, BjCall *c, BjCall **evicted);
 static bool priority_offer (BjQueue *q, BjTime now, BjCall *c, BjCall **evicted);
 static BjCall *take (BjQueue *q, BjTime now);
@@ -32,9 +33,9 @@
 static bool fits (const Queue *q, BjTime now, const BjCall *c);
 
 static const BjQueueOps fifo_ops
-    = { fifo_create, destroy, fifo_offer, take, remove_call, length, wait_ms, drained };
-static const BjQueueOps priority_ops
-    = { priority_create, destroy, priority_offer, take, remove_call, length, wait_ms, drained };
+    = { fifo_create, destroy, configure, fifo_offer, take, remove_call, length, wait_ms, drained };
+static const BjQueueOps priority_ops = { priority_create, destroy, configure, priority_offer, take,
+                                         remove_call,     length,  wait_ms,   drained };
 
 static BjQueue *
 new_queue (const BjQueueOps *ops, const BjQueueOptions *o)
@@ -70,6 +71,12 @@
   g_free (q);
 }
 
+static void
+configure (BjQueue *q, const BjQueueOptions *o)
+{
+  ((Queue *)q)->o = *o;
+}
+
 static bool
 fifo_offer (BjQueue *base, BjTime now, BjCall *c, BjCall **evicted)
 {
--- /dev/null
+++ b/tests/test_guard.c
@@ -0,0 +1,170 @@
+// Decisions of one guard: the limiter, the queue and the order of shedding.
+
+#include "internal.h"
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define LIMITER_RUN_MS 20000.0
+#define CHANGE_MS 5000.0 // the service time changes
+#define BACK_MS 15000.0  // and changes back
+
+typedef struct
+{
+  const char *name;
+  int slots;         // announced
+  int carries;       // that run without slowing each other down
+  double service_ms; // mean
+  double slow;       // factor on the service time from CHANGE_MS to BACK_MS
+  double slack_ms;   // noise on top of every service time
+  double cancelled;  // share of calls whose caller goes away at once
+  double shed;       // share of calls that the upstream sheds
+  double least;      // limit, mean over the last second before BACK_MS and at the end
+  double most;
+} LimiterCase;
+
+// A limit is good between 75 % of what the upstream carries and 150 %.
+static const LimiterCase limiter_cases[] = {
+  { "announces twice what it carries", 40, 20, 10, 1, 0, 0, 0, 15, 30 },
+  { "carries what it announces", 20, 20, 10, 1, 0, 0, 0, 15, 20 },
+  { "takes less than the clock's noise", 20, 20, 0.2, 1, 1, 0, 0, 15, 20 },
+  { "slows ten times and recovers", 40, 20, 10, 10, 0, 0, 0, 15, 30 },
+  { "is cancelled often", 20, 20, 10, 1, 0, 0.3, 0, 15, 20 },
+  { "has one slot", 1, 1, 10, 1, 0, 0, 0, 1, 1 },
+  { "sheds all", 40, 20, 10, 1, 0, 0, 1, 1, 1 },
+};
+
+typedef struct
+{
+  double ends;
+  BjLimiterSample sample;
+} Running;
+
+static gint
+by_end (gconstpointer a, gconstpointer b, gpointer data)
+{
+  double x = ((const Running *)a)->ends;
+  double y = ((const Running *)b)->ends;
+
+  (void)data;
+  return x < y ? -1 : x > y;
+}
+
+static Running *
+start_running (const LimiterCase *c, GRand *rand, double now, uint64_t order, int in_flight)
+{
+  Running *r = g_new0 (Running, 1);
+  double crowd = MAX (1, (double)in_flight / c->carries);
+  double service = c->service_ms * (0.5 - 0.5 * log (1 - g_rand_double (rand))) * crowd
+                   * (1 + 0.3 * (crowd - 1));
+
+  if (now >= CHANGE_MS && now < BACK_MS)
+    service *= c->slow;
+  service += c->slack_ms * g_rand_double (rand);
+  r->sample = (BjLimiterSample){ .service_ms = service, .order = order, .in_flight = in_flight };
+  if (g_rand_double (rand) < c->shed)
+    r->sample.code = BJ_E_SHED;
+  else if (g_rand_double (rand) < c->cancelled)
+    r->sample.code = BJ_E_CANCELLED;
+  if (r->sample.code != BJ_OK)
+    r->sample.service_ms = MIN (service, 1);
+  r->ends = now + r->sample.service_ms;
+  return r;
+}
+
+// Keeps the upstream as full as the limiter allows and takes the mean limit of the last second.
+static void
+run_limiter (const LimiterCase *c, double until, double *mean)
+{
+  const BjLimiterOps *ops = bj_plugin_find (BJ_PLUGIN_LIMITER, BJ_STR ("adaptive"));
+  BjLimiterOptions o = BJ_LIMITER_OPTIONS_DEFAULT;
+  GSequence *running = g_sequence_new (g_free);
+  GRand *rand = g_rand_new_with_seed (1);
+  BjLimiter *l;
+  uint64_t order = 0;
+  double now = 0;
+  double sum = 0;
+  int n = 0;
+
+  o.slots = c->slots;
+  l = ops->create (&o, now);
+  while (now < until)
+    {
+      GSequenceIter *first;
+      Running *r;
+
+      while (g_sequence_get_length (running) < ops->limit (l, now))
+        g_sequence_insert_sorted (
+            running,
+            start_running (c, rand, now, ++order, g_sequence_get_length (running) + 1),
+            by_end,
+            NULL);
+      first = g_sequence_get_begin_iter (running);
+      r = g_sequence_get (first);
+      now = r->ends;
+      r->sample.n_started = order;
+      ops->sample (l, now, &r->sample);
+      g_sequence_remove (first);
+      if (now < until - 1000)
+        continue;
+      sum += ops->limit (l, now);
+      n++;
+    }
+  *mean = sum / n;
+  ops->destroy (l);
+  g_rand_free (rand);
+  g_sequence_free (running);
+}
+
+static void
+test_limiter (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (limiter_cases); i++)
+    {
+      const LimiterCase *c = &limiter_cases[i];
+      double slow;
+      double end;
+
+      run_limiter (c, BACK_MS, &slow);
+      run_limiter (c, LIMITER_RUN_MS, &end);
+      if (slow < c->least || slow > c->most || end < c->least || end > c->most)
+        fail_msg (
+            "%s: limit %.1f, then %.1f, not in %.0f..%.0f", c->name, slow, end, c->least, c->most);
+    }
+}
+
+static void
+test_limiter_ramp (void **state)
+{
+  const BjLimiterOps *ops = bj_plugin_find (BJ_PLUGIN_LIMITER, BJ_STR ("adaptive"));
+  BjLimiterOptions o = { .slots = 100, .ramp_ms = 1000, .tolerance = 1.15 };
+  BjLimiter *l = ops->create (&o, 5000);
+
+  (void)state;
+  assert_int_equal (ops->limit (l, 5000), 10);
+  assert_int_equal (ops->limit (l, 5500), 55);
+  assert_int_equal (ops->limit (l, 6000), 100);
+  o.slots = 30;
+  ops->configure (l, 7000, &o);
+  assert_int_equal (ops->limit (l, 7000), 30);
+  o.slots = 200; // an announcement only lowers
+  ops->configure (l, 7000, &o);
+  assert_int_equal (ops->limit (l, 7000), 30);
+  ops->destroy (l);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_limiter),
+    cmocka_unit_test (test_limiter_ramp),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
