queue: wait by position and by what higher classes leave; swap instead of growing

Cause: the estimated wait counted all calls of the same class and the rate at which slots came free, whoever took them; a queue that stood still looked short; a call that did not fit emptied the queue of all lower classes.

Change: the wait counts the calls ahead (class, then deadline) and, for a lower class, the rate that higher ones leave to it; while nothing leaves, that time counts; a call that does not fit takes the place of one lower call; a deadline that can't be met is refused as BJ_E_DEADLINE.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -307,17 +307,18 @@
   BjQueue *(*create) (const BjQueueOptions *o);
   void (*destroy) (BjQueue *q); // must be empty
   void (*configure) (BjQueue *q, const BjQueueOptions *o);
-  bool (*offer) (BjQueue *q,
-                 BjTime now,
-                 BjCall *c,
-                 BjCall **evicted);         // false refuses c; evicted is a list by queue_next
+  BjStatus (*offer) (BjQueue *q,
+                     BjTime now,
+                     BjCall *c,
+                     BjCall **evicted);     // BJ_E_OVERLOAD, BJ_E_DEADLINE refuse c; evicted is a
+                                            // list by queue_next
   BjCall *(*take) (BjQueue *q, BjTime now); // next to run, NULL if none
   bool (*remove) (BjQueue *q, BjCall *c);   // false if c is not there
   int (*length) (const BjQueue *q);
   double (*wait_ms) (const BjQueue *q,
                      BjTime now,
                      int klass);            // estimate for a new call of the class
-  void (*drained) (BjQueue *q, BjTime now); // a slot came free
+  void (*drained) (BjQueue *q, BjTime now); // slots are free and no call waits
 } BjQueueOps;
 
 struct BjQueue
--- a/src/guard.c
+++ b/src/guard.c
@@ -40,6 +40,7 @@
 {
   BjGuard *g = &k->guard;
   BjCall *evicted = NULL;
+  BjStatus s;
   BjAnswer a;
 
   if (g->draining || g->limiter == NULL)
@@ -53,9 +54,10 @@
       bj_call_run (k, now, c);
       return;
     }
-  if (!g->queue->ops->offer (g->queue, now, c, &evicted))
+  s = g->queue->ops->offer (g->queue, now, c, &evicted);
+  if (s != BJ_OK)
     {
-      a = bj_guard_refusal (k, now, BJ_E_OVERLOAD, c->klass);
+      a = bj_guard_refusal (k, now, s, c->klass);
       bj_call_refuse (k, now, c, &a);
       return;
     }
@@ -80,7 +82,8 @@
   if (g->limiter == NULL)
     return;
   g->limiter->ops->sample (g->limiter, now, &sample);
-  g->queue->ops->drained (g->queue, now);
+  if (g->queue->ops->length (g->queue) == 0)
+    g->queue->ops->drained (g->queue, now);
   start_next (k, now);
 }
 
@@ -128,7 +131,7 @@
       BjCall *refused = NULL;
 
       c->queue_next = NULL;
-      if (!g->queue->ops->offer (g->queue, now, c, &refused))
+      if (g->queue->ops->offer (g->queue, now, c, &refused) != BJ_OK)
         refused = c;
       refuse_all (k, now, refused);
     }
--- a/src/queue.c
+++ b/src/queue.c
@@ -4,6 +4,15 @@
 
 #define DRAIN_WEIGHT 0.05 // of the newest interval in the smoothed one
 
+// How fast calls of one class or a lower one leave the queue.
+typedef struct
+{
+  double interval_ms; // smoothed time between two of them
+  int n;              // intervals it was learned from, up to 1 / DRAIN_WEIGHT
+  BjTime since;       // when the last one left or the first one came to wait
+  int waiting;        // calls
+} Drain;
+
 typedef struct
 {
   BjQueue base;
@@ -11,8 +20,7 @@
   GSequence *calls; // BjCall*, next to run first
   GHashTable *at;   // BjCall* to its GSequenceIter
   int per_class[BJ_CLASSES];
-  double interval_ms; // smoothed time between two slots that came free, 0 before the first
-  BjTime drained_at;
+  Drain drains[BJ_CLASSES];
 } Queue;
 
 static BjQueue *new_queue (const BjQueueOps *ops, const BjQueueOptions *o);
@@ -20,17 +28,20 @@
 static BjQueue *priority_create (const BjQueueOptions *o);
 static void destroy (BjQueue *q);
 static void configure (BjQueue *q, const BjQueueOptions *o);
-static bool fifo_offer (BjQueue *q, BjTime now, BjCall *c, BjCall **evicted);
-static bool priority_offer (BjQueue *q, BjTime now, BjCall *c, BjCall **evicted);
+static BjStatus fifo_offer (BjQueue *q, BjTime now, BjCall *c, BjCall **evicted);
+static BjStatus priority_offer (BjQueue *q, BjTime now, BjCall *c, BjCall **evicted);
 static BjCall *take (BjQueue *q, BjTime now);
 static bool remove_call (BjQueue *q, BjCall *c);
 static int length (const BjQueue *q);
 static double wait_ms (const BjQueue *q, BjTime now, int klass);
 static void drained (BjQueue *q, BjTime now);
-static void insert (Queue *q, BjCall *c, GSequenceIter *at);
+static void insert (Queue *q, BjTime now, BjCall *c, GSequenceIter *at);
+static void leave (Queue *q, BjCall *c, GSequenceIter *at);
+static void note_drain (Queue *q, BjTime now, int klass);
+static double interval_ms (const Queue *q, BjTime now, int klass);
 static gint by_class_and_deadline (gconstpointer a, gconstpointer b, gpointer data);
 static BjCall *lowest (const Queue *q);
-static bool fits (const Queue *q, BjTime now, const BjCall *c);
+static double wait_of (const Queue *q, BjTime now, BjCall *c);
 
 static const BjQueueOps fifo_ops
     = { fifo_create, destroy, configure, fifo_offer, take, remove_call, length, wait_ms, drained };
@@ -77,39 +88,40 @@
   ((Queue *)q)->o = *o;
 }
 
-static bool
+static BjStatus
 fifo_offer (BjQueue *base, BjTime now, BjCall *c, BjCall **evicted)
 {
   Queue *q = (Queue *)base;
 
-  (void)now;
   *evicted = NULL;
   if (g_sequence_get_length (q->calls) >= q->o.max_length)
-    return false;
-  insert (q, c, g_sequence_append (q->calls, c));
-  return true;
+    return BJ_E_OVERLOAD;
+  insert (q, now, c, g_sequence_append (q->calls, c));
+  return BJ_OK;
 }
 
-static bool
+// A call that does not fit takes the place of the latest one of the lowest class below its own.
+static BjStatus
 priority_offer (BjQueue *base, BjTime now, BjCall *c, BjCall **evicted)
 {
   Queue *q = (Queue *)base;
-  BjCall *last;
+  double wait = wait_of (q, now, c);
+  bool is_full = g_sequence_get_length (q->calls) >= q->o.max_length;
+  BjCall *last = lowest (q);
 
   *evicted = NULL;
-  while (!fits (q, now, c))
+  if (now + wait >= c->deadline)
+    return BJ_E_DEADLINE;
+  if (is_full || wait > q->o.max_wait_ms)
     {
-      last = lowest (q);
       if (last == NULL || last->klass <= c->klass)
-        break;
+        return BJ_E_OVERLOAD;
       remove_call (base, last);
-      last->queue_next = *evicted;
+      last->queue_next = NULL;
       *evicted = last;
     }
-  if (*evicted == NULL && !fits (q, now, c))
-    return false;
-  insert (q, c, g_sequence_insert_sorted (q->calls, c, by_class_and_deadline, NULL));
-  return true;
+  insert (q, now, c, g_sequence_insert_sorted (q->calls, c, by_class_and_deadline, NULL));
+  return BJ_OK;
 }
 
 static BjCall *
@@ -119,11 +131,11 @@
   GSequenceIter *first = g_sequence_get_begin_iter (q->calls);
   BjCall *c;
 
-  (void)now;
   if (g_sequence_iter_is_end (first))
     return NULL;
   c = g_sequence_get (first);
-  remove_call (base, c);
+  note_drain (q, now, c->klass);
+  leave (q, c, first);
   return c;
 }
 
@@ -135,9 +147,7 @@
 
   if (at == NULL)
     return false;
-  g_sequence_remove (at);
-  g_hash_table_remove (q->at, c);
-  q->per_class[c->klass]--;
+  leave (q, c, at);
   return true;
 }
 
@@ -153,28 +163,65 @@
   const Queue *q = (const Queue *)base;
   int ahead = 0;
 
-  (void)now;
   for (int i = 0; i <= klass; i++)
     ahead += q->per_class[i];
-  return ahead * q->interval_ms;
+  return MAX (ahead * interval_ms (q, now, 0), q->per_class[klass] * interval_ms (q, now, klass));
 }
 
 static void
 drained (BjQueue *base, BjTime now)
 {
   Queue *q = (Queue *)base;
-  double interval = now - q->drained_at;
 
-  if (q->drained_at > 0 && g_sequence_get_length (q->calls) > 0)
-    q->interval_ms += DRAIN_WEIGHT * (interval - q->interval_ms);
-  q->drained_at = now;
+  (void)now;
+  for (int i = 1; i < BJ_CLASSES; i++)
+    {
+      q->drains[i].interval_ms = q->drains[0].interval_ms;
+      q->drains[i].n = q->drains[0].n;
+    }
 }
 
 static void
-insert (Queue *q, BjCall *c, GSequenceIter *at)
+insert (Queue *q, BjTime now, BjCall *c, GSequenceIter *at)
 {
   g_hash_table_insert (q->at, c, at);
   q->per_class[c->klass]++;
+  for (int i = 0; i <= c->klass; i++)
+    if (q->drains[i].waiting++ == 0)
+      q->drains[i].since = now;
+}
+
+static void
+leave (Queue *q, BjCall *c, GSequenceIter *at)
+{
+  g_sequence_remove (at);
+  g_hash_table_remove (q->at, c);
+  q->per_class[c->klass]--;
+  for (int i = 0; i <= c->klass; i++)
+    q->drains[i].waiting--;
+}
+
+static void
+note_drain (Queue *q, BjTime now, int klass)
+{
+  for (int i = 0; i <= klass; i++)
+    {
+      Drain *d = &q->drains[i];
+      double interval = MIN (now - d->since, q->o.max_wait_ms);
+
+      d->n = MIN (d->n + 1, (int)(1 / DRAIN_WEIGHT));
+      d->interval_ms += (interval - d->interval_ms) / d->n;
+      d->since = now;
+    }
+}
+
+// While nothing leaves, the time that this takes counts.
+static double
+interval_ms (const Queue *q, BjTime now, int klass)
+{
+  const Drain *d = &q->drains[klass];
+
+  return d->waiting > 0 ? MAX (d->interval_ms, now - d->since) : d->interval_ms;
 }
 
 static gint
@@ -201,14 +248,18 @@
   return g_sequence_get (g_sequence_iter_prev (end));
 }
 
-static bool
-fits (const Queue *q, BjTime now, const BjCall *c)
+// Of a call that would be inserted now: the calls ahead of it at the rate at which calls leave, and
+// those of its class at the rate that higher classes leave to it.
+static double
+wait_of (const Queue *q, BjTime now, BjCall *c)
 {
-  double wait = wait_ms (&q->base, now, c->klass);
+  GSequenceIter *at = g_sequence_search (q->calls, c, by_class_and_deadline, NULL);
+  int ahead = g_sequence_iter_get_position (at);
+  int ahead_own = ahead;
 
-  if (g_sequence_get_length (q->calls) >= q->o.max_length)
-    return false;
-  return wait <= q->o.max_wait_ms && now + wait < c->deadline;
+  for (int i = 0; i < c->klass; i++)
+    ahead_own -= q->per_class[i];
+  return MAX (ahead * interval_ms (q, now, 0), ahead_own * interval_ms (q, now, c->klass));
 }
 
 BJ_PLUGIN (BJ_PLUGIN_QUEUE, "fifo", fifo_ops)
--- a/tests/test_guard.c
+++ b/tests/test_guard.c
@@ -158,12 +158,118 @@
   ops->destroy (l);
 }
 
+typedef struct
+{
+  double at;
+  int offer; // id of the call, 0 for a take
+  int klass;
+  double deadline;
+  BjStatus status; // expected of an offer
+  int id;          // expected: evicted by an offer, or taken; 0 for none
+} QueueStep;
+
+typedef struct
+{
+  const char *name;
+  QueueStep steps[12]; // after 20 calls left 10 ms apart; at most 100 ms of waiting
+} QueueCase;
+
+static const QueueCase queue_cases[] = {
+  { "by class, then deadline",
+    { { 0, 1, 2, 900, BJ_OK, 0 },
+      { 0, 2, 1, 800, BJ_OK, 0 },
+      { 0, 3, 1, 700, BJ_OK, 0 },
+      { 10, 0, 0, 0, BJ_OK, 3 },
+      { 20, 0, 0, 0, BJ_OK, 2 },
+      { 30, 0, 0, 0, BJ_OK, 1 },
+      { 40, 0, 0, 0, BJ_OK, 0 } } },
+  { "a call that can't be reached before its deadline",
+    { { 0, 1, 1, 900, BJ_OK, 0 },
+      { 0, 2, 1, 900, BJ_OK, 0 },
+      { 0, 3, 1, 900, BJ_OK, 0 },
+      { 0, 4, 2, 25, BJ_E_DEADLINE, 0 },
+      { 0, 5, 2, 35, BJ_OK, 0 } } },
+  { "an earlier deadline goes ahead",
+    { { 0, 1, 1, 900, BJ_OK, 0 },
+      { 0, 2, 1, 900, BJ_OK, 0 },
+      { 0, 3, 1, 5, BJ_OK, 0 },
+      { 1, 0, 0, 0, BJ_OK, 3 } } },
+  { "nothing leaves",
+    { { 0, 1, 1, 900, BJ_OK, 0 },
+      { 150, 2, 1, 950, BJ_E_OVERLOAD, 0 },
+      { 150, 3, 0, 900, BJ_OK, 0 },
+      { 150, 4, 0, 900, BJ_OK, 1 },
+      { 150, 5, 0, 950, BJ_E_OVERLOAD, 0 } } },
+};
+
+static BjQueue *
+warm_queue (const char *plugin)
+{
+  const BjQueueOps *ops = bj_plugin_find (BJ_PLUGIN_QUEUE, bj_str (plugin));
+  BjQueueOptions o = { .max_wait_ms = 100, .max_length = 100 };
+  BjQueue *q = ops->create (&o);
+  BjCall calls[20] = { 0 };
+  BjCall *evicted;
+
+  for (int i = 0; i < 20; i++)
+    {
+      calls[i].deadline = BJ_TIME_NEVER;
+      ops->offer (q, -200 + i * 10, &calls[i], &evicted);
+      ops->take (q, -190 + i * 10);
+    }
+  ops->drained (q, 0);
+  return q;
+}
+
+static const char *
+run_queue_step (BjQueue *q, const QueueStep *s, BjCall *calls)
+{
+  BjCall *c = &calls[s->offer];
+  BjCall *other = NULL;
+  BjStatus status = BJ_OK;
+
+  if (s->offer > 0)
+    {
+      *c = (BjCall){ .id = (uint64_t)s->offer, .klass = s->klass, .deadline = s->deadline };
+      status = q->ops->offer (q, s->at, c, &other);
+    }
+  else
+    other = q->ops->take (q, s->at);
+  if (status != s->status)
+    return bj_status_name (status);
+  return (other != NULL ? (int)other->id : 0) == s->id ? NULL : "another call was evicted or taken";
+}
+
+static void
+test_queue (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (queue_cases); i++)
+    {
+      const QueueCase *c = &queue_cases[i];
+      BjQueue *q = warm_queue ("priority-deadline");
+      BjCall calls[16];
+
+      for (int j = 0; j < 12 && (j == 0 || c->steps[j].at > 0 || c->steps[j].offer > 0); j++)
+        {
+          const char *wrong = run_queue_step (q, &c->steps[j], calls);
+
+          if (wrong != NULL)
+            fail_msg ("%s, step %d: %s", c->name, j, wrong);
+        }
+      while (q->ops->take (q, 1000) != NULL)
+        ;
+      q->ops->destroy (q);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_limiter),
     cmocka_unit_test (test_limiter_ramp),
+    cmocka_unit_test (test_queue),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
