Router p2c-load: aged reports, skips with single probes, spill within spare capacity

Cause: the sister domain took the whole spill of a lost domain and sank with it; failing candidates kept getting calls. Change: own domain up to load 1.5, then sister domain, then other region; the receiver's guard lets in calls of other domains up to 0.8 of what its own domain leaves free on average, never into the queue; a refused spilled call is routed again at no cost, at most three times. Lost connections, draining and a missing upstream skip a candidate at once, three sheds or timeouts in a row too, 500 ms doubling to 2 s, then one probe. Among more than 32 candidates two are drawn at random without a look at all.

--- a/src/bjbench/loss.c
+++ b/src/bjbench/loss.c
@@ -6,7 +6,7 @@
 
 #define RATE_PER_DOMAIN 320 // actions a second, 0.8 of two upstreams of 8 slots and 40 ms
 #define DURATION_MS 14000
-#define WARM_MS 1500
+#define WARM_MS 2500 // the slow start of the limiters is over
 #define LOSS_MS 4000
 
 static const LoadClass classes[] = {
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -187,6 +187,7 @@
   int depth;          // hops so far
   uint64_t parent;    // guard call this one was made for, 0 if none
   bool irreversible;  // set by the daemon that routes it
+  bool is_spilled;    // came from a daemon of another failure domain, set by the receiver
 } BjRequest;
 
 typedef struct
@@ -341,6 +342,10 @@
   BjRouter *(*create) (void);
   void (*destroy) (BjRouter *r);
   BjPeer *(*pick) (BjRouter *r, BjTime now, const BjRouterAsk *ask); // NULL when none may be taken
+  void (*result) (BjRouter *r,
+                  BjTime now,
+                  BjPeer *p,
+                  BjStatus s); // A call sent to p ended: BJ_OK, or why it was refused or failed
 } BjRouterOps;
 
 struct BjRouter
@@ -532,10 +537,13 @@
   BjPeerReport report; // owned strings
   bool is_self;
   BjService *service;
-  BjTime reported;   // when the report came
-  BjTime skip_until; // after a failure
-  int own_in_flight; // calls this daemon has there
-  void *link;        // the host's
+  BjTime reported;         // when the report came
+  BjTime skip_until;       // after a failure
+  double skip_ms;          // of the last failure, 0 after a success
+  int n_failures;          // sheds and timeouts in a row
+  BjTime spill_skip_until; // after it refused a call of another domain
+  int own_in_flight;       // calls this daemon has there
+  void *link;              // the host's
 };
 
 struct BjService
--- a/src/guard.c
+++ b/src/guard.c
@@ -47,6 +47,12 @@
       bj_call_refuse (k, now, c, &a);
       return;
     }
+  if (c->request.is_spilled && !bj_spill_admit (k, now))
+    {
+      a = bj_guard_refusal (k, now, BJ_E_OVERLOAD, c->klass);
+      bj_call_refuse (k, now, c, &a);
+      return;
+    }
   if (has_slot (k, now) && g->queue->ops->length (g->queue) == 0)
     {
       bj_call_run (k, now, c);
@@ -78,6 +84,7 @@
   BjGuard *g = &k->guard;
   BjLimiterSample sample = { .service_ms = now - c->started, .in_flight = g->in_flight, .code = s };
 
+  bj_spill_changed (k, now, c, -1);
   g->in_flight--;
   if (g->limiter == NULL)
     return;
--- a/src/incoming.c
+++ b/src/incoming.c
@@ -249,9 +249,13 @@
 start (BjConn *c, Sender *s, const BjFrame *f)
 {
   Reply *r = g_new0 (Reply, 1);
+  BjRequest request = f->request;
+  BjDaemon *d = c->links->daemon;
+  const BjPeer *from = bj_kernel_find_peer (d->kernel, s->name);
   BjExchange *x;
   uint64_t id = f->id;
 
+  request.is_spilled = from != NULL && !bj_str_equal (from->report.domain, d->settings.domain);
   r->sink.ops = &sink_ops;
   r->in = c->links->incoming;
   r->sender = s;
@@ -263,7 +267,7 @@
   XXH64_reset (r->hash, 0);
   g_hash_table_insert (s->open, &r->id, r);
   g_hash_table_insert (c->incoming, &r->id, r);
-  x = bj_daemon_arrive_peer (c->links->daemon, &f->request, f->name, &r->sink);
+  x = bj_daemon_arrive_peer (d, &request, f->name, &r->sink);
   // An answer at once has freed the reply already.
   if (x != NULL && g_hash_table_lookup (s->open, &id) == r)
     r->x = x;
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -16,7 +16,7 @@
 static void send_to (BjKernel *k, BjTime now, BjCall *c, BjPeer *p, int n_candidates);
 static void leave_state (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
 static void failed (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
-static bool may_try_again (BjTime now, BjCall *c, const BjAnswer *a);
+static bool may_try_again (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static void answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a);
 static void expire (BjKernel *k, BjTime now, BjCall *c);
 static void detach (BjKernel *k, BjTime now, BjCall *c);
@@ -222,8 +222,6 @@
   BjAnswer a
       = { .code = s, .outcome = o, .attempts_left = -1, .retry_after_ms = BJ_RETRY_AFTER_MIN_MS };
 
-  if (c->state == BJ_CALL_SENT)
-    c->target->skip_until = now + BJ_SKIP_MS;
   leave_state (k, now, c, s);
   failed (k, now, c, &a);
 }
@@ -377,6 +375,7 @@
 {
   c->state = BJ_CALL_RUNNING;
   c->started = now;
+  bj_spill_changed (k, now, c, 1);
   k->guard.in_flight++;
   bj_kernel_note (k, now, c, "LIMIT", "Started, %d in flight", k->guard.in_flight);
   k->host->ops->start_upstream (k->host, c);
@@ -434,6 +433,7 @@
 dispatch (BjKernel *k, BjTime now, BjCall *c)
 {
   int n_candidates = 0;
+  BjPeerReport self;
   BjRouterAsk ask = {
     .call = c,
     .peers = (BjPeer *const *)c->service->peers->pdata,
@@ -443,9 +443,11 @@
     .rand = k->rand,
     .n_candidates = &n_candidates,
   };
-  BjPeer *p = c->service->router->ops->pick (c->service->router, now, &ask);
+  BjPeer *p;
   BjAnswer a;
 
+  bj_kernel_self (k, now, &self); // the own guard's load as it is now
+  p = c->service->router->ops->pick (c->service->router, now, &ask);
   if (p != NULL)
     {
       send_to (k, now, c, p, n_candidates);
@@ -491,7 +493,10 @@
 
   c->state = BJ_CALL_NEW;
   if (was == BJ_CALL_SENT)
-    c->target->own_in_flight--;
+    {
+      c->target->own_in_flight--;
+      c->service->router->ops->result (c->service->router, now, c->target, s);
+    }
   if (was == BJ_CALL_QUEUED)
     bj_guard_leave (k, c);
   if (was == BJ_CALL_RUNNING)
@@ -506,7 +511,7 @@
       end_call (k, c);
       return;
     }
-  if (c->is_front && may_try_again (now, c, a))
+  if (c->is_front && may_try_again (k, now, c, a))
     {
       bj_kernel_note (k,
                       now,
@@ -522,13 +527,13 @@
 }
 
 static bool
-may_try_again (BjTime now, BjCall *c, const BjAnswer *a)
+may_try_again (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
 {
   if (c->deadline <= now || c->n_tried >= BJ_TRIED_MAX)
     return false;
   if (a->outcome == BJ_UNKNOWN && c->irreversible)
     return false;
-  if (a->code == BJ_E_DRAINING)
+  if (a->code == BJ_E_DRAINING || (a->code == BJ_E_OVERLOAD && bj_spill_may_return (k, c)))
     return true;
   return c->service->retry->ops->allow (c->service->retry, now, c);
 }
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -19,6 +19,9 @@
   BjQueue *queue;     // NULL before
   int in_flight;
   bool draining;
+  int spilled;        // of in_flight, calls from other domains
+  double own_average; // calls of the own domain in flight
+  BjTime averaged;
 } BjGuard;
 
 struct BjKernel
@@ -61,6 +64,15 @@
                            BjStatus s,
                            int klass); // Final answer with a time to come back
 
+// Spill
+bool bj_spill_admit (BjKernel *k, BjTime now); // Whether one call of another domain may run now
+void bj_spill_changed (BjKernel *k,
+                       BjTime now,
+                       const BjCall *c,
+                       int change); // c starts (1) or ends (-1); before in_flight changes
+bool bj_spill_may_return (const BjKernel *k,
+                          const BjCall *c); // Refused by another domain: route it once more
+
 // Peers
 guint bj_str_key_hash (gconstpointer s); // For tables keyed by BjStr*
 gboolean bj_str_key_equal (gconstpointer a, gconstpointer b);
--- a/src/route.c
+++ b/src/route.c
@@ -1,8 +1,19 @@
 // Route: which upstream's daemon gets a call. Plug-ins "round-robin" and "p2c-load".
+//
+// p2c-load takes the less loaded of two random candidates, in the own domain first. When that one
+// is full, or the domain has none, a daemon of the region's sister domain and then of the other
+// region gets the call, as long as it seems to have spare capacity; its guard has the last word.
+// A candidate that fails is skipped for a time that doubles, then tried with one call at once.
 
 #include "boragejunction.h"
 
 #define REPORT_MAX_AGE_MS 2000 // an older report says nothing about load
+#define FULL_LOAD 1.5          // of the own domain's candidate, from which calls spill
+#define SOFT_FAILURES 3        // sheds or timeouts in a row before a candidate is skipped
+#define SKIP_MAX_MS 2000       // longest time without a probe
+#define SPILL_SKIP_MS 20       // a daemon of another domain that refused gets nothing for this long
+#define DRAWS_MAX 64           // random draws before every candidate is looked at
+#define DRAW_FROM 32           // candidates, fewer are all looked at
 
 typedef enum
 {
@@ -24,14 +35,23 @@
 static BjRouter *p2c_create (void);
 static void destroy (BjRouter *r);
 static BjPeer *round_robin_pick (BjRouter *r, BjTime now, const BjRouterAsk *ask);
+static void round_robin_result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s);
 static BjPeer *p2c_pick (BjRouter *r, BjTime now, const BjRouterAsk *ask);
+static void p2c_result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s);
+static void skip (BjPeer *p, BjTime now);
+static BjPeer *best_of_two (Router *r, BjTime now, const BjRouterAsk *ask, Nearness n);
+static BjPeer *draw (BjTime now, const BjRouterAsk *ask, Nearness n, int *draws);
+static void collect (Router *r, BjTime now, const BjRouterAsk *ask, Nearness n);
+static bool is_candidate (const BjPeer *p, BjTime now, const BjRouterAsk *ask, Nearness n);
 static bool is_usable (const BjPeer *p, BjTime now, const BjCall *c);
+static bool has_room (const BjPeer *p, BjTime now);
 static Nearness nearness (const BjPeer *p, const BjRouterAsk *ask);
-static void collect (Router *r, BjTime now, const BjRouterAsk *ask, Nearness n);
 static double load (const BjPeer *p, BjTime now);
+static double freshness (const BjPeer *p, BjTime now);
 
-static const BjRouterOps round_robin_ops = { round_robin_create, destroy, round_robin_pick };
-static const BjRouterOps p2c_ops = { p2c_create, destroy, p2c_pick };
+static const BjRouterOps round_robin_ops
+    = { round_robin_create, destroy, round_robin_pick, round_robin_result };
+static const BjRouterOps p2c_ops = { p2c_create, destroy, p2c_pick, p2c_result };
 
 static BjRouter *
 new_router (const BjRouterOps *ops)
@@ -82,28 +102,132 @@
   return NULL;
 }
 
+static void
+round_robin_result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s)
+{
+  (void)r;
+  if (s == BJ_E_LOST)
+    p->skip_until = now + BJ_SKIP_MS;
+}
+
 static BjPeer *
 p2c_pick (BjRouter *base, BjTime now, const BjRouterAsk *ask)
 {
   Router *r = (Router *)base;
-  BjPeer *a;
-  BjPeer *b;
-  gint n;
+  BjPeer *own = best_of_two (r, now, ask, NEAR_DOMAIN);
+  BjPeer *p;
 
-  for (Nearness near = NEAR_DOMAIN; near < NEAR_LEVELS; near++)
+  if (own != NULL && load (own, now) < FULL_LOAD)
+    return own;
+  for (Nearness near = NEAR_REGION; near < NEAR_LEVELS; near++)
     {
-      collect (r, now, ask, near);
-      n = (gint)r->usable->len;
-      *ask->n_candidates = n;
-      if (n == 0)
-        continue;
-      a = r->usable->pdata[g_rand_int_range (ask->rand, 0, n)];
-      b = r->usable->pdata[g_rand_int_range (ask->rand, 0, n)];
-      return load (b, now) < load (a, now) ? b : a;
+      p = best_of_two (r, now, ask, near);
+      if (p != NULL)
+        return p;
+    }
+  return own;
+}
+
+static void
+p2c_result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s)
+{
+  (void)r;
+  switch (s)
+    {
+    case BJ_OK:
+      p->n_failures = 0;
+      p->skip_ms = 0;
+      p->skip_until = 0;
+      return;
+    case BJ_E_LOST:
+    case BJ_E_BROKEN:
+    case BJ_E_NO_UPSTREAM:
+    case BJ_E_DRAINING:
+      skip (p, now);
+      return;
+    case BJ_E_SHED:
+    case BJ_E_DEADLINE:
+      if (++p->n_failures >= SOFT_FAILURES)
+        skip (p, now);
+      return;
+    case BJ_E_OVERLOAD:
+      p->spill_skip_until = now + SPILL_SKIP_MS;
+      return;
+    default:
+      return;
+    }
+}
+
+static void
+skip (BjPeer *p, BjTime now)
+{
+  if (now < p->skip_until)
+    return;
+  p->skip_ms = CLAMP (p->skip_ms * 2, BJ_SKIP_MS, SKIP_MAX_MS);
+  p->skip_until = now + p->skip_ms;
+  bj_log (BJ_LOG_INFO,
+          "ROUTE",
+          "%.*s failed and is skipped for %.0f ms.",
+          BJ_STR_ARG (p->report.name),
+          p->skip_ms);
+}
+
+static BjPeer *
+best_of_two (Router *r, BjTime now, const BjRouterAsk *ask, Nearness n)
+{
+  int draws = ask->n > DRAW_FROM ? DRAWS_MAX : 0;
+  BjPeer *a = draw (now, ask, n, &draws);
+  BjPeer *b = draw (now, ask, n, &draws);
+  gint found;
+
+  *ask->n_candidates = ask->n;
+  if (b == NULL)
+    {
+      collect (r, now, ask, n);
+      found = (gint)r->usable->len;
+      *ask->n_candidates = found;
+      if (found == 0)
+        return NULL;
+      a = r->usable->pdata[g_rand_int_range (ask->rand, 0, found)];
+      b = r->usable->pdata[g_rand_int_range (ask->rand, 0, found)];
+    }
+  return load (b, now) < load (a, now) ? b : a;
+}
+
+// One random candidate, so that a decision among many does not look at all; NULL without draws.
+static BjPeer *
+draw (BjTime now, const BjRouterAsk *ask, Nearness n, int *draws)
+{
+  while (*draws > 0)
+    {
+      BjPeer *p = ask->peers[g_rand_int_range (ask->rand, 0, ask->n)];
+
+      (*draws)--;
+      if (is_candidate (p, now, ask, n))
+        return p;
     }
   return NULL;
 }
 
+static void
+collect (Router *r, BjTime now, const BjRouterAsk *ask, Nearness n)
+{
+  g_ptr_array_set_size (r->usable, 0);
+  for (int i = 0; i < ask->n; i++)
+    if (is_candidate (ask->peers[i], now, ask, n))
+      g_ptr_array_add (r->usable, ask->peers[i]);
+}
+
+static bool
+is_candidate (const BjPeer *p, BjTime now, const BjRouterAsk *ask, Nearness n)
+{
+  if (nearness (p, ask) != n || !is_usable (p, now, ask->call))
+    return false;
+  if (p->skip_ms > 0 && p->own_in_flight > 0)
+    return false;
+  return n == NEAR_DOMAIN || has_room (p, now);
+}
+
 static bool
 is_usable (const BjPeer *p, BjTime now, const BjCall *c)
 {
@@ -115,6 +239,18 @@
   return true;
 }
 
+// A daemon of another domain may take a share of what its own domain leaves free.
+static bool
+has_room (const BjPeer *p, BjTime now)
+{
+  double others = MAX (0, p->report.in_flight - p->own_in_flight) * freshness (p, now);
+  double spare = p->report.limit - others;
+
+  if (now < p->spill_skip_until)
+    return false;
+  return p->own_in_flight == 0 || p->own_in_flight < spare * BJ_SPILL_SHARE;
+}
+
 static Nearness
 nearness (const BjPeer *p, const BjRouterAsk *ask)
 {
@@ -123,23 +259,20 @@
   return bj_str_equal (p->report.region, ask->region) ? NEAR_REGION : NEAR_FAR;
 }
 
-static void
-collect (Router *r, BjTime now, const BjRouterAsk *ask, Nearness n)
+static double
+load (const BjPeer *p, BjTime now)
 {
-  g_ptr_array_set_size (r->usable, 0);
-  for (int i = 0; i < ask->n; i++)
-    if (is_usable (ask->peers[i], now, ask->call) && nearness (ask->peers[i], ask) == n)
-      g_ptr_array_add (r->usable, ask->peers[i]);
+  double fresh = freshness (p, now);
+  double in_flight = MAX (p->own_in_flight, p->report.in_flight * fresh);
+
+  return (in_flight + p->report.queued * fresh) / MAX (1, p->report.limit);
 }
 
+// How much a report still counts: 1 for a new one, 0 for one too old.
 static double
-load (const BjPeer *p, BjTime now)
+freshness (const BjPeer *p, BjTime now)
 {
-  double known = 0;
-
-  if (now - p->reported < REPORT_MAX_AGE_MS)
-    known = p->report.queued;
-  return (known + p->own_in_flight) / MAX (1, p->report.limit);
+  return CLAMP (1 - (now - p->reported) / REPORT_MAX_AGE_MS, 0, 1);
 }
 
 BJ_PLUGIN (BJ_PLUGIN_ROUTER, "round-robin", round_robin_ops)
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,349 @@
+// Routing: which candidates get calls and how many, after which results one is skipped, and how
+// many calls of other domains a guard lets in.
+
+#include "boragejunction.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#define PICKS 2000
+#define NOW 10000.0
+#define PEERS_MAX 4
+
+typedef struct
+{
+  const char *domain; // NULL ends the list
+  const char *region;
+  int limit;
+  int in_flight; // reported
+  int queued;
+  int own_in_flight;
+  bool draining;
+  double age_ms; // of the report
+  double skip_ms;
+  BjTime skip_until;
+  BjTime spill_skip_until;
+  double least; // share of the picks
+  double most;
+} Candidate;
+
+typedef struct
+{
+  const char *name;
+  Candidate candidates[PEERS_MAX];
+} PickCase;
+
+// Domain, region and limit, then what differs from an idle candidate with a fresh report.
+#define PEER(d, r, l, ...)                                                                         \
+  {                                                                                                \
+    .domain = (d), .region = (r), .limit = (l), __VA_ARGS__                                        \
+  }
+#define CASE(text, ...)                                                                            \
+  {                                                                                                \
+    .name = (text), .candidates = { __VA_ARGS__ }                                                  \
+  }
+
+static const PickCase pick_cases[] = {
+  CASE ("equal ones share evenly",
+        PEER ("a", "n", 8, .least = 0.45, .most = 0.55),
+        PEER ("a", "n", 8, .least = 0.45, .most = 0.55)),
+  CASE ("the less loaded gets three of four",
+        PEER ("a", "n", 8, .in_flight = 2, .least = 0.7, .most = 0.8),
+        PEER ("a", "n", 8, .in_flight = 6, .least = 0.2, .most = 0.3)),
+  CASE ("a queue counts as load",
+        PEER ("a", "n", 8, .in_flight = 4, .least = 0.7, .most = 0.8),
+        PEER ("a", "n", 8, .in_flight = 4, .queued = 4, .least = 0.2, .most = 0.3)),
+  CASE ("own calls count before a report does",
+        PEER ("a", "n", 8, .least = 0.7, .most = 0.8),
+        PEER ("a", "n", 8, .own_in_flight = 4, .least = 0.2, .most = 0.3)),
+  CASE ("an old report counts for nothing",
+        PEER ("a", "n", 8, .own_in_flight = 1, .least = 0.2, .most = 0.3),
+        PEER ("a", "n", 8, .queued = 8, .age_ms = 3000, .least = 0.7, .most = 0.8)),
+  CASE ("a cold one with a small limit gets little",
+        PEER ("a", "n", 8, .in_flight = 2, .least = 0.7, .most = 0.8),
+        PEER ("a", "n", 1, .in_flight = 1, .least = 0.2, .most = 0.3)),
+  CASE ("a draining one gets nothing",
+        PEER ("a", "n", 8, .in_flight = 8, .least = 1, .most = 1),
+        PEER ("a", "n", 8, .draining = true)),
+  CASE ("a skipped one gets nothing",
+        PEER ("a", "n", 8, .in_flight = 8, .least = 1, .most = 1),
+        PEER ("a", "n", 8, .skip_ms = 500, .skip_until = NOW + 1)),
+  CASE ("a skipped one is probed after its time",
+        PEER ("a", "n", 8, .in_flight = 8, .least = 0.2, .most = 0.3),
+        PEER ("a", "n", 8, .skip_ms = 500, .skip_until = NOW - 1, .least = 0.7, .most = 0.8)),
+  CASE ("no second probe while one is open",
+        PEER ("a", "n", 8, .in_flight = 8, .least = 1, .most = 1),
+        PEER ("a", "n", 8, .own_in_flight = 1, .skip_ms = 500, .skip_until = NOW - 1)),
+  CASE ("own domain first",
+        PEER ("a", "n", 8, .in_flight = 7, .least = 1, .most = 1),
+        PEER ("b", "n", 8, .in_flight = 0),
+        PEER ("c", "s", 8, .in_flight = 0)),
+  CASE ("own domain full: the sister domain next",
+        PEER ("a", "n", 8, .in_flight = 8, .queued = 8),
+        PEER ("b", "n", 8, .in_flight = 2, .least = 1, .most = 1),
+        PEER ("c", "s", 8, .in_flight = 0)),
+  CASE ("region full: the other region last",
+        PEER ("a", "n", 8, .in_flight = 8, .queued = 8),
+        PEER ("b", "n", 8, .in_flight = 10, .own_in_flight = 2),
+        PEER ("c", "s", 8, .in_flight = 0, .least = 1, .most = 1)),
+  CASE ("all full: the own domain queues",
+        PEER ("a", "n", 8, .in_flight = 8, .queued = 8, .least = 1, .most = 1),
+        PEER ("b", "n", 8, .in_flight = 10, .own_in_flight = 2),
+        PEER ("c", "s", 8, .in_flight = 10, .own_in_flight = 2)),
+  CASE ("one that refused a spilled call gets none for a while",
+        PEER ("b", "n", 8, .spill_skip_until = NOW + 1),
+        PEER ("c", "s", 8, .least = 1, .most = 1)),
+  CASE ("own domain lost: no more than a share of the spare capacity",
+        PEER ("b", "n", 10, .in_flight = 8, .own_in_flight = 8)),
+  CASE ("nobody", PEER ("a", "n", 8, .draining = true)),
+};
+
+typedef struct
+{
+  const char *name;
+  BjStatus results[8]; // in a row, ended by -1
+  bool is_skipped;
+} ResultCase;
+
+static const ResultCase result_cases[] = {
+  { "success", { BJ_OK, -1 }, false },
+  { "one lost connection", { BJ_E_LOST, -1 }, true },
+  { "its upstream is gone", { BJ_E_NO_UPSTREAM, -1 }, true },
+  { "leaving", { BJ_E_DRAINING, -1 }, true },
+  { "two timeouts", { BJ_E_DEADLINE, BJ_E_DEADLINE, -1 }, false },
+  { "three timeouts in a row", { BJ_E_DEADLINE, BJ_E_DEADLINE, BJ_E_DEADLINE, -1 }, true },
+  { "three sheds in a row", { BJ_E_SHED, BJ_E_SHED, BJ_E_SHED, -1 }, true },
+  { "a success between", { BJ_E_SHED, BJ_E_SHED, BJ_OK, BJ_E_SHED, -1 }, false },
+  { "a success ends the skip", { BJ_E_LOST, BJ_OK, -1 }, false },
+  { "refused for load", { BJ_E_OVERLOAD, BJ_E_OVERLOAD, BJ_E_OVERLOAD, -1 }, false },
+};
+
+static const BjRouterOps *p2c;
+
+static BjPeer
+make_peer (const Candidate *c)
+{
+  return (BjPeer){
+    .report = {
+      .name = BJ_STR ("peer"),
+      .service = BJ_STR ("catalogue"),
+      .domain = bj_str (c->domain),
+      .region = bj_str (c->region),
+      .limit = c->limit,
+      .in_flight = c->in_flight,
+      .queued = c->queued,
+      .draining = c->draining,
+    },
+    .reported = NOW - c->age_ms,
+    .own_in_flight = c->own_in_flight,
+    .skip_ms = c->skip_ms,
+    .skip_until = c->skip_until,
+    .spill_skip_until = c->spill_skip_until,
+  };
+}
+
+static void
+check_pick (const PickCase *c)
+{
+  BjPeer peers[PEERS_MAX];
+  BjPeer *list[PEERS_MAX];
+  int counts[PEERS_MAX + 1] = { 0 };
+  BjCall call = { 0 };
+  BjRouter *r = p2c->create ();
+  int candidates;
+  BjRouterAsk ask = { .call = &call,
+                      .peers = list,
+                      .domain = BJ_STR ("a"),
+                      .region = BJ_STR ("n"),
+                      .rand = g_rand_new_with_seed (1),
+                      .n_candidates = &candidates };
+
+  for (; ask.n < PEERS_MAX && c->candidates[ask.n].domain != NULL; ask.n++)
+    {
+      peers[ask.n] = make_peer (&c->candidates[ask.n]);
+      list[ask.n] = &peers[ask.n];
+    }
+  for (int i = 0; i < PICKS; i++)
+    {
+      BjPeer *p = r->ops->pick (r, NOW, &ask);
+
+      counts[p != NULL ? p - peers : PEERS_MAX]++;
+    }
+  for (int i = 0; i < ask.n; i++)
+    {
+      double share = (double)counts[i] / PICKS;
+
+      if (share < c->candidates[i].least || share > c->candidates[i].most)
+        fail_msg ("%s: candidate %d got %.3f of the calls", c->name, i, share);
+    }
+  g_rand_free (ask.rand);
+  r->ops->destroy (r);
+}
+
+static void
+test_pick (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (pick_cases); i++)
+    check_pick (&pick_cases[i]);
+}
+
+static void
+test_result (void **state)
+{
+  const Candidate only = PEER ("a", "n", 8, .in_flight = 0);
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (result_cases); i++)
+    {
+      const ResultCase *c = &result_cases[i];
+      BjPeer p = make_peer (&only);
+      BjRouter *r = p2c->create ();
+
+      for (int j = 0; (int)c->results[j] >= 0; j++)
+        r->ops->result (r, NOW, &p, c->results[j]);
+      if ((p.skip_until > NOW) != c->is_skipped)
+        fail_msg ("%s: skipped until %.0f", c->name, p.skip_until);
+      r->ops->destroy (r);
+    }
+}
+
+// Two ones in a hundred: the draw among many finds its way to the few of the own domain.
+static void
+test_many (void **state)
+{
+  BjPeer peers[100];
+  BjPeer *list[100];
+  BjCall call = { 0 };
+  BjRouter *r = p2c->create ();
+  int candidates;
+  BjRouterAsk ask = { .call = &call,
+                      .peers = list,
+                      .n = 100,
+                      .domain = BJ_STR ("a"),
+                      .region = BJ_STR ("n"),
+                      .rand = g_rand_new_with_seed (1),
+                      .n_candidates = &candidates };
+
+  (void)state;
+  for (int i = 0; i < 100; i++)
+    {
+      peers[i] = make_peer (&(Candidate)PEER (i % 50 == 7 ? "a" : "b", "n", 8, .in_flight = 0));
+      list[i] = &peers[i];
+    }
+  for (int i = 0; i < PICKS; i++)
+    assert_string_equal (r->ops->pick (r, NOW, &ask)->report.domain.data, "a");
+  g_rand_free (ask.rand);
+  r->ops->destroy (r);
+}
+
+typedef struct
+{
+  BjHost host;
+  int started;
+  int refused;
+} SpillHost;
+
+static void
+start_upstream (BjHost *h, BjCall *c)
+{
+  (void)c;
+  ((SpillHost *)h)->started++;
+}
+
+static void
+answer (BjHost *h, BjCall *c, const BjAnswer *a)
+{
+  (void)c;
+  assert_int_equal (a->outcome, BJ_NOT_RUN);
+  assert_int_equal (a->code, BJ_E_OVERLOAD);
+  ((SpillHost *)h)->refused++;
+}
+
+static void
+send_peer (BjHost *h, BjCall *c, BjPeer *p)
+{
+  (void)h;
+  (void)c;
+  (void)p;
+}
+
+static void
+do_nothing (BjHost *h, BjCall *c)
+{
+  (void)h;
+  (void)c;
+}
+
+typedef struct
+{
+  const char *name;
+  int own;     // calls of the own domain that run for long already
+  int spilled; // calls of another domain that come at once
+  int started; // of the spilled ones
+} SpillCase;
+
+// Ten slots and a share of 0.8.
+static const SpillCase spill_cases[] = {
+  { "idle", 0, 20, 8 },  { "more than half full", 6, 20, 4 }, { "one slot is free", 9, 20, 1 },
+  { "full", 10, 20, 0 }, { "own calls wait", 12, 20, 0 },
+};
+
+static void
+test_spill (void **state)
+{
+  static const BjHostOps ops
+      = { send_peer, start_upstream, do_nothing, answer, do_nothing, do_nothing };
+  static const char config[]
+      = "{\"number\":1,\"priorities\":[\"lookup\"],\"services\":{\"catalogue\":{\"routes\":["
+        "{\"prefix\":\"/c\",\"class\":\"lookup\"}],\"limiter\":{\"plugin\":\"fixed\"}}}}";
+  BjRequest own = { .method = BJ_STR ("GET"), .path = BJ_STR ("/c"), .deadline_ms = 60000 };
+  BjRequest spilled = own;
+
+  (void)state;
+  spilled.is_spilled = true;
+  for (size_t i = 0; i < G_N_ELEMENTS (spill_cases); i++)
+    {
+      const SpillCase *c = &spill_cases[i];
+      SpillHost h = { .host.ops = &ops };
+      BjKernelOptions o = { .self = { .name = BJ_STR ("one") }, .host = &h.host, .seed = 1 };
+      BjKernel *k = bj_kernel_new (&o, 0);
+      BjConfig *parsed;
+      int before;
+
+      assert_int_equal (bj_config_parse (bj_str (config), &parsed), BJ_OK);
+      bj_kernel_set_config (k, 0, parsed);
+      bj_kernel_announce (k, 0, BJ_STR ("catalogue"), 10);
+      for (int j = 0; j < c->own; j++)
+        bj_kernel_arrive_peer (k, 1, &own, BJ_STR ("catalogue"), NULL);
+      before = h.started;
+      for (int j = 0; j < c->spilled; j++)
+        bj_kernel_arrive_peer (k, NOW, &spilled, BJ_STR ("catalogue"), NULL);
+      if (h.started - before != c->started || h.refused != c->spilled - c->started)
+        fail_msg ("%s: %d started, %d refused", c->name, h.started - before, h.refused);
+      bj_kernel_free (k);
+    }
+}
+
+static int
+find_router (void **state)
+{
+  (void)state;
+  p2c = bj_plugin_find (BJ_PLUGIN_ROUTER, BJ_STR ("p2c-load"));
+  return p2c == NULL;
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_pick),
+    cmocka_unit_test (test_result),
+    cmocka_unit_test (test_many),
+    cmocka_unit_test (test_spill),
+  };
+
+  return cmocka_run_group_tests (tests, find_router, NULL);
+}
