Settings: each error names file, place, value and what is allowed; keys stand once

Cause: json-c keeps the last of two equal keys and says nothing; an unknown key was named without the allowed ones; a key file that is not there was found only at the start.

Change: bj_json_read passes once over text that json-c has accepted and refuses a key that stands twice in one object, with its line; an escape in a key is refused, so that two spellings are no way around it. Zero bytes in strings and seeds that stand twice are refused. A reader logs once when the store can't be read and once when it can. What the store holds as configuration is checked before a ticket is merged into it.

Test: tests/test_settings.c, 33 rows; tests/test_fleet_settings.c, 8 starts that end with code 2 and one line, and a start without platform that goes on.

Ruled out: json-c's strict mode, which refuses comments; it accepts a comma behind the last key.

--- a/src/bjctl/tickets.c
+++ b/src/bjctl/tickets.c
@@ -15,6 +15,7 @@
 static BjStatus set_base (const CtlOptions *o, GString *text);
 static void show_difference (const CtlOptions *o, BjStr text);
 static GString *make_writer (void);
+static BjStatus check_config (const GString *text);
 static char *make_drain (BjStr current, const char *upstream);
 
 int
@@ -92,6 +93,8 @@
   if (code == CTL_OK)
     {
       s = ctl_store_read (o, "config/current", current);
+      if (s == BJ_OK)
+        s = check_config (current);
       if (s == BJ_OK || s == BJ_E_NOT_FOUND)
         {
           char *ticket = make_drain ((BjStr){ current->str, current->len }, o->argument);
@@ -269,6 +272,16 @@
   return s;
 }
 
+static BjStatus
+check_config (const GString *text)
+{
+  BjConfig *c;
+  BjStatus s = bj_config_parse ((BjStr){ text->str, text->len }, &c);
+
+  bj_config_free (c);
+  return s;
+}
+
 // A ticket with the upstream's whole state as it is, but drained.
 static char *
 make_drain (BjStr current, const char *upstream)
--- a/src/json.c
+++ b/src/json.c
@@ -3,6 +3,28 @@
 #include "internal.h"
 #include <string.h>
 
+#define KEY_SHOWN_MAX 64 // bytes of a key in a message
+
+typedef struct
+{
+  BjStr text;
+  size_t at;
+  BjStr string;                          // last one passed, without its quotes
+  GHashTable *keys[BJ_TICKET_DEPTH_MAX]; // of the open objects
+  int depth;
+} KeyScan;
+
+static BjStatus check_keys (const char *name, BjStr text, BjStatus code);
+static BjStatus scan_keys (const char *name, KeyScan *k, BjStatus code);
+static BjStatus add_key (const char *name, KeyScan *k, BjStatus code);
+static void skip_string (KeyScan *k);
+static void skip_comment (KeyScan *k);
+static BjStatus fail_unknown (const char *name,
+                              const char *path,
+                              const char *key,
+                              BjStatus code,
+                              const BjJsonKey *keys,
+                              int n);
 static BjStatus check_value (
     const char *name, const char *path, const BjJsonKey *k, struct json_object *v, BjStatus code);
 static BjStatus check_size (const char *name,
@@ -23,6 +45,7 @@
   struct json_tokener *t;
   enum json_tokener_error e;
   size_t end;
+  BjStatus s;
 
   *root = NULL;
   if (text.len > BJ_TICKET_MAX)
@@ -41,10 +64,12 @@
     return bj_fail (
         code, "%s: line %d: %s.", name, line_of (text, end), json_tokener_error_desc (e));
   if (rest_is_blank (text, end))
-    return BJ_OK;
-  json_object_put (*root);
-  *root = NULL;
-  return bj_fail (code, "%s: line %d: text follows the first value.", name, line_of (text, end));
+    s = check_keys (name, text, code);
+  else
+    s = bj_fail (code, "%s: line %d: text follows the first value.", name, line_of (text, end));
+  if (s != BJ_OK)
+    g_clear_pointer (root, json_object_put);
+  return s;
 }
 
 BjStatus
@@ -63,7 +88,7 @@
     BjStatus s;
 
     if (k == NULL)
-      return bj_fail (code, "%s: %s: unknown key \"%s\".", name, path, key);
+      return fail_unknown (name, path, key, code, keys, n);
     s = check_value (name, path, k, value, code);
     if (s != BJ_OK)
       return s;
@@ -108,6 +133,103 @@
   return json_object_object_get_ex (o, key, &v) ? json_object_get_boolean (v) : absent;
 }
 
+// json-c keeps the last of two equal keys and says nothing. This passes over text that json-c has
+// accepted and notes the keys of each open object.
+static BjStatus
+check_keys (const char *name, BjStr text, BjStatus code)
+{
+  KeyScan k = { .text = text };
+  BjStatus s = scan_keys (name, &k, code);
+
+  while (k.depth > 0)
+    g_hash_table_destroy (k.keys[--k.depth]);
+  return s;
+}
+
+static BjStatus
+scan_keys (const char *name, KeyScan *k, BjStatus code)
+{
+  BjStatus s = BJ_OK;
+
+  while (k->at < k->text.len && s == BJ_OK)
+    {
+      char c = k->text.data[k->at++];
+
+      if (c == '"' || c == '\'')
+        skip_string (k);
+      else if (c == '/')
+        skip_comment (k);
+      else if (c == ':')
+        s = add_key (name, k, code);
+      else if (c == '{' && k->depth < BJ_TICKET_DEPTH_MAX)
+        k->keys[k->depth++] = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      else if (c == '}' && k->depth > 0)
+        g_hash_table_destroy (k->keys[--k->depth]);
+    }
+  return s;
+}
+
+static BjStatus
+add_key (const char *name, KeyScan *k, BjStatus code)
+{
+  BjStr key = k->string;
+
+  if (k->depth == 0)
+    return BJ_OK;
+  if (memchr (key.data, '\\', key.len) != NULL)
+    return bj_fail (
+        code, "%s: line %d: an escape in a key is not allowed.", name, line_of (k->text, k->at));
+  if (g_hash_table_add (k->keys[k->depth - 1], g_strndup (key.data, key.len)))
+    return BJ_OK;
+  return bj_fail (code,
+                  "%s: line %d: key \"%.*s\" stands twice.",
+                  name,
+                  line_of (k->text, k->at),
+                  (int)MIN (key.len, KEY_SHOWN_MAX),
+                  key.data);
+}
+
+static void
+skip_string (KeyScan *k)
+{
+  char quote = k->text.data[k->at - 1];
+  size_t begin = k->at;
+
+  while (k->at < k->text.len && k->text.data[k->at] != quote)
+    k->at += k->text.data[k->at] == '\\' ? 2 : 1;
+  k->at = MIN (k->at, k->text.len);
+  k->string = (BjStr){ k->text.data + begin, k->at - begin };
+  k->at++;
+}
+
+static void
+skip_comment (KeyScan *k)
+{
+  BjStr rest = { k->text.data + k->at, k->text.len - k->at };
+  BjStr stop = bj_str_starts (rest, BJ_STR ("/")) ? BJ_STR ("\n") : BJ_STR ("*/");
+  const char *end = rest.len > 1 ? memmem (rest.data + 1, rest.len - 1, stop.data, stop.len) : NULL;
+
+  k->at = end != NULL ? (size_t)(end - k->text.data) + stop.len : k->text.len;
+}
+
+static BjStatus
+fail_unknown (const char *name,
+              const char *path,
+              const char *key,
+              BjStatus code,
+              const BjJsonKey *keys,
+              int n)
+{
+  GString *allowed = g_string_new (NULL);
+  BjStatus s;
+
+  for (int i = 0; i < n; i++)
+    g_string_append_printf (allowed, "%s%s", i > 0 ? ", " : "", keys[i].key);
+  s = bj_fail (code, "%s: %s: unknown key \"%.64s\", allowed: %s.", name, path, key, allowed->str);
+  g_string_free (allowed, TRUE);
+  return s;
+}
+
 static BjStatus
 check_value (
     const char *name, const char *path, const BjJsonKey *k, struct json_object *v, BjStatus code)
@@ -117,6 +239,9 @@
   if (!has_type (v, k->type))
     return bj_fail (
         code, "%s: %s.%s: %.60s is not %s.", name, path, k->key, shown, type_name (k->type));
+  if (k->type == BJ_JSON_STR
+      && strlen (json_object_get_string (v)) != (size_t)json_object_get_string_len (v))
+    return bj_fail (code, "%s: %s.%s: a zero byte is not allowed.", name, path, k->key);
   if (k->min == 0 && k->max == 0)
     return BJ_OK;
   switch (k->type)
--- a/src/merge.c
+++ b/src/merge.c
@@ -21,6 +21,7 @@
                            BjStr ticket,
                            struct json_object **current_object,
                            struct json_object **ticket_object);
+static BjStatus read_current (BjStr text, struct json_object **o);
 static BjStatus check_base (struct json_object *current, struct json_object *ticket);
 static BjStatus check_section_base (struct json_object *current,
                                     struct json_object *ticket,
@@ -86,9 +87,8 @@
   struct json_object *c;
   struct json_object *f = NULL;
   struct json_object *before = NULL;
-  BjStr empty = BJ_STR ("{}");
   BjStatus code;
-  BjStatus s = bj_json_read ("configuration", current.len > 0 ? current : empty, BJ_E_TICKET, &c);
+  BjStatus s = read_current (current, &c);
 
   if (s != BJ_OK)
     return s;
@@ -155,7 +155,6 @@
            struct json_object **ticket_object)
 {
   int64_t number;
-  BjStr empty = BJ_STR ("{}");
   BjStatus s = bj_ticket_check (ticket, &number);
 
   *current_object = NULL;
@@ -163,11 +162,24 @@
   if (s == BJ_OK)
     s = bj_json_read ("ticket", ticket, BJ_E_TICKET, ticket_object);
   if (s == BJ_OK)
-    s = bj_json_read (
-        "configuration", current.len > 0 ? current : empty, BJ_E_TICKET, current_object);
+    s = read_current (current, current_object);
   return s;
 }
 
+// Whatever stands in the store is checked before it is changed.
+static BjStatus
+read_current (BjStr text, struct json_object **o)
+{
+  BjConfig *c = NULL;
+  BjStatus s = text.len > 0 ? bj_config_parse (text, &c) : BJ_OK;
+
+  bj_config_free (c);
+  *o = NULL;
+  if (s != BJ_OK)
+    return s;
+  return bj_json_read ("configuration", text.len > 0 ? text : BJ_STR ("{}"), BJ_E_TICKET, o);
+}
+
 static BjStatus
 check_base (struct json_object *current, struct json_object *ticket)
 {
--- a/src/reader.c
+++ b/src/reader.c
@@ -24,6 +24,7 @@
   BjTime started;
   BjTime not_before; // no call to the store before
   double backoff_ms;
+  bool failing;        // the last call to the store failed
   BjTime behind_since; // a peer holds a newer configuration, BJ_TIME_NEVER if none does
   BjTime asked_at;     // last peer fetch
 };
@@ -58,6 +59,7 @@
 static void on_watched (void *data, const BjPlatformReply *reply);
 static void adopt_stored (BjReader *r);
 static void back_off (BjReader *r);
+static void succeed (BjReader *r);
 static int64_t own_number (const BjReader *r);
 
 static BjCounter n_readings
@@ -268,7 +270,7 @@
   if (s != BJ_OK)
     back_off (r);
   else
-    r->backoff_ms = BACKOFF_MIN_MS;
+    succeed (r);
   g_clear_pointer (&r->filer, bj_filer_free);
 }
 
@@ -285,7 +287,7 @@
       bj_str_set (&r->stored,
                   bj_str (json_object_to_json_string_ext (spec, JSON_C_TO_STRING_PLAIN)));
       r->must_read = bj_json_int (spec, "number") < own_number (r);
-      r->backoff_ms = BACKOFF_MIN_MS;
+      succeed (r);
       adopt_stored (r);
       return;
     }
@@ -322,10 +324,22 @@
 back_off (BjReader *r)
 {
   n_failures.value++;
+  if (!r->failing)
+    bj_log (BJ_LOG_WARNING, "TICKET", "The store can't be read, trying on: %s", bj_last_message ());
+  r->failing = true;
   r->not_before = bj_clock_now () + g_random_double_range (r->backoff_ms / 2, r->backoff_ms);
   r->backoff_ms = MIN (r->backoff_ms * 2, BJ_READER_BACKOFF_MAX_MS);
 }
 
+static void
+succeed (BjReader *r)
+{
+  if (r->failing)
+    bj_log (BJ_LOG_INFO, "TICKET", "The store can be read again.");
+  r->failing = false;
+  r->backoff_ms = BACKOFF_MIN_MS;
+}
+
 static int64_t
 own_number (const BjReader *r)
 {
--- a/src/settings.c
+++ b/src/settings.c
@@ -2,7 +2,9 @@
 
 #include "internal.h"
 #include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
+#include <unistd.h>
 
 #define NAME_MAX_BYTES 64
 #define PORT_MAX 65535
@@ -37,6 +39,7 @@
 static BjStatus read_addresses (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_advertised (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_seeds (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus check_new_seed (const char *name, BjSettings *s);
 static BjStatus read_platform (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_log_level (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus check_distinct (const char *name, const BjSettings *s);
@@ -57,6 +60,16 @@
     }
   status = bj_settings_parse (path, (BjStr){ text, len }, s);
   g_free (text);
+  if (status == BJ_OK && s->key_file.len > 0 && access (s->key_file.data, R_OK) != 0)
+    {
+      status
+          = bj_fail (BJ_E_SETTINGS,
+                     "%s: settings.key_file: \"%s\" can't be read, a readable file is needed: %s.",
+                     path,
+                     s->key_file.data,
+                     g_strerror (errno));
+      bj_settings_clear (s);
+    }
   return status;
 }
 
@@ -223,16 +236,37 @@
       BjStatus status;
 
       if (!json_object_is_type (v, json_type_string))
-        return bj_fail (
-            BJ_E_SETTINGS, "%s: settings.seeds[%zu]: must be a string IP:PORT.", name, i);
+        return bj_fail (BJ_E_SETTINGS,
+                        "%s: settings.seeds[%zu]: %.60s is not a string IP:PORT.",
+                        name,
+                        i,
+                        json_object_to_json_string (v));
       status = read_address (name, "seeds", bj_str (json_object_get_string (v)), &s->seeds[i]);
+      if (status == BJ_OK)
+        status = check_new_seed (name, s);
       if (status != BJ_OK)
         return status;
-      s->n_seeds++;
     }
   return BJ_OK;
 }
 
+// Counts the seed behind the ones known, or refuses it.
+static BjStatus
+check_new_seed (const char *name, BjSettings *s)
+{
+  const BjAddress *last = &s->seeds[s->n_seeds++];
+
+  for (int i = 0; i < s->n_seeds - 1; i++)
+    if (s->seeds[i].port == last->port && bj_str_equal (s->seeds[i].host, last->host))
+      return bj_fail (BJ_E_SETTINGS,
+                      "%s: settings.seeds[%d]: %s:%d stands twice, each seed once is allowed.",
+                      name,
+                      s->n_seeds - 1,
+                      last->host.data,
+                      last->port);
+  return BJ_OK;
+}
+
 static BjStatus
 read_platform (const char *name, struct json_object *o, BjSettings *s)
 {
--- /dev/null
+++ b/tests/test_fleet_settings.c
@@ -0,0 +1,164 @@
+// Settings and ports at the start of real daemons: exit code 2 and one line, or a start that waits.
+
+#include "fleet.h"
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+typedef struct
+{
+  const char *name;
+  const char *option;
+  const char *extra; // JSON members
+  int busy;          // which port is taken: 0 none, 1 front, 2 admin, 3 link, 4 gossip
+  const char *told;  // in the one line on stderr
+} Case;
+
+static const Case cases[] = {
+  { "unknown key", "--config", ",\"x\":1", 0, "unknown key \"x\"" },
+  { "unknown key, checked", "--check-config", ",\"x\":1", 0, "unknown key \"x\"" },
+  { "key file missing", "--config", ",\"key_file\":\"/nowhere/key\"", 0, "/nowhere/key" },
+  { "key file missing, checked", "--check-config", ",\"key_file\":\"/nowhere/key\"", 0, "key_file" },
+  { "front busy", "--config", "", 1, "front" },
+  { "admin busy", "--config", "", 2, "admin" },
+  { "link busy", "--config", "", 3, "link" },
+  { "gossip busy", "--config", "", 4, "gossip" },
+};
+
+static void
+init_fleet (Fleet *f)
+{
+  FleetNode node = { .name = "n", .domain = "d", .region = "r" };
+
+  fleet_init (f, &node, 1);
+}
+
+static int
+take_port (int port, int type)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
+
+  inet_pton (AF_INET, "127.0.0.1", &addr.sin_addr);
+  assert_int_equal (bind (fd, (struct sockaddr *)&addr, sizeof addr), 0);
+  if (type == SOCK_STREAM)
+    assert_int_equal (listen (fd, 1), 0);
+  return fd;
+}
+
+static void
+write_settings (const Fleet *f, const char *path, const char *extra)
+{
+  const FleetMember *m = &f->members[0];
+  char *text = g_strdup_printf ("{\"name\":\"n\",\"domain\":\"d\",\"region\":\"r\","
+                                "\"front\":\"127.0.0.1:%d\",\"admin\":\"127.0.0.1:%d\","
+                                "\"link\":\"127.0.0.1:%d\",\"gossip\":\"127.0.0.1:%d\","
+                                "\"platform\":{\"url\":\"http://127.0.0.1:%d\"}%s}",
+                                m->front_port,
+                                m->admin_port,
+                                m->link_port,
+                                m->gossip_port,
+                                f->platform_port,
+                                extra);
+
+  g_file_set_contents (path, text, -1, NULL);
+  g_free (text);
+}
+
+static void
+run_case (const Case *c)
+{
+  static Fleet f;
+  char config[512], command[1100];
+  char *const argv[] = { "sh", "-c", command, NULL };
+  GString *out = g_string_new (NULL);
+  int ports[5];
+  int fd = -1;
+  int code;
+
+  init_fleet (&f);
+  g_snprintf (config, sizeof config, "%s/n.json", f.dir);
+  write_settings (&f, config, c->extra);
+  ports[1] = f.members[0].front_port;
+  ports[2] = f.members[0].admin_port;
+  ports[3] = f.members[0].link_port;
+  ports[4] = f.members[0].gossip_port;
+  if (c->busy > 0)
+    fd = take_port (ports[c->busy], c->busy == 4 ? SOCK_DGRAM : SOCK_STREAM);
+  g_snprintf (command,
+              sizeof command,
+              "exec timeout 20 " BJ_BUILD_DIR "/boraged %s %s 2>&1",
+              c->option,
+              config);
+  code = fleet_run (argv, out);
+  if (code != 2 || strstr (out->str, c->told) == NULL)
+    print_error ("%s: %d %s\n", c->name, code, out->str);
+  assert_int_equal (code, 2);
+  assert_non_null (strstr (out->str, c->told));
+  assert_ptr_equal (strchr (out->str, '\n'), out->str + out->len - 1);
+  if (fd >= 0)
+    close (fd);
+  g_string_free (out, TRUE);
+  fleet_stop (&f);
+}
+
+static void
+test_cases (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    run_case (&cases[i]);
+}
+
+static bool
+answers (void *fleet)
+{
+  return fleet_http (
+             "GET", ((Fleet *)fleet)->members[0].admin_port, "/v1/status", NULL, NULL, NULL)
+         == 200;
+}
+
+static bool
+has_logged (void *fleet)
+{
+  char *path = g_strdup_printf ("%s/n.log", ((Fleet *)fleet)->dir);
+  char *text = NULL;
+  bool found = g_file_get_contents (path, &text, NULL, NULL)
+               && strstr (text, "TICKET: The store can't be read, trying on:") != NULL;
+
+  g_free (text);
+  g_free (path);
+  return found;
+}
+
+static void
+test_platform_unreachable (void **state)
+{
+  static Fleet f;
+
+  (void)state;
+  init_fleet (&f);
+  fleet_start_daemon (&f, 0);
+  assert_true (fleet_until (answers, &f, 10000));
+  assert_true (fleet_until (has_logged, &f, 10000));
+  fleet_stop (&f);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_cases),
+    cmocka_unit_test (test_platform_unreachable),
+  };
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_fleet_ticket.c
+++ b/tests/test_fleet_ticket.c
@@ -14,8 +14,8 @@
 
 #define N_NODES 6
 #define FILE_TIMEOUT_MS 10000
-#define OUTAGE_START_MS 2000  // stated target for a daemon started in an outage
-#define COMPLETE_MS 20000     // a watch without news, then a reading
+#define OUTAGE_START_MS 2000 // stated target for a daemon started in an outage
+#define COMPLETE_MS 20000    // a watch without news, then a reading
 #define WAIT_SECONDS "15"
 #define ROOT "/apis/boragejunction/v1/"
 
@@ -134,9 +134,9 @@
 {
   Operator *o = data;
   char path[512], platform[64], admin[64];
-  char *const argv[] = { BJ_BUILD_DIR "/bjctl", "--platform", platform,     "--admin", admin,
-                         "--json",              "--wait",     WAIT_SECONDS, "file",    path,
-                         NULL };
+  char *const argv[]
+      = { BJ_BUILD_DIR "/bjctl", "--platform", platform, "--admin", admin, "--json", "--wait",
+          WAIT_SECONDS,          "file",       path,     NULL };
 
   g_snprintf (path, sizeof path, "%s/ticket-%p.json", fleet.dir, data);
   g_snprintf (platform, sizeof platform, "http://127.0.0.1:%d", fleet.platform_port);
@@ -173,8 +173,8 @@
 {
   char *path = g_strdup_printf (ROOT "tickets/%" PRId64, number);
   char *ticket = make_ticket (number, base, "crashed");
-  char *body = g_strdup_printf (
-      "{\"metadata\":{},\"spec\":{\"writer\":\"crashed\",\"ticket\":%s}}", ticket);
+  char *body = g_strdup_printf ("{\"metadata\":{},\"spec\":{\"writer\":\"crashed\",\"ticket\":%s}}",
+                                ticket);
   bool posted = fleet_http ("POST", fleet.platform_port, path, NULL, body, NULL) == 201;
 
   g_free (body);
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,127 @@
+// Settings: what is accepted, and that an error names file, place, value and what is allowed.
+
+#include "internal.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define HEAD "{\"name\":\"n\",\"domain\":\"d\",\"region\":\"r\","
+#define PORTS                                                                                      \
+  "\"front\":\"127.0.0.1:1\",\"admin\":\"127.0.0.1:2\","                                           \
+  "\"link\":\"127.0.0.1:3\",\"gossip\":\"127.0.0.1:4\","
+#define PLATFORM "\"platform\":{\"url\":\"http://127.0.0.1:9\"}"
+#define GOOD HEAD PORTS PLATFORM
+
+typedef struct
+{
+  const char *name;
+  const char *text;
+  BjStatus expected;
+  const char *place;   // in the message
+  const char *allowed; // in the message
+} Case;
+
+static const Case cases[] = {
+  { "least", GOOD "}", BJ_OK, "", "" },
+  { "comments", "// a\n" GOOD "/* b */}", BJ_OK, "", "" },
+  { "unknown key", GOOD ",\"nmae\":1}", BJ_E_SETTINGS, "\"nmae\"", "allowed: name, domain" },
+  { "unknown key inside",
+    HEAD PORTS "\"platform\":{\"url\":\"x\",\"uri\":1}}",
+    BJ_E_SETTINGS,
+    "settings.platform: unknown key \"uri\"",
+    "allowed: plugin, url" },
+  { "missing key", HEAD PLATFORM "}", BJ_E_SETTINGS, "settings: key \"front\"", "missing" },
+  { "key stands twice", GOOD ",\n\"name\":\"m\"}", BJ_E_SETTINGS, "line 2: key \"name\"", "twice" },
+  { "key stands twice inside",
+    HEAD PORTS "\"platform\":{\"url\":\"x\",\n\n\"url\":\"y\"}}",
+    BJ_E_SETTINGS,
+    "line 3: key \"url\"",
+    "twice" },
+  { "same key in two objects", HEAD PORTS "\"advertise\":{\"link\":\"1.2.3.4:5\"}," PLATFORM "}",
+    BJ_OK,
+    "",
+    "" },
+  { "key after a quote in a comment", GOOD "/* \" */,\"drain_ms\":1}", BJ_OK, "", "" },
+  { "escape in a key", GOOD ",\"n\\u0061me\":\"x\"}", BJ_E_SETTINGS, "line 1: an escape", "" },
+  { "wrong type", GOOD ",\"seeds\":{}}", BJ_E_SETTINGS, "settings.seeds: { }", "an array" },
+  { "number for a string", GOOD ",\"key_file\":7}", BJ_E_SETTINGS, "key_file: 7", "a string" },
+  { "zero byte", GOOD ",\"key_file\":\"a\\u0000b\"}", BJ_E_SETTINGS, "key_file", "zero byte" },
+  { "too large", GOOD ",\"drain_ms\":1e9}", BJ_E_SETTINGS, "drain_ms: value 1e+09", "0 to 600000" },
+  { "below the range", GOOD ",\"drain_ms\":-1}", BJ_E_SETTINGS, "drain_ms: value -1", "0 to" },
+  { "not a number", GOOD ",\"drain_ms\":NaN}", BJ_E_SETTINGS, "drain_ms: value", "0 to 600000" },
+  { "empty name",
+    "{\"name\":\"\",\"domain\":\"d\",\"region\":\"r\"," PORTS PLATFORM "}",
+    BJ_E_SETTINGS,
+    "settings.name: length 0",
+    "1 to 64" },
+  { "no port",
+    HEAD "\"front\":\"127.0.0.1\",\"admin\":\"127.0.0.1:2\",\"link\":\"127.0.0.1:3\","
+         "\"gossip\":\"127.0.0.1:4\"," PLATFORM "}",
+    BJ_E_SETTINGS,
+    "settings.front: \"127.0.0.1\"",
+    "1 to 65535" },
+  { "port out of range", GOOD ",\"seeds\":[\"127.0.0.1:65536\"]}", BJ_E_SETTINGS, "65536", "65535" },
+  { "host by name", GOOD ",\"seeds\":[\"host:1\"]}", BJ_E_SETTINGS, "\"host:1\"", "IPv4" },
+  { "seed is a number", GOOD ",\"seeds\":[5]}", BJ_E_SETTINGS, "seeds[0]: 5", "IP:PORT" },
+  { "seed stands twice",
+    GOOD ",\"seeds\":[\"1.2.3.4:5\",\"1.2.3.4:5\"]}",
+    BJ_E_SETTINGS,
+    "settings.seeds[1]: 1.2.3.4:5",
+    "once" },
+  { "two addresses the same",
+    HEAD "\"front\":\"127.0.0.1:1\",\"admin\":\"127.0.0.1:1\",\"link\":\"127.0.0.1:3\","
+         "\"gossip\":\"127.0.0.1:4\"," PLATFORM "}",
+    BJ_E_SETTINGS,
+    "127.0.0.1:1 stands twice",
+    "must differ" },
+  { "unknown plug-in",
+    HEAD PORTS "\"platform\":{\"url\":\"x\",\"plugin\":\"etc\"}}",
+    BJ_E_SETTINGS,
+    "settings.platform.plugin: \"etc\"",
+    "allowed: http" },
+  { "unknown level", GOOD ",\"log_level\":\"loud\"}", BJ_E_SETTINGS, "\"loud\"", "error, warning" },
+  { "syntax", GOOD "\n\n;}", BJ_E_SETTINGS, "line 3", "" },
+  { "comma behind the last key", GOOD ",}", BJ_OK, "", "" },
+  { "ends early", GOOD, BJ_E_SETTINGS, "ends before", "" },
+  { "text behind", GOOD "}\n x", BJ_E_SETTINGS, "line 2: text follows", "" },
+  { "empty", "", BJ_E_SETTINGS, "ends before", "" },
+  { "not an object", "[]", BJ_E_SETTINGS, "must be an object", "" },
+  { "null", "null", BJ_E_SETTINGS, "must be an object", "" },
+  { "not UTF-8", "{\"name\":\"\xff\"}", BJ_E_SETTINGS, "UTF-8", "" },
+};
+
+static void
+test_cases (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      BjSettings s;
+      BjStatus status = bj_settings_parse ("file.json", bj_str (c->text), &s);
+      const char *m = status == BJ_OK ? "" : bj_last_message ();
+      bool is_told = status == BJ_OK
+                     || (g_str_has_prefix (m, "file.json: ") && strstr (m, c->place) != NULL
+                         && strstr (m, c->allowed) != NULL && strchr (m, '\n') == NULL);
+
+      if (status != c->expected || !is_told)
+        print_error ("%s: %s, %s\n", c->name, bj_status_name (status), m);
+      assert_int_equal (status, c->expected);
+      assert_true (is_told);
+      if (status == BJ_OK)
+        bj_settings_clear (&s);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_cases),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
