--- a/src/json.c
+++ b/src/json.c
@@ -176,7 +176,7 @@
 
   if (k->depth == 0)
     return BJ_OK;
-  if (memchr (key.data, '\\', key.len) != NULL)
+  if (key.len > 0 && memchr (key.data, '\\', key.len) != NULL)
     return bj_fail (
         code, "%s: line %d: an escape in a key is not allowed.", name, line_of (k->text, k->at));
   if (g_hash_table_add (k->keys[k->depth - 1], g_strndup (key.data, key.len)))
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -89,7 +89,7 @@
   { "text behind", GOOD "}\n x", BJ_E_SETTINGS, "line 2: text follows", "" },
   { "empty", "", BJ_E_SETTINGS, "ends before", "" },
   { "not an object", "[]", BJ_E_SETTINGS, "must be an object", "" },
-  { "null", "null", BJ_E_SETTINGS, "must be an object", "" },
+  { "null", "null\n", BJ_E_SETTINGS, "must be an object", "" },
   { "not UTF-8", "{\"name\":\"\xff\"}", BJ_E_SETTINGS, "UTF-8", "" },
 };
 
