--- a/tests/test_fleet_settings.c
+++ b/tests/test_fleet_settings.c
@@ -25,7 +25,11 @@
   { "unknown key", "--config", ",\"x\":1", 0, "unknown key \"x\"" },
   { "unknown key, checked", "--check-config", ",\"x\":1", 0, "unknown key \"x\"" },
   { "key file missing", "--config", ",\"key_file\":\"/nowhere/key\"", 0, "/nowhere/key" },
-  { "key file missing, checked", "--check-config", ",\"key_file\":\"/nowhere/key\"", 0, "key_file" },
+  { "key file missing, checked",
+    "--check-config",
+    ",\"key_file\":\"/nowhere/key\"",
+    0,
+    "key_file" },
   { "front busy", "--config", "", 1, "front" },
   { "admin busy", "--config", "", 2, "admin" },
   { "link busy", "--config", "", 3, "link" },
@@ -120,8 +124,7 @@
 static bool
 answers (void *fleet)
 {
-  return fleet_http (
-             "GET", ((Fleet *)fleet)->members[0].admin_port, "/v1/status", NULL, NULL, NULL)
+  return fleet_http ("GET", ((Fleet *)fleet)->members[0].admin_port, "/v1/status", NULL, NULL, NULL)
          == 200;
 }
 
