Decoders under mutation; names and prefixes of a ticket are checked

Change: names of services, upstreams and classes are 1 to 64 letters, digits, dots, dashes or underscores; a path prefix may stand in one service only, since a path that two services claim would go to either.

--- a/src/ticket.c
+++ b/src/ticket.c
@@ -2,6 +2,7 @@
 // the priorities that it touches; the merged state of all tickets has the same form.
 
 #include "internal.h"
+#include <string.h>
 
 #define NAME_MAX_BYTES 64
 #define ROUTES_MAX 256
@@ -53,6 +54,8 @@
 };
 
 static BjStatus read_config (struct json_object *o, BjConfig *c);
+static BjStatus check_name (const char *section, const char *name);
+static BjStatus check_prefixes (const BjConfig *c);
 static BjStatus read_classes (struct json_object *o, BjConfig *c);
 static BjStatus read_services (struct json_object *o, BjConfig *c);
 static BjStatus
@@ -178,8 +181,10 @@
       struct json_object *v = json_object_array_get_idx (a, i);
       const char *name = json_object_get_string (v);
 
-      if (!json_object_is_type (v, json_type_string) || *name == '\0')
+      if (!json_object_is_type (v, json_type_string))
         return bj_fail (BJ_E_TICKET, "priorities[%zu]: must be the name of a class.", i);
+      if (check_name ("priorities", name) != BJ_OK)
+        return BJ_E_TICKET;
       if (class_of (c, bj_str (name)) >= 0)
         return bj_fail (BJ_E_TICKET, "priorities[%zu]: class \"%s\" stands twice.", i, name);
       g_ptr_array_add (c->classes, g_strdup (name));
@@ -202,7 +207,48 @@
     if (s != BJ_OK)
       return s;
   }
-  return BJ_OK;
+  return check_prefixes (c);
+}
+
+// Names stand in log lines, addresses and metrics.
+static BjStatus
+check_name (const char *section, const char *name)
+{
+  size_t n = strlen (name);
+  bool good = n >= 1 && n <= NAME_MAX_BYTES;
+
+  for (size_t i = 0; i < n && good; i++)
+    good = g_ascii_isalnum (name[i]) || strchr ("._-", name[i]) != NULL;
+  if (good)
+    return BJ_OK;
+  return bj_fail (
+      BJ_E_TICKET,
+      "%s: name \"%.64s\" must be 1 to %d letters, digits, dots, dashes or underscores.",
+      section,
+      name,
+      NAME_MAX_BYTES);
+}
+
+// A path that two services claim would go to either.
+static BjStatus
+check_prefixes (const BjConfig *c)
+{
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+  BjStatus status = BJ_OK;
+
+  for (int i = 0; i < c->n_services && status == BJ_OK; i++)
+    for (int j = 0; j < c->services[i].n_routes && status == BJ_OK; j++)
+      {
+        const char *prefix = c->services[i].routes[j].prefix.data;
+
+        if (!g_hash_table_add (seen, (gpointer)prefix))
+          status = bj_fail (BJ_E_TICKET,
+                            "services.%s: prefix \"%s\" stands twice, one service may have it.",
+                            c->services[i].name.data,
+                            prefix);
+      }
+  g_hash_table_destroy (seen);
+  return status;
 }
 
 static BjStatus
@@ -214,8 +260,10 @@
 
   g_snprintf (path, sizeof path, "services.%.64s", name);
   s->name = bj_str_dup (bj_str (name));
-  status
-      = bj_json_check ("ticket", path, o, BJ_E_TICKET, service_keys, G_N_ELEMENTS (service_keys));
+  status = check_name ("services", name);
+  if (status == BJ_OK)
+    status
+        = bj_json_check ("ticket", path, o, BJ_E_TICKET, service_keys, G_N_ELEMENTS (service_keys));
   if (status != BJ_OK)
     return status;
   s->number = bj_json_int (o, "number");
@@ -368,8 +416,10 @@
 
     g_snprintf (path, sizeof path, "upstreams.%.64s", name);
     u->name = bj_str_dup (bj_str (name));
-    s = bj_json_check (
-        "ticket", path, value, BJ_E_TICKET, upstream_keys, G_N_ELEMENTS (upstream_keys));
+    s = check_name ("upstreams", name);
+    if (s == BJ_OK)
+      s = bj_json_check (
+          "ticket", path, value, BJ_E_TICKET, upstream_keys, G_N_ELEMENTS (upstream_keys));
     if (s != BJ_OK)
       return s;
     u->number = bj_json_int (value, "number");
--- /dev/null
+++ b/tests/test_decode.c
@@ -0,0 +1,389 @@
+// Decoders of what comes from outside: thousands of seeded mutations of good frames, tickets,
+// settings and announcements are each accepted or refused with a status; bad tickets are refused
+// with their code and change nothing. Meant to run under ASan and UBSan too.
+
+#include "fleet.h"
+#include <ev.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define MUTATIONS 4000 // of each good input
+#define CHANGES_MAX 6  // in one mutation
+#define HUGE_BYTES (BJ_TICKET_MAX + 1)
+
+typedef BjStatus (*Decode) (BjStr input);
+
+typedef struct
+{
+  const char *name;
+  Decode decode;
+  const char *good;
+} Input;
+
+static BjDaemon *daemon_under_test;
+
+static BjStatus
+decode_frame (BjStr input)
+{
+  msgpack_unpacked keep;
+  BjFrame f;
+  BjStatus s;
+
+  msgpack_unpacked_init (&keep);
+  s = bj_frame_decode (input, &keep, &f);
+  msgpack_unpacked_destroy (&keep);
+  return s;
+}
+
+static BjStatus
+decode_ticket (BjStr input)
+{
+  GString *out = g_string_new (NULL);
+  BjStatus s = bj_ticket_merge (BJ_STR_NULL, input, out);
+
+  bj_ticket_difference (BJ_STR_NULL, input, out);
+  g_string_free (out, TRUE);
+  return s;
+}
+
+static BjStatus
+decode_filed (BjStr input)
+{
+  GString *out = g_string_new (NULL);
+  BjStatus s = bj_ticket_decide (BJ_STR_NULL, 1, input, out);
+
+  g_string_free (out, TRUE);
+  return s;
+}
+
+static BjStatus
+decode_config (BjStr input)
+{
+  GString *out = g_string_new (NULL);
+  BjConfig *c;
+  BjStatus s = bj_config_parse (input, &c);
+
+  bj_config_free (c);
+  bj_ticket_decide (input, 8, BJ_STR ("{}"), out);
+  bj_ticket_difference (input, BJ_STR ("{\"number\":9,\"base\":8,\"services\":{\"a\":{}}}"), out);
+  g_string_free (out, TRUE);
+  return s;
+}
+
+static BjStatus
+decode_settings (BjStr input)
+{
+  BjSettings settings;
+  BjStatus s = bj_settings_parse ("settings", input, &settings);
+
+  if (s == BJ_OK)
+    bj_settings_clear (&settings);
+  return s;
+}
+
+static BjStatus
+decode_announcement (BjStr input)
+{
+  GString *out = g_string_new (NULL);
+  int status
+      = bj_admin_handle (daemon_under_test, BJ_STR ("POST"), BJ_STR ("/v1/announce"), input, out);
+
+  g_string_free (out, TRUE);
+  assert_true (status == 200 || status == 400);
+  return status == 200 ? BJ_OK : BJ_E_FORMAT;
+}
+
+static const Input inputs[] = {
+  { "ticket",
+    decode_ticket,
+    "{\"number\":1,\"base\":0,\"author\":\"a\",\"priorities\":[\"high\",\"low\"],"
+    "\"services\":{\"a\":{\"routes\":[{\"prefix\":\"/a/\",\"class\":\"high\",\"irreversible\":true,"
+    "\"deadline_ms\":5e3,\"attempts\":2}],\"limiter\":{\"plugin\":\"adaptive\",\"ramp_ms\":2},"
+    "\"queue\":{\"max_wait_ms\":10,\"max_length\":3},\"retry\":{\"ratio\":0.1,\"burst\":5}}},"
+    "\"upstreams\":{\"n\":{\"drain\":true,\"max_slots\":4}}}" },
+  { "filed ticket",
+    decode_filed,
+    "{\"writer\":\"w\",\"ticket\":{\"number\":1,\"base\":0,\"priorities\":[\"high\"],\"services\":"
+    "{\"a\":{\"routes\":[{\"prefix\":\"/a/\",\"class\":\"high\"}]}}}}" },
+  { "configuration",
+    decode_config,
+    "{\"number\":7,\"decisions\":[{\"number\":7,\"writer\":\"w\",\"code\":0}],\"priorities\":"
+    "[\"high\"],\"priorities_number\":2,\"services\":{\"a\":{\"number\":3,\"routes\":[{\"prefix\":"
+    "\"/a/\",\"class\":\"high\"}]}},\"upstreams\":{\"n\":{\"number\":7,\"drain\":false}}}" },
+  { "settings",
+    decode_settings,
+    "// settings\n{\"name\":\"n\",\"domain\":\"d\",\"region\":\"r\",\"front\":\"127.0.0.1:1\","
+    "\"admin\":\"127.0.0.1:2\",\"link\":\"127.0.0.1:3\",\"gossip\":\"127.0.0.1:4\",/* s */"
+    "\"seeds\":[\"127.0.0.1:5\"],\"platform\":{\"url\":\"http://127.0.0.1:9\"},\"drain_ms\":5}" },
+  { "announcement",
+    decode_announcement,
+    "{\"service\":\"a\",\"host\":\"127.0.0.1\",\"port\":80,\"slots\":4,\"connections\":9,"
+    "\"load\":0.5}" },
+};
+
+// Flips, inserts, removes, copies and cuts.
+static void
+mutate (GRand *rand, GString *s)
+{
+  static const char *const pieces[]
+      = { "{", "}",  "[", "]",  "\"",   ":",    ",",    "null", "1e999", "-1",
+          "/", "/*", "'", "\\", "\\u0", "true", "\xff", "NaN",  "{}",    "[]" };
+  int n = g_rand_int_range (rand, 1, CHANGES_MAX);
+
+  for (int i = 0; i < n; i++)
+    {
+      gsize at = s->len > 0 ? (gsize)g_rand_int_range (rand, 0, (gint32)s->len) : 0;
+      gsize some = MIN (s->len - at, (gsize)20);
+
+      switch (s->len > 0 ? g_rand_int_range (rand, 0, 6) : 1)
+        {
+        case 0:
+          s->str[at] = (char)g_rand_int_range (rand, 0, 256);
+          break;
+        case 1:
+          g_string_insert (
+              s, (gssize)at, pieces[g_rand_int_range (rand, 0, G_N_ELEMENTS (pieces))]);
+          break;
+        case 2:
+          g_string_erase (s, (gssize)at, g_rand_int_range (rand, 1, (gint32)some + 1));
+          break;
+        case 3:
+          {
+            char *copy = g_strndup (s->str + at, some);
+
+            g_string_insert (s, g_rand_int_range (rand, 0, (gint32)s->len), copy);
+            g_free (copy);
+          }
+          break;
+        case 4:
+          s->str[at] ^= (char)(1 << g_rand_int_range (rand, 0, 8));
+          break;
+        default:
+          if (g_rand_int_range (rand, 0, 4) == 0)
+            g_string_truncate (s, at);
+        }
+    }
+}
+
+// The input is copied to its exact size, so that a read behind its end is found.
+static BjStatus
+decode_exact (Decode decode, const GString *s)
+{
+  char *exact = malloc (MAX (s->len, 1));
+  BjStatus status;
+
+  memcpy (exact, s->str, s->len);
+  status = decode ((BjStr){ exact, s->len });
+  free (exact);
+  return status;
+}
+
+static void
+mutate_input (const char *name, Decode decode, BjStr good, int n)
+{
+  int n_accepted = 0;
+  GString *s = g_string_new_len (good.data, (gssize)good.len);
+
+  assert_int_equal (decode_exact (decode, s), BJ_OK);
+  for (int seed = 0; seed < n; seed++)
+    {
+      GRand *rand = g_rand_new_with_seed ((guint32)seed);
+      BjStatus status;
+
+      g_string_truncate (s, 0);
+      g_string_append_len (s, good.data, (gssize)good.len);
+      mutate (rand, s);
+      status = decode_exact (decode, s);
+      n_accepted += status == BJ_OK;
+      if (strcmp (bj_status_name (status), "BJ_E_UNKNOWN") == 0)
+        print_error ("%s, seed %d: status %d has no name\n", name, seed, status);
+      assert_string_not_equal (bj_status_name (status), "BJ_E_UNKNOWN");
+      g_rand_free (rand);
+    }
+  print_message ("%-22s %d mutations, %d accepted\n", name, n, n_accepted);
+  g_string_free (s, TRUE);
+}
+
+static void
+test_mutated_texts (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (inputs); i++)
+    mutate_input (inputs[i].name, inputs[i].decode, bj_str (inputs[i].good), MUTATIONS);
+}
+
+static void
+test_mutated_frames (void **state)
+{
+  BjFrame f = {
+    .id = 7,
+    .name = BJ_STR ("daemon"),
+    .protocol = BJ_PROTOCOL_VERSION,
+    .request = { .method = BJ_STR ("POST"),
+                 .path = BJ_STR ("/a/b?c"),
+                 .key = BJ_STR ("key"),
+                 .content_type = BJ_STR ("text/plain"),
+                 .headers = BJ_STR ("A: b\n"),
+                 .body = BJ_STR ("a body"),
+                 .klass = 1,
+                 .deadline_ms = 50,
+                 .attempts_left = 2 },
+    .answer = { .http_status = 200, .content_type = BJ_STR ("text/plain"), .length = 9 },
+    .data = BJ_STR ("some data"),
+    .length = 1000,
+    .hash = 0x123456789abcdefULL,
+    .whole = true,
+  };
+
+  (void)state;
+  for (f.kind = BJ_FRAME_HELLO; f.kind < BJ_FRAME_KINDS; f.kind++)
+    {
+      msgpack_sbuffer out;
+      char name[32];
+
+      msgpack_sbuffer_init (&out);
+      bj_frame_encode (&out, &f);
+      g_snprintf (name, sizeof name, "frame of kind %d", f.kind);
+      mutate_input (name, decode_frame, (BjStr){ out.data + 4, out.size - 4 }, MUTATIONS);
+      msgpack_sbuffer_destroy (&out);
+    }
+}
+
+typedef struct
+{
+  const char *name;
+  const char *ticket;
+  BjStatus expected;
+} Bad;
+
+#define CURRENT                                                                                    \
+  "{\"number\":4,\"priorities\":[\"high\"],\"priorities_number\":1,\"services\":{\"a\":{"          \
+  "\"number\":4,\"routes\":[{\"prefix\":\"/a/\",\"class\":\"high\"}]}}}"
+#define SERVICE(name, prefix)                                                                      \
+  "{\"number\":5,\"base\":4,\"services\":{\"" name "\":{\"routes\":[{\"prefix\":\"" prefix         \
+  "\",\"class\":\"high\"}]}}}"
+
+static const Bad bad[] = {
+  { "deep",
+    "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]",
+    BJ_E_TICKET },
+  { "not UTF-8", "{\"number\":5,\"base\":4,\"author\":\"\xc3\x28\"}", BJ_E_TICKET },
+  { "wrong base", "{\"number\":5,\"base\":3,\"services\":{\"a\":{\"routes\":[]}}}", BJ_E_BASE },
+  { "base not below the number", "{\"number\":5,\"base\":9}", BJ_E_BASE },
+  { "service without a name", SERVICE ("", "/b/"), BJ_E_TICKET },
+  { "service with a blank", SERVICE ("b b", "/b/"), BJ_E_TICKET },
+  { "service without routes",
+    "{\"number\":5,\"base\":4,\"services\":{\"b\":{\"routes\":[]}}}",
+    BJ_E_TICKET },
+  { "prefix of another service", SERVICE ("b", "/a/"), BJ_E_TICKET },
+  { "second service bad, first good",
+    "{\"number\":5,\"base\":4,\"services\":{\"b\":{\"routes\":[{\"prefix\":\"/b/\",\"class\":"
+    "\"high\"}]},\"c\":{\"routes\":[{\"prefix\":\"/c/\",\"class\":\"none\"}]}}}",
+    BJ_E_TICKET },
+  { "priorities without a class in use",
+    "{\"number\":5,\"base\":4,\"priorities\":[\"low\"]}",
+    BJ_E_TICKET },
+  { "number of another ticket", "{\"number\":6,\"base\":4}", BJ_E_TICKET },
+  { "upstream is no object", "{\"number\":5,\"base\":4,\"upstreams\":{\"n\":7}}", BJ_E_TICKET },
+  { "key stands twice", "{\"number\":5,\"base\":4,\"base\":3}", BJ_E_TICKET },
+};
+
+// A refused ticket leaves everything but the number and the list of decisions as it was.
+static void
+check_refused (const char *name, BjStr ticket, BjStatus expected)
+{
+  GString *filed = g_string_new ("{\"writer\":\"w\",\"ticket\":");
+  GString *next = g_string_new (NULL);
+  struct json_object *before = json_tokener_parse (CURRENT);
+  struct json_object *after;
+  struct json_object *d;
+
+  g_string_append_len (filed, ticket.data, (gssize)ticket.len);
+  g_string_append_c (filed, '}');
+  assert_int_equal (bj_ticket_decide (BJ_STR (CURRENT), 5, (BjStr){ filed->str, filed->len }, next),
+                    BJ_OK);
+  after = json_tokener_parse (next->str);
+  d = bj_ticket_decision (after, 5);
+  if (bj_json_int (d, "code") != (int64_t)expected)
+    print_error ("%s: %s\n", name, json_object_to_json_string (d));
+  assert_int_equal (bj_json_int (d, "code"), expected);
+  assert_true (bj_json_str (d, "reason").len > 0);
+  json_object_object_del (after, "decisions");
+  json_object_object_del (after, "number");
+  json_object_object_del (before, "number");
+  assert_true (json_object_equal (before, after));
+  json_object_put (before);
+  json_object_put (after);
+  g_string_free (next, TRUE);
+  g_string_free (filed, TRUE);
+}
+
+static void
+test_bad_tickets (void **state)
+{
+  char *huge = g_malloc (HUGE_BYTES);
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    check_refused (bad[i].name, bj_str (bad[i].ticket), bad[i].expected);
+  memset (huge, ' ', HUGE_BYTES);
+  check_refused ("huge", (BjStr){ huge, HUGE_BYTES }, BJ_E_TOO_LARGE);
+  g_free (huge);
+}
+
+static int
+open_daemon (void **state)
+{
+  static Fleet f;
+  FleetNode node = { .name = "n", .domain = "d", .region = "r" };
+  FleetMember *m = &f.members[0];
+  char *text;
+  BjSettings *s = g_new0 (BjSettings, 1);
+  BjStatus status;
+
+  bj_log_open (BJ_LOG_ERROR);
+  fleet_init (&f, &node, 1);
+  text = g_strdup_printf ("{\"name\":\"n\",\"domain\":\"d\",\"region\":\"r\","
+                          "\"front\":\"127.0.0.1:%d\",\"admin\":\"127.0.0.1:%d\","
+                          "\"link\":\"127.0.0.1:%d\",\"gossip\":\"127.0.0.1:%d\","
+                          "\"platform\":{\"url\":\"http://127.0.0.1:%d\"}}",
+                          m->front_port,
+                          m->admin_port,
+                          m->link_port,
+                          m->gossip_port,
+                          f.platform_port);
+  status = bj_settings_parse ("settings", bj_str (text), s);
+  if (status == BJ_OK)
+    status = bj_daemon_new (ev_default_loop (0), s, &daemon_under_test);
+  g_free (text);
+  *state = s;
+  fleet_stop (&f);
+  return status == BJ_OK ? 0 : 1;
+}
+
+static int
+close_daemon (void **state)
+{
+  bj_daemon_free (daemon_under_test);
+  bj_settings_clear (*state);
+  g_free (*state);
+  ev_loop_destroy (ev_default_loop (0));
+  return 0;
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_mutated_frames),
+    cmocka_unit_test (test_mutated_texts),
+    cmocka_unit_test (test_bad_tickets),
+  };
+
+  return cmocka_run_group_tests (tests, open_daemon, close_daemon);
+}
