--- a/src/internal.h
+++ b/src/internal.h
@@ -31,6 +31,16 @@
   double max;
 } BjJsonKey;
 
+typedef struct
+{
+  const char *path; // as in messages and docs, "settings.platform"
+  const BjJsonKey *keys;
+  int n;
+} BjJsonTable;
+
+const BjJsonTable *bj_settings_tables (int *n); // Keys that settings may have
+const BjJsonTable *bj_ticket_tables (int *n); // Keys that tickets may have, the ticket's own first
+const char *bj_json_type_name (BjJsonType t); // "a string"
 BjStatus
 bj_json_read (const char *name,
               BjStr text,
--- a/src/json.c
+++ b/src/json.c
@@ -34,7 +34,6 @@
                             const char *what,
                             BjStatus code);
 static const BjJsonKey *find_key (const BjJsonKey *keys, int n, const char *key);
-static const char *type_name (BjJsonType t);
 static bool has_type (struct json_object *v, BjJsonType t);
 static int line_of (BjStr text, size_t at);
 static bool rest_is_blank (BjStr text, size_t at);
@@ -133,6 +132,17 @@
   return json_object_object_get_ex (o, key, &v) ? json_object_get_boolean (v) : absent;
 }
 
+const char *
+bj_json_type_name (BjJsonType t)
+{
+  static const char *const names[] = {
+    [BJ_JSON_STR] = "a string",   [BJ_JSON_INT] = "a whole number", [BJ_JSON_NUMBER] = "a number",
+    [BJ_JSON_BOOL] = "a boolean", [BJ_JSON_OBJECT] = "an object",   [BJ_JSON_ARRAY] = "an array",
+  };
+
+  return names[t];
+}
+
 // json-c keeps the last of two equal keys and says nothing. This passes over text that json-c has
 // accepted and notes the keys of each open object.
 static BjStatus
@@ -237,8 +247,13 @@
   const char *shown = json_object_to_json_string (v);
 
   if (!has_type (v, k->type))
-    return bj_fail (
-        code, "%s: %s.%s: %.60s is not %s.", name, path, k->key, shown, type_name (k->type));
+    return bj_fail (code,
+                    "%s: %s.%s: %.60s is not %s.",
+                    name,
+                    path,
+                    k->key,
+                    shown,
+                    bj_json_type_name (k->type));
   if (k->type == BJ_JSON_STR
       && strlen (json_object_get_string (v)) != (size_t)json_object_get_string_len (v))
     return bj_fail (code, "%s: %s.%s: a zero byte is not allowed.", name, path, k->key);
@@ -288,17 +303,6 @@
   return NULL;
 }
 
-static const char *
-type_name (BjJsonType t)
-{
-  static const char *const names[] = {
-    [BJ_JSON_STR] = "a string",   [BJ_JSON_INT] = "a whole number", [BJ_JSON_NUMBER] = "a number",
-    [BJ_JSON_BOOL] = "a boolean", [BJ_JSON_OBJECT] = "an object",   [BJ_JSON_ARRAY] = "an array",
-  };
-
-  return names[t];
-}
-
 static bool
 has_type (struct json_object *v, BjJsonType t)
 {
--- a/src/merge.c
+++ b/src/merge.c
@@ -4,19 +4,10 @@
 #include "internal.h"
 #include <string.h>
 
-#define NUMBER_MAX 9007199254740991.0
 #define REASON_MAX 200 // bytes of a refusal's reason kept in the configuration
 #define SHOWN_MAX 160  // bytes of one value in a difference
 
-static const BjJsonKey ticket_keys[] = {
-  { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
-  { "base", BJ_JSON_INT, true, 0, NUMBER_MAX },
-  { "author", BJ_JSON_STR, false, 0, 0 },
-  { "services", BJ_JSON_OBJECT, false, 0, 0 },
-  { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
-  { "priorities", BJ_JSON_ARRAY, false, 1, BJ_CLASSES },
-};
-
+static BjStatus check_ticket_keys (struct json_object *o);
 static BjStatus read_pair (BjStr current,
                            BjStr ticket,
                            struct json_object **current_object,
@@ -56,7 +47,7 @@
 
   if (s != BJ_OK)
     return s;
-  s = bj_json_check ("ticket", "ticket", o, BJ_E_TICKET, ticket_keys, G_N_ELEMENTS (ticket_keys));
+  s = check_ticket_keys (o);
   *number = bj_json_int (o, "number");
   json_object_put (o);
   return s;
@@ -148,6 +139,15 @@
   return NULL;
 }
 
+static BjStatus
+check_ticket_keys (struct json_object *o)
+{
+  int n;
+  const BjJsonTable *t = bj_ticket_tables (&n);
+
+  return bj_json_check ("ticket", t->path, o, BJ_E_TICKET, t->keys, t->n);
+}
+
 static BjStatus
 read_pair (BjStr current,
            BjStr ticket,
@@ -296,8 +296,7 @@
 decide_ticket (struct json_object *current, struct json_object *filed, int64_t number)
 {
   struct json_object *t = json_object_object_get (filed, "ticket");
-  BjStatus s
-      = bj_json_check ("ticket", "ticket", t, BJ_E_TICKET, ticket_keys, G_N_ELEMENTS (ticket_keys));
+  BjStatus s = check_ticket_keys (t);
 
   if (s != BJ_OK)
     return s;
--- a/src/settings.c
+++ b/src/settings.c
@@ -34,6 +34,12 @@
   { "url", BJ_JSON_STR, true, 1, 1024 },
 };
 
+static const BjJsonTable tables[] = {
+  { "settings", setting_keys, G_N_ELEMENTS (setting_keys) },
+  { "settings.advertise", advertise_keys, G_N_ELEMENTS (advertise_keys) },
+  { "settings.platform", platform_keys, G_N_ELEMENTS (platform_keys) },
+};
+
 static BjStatus read_all (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_address (const char *name, const char *key, BjStr text, BjAddress *a);
 static BjStatus read_addresses (const char *name, struct json_object *o, BjSettings *s);
@@ -93,6 +99,13 @@
   return status;
 }
 
+const BjJsonTable *
+bj_settings_tables (int *n)
+{
+  *n = G_N_ELEMENTS (tables);
+  return tables;
+}
+
 void
 bj_settings_clear (BjSettings *s)
 {
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -9,6 +9,14 @@
 #define NUMBER_MAX 9007199254740991.0
 #define MINUTE_MS 60000
 
+static const BjJsonKey ticket_keys[] = {
+  { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
+  { "base", BJ_JSON_INT, true, 0, NUMBER_MAX },
+  { "author", BJ_JSON_STR, false, 0, 0 },
+  { "services", BJ_JSON_OBJECT, false, 0, 0 },
+  { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
+  { "priorities", BJ_JSON_ARRAY, false, 1, BJ_CLASSES },
+};
 static const BjJsonKey merged_keys[] = {
   { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
   { "decisions", BJ_JSON_ARRAY, false, 0, BJ_DECISIONS_MAX },
@@ -53,6 +61,17 @@
   { "max_slots", BJ_JSON_INT, false, 0, 1000000 },
 };
 
+static const BjJsonTable tables[] = {
+  { "ticket", ticket_keys, G_N_ELEMENTS (ticket_keys) },
+  { "services.NAME", service_keys, G_N_ELEMENTS (service_keys) },
+  { "services.NAME.routes[]", route_keys, G_N_ELEMENTS (route_keys) },
+  { "services.NAME.limiter", limiter_keys, G_N_ELEMENTS (limiter_keys) },
+  { "services.NAME.queue", queue_keys, G_N_ELEMENTS (queue_keys) },
+  { "services.NAME.router", router_keys, G_N_ELEMENTS (router_keys) },
+  { "services.NAME.retry", retry_keys, G_N_ELEMENTS (retry_keys) },
+  { "upstreams.NAME", upstream_keys, G_N_ELEMENTS (upstream_keys) },
+};
+
 static BjStatus read_config (struct json_object *o, BjConfig *c);
 static BjStatus check_name (const char *section, const char *name);
 static BjStatus check_prefixes (const BjConfig *c);
@@ -152,6 +171,13 @@
   return best;
 }
 
+const BjJsonTable *
+bj_ticket_tables (int *n)
+{
+  *n = G_N_ELEMENTS (tables);
+  return tables;
+}
+
 static BjStatus
 read_config (struct json_object *o, BjConfig *c)
 {
