--- /dev/null
+++ b/tests/test_outcome.c
@@ -0,0 +1,184 @@
+// What a caller is told after attempts that failed: not-run only when none of them may have run.
+
+#include "boragejunction.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#define ATTEMPTS_MAX 3
+
+static const char config[]
+    = "{\"number\":1,\"priorities\":[\"acceptance\"],\"services\":{\"orders\":{\"routes\":["
+      "{\"prefix\":\"/accept\",\"class\":\"acceptance\",\"deadline_ms\":500,\"irreversible\":true},"
+      "{\"prefix\":\"/\",\"class\":\"acceptance\",\"deadline_ms\":500}],"
+      "\"retry\":{\"plugin\":\"naive\"}}}}";
+
+typedef enum
+{
+  END_NONE,
+  END_LOST_UNKNOWN,
+  END_LOST_NOT_RUN,
+  END_REFUSED, // by the peer, not run
+  END_ANSWERED_UNKNOWN,
+  END_DEADLINE,
+  END_CLAIM_LATE, // the claim is durable only after the deadline
+} End;
+
+typedef struct
+{
+  const char *name;
+  const char *path;
+  End ends[ATTEMPTS_MAX];
+  BjOutcome told;
+  int sent; // attempts
+} Case;
+
+static const Case cases[] = {
+  { "refused everywhere", "/x", { END_REFUSED, END_REFUSED }, BJ_NOT_RUN, 2 },
+  { "lost, then refused", "/x", { END_LOST_UNKNOWN, END_REFUSED }, BJ_UNKNOWN, 2 },
+  { "unknown there, then refused", "/x", { END_ANSWERED_UNKNOWN, END_REFUSED }, BJ_UNKNOWN, 2 },
+  { "not sent, then refused", "/x", { END_LOST_NOT_RUN, END_REFUSED }, BJ_NOT_RUN, 2 },
+  { "lost, then the deadline", "/x", { END_LOST_UNKNOWN, END_DEADLINE }, BJ_UNKNOWN, 2 },
+  { "the deadline while it runs", "/x", { END_DEADLINE }, BJ_UNKNOWN, 1 },
+  { "irreversible, lost", "/accept", { END_LOST_UNKNOWN }, BJ_UNKNOWN, 1 },
+  { "irreversible, unknown there", "/accept", { END_ANSWERED_UNKNOWN }, BJ_UNKNOWN, 1 },
+  { "irreversible, refused everywhere", "/accept", { END_REFUSED, END_REFUSED }, BJ_NOT_RUN, 2 },
+  { "irreversible, the deadline", "/accept", { END_DEADLINE }, BJ_UNKNOWN, 1 },
+  { "irreversible, claimed late", "/accept", { END_CLAIM_LATE }, BJ_NOT_RUN, 0 },
+};
+
+typedef struct
+{
+  BjHost host; // first
+  BjCall *call;
+  int n_sent;
+  int n_answers;
+  BjAnswer told;
+} Host;
+
+static void
+send_peer (BjHost *h, BjCall *c, BjPeer *p)
+{
+  Host *host = (Host *)h;
+
+  (void)p;
+  host->call = c;
+  host->n_sent++;
+}
+
+static void
+answer (BjHost *h, BjCall *c, const BjAnswer *a)
+{
+  Host *host = (Host *)h;
+
+  (void)c;
+  host->told = *a;
+  host->n_answers++;
+}
+
+static void
+claim (BjHost *h, BjCall *c)
+{
+  ((Host *)h)->call = c;
+}
+
+static void
+do_nothing (BjHost *h, BjCall *c)
+{
+  (void)h;
+  (void)c;
+}
+
+static const BjHostOps host_ops = { send_peer, do_nothing, do_nothing, answer, claim, do_nothing };
+
+static void
+add_peer (BjKernel *k, const char *name)
+{
+  BjPeerReport r = { .name = bj_str (name),
+                     .domain = BJ_STR ("north-a"),
+                     .region = BJ_STR ("north"),
+                     .service = BJ_STR ("orders"),
+                     .host = BJ_STR ("127.0.0.1"),
+                     .gossip_host = BJ_STR ("127.0.0.1"),
+                     .incarnation = 1,
+                     .version = 1,
+                     .limit = 8 };
+
+  bj_kernel_peer (k, 0, &r);
+}
+
+static void
+end_attempt (BjKernel *k, Host *h, End e)
+{
+  BjAnswer a = { .code = BJ_E_OVERLOAD, .outcome = BJ_NOT_RUN, .attempts_left = -1 };
+
+  if (e == END_LOST_UNKNOWN)
+    bj_kernel_lost (k, 10, h->call, BJ_E_LOST, BJ_UNKNOWN);
+  else if (e == END_LOST_NOT_RUN)
+    bj_kernel_lost (k, 10, h->call, BJ_E_LOST, BJ_NOT_RUN);
+  else if (e == END_REFUSED)
+    bj_kernel_answer_begin (k, 10, h->call, &a);
+  else if (e == END_DEADLINE)
+    bj_kernel_tick (k, 1000);
+  else if (e == END_ANSWERED_UNKNOWN)
+    {
+      a.outcome = BJ_UNKNOWN;
+      bj_kernel_answer_begin (k, 10, h->call, &a);
+    }
+}
+
+static void
+run_case (const Case *c)
+{
+  Host h = { .host = { &host_ops } };
+  BjKernelOptions o = { .self = { .name = BJ_STR ("me"), .domain = BJ_STR ("north-a") },
+                        .host = &h.host,
+                        .seed = 1 };
+  BjRequest r = { .method = BJ_STR ("POST"),
+                  .path = bj_str (c->path),
+                  .key = BJ_STR ("key"),
+                  .klass = -1,
+                  .attempts_left = -1 };
+  BjKernel *k = bj_kernel_new (&o, 0);
+  BjConfig *parsed;
+
+  assert_int_equal (bj_config_parse (bj_str (config), &parsed), BJ_OK);
+  bj_kernel_set_config (k, 0, parsed);
+  add_peer (k, "one");
+  add_peer (k, "two");
+  bj_kernel_arrive (k, 0, &r, NULL);
+  if (c->ends[0] == END_CLAIM_LATE)
+    bj_kernel_claimed (k, 1000, h.call, NULL);
+  else if (h.n_sent == 0)
+    bj_kernel_claimed (k, 1, h.call, NULL);
+  for (int i = 0; i < ATTEMPTS_MAX; i++)
+    end_attempt (k, &h, c->ends[i]);
+  if (h.n_answers == 0)
+    bj_kernel_tick (k, 1000);
+  print_message ("  %s: %s after %d\n", c->name, bj_outcome_name (h.told.outcome), h.n_sent);
+  assert_int_equal (h.n_answers, 1);
+  assert_int_equal (h.n_sent, c->sent);
+  assert_int_equal (h.told.outcome, c->told);
+  bj_kernel_free (k);
+}
+
+static void
+test_cases (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    run_case (&cases[i]);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_cases),
+  };
+
+  bj_log_open (BJ_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
