Quarantine: a request costs the fleet at most two upstreams

Cause: a request that crashes its upstream was retried and resent until no upstream was left.

Change: the calls running when the own upstream loses its connections without an answer become suspects (fingerprint: service and action id, else service, method, path and body). A suspect is never retried by the layer, runs on one upstream of its service (highest random weight) and never beside another suspect; an answer releases it. A second crash while it runs puts it into quarantine for an hour: final refusal BJ_E_QUARANTINED, 422. Calls lost beside an older suspect are not blamed. News goes to every peer at once by a frame NOTICE and to a peer that connects later behind HELLO.

Weighed: gossip piggyback, but a round of 200 ms is slower than a caller's resend; a frame is there first, and crashes are rare. Running a suspect on an idle upstream only: under load none is idle, so bystanders would never be released; beside ordinary calls the blame is as exact, since only one suspect runs. A probe of the upstream's port before blaming it: daemon and upstream share an instance, and a proxy or supervisor makes the port answer.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -73,6 +73,7 @@
   BJ_E_QUARANTINED = 20, // the request has crashed upstreams
   BJ_E_SHED = 21,        // the upstream itself refused it as not run
   BJ_E_HOME = 22,        // the action id was minted by another daemon
+  BJ_E_CRASHED = 23,     // the upstream died while it ran
   BJ_E_EXISTS = 30,      // the object exists already
   BJ_E_CONFLICT = 31,    // a conditional update lost the race
   BJ_E_NOT_FOUND = 32,   // the object does not exist
@@ -225,10 +226,11 @@
   BjCallState state;
   bool is_front; // arrived from a caller; otherwise from a peer
   bool irreversible;
-  bool answer_begun; // nothing can be retried any more
-  bool may_have_run; // an attempt ended without telling
-  bool detached;     // runs on without a caller
-  BjRequest request; // owned copies
+  bool answer_begun;    // nothing can be retried any more
+  bool may_have_run;    // an attempt ended without telling
+  uint64_t fingerprint; // of the request, for the quarantine
+  bool detached;        // runs on without a caller
+  BjRequest request;    // owned copies
   BjService *service;
   int klass; // 0 is the most important
   BjTime arrived;
@@ -573,6 +575,20 @@
 // Kernel: makes every decision, does no I/O
 // ---------------------------------------------------------------------------------------------
 
+typedef enum
+{
+  BJ_CLEAR,
+  BJ_SUSPECT,     // ran on an upstream when it died
+  BJ_QUARANTINED, // did so twice
+} BjSuspicion;
+
+typedef struct
+{
+  uint64_t fingerprint; // of a request
+  BjSuspicion state;
+  double lifetime_ms;
+} BjNotice;
+
 typedef struct BjHost BjHost;
 
 typedef struct
@@ -632,6 +648,11 @@
                      BjCall *c,
                      BjStatus s,
                      BjOutcome o); // Peer or upstream failed before an answer
+void bj_kernel_notice (BjKernel *k, BjTime now, const BjNotice *n); // A peer tells of a suspect
+void bj_kernel_notices (BjKernel *k,
+                        BjTime now,
+                        bool all,
+                        GArray *notices); // What peers must be told: news, or all in force
 void bj_kernel_cancel (BjKernel *k, BjTime now, BjCall *c); // The caller went away; c is freed
 void bj_kernel_announce (BjKernel *k,
                          BjTime now,
--- a/src/config.h
+++ b/src/config.h
@@ -71,6 +71,11 @@
 #define BJ_CLAIM_RECORD_MS 200 // an outcome waits this long for a claim to go out with
 #define BJ_KEY_FUTURE_MS 60000 // a key whose time is further ahead is refused
 
+// Requests that crash upstreams
+#define BJ_SUSPECTS_MAX 1024              // requests remembered
+#define BJ_SUSPECT_LIFETIME_MS 600000     // a suspect that does not run again is released
+#define BJ_QUARANTINE_LIFETIME_MS 3600000 // of a request that crashed two upstreams
+
 // Home-bound action ids
 #define BJ_ACTIONS_MAX 8192                     // that one daemon remembers
 #define BJ_ACTIONS_BODY_BYTES (2 * 1024 * 1024) // of their recorded answers
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -267,6 +267,7 @@
   BjTime next;
 
   (void)events;
+  bj_links_notify (d->links);
   for (int i = 0; i < TURNS_MAX && busy; i++)
     {
       busy = bj_front_turn (d->front);
--- a/src/frame.c
+++ b/src/frame.c
@@ -23,6 +23,7 @@
 static void read_fields (Fields *in, BjFrame *f);
 static void read_call (Fields *in, BjFrame *f);
 static void read_answer (Fields *in, BjFrame *f);
+static BjSuspicion read_suspicion (Fields *in);
 static uint64_t read_uint (Fields *in);
 static int64_t read_int (Fields *in);
 static double read_double (Fields *in);
@@ -166,6 +167,11 @@
     case BJ_FRAME_WINDOW:
       msgpack_pack_uint64 (p, f->length);
       break;
+    case BJ_FRAME_NOTICE:
+      msgpack_pack_uint64 (p, f->notice.fingerprint);
+      msgpack_pack_int (p, f->notice.state);
+      msgpack_pack_double (p, f->notice.lifetime_ms);
+      break;
     default:
       break;
     }
@@ -219,7 +225,7 @@
 {
   static const int counts[BJ_FRAME_KINDS] = {
     [BJ_FRAME_HELLO] = 2, [BJ_FRAME_CALL] = 13,  [BJ_FRAME_ANSWER] = 9, [BJ_FRAME_DATA] = 1,
-    [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_CONFIG] = 1,
+    [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_NOTICE] = 3, [BJ_FRAME_CONFIG] = 1,
   };
 
   return counts[k];
@@ -252,6 +258,11 @@
     case BJ_FRAME_WINDOW:
       f->length = read_uint (in);
       break;
+    case BJ_FRAME_NOTICE:
+      f->notice.fingerprint = read_uint (in);
+      f->notice.state = read_suspicion (in);
+      f->notice.lifetime_ms = read_double (in);
+      break;
     default:
       break;
     }
@@ -293,6 +304,14 @@
   a->length = read_int (in);
 }
 
+static BjSuspicion
+read_suspicion (Fields *in)
+{
+  int64_t value = read_int (in);
+
+  return (BjSuspicion)CLAMP (value, BJ_CLEAR, BJ_QUARANTINED);
+}
+
 static uint64_t
 read_uint (Fields *in)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -174,6 +174,7 @@
   BJ_FRAME_PONG,
   BJ_FRAME_CONFIG_ASK, // number wanted at least
   BJ_FRAME_CONFIG,     // text of the merged configuration
+  BJ_FRAME_NOTICE,     // a suspect or quarantined request
   BJ_FRAME_KINDS,
 } BjFrameKind;
 
@@ -190,6 +191,7 @@
   uint64_t length;   // END: bytes of body; WINDOW: bytes granted
   uint64_t hash;     // END: xxHash of the body
   bool whole;        // END
+  BjNotice notice;   // NOTICE
 } BjFrame;
 
 void bj_frame_encode (msgpack_sbuffer *out, const BjFrame *f); // Appends length and frame
@@ -212,7 +214,8 @@
 void bj_links_forget (BjLinks *l, BjPeer *p); // Closes the connection; its open calls are lost
 void
 bj_links_ask_config (BjLinks *l, BjPeer *p, int64_t number); // The text arrives by bj_daemon_config
-void bj_links_flush (BjLinks *l);                            // Writes what was queued in this turn
+void bj_links_notify (BjLinks *l); // Tells every peer the kernel's news of suspects
+void bj_links_flush (BjLinks *l);  // Writes what was queued in this turn
 
 // ---------------------------------------------------------------------------------------------
 // Front: HTTP from callers and operators through libmicrohttpd
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -17,6 +17,8 @@
 static void leave_state (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
 static void failed (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static bool may_try_again (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
+static void learn_suspicion (BjKernel *k, BjTime now, const BjCall *c, BjStatus s);
+static bool refuse_quarantined (BjKernel *k, BjTime now, BjCall *c);
 static void answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a);
 static void expire (BjKernel *k, BjTime now, BjCall *c);
 static void detach (BjKernel *k, BjTime now, BjCall *c);
@@ -36,6 +38,7 @@
   k->services = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, bj_service_free);
   k->deadlines = g_sequence_new (NULL);
   k->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  k->quarantine = bj_quarantine_new ();
   k->self = g_new0 (BjPeer, 1);
   k->self->is_self = true;
   k->self->reported = now;
@@ -73,6 +76,7 @@
   g_hash_table_destroy (k->peers);
   g_sequence_free (k->deadlines);
   bj_config_free (k->config);
+  bj_quarantine_free (k->quarantine);
   g_rand_free (k->rand);
   g_free (k);
 }
@@ -141,6 +145,9 @@
           k, now, c, (BjAnswer){ .code = BJ_E_KEY, .outcome = BJ_NOT_RUN, .attempts_left = -1 });
       return NULL;
     }
+  c->fingerprint = bj_quarantine_fingerprint (s->name, &c->request);
+  if (refuse_quarantined (k, now, c))
+    return NULL;
   c->service->retry->ops->fresh (c->service->retry, now);
   c->state = BJ_CALL_CLAIMING;
   if (c->irreversible)
@@ -169,6 +176,7 @@
       return NULL;
     }
   c->service = bj_kernel_service (k, service);
+  c->fingerprint = bj_quarantine_fingerprint (service, &c->request);
   bj_guard_admit (k, now, c);
   return g_hash_table_lookup (k->calls, &id);
 }
@@ -195,6 +203,7 @@
 
   if (a->outcome != BJ_NOT_RUN)
     c->may_have_run = true;
+  learn_suspicion (k, now, c, a->code);
   if (a->outcome == BJ_DONE)
     {
       c->answer_begun = true;
@@ -222,10 +231,32 @@
 
   if (o != BJ_NOT_RUN)
     c->may_have_run = true;
+  // The upstream stands on this instance: no network between it and here loses connections.
+  if (c->state == BJ_CALL_RUNNING && s == BJ_E_LOST && o == BJ_UNKNOWN)
+    {
+      a.code = BJ_E_CRASHED;
+      if (bj_quarantine_crashed (k->quarantine, now, c->fingerprint) == BJ_QUARANTINED)
+        a.code = BJ_E_QUARANTINED;
+    }
   leave_state (k, now, c, s);
   failed (k, now, c, &a);
 }
 
+void
+bj_kernel_notice (BjKernel *k, BjTime now, const BjNotice *n)
+{
+  bj_quarantine_merge (k->quarantine, now, n);
+}
+
+void
+bj_kernel_notices (BjKernel *k, BjTime now, bool all, GArray *notices)
+{
+  if (all)
+    bj_quarantine_list (k->quarantine, now, notices);
+  else
+    bj_quarantine_take (k->quarantine, notices);
+}
+
 void
 bj_kernel_cancel (BjKernel *k, BjTime now, BjCall *c)
 {
@@ -373,6 +404,18 @@
 void
 bj_call_run (BjKernel *k, BjTime now, BjCall *c)
 {
+  BjStatus s = bj_quarantine_start (k->quarantine, now, c->fingerprint);
+  BjAnswer a;
+
+  if (s != BJ_OK)
+    {
+      c->state = BJ_CALL_NEW;
+      a = bj_guard_refusal (k, now, s, c->klass);
+      if (s == BJ_E_QUARANTINED)
+        a = (BjAnswer){ .code = s, .outcome = BJ_NOT_RUN, .attempts_left = -1, .length = -1 };
+      bj_call_refuse (k, now, c, &a);
+      return;
+    }
   c->state = BJ_CALL_RUNNING;
   c->started = now;
   bj_spill_changed (k, now, c, 1);
@@ -448,7 +491,10 @@
   BjAnswer a;
 
   bj_kernel_self (k, now, &self); // the own guard's load as it is now
-  p = c->service->router->ops->pick (c->service->router, now, &ask);
+  if (bj_quarantine_state (k->quarantine, now, c->fingerprint) == BJ_SUSPECT)
+    p = bj_quarantine_home (c->service, c->fingerprint);
+  else
+    p = c->service->router->ops->pick (c->service->router, now, &ask);
   if (p != NULL)
     {
       send_to (k, now, c, p, n_candidates);
@@ -500,8 +546,10 @@
     }
   if (was == BJ_CALL_QUEUED)
     bj_guard_leave (k, c);
-  if (was == BJ_CALL_RUNNING)
-    bj_guard_finished (k, now, c, s);
+  if (was != BJ_CALL_RUNNING)
+    return;
+  bj_quarantine_ended (k->quarantine, now, c->fingerprint, s == BJ_OK);
+  bj_guard_finished (k, now, c, s);
 }
 
 static void
@@ -530,6 +578,8 @@
 static bool
 may_try_again (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
 {
+  if (bj_quarantine_state (k->quarantine, now, c->fingerprint) != BJ_CLEAR)
+    return false;
   if (c->deadline <= now || c->n_tried >= BJ_TRIED_MAX)
     return false;
   if (a->outcome == BJ_UNKNOWN && c->irreversible)
@@ -539,6 +589,33 @@
   return c->service->retry->ops->allow (c->service->retry, now, c);
 }
 
+// The answer of a guard may be here before its notice.
+static void
+learn_suspicion (BjKernel *k, BjTime now, const BjCall *c, BjStatus s)
+{
+  BjNotice n = { c->fingerprint, BJ_SUSPECT, BJ_SUSPECT_LIFETIME_MS };
+
+  if (s == BJ_E_QUARANTINED)
+    n = (BjNotice){ c->fingerprint, BJ_QUARANTINED, BJ_QUARANTINE_LIFETIME_MS };
+  if (s == BJ_E_CRASHED || s == BJ_E_QUARANTINED)
+    bj_quarantine_merge (k->quarantine, now, &n);
+}
+
+// True when it was answered so.
+static bool
+refuse_quarantined (BjKernel *k, BjTime now, BjCall *c)
+{
+  BjAnswer a = { .code = BJ_E_QUARANTINED, .outcome = BJ_NOT_RUN, .attempts_left = -1 };
+
+  if (bj_quarantine_state (k->quarantine, now, c->fingerprint) != BJ_QUARANTINED)
+    return false;
+  // An irreversible action may have run before it was known.
+  if (c->irreversible)
+    a.outcome = BJ_UNKNOWN;
+  answer (k, now, c, a);
+  return true;
+}
+
 static void
 answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a)
 {
@@ -653,6 +730,7 @@
     case BJ_E_DEADLINE:
       return 504;
     case BJ_E_LOST:
+    case BJ_E_CRASHED:
     case BJ_E_BROKEN:
       return 502;
     default:
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -25,6 +25,33 @@
   BjTime averaged;
 } BjGuard;
 
+// ---------------------------------------------------------------------------------------------
+// Quarantine: requests that crash upstreams
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjQuarantine BjQuarantine;
+
+BjQuarantine *bj_quarantine_new (void);
+void bj_quarantine_free (BjQuarantine *q);
+uint64_t bj_quarantine_fingerprint (BjStr service,
+                                    const BjRequest *r); // Of action id, else of route and body
+BjSuspicion bj_quarantine_state (BjQuarantine *q, BjTime now, uint64_t fingerprint);
+BjStatus
+bj_quarantine_start (BjQuarantine *q,
+                     BjTime now,
+                     uint64_t fingerprint); // A run begins; BJ_E_QUARANTINED, BJ_E_OVERLOAD
+void bj_quarantine_ended (BjQuarantine *q,
+                          BjTime now,
+                          uint64_t fingerprint,
+                          bool has_answer); // An answer releases a suspect
+BjSuspicion bj_quarantine_crashed (BjQuarantine *q,
+                                   BjTime now,
+                                   uint64_t fingerprint); // Its upstream died while it ran
+void bj_quarantine_merge (BjQuarantine *q, BjTime now, const BjNotice *n); // From a peer
+void bj_quarantine_take (BjQuarantine *q, GArray *notices);                // News for peers
+void bj_quarantine_list (BjQuarantine *q, BjTime now, GArray *notices);    // All that is in force
+BjPeer *bj_quarantine_home (const BjService *s, uint64_t fingerprint);     // Where a suspect runs
+
 struct BjKernel
 {
   BjHost *host;
@@ -36,6 +63,7 @@
   GSequence *deadlines; // BjCall*, earliest first
   GHashTable *calls;    // call id to open BjCall*
   BjGuard guard;
+  BjQuarantine *quarantine;
   uint64_t next_id;
   BjDecision ring[BJ_RING_SIZE];
   guint ring_next;
--- a/src/link.c
+++ b/src/link.c
@@ -15,6 +15,12 @@
 #define BACKLOG 512
 #define PINGS_MAX 2 // unanswered, then the connection counts as dead
 
+typedef struct
+{
+  BjLinks *links;
+  GArray *notices; // BjNotice
+} Notification;
+
 static void on_accept (struct ev_loop *loop, ev_io *w, int events);
 static void on_readable (struct ev_loop *loop, ev_io *w, int events);
 static void on_writable (struct ev_loop *loop, ev_io *w, int events);
@@ -29,6 +35,8 @@
 static bool write_out (BjConn *c);
 static bool read_frames (BjConn *c);
 static bool handle (BjConn *c, const BjFrame *f);
+static void send_suspects (BjConn *c);
+static void notify_peer (BjPeer *p, void *data);
 static bool handle_hello (BjConn *c, const BjFrame *f);
 static void handle_config_ask (BjConn *c, const BjFrame *f);
 
@@ -132,6 +140,17 @@
   bj_conn_send (c, &f);
 }
 
+void
+bj_links_notify (BjLinks *l)
+{
+  Notification n = { l, g_array_new (FALSE, FALSE, sizeof (BjNotice)) };
+
+  bj_kernel_notices (l->daemon->kernel, bj_clock_now (), false, n.notices);
+  if (n.notices->len > 0)
+    bj_kernel_each_peer (l->daemon->kernel, notify_peer, &n);
+  g_array_free (n.notices, TRUE);
+}
+
 void
 bj_links_flush (BjLinks *l)
 {
@@ -171,6 +190,20 @@
   mark_dirty (c);
 }
 
+static void
+notify_peer (BjPeer *p, void *data)
+{
+  const Notification *n = data;
+  BjConn *c = p->is_self ? NULL : bj_conn_to (n->links, p);
+
+  for (guint i = 0; c != NULL && i < n->notices->len; i++)
+    {
+      BjFrame f = { .kind = BJ_FRAME_NOTICE, .notice = g_array_index (n->notices, BjNotice, i) };
+
+      bj_conn_send (c, &f);
+    }
+}
+
 static void
 on_accept (struct ev_loop *loop, ev_io *w, int events)
 {
@@ -473,6 +506,9 @@
     case BJ_FRAME_CONFIG_ASK:
       handle_config_ask (c, f);
       break;
+    case BJ_FRAME_NOTICE:
+      bj_kernel_notice (c->links->daemon->kernel, bj_clock_now (), &f->notice);
+      break;
     case BJ_FRAME_CONFIG:
       bj_daemon_config (c->links->daemon, f->data);
       break;
@@ -482,6 +518,22 @@
   return true;
 }
 
+// What a peer missed while it was cut off or not yet started.
+static void
+send_suspects (BjConn *c)
+{
+  GArray *all = g_array_new (FALSE, FALSE, sizeof (BjNotice));
+
+  bj_kernel_notices (c->links->daemon->kernel, bj_clock_now (), true, all);
+  for (guint i = 0; i < all->len; i++)
+    {
+      BjFrame f = { .kind = BJ_FRAME_NOTICE, .notice = g_array_index (all, BjNotice, i) };
+
+      bj_conn_send (c, &f);
+    }
+  g_array_free (all, TRUE);
+}
+
 static bool
 handle_hello (BjConn *c, const BjFrame *f)
 {
@@ -496,10 +548,14 @@
       return false;
     }
   c->peer_incarnation = f->id;
-  if (c->is_dialled)
-    return bj_str_equal (c->peer, f->name);
-  c->peer = bj_str_dup (f->name);
-  send_hello (c);
+  if (c->is_dialled && !bj_str_equal (c->peer, f->name))
+    return false;
+  if (!c->is_dialled)
+    {
+      c->peer = bj_str_dup (f->name);
+      send_hello (c);
+    }
+  send_suspects (c);
   return true;
 }
 
--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -307,6 +307,16 @@
   fleet_http ("POST", fleet.platform_port, path, NULL, "", NULL);
 }
 
+static void
+set_service_us (int us)
+{
+  char path[64];
+
+  g_snprintf (path, sizeof path, "/control/service_us?value=%d", us);
+  for (int i = 0; i < DOMAINS; i++)
+    fleet_http ("POST", fleet.members[i].upstream_port, path, NULL, "", NULL);
+}
+
 static void
 kill_daemon (bool begin)
 {
@@ -462,10 +472,133 @@
     }
 }
 
+// Ends and starts again what crashed; returns how many did.
+static int
+restart_crashed (void)
+{
+  int n = 0;
+
+  for (int i = 0; i < DOMAINS; i++)
+    if (fleet_wait_exit (&fleet.members[i].upstream, 0) >= 0)
+      {
+        n++;
+        fleet_start_upstream (&fleet, i);
+      }
+  return n;
+}
+
+typedef struct
+{
+  const char *name;
+  const char *path;
+  bool has_key;
+  bool restarts;  // crashed upstreams come back between the sends
+  int bystanders; // requests that run when it comes
+  int crashes_max;
+  int final_status; // of the last send
+} PoisonCase;
+
+static const PoisonCase poison_cases[] = {
+  { "poison without a key", "/orders/poison-1", false, false, 0, 2, 422 },
+  { "poison without a key, upstreams come back", "/orders/poison-2", false, true, 0, 2, 422 },
+  { "poison with a key", "/orders/accept-poison-3", true, true, 0, 1, 409 },
+  { "poison among bystanders", "/orders/poison-4", false, true, 6, 2, 422 },
+};
+
+typedef struct
+{
+  char path[64];
+  int member;
+} Bystander;
+
+static gpointer
+stand_by (gpointer data)
+{
+  const Bystander *b = data;
+
+  fleet_http ("GET", fleet.members[b->member].front_port, b->path, NULL, NULL, NULL);
+  return NULL;
+}
+
+static bool
+is_answered (void *data)
+{
+  const Bystander *b = data;
+
+  return fleet_http ("GET", fleet.members[b->member].front_port, b->path, NULL, NULL, NULL) == 200;
+}
+
+static int
+send_poison (const PoisonCase *c, const char *key, int member)
+{
+  char header[96];
+  const char *headers[] = { header, NULL };
+
+  g_snprintf (header, sizeof header, "Idempotency-Key: %s", key);
+  return fleet_http (c->has_key ? "POST" : "GET",
+                     fleet.members[member].front_port,
+                     c->path,
+                     c->has_key ? headers : NULL,
+                     c->has_key ? "" : NULL,
+                     NULL);
+}
+
+static void
+run_poison (const PoisonCase *c)
+{
+  GThread *threads[16];
+  Bystander bystanders[16];
+  char key[64];
+  int n_crashes = 0;
+  int status = 0;
+
+  make_key (key, sizeof key);
+  for (int i = 0; i < c->bystanders; i++)
+    {
+      bystanders[i].member = i % DOMAINS;
+      g_snprintf (
+          bystanders[i].path, sizeof bystanders[i].path, "/orders/by?id=%s-%d", c->path + 8, i);
+      threads[i] = g_thread_new ("bystander", stand_by, &bystanders[i]);
+    }
+  for (int i = 0; i < 3 * DOMAINS; i++)
+    {
+      status = send_poison (c, key, i % DOMAINS);
+      if (!c->restarts)
+        continue;
+      n_crashes += restart_crashed ();
+      assert_true (fleet_until (is_serving, NULL, 15000));
+    }
+  n_crashes += restart_crashed ();
+  for (int i = 0; i < c->bystanders; i++)
+    g_thread_join (threads[i]);
+  print_message ("  %s: %d crashes, then status %d\n", c->name, n_crashes, status);
+  assert_int_equal (status, c->final_status);
+  assert_in_range (n_crashes, 1, c->crashes_max);
+  assert_true (fleet_until (is_serving, NULL, 15000));
+  for (int i = 0; i < c->bystanders; i++)
+    assert_true (fleet_until (is_answered, &bystanders[i], 5000));
+}
+
+// Its caller resends a request that crashes upstreams to every domain, three times over.
+static void
+test_poison (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (poison_cases); i++)
+    {
+      assert_true (fleet_until (is_serving, NULL, 15000));
+      if (poison_cases[i].bystanders > 0)
+        set_service_us (300000);
+      run_poison (&poison_cases[i]);
+      set_service_us (5000);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_poison),
     cmocka_unit_test (test_cases),
   };
 
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,148 @@
+// Quarantine: what becomes of requests that ran when upstreams died.
+
+#include "kernel.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define LATER_MS 1000 // above the window of one crash
+
+// Events, one letter a request: "+a" starts, "-a" ends with an answer, "xa" is lost with its
+// upstream, "wa" must wait, "qa" is refused for good, "." time passes, "sa", "Qa" and "ca" are
+// notices of a peer.
+typedef struct
+{
+  const char *name;
+  const char *events;
+  const char *suspects; // afterwards
+  const char *quarantined;
+} Case;
+
+static const Case cases[] = {
+  { "no crash", "+a+b-a-b", "", "" },
+  { "one crash", "+axa", "a", "" },
+  { "a crash with bystanders", "+a+b+cxaxbxc", "abc", "" },
+  { "two crashes", "+axa.+axa.qa", "", "a" },
+  { "one crash is not two", "+a+bxaxb", "ab", "" },
+  { "a clean run releases", "+a+bxaxb.+b-b", "a", "" },
+  { "suspects run one at a time", "+a+bxaxb.+awb-a+b-b", "", "" },
+  { "others run beside a suspect and are not blamed", "+axa.+a+cxaxc", "", "a" },
+  { "not blamed in whatever order they are lost", "+axa.+a+cxcxa", "", "a" },
+  { "a peer's suspect crashes here", "sa+axa", "", "a" },
+  { "a peer's quarantine holds", "Qaqa", "", "a" },
+  { "a peer's release does not end a quarantine", "Qaca", "", "a" },
+  { "a peer's release ends a suspicion", "saca", "", "" },
+  { "a suspicion does not weaken a quarantine", "Qasa", "", "a" },
+};
+
+static uint64_t
+fingerprint (char letter)
+{
+  return (uint64_t)letter;
+}
+
+static void
+take (BjQuarantine *q, BjTime *now, char event, char letter)
+{
+  uint64_t f = fingerprint (letter);
+  BjNotice n = { f, BJ_CLEAR, 60000 };
+
+  if (event == '+')
+    assert_int_equal (bj_quarantine_start (q, *now, f), BJ_OK);
+  else if (event == 'w')
+    assert_int_equal (bj_quarantine_start (q, *now, f), BJ_E_OVERLOAD);
+  else if (event == 'q')
+    assert_int_equal (bj_quarantine_start (q, *now, f), BJ_E_QUARANTINED);
+  else if (event == '-')
+    bj_quarantine_ended (q, *now, f, true);
+  else if (event == 'x')
+    {
+      bj_quarantine_crashed (q, *now, f);
+      bj_quarantine_ended (q, *now, f, false);
+    }
+  else
+    {
+      n.state = event == 's' ? BJ_SUSPECT : event == 'Q' ? BJ_QUARANTINED : BJ_CLEAR;
+      bj_quarantine_merge (q, *now, &n);
+    }
+}
+
+static void
+test_cases (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      BjQuarantine *q = bj_quarantine_new ();
+      BjTime now = 0;
+
+      print_message ("  %s\n", c->name);
+      for (const char *e = c->events; *e != '\0'; e += *e == '.' ? 1 : 2)
+        if (*e == '.')
+          now += LATER_MS;
+        else
+          take (q, &now, e[0], e[1]);
+      for (int l = 'a'; l <= 'c'; l++)
+        {
+          BjSuspicion expected = strchr (c->quarantined, l) != NULL ? BJ_QUARANTINED
+                                 : strchr (c->suspects, l) != NULL  ? BJ_SUSPECT
+                                                                    : BJ_CLEAR;
+
+          assert_int_equal (bj_quarantine_state (q, now, fingerprint ((char)l)), expected);
+        }
+      bj_quarantine_free (q);
+    }
+}
+
+static void
+test_lifetime (void **state)
+{
+  BjQuarantine *q = bj_quarantine_new ();
+  BjTime now = 0;
+
+  (void)state;
+  take (q, &now, 's', 'a');
+  now = 59999;
+  assert_int_equal (bj_quarantine_state (q, now, fingerprint ('a')), BJ_SUSPECT);
+  now = 60000;
+  assert_int_equal (bj_quarantine_state (q, now, fingerprint ('a')), BJ_CLEAR);
+  bj_quarantine_free (q);
+}
+
+static void
+test_bounded (void **state)
+{
+  BjQuarantine *q = bj_quarantine_new ();
+  GArray *all = g_array_new (FALSE, FALSE, sizeof (BjNotice));
+
+  (void)state;
+  for (int i = 1; i <= 2 * BJ_SUSPECTS_MAX; i++)
+    {
+      BjNotice n = { (uint64_t)i, BJ_SUSPECT, 1000 + i };
+
+      bj_quarantine_merge (q, 0, &n);
+    }
+  bj_quarantine_list (q, 0, all);
+  assert_int_equal (all->len, BJ_SUSPECTS_MAX);
+  assert_int_equal (bj_quarantine_state (q, 0, 1), BJ_CLEAR);
+  assert_int_equal (bj_quarantine_state (q, 0, 2 * BJ_SUSPECTS_MAX), BJ_SUSPECT);
+  g_array_free (all, TRUE);
+  bj_quarantine_free (q);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_cases),
+    cmocka_unit_test (test_lifetime),
+    cmocka_unit_test (test_bounded),
+  };
+
+  bj_log_open (BJ_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
