Router p2c-load: two different candidates, load with the call on top; cold-start

The decision lines showed 12 own calls at the cold upstream with a limit of 3: one draw in four took the same candidate twice, and an idle candidate with a limit of 1 had load 0. Change: two different candidates; load counts the call to be placed. bjbench prints goodput, refusals and timeouts apart for the first second and for later.

--- a/src/bjbench/cold.c
+++ b/src/bjbench/cold.c
@@ -24,7 +24,8 @@
   { .at_ms = FAIL_MS, .what = FAILING },
 };
 
-static uint64_t failures (const LoadTrace *t, double from_ms, double to_ms);
+static void
+figure_span (Scene *s, const LoadTrace *t, const char *name, double from_ms, double to_ms);
 static double share (const Scene *s, const LoadTrace *t, const char *name, double from_ms);
 
 int
@@ -51,27 +52,27 @@
   t = load_trace_new ();
   o.seed = s.seed;
   load_run (&o, stats, t);
-  figure (&s.figures, (double)failures (t, JOIN_MS, JOIN_MS + GRACE_MS), "join_failures_first_s");
-  figure (&s.figures, (double)failures (t, JOIN_MS + GRACE_MS, FAIL_MS), "join_failures_later");
-  figure (&s.figures, (double)failures (t, FAIL_MS, FAIL_MS + GRACE_MS), "fail_failures_first_s");
-  figure (&s.figures, (double)failures (t, FAIL_MS + GRACE_MS, DURATION_MS), "fail_failures_later");
+  figure_span (&s, t, "join_first_s", JOIN_MS, JOIN_MS + GRACE_MS);
+  figure_span (&s, t, "join_later", JOIN_MS + GRACE_MS, FAIL_MS);
+  figure_span (&s, t, "fail_first_s", FAIL_MS, FAIL_MS + GRACE_MS);
+  figure_span (&s, t, "fail_later", FAIL_MS + GRACE_MS, DURATION_MS);
   load_trace_sum (t, 0, JOIN_MS, FAIL_MS, &sum);
   figure (&s.figures, bj_hist_quantile (&sum.latency, 0.99), "join_p99_ms");
   for (int ms = 0; ms < FAIL_MS - JOIN_MS; ms += SAMPLE_MS)
     figure (&s.figures, share (&s, t, JOINING, JOIN_MS + ms), "joined_share_%d_ms", ms);
-  figure (&s.figures, (double)stats[0].whole / (double)MAX (1, stats[0].actions), "goodput");
   load_trace_free (t);
   return scene_close (&s);
 }
 
-// Actions begun in the span without a whole answer.
-static uint64_t
-failures (const LoadTrace *t, double from_ms, double to_ms)
+static void
+figure_span (Scene *s, const LoadTrace *t, const char *name, double from_ms, double to_ms)
 {
   LoadStats sum;
 
   load_trace_sum (t, 0, from_ms, to_ms, &sum);
-  return sum.actions - sum.whole;
+  figure (&s->figures, (double)sum.whole / (double)MAX (1, sum.actions), "%s_goodput", name);
+  figure (&s->figures, (double)sum.not_run, "%s_refused", name);
+  figure (&s->figures, (double)(sum.unknown + sum.broken), "%s_timeouts", name);
 }
 
 // Share of the executions of its service that an upstream had in one sample's span.
--- a/src/route.c
+++ b/src/route.c
@@ -40,7 +40,9 @@
 static void p2c_result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s);
 static void skip (BjPeer *p, BjTime now);
 static BjPeer *best_of_two (Router *r, BjTime now, const BjRouterAsk *ask, Nearness n);
-static BjPeer *draw (BjTime now, const BjRouterAsk *ask, Nearness n, int *draws);
+static void take_two (const Router *r, GRand *rand, BjPeer **a, BjPeer **b);
+static BjPeer *
+draw (BjTime now, const BjRouterAsk *ask, Nearness n, const BjPeer *other, int *draws);
 static void collect (Router *r, BjTime now, const BjRouterAsk *ask, Nearness n);
 static bool is_candidate (const BjPeer *p, BjTime now, const BjRouterAsk *ask, Nearness n);
 static bool is_usable (const BjPeer *p, BjTime now, const BjCall *c);
@@ -176,8 +178,8 @@
 best_of_two (Router *r, BjTime now, const BjRouterAsk *ask, Nearness n)
 {
   int draws = ask->n > DRAW_FROM ? DRAWS_MAX : 0;
-  BjPeer *a = draw (now, ask, n, &draws);
-  BjPeer *b = draw (now, ask, n, &draws);
+  BjPeer *a = draw (now, ask, n, NULL, &draws);
+  BjPeer *b = draw (now, ask, n, a, &draws);
   gint found;
 
   *ask->n_candidates = ask->n;
@@ -188,22 +190,34 @@
       *ask->n_candidates = found;
       if (found == 0)
         return NULL;
-      a = r->usable->pdata[g_rand_int_range (ask->rand, 0, found)];
-      b = r->usable->pdata[g_rand_int_range (ask->rand, 0, found)];
+      take_two (r, ask->rand, &a, &b);
     }
   return load (b, now) < load (a, now) ? b : a;
 }
 
-// One random candidate, so that a decision among many does not look at all; NULL without draws.
+// Two different usable candidates, or the only one twice.
+static void
+take_two (const Router *r, GRand *rand, BjPeer **a, BjPeer **b)
+{
+  gint n = (gint)r->usable->len;
+  gint i = g_rand_int_range (rand, 0, n);
+  gint j = n > 1 ? (i + g_rand_int_range (rand, 1, n)) % n : i;
+
+  *a = r->usable->pdata[i];
+  *b = r->usable->pdata[j];
+}
+
+// One random candidate, so that a decision among many does not look at all; not the other; NULL
+// without draws.
 static BjPeer *
-draw (BjTime now, const BjRouterAsk *ask, Nearness n, int *draws)
+draw (BjTime now, const BjRouterAsk *ask, Nearness n, const BjPeer *other, int *draws)
 {
   while (*draws > 0)
     {
       BjPeer *p = ask->peers[g_rand_int_range (ask->rand, 0, ask->n)];
 
       (*draws)--;
-      if (is_candidate (p, now, ask, n))
+      if (p != other && is_candidate (p, now, ask, n))
         return p;
     }
   return NULL;
@@ -259,13 +273,14 @@
   return bj_str_equal (p->report.region, ask->region) ? NEAR_REGION : NEAR_FAR;
 }
 
+// With the call on top, so that a candidate with a small limit is not taken for idle.
 static double
 load (const BjPeer *p, BjTime now)
 {
   double fresh = freshness (p, now);
   double in_flight = MAX (p->own_in_flight, p->report.in_flight * fresh);
 
-  return (in_flight + p->report.queued * fresh) / MAX (1, p->report.limit);
+  return (in_flight + p->report.queued * fresh + 1) / MAX (1, p->report.limit);
 }
 
 // How much a report still counts: 1 for a new one, 0 for one too old.
