--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -532,9 +532,10 @@
   int link_port;
   BjStr gossip_host; // IP address in numbers
   int gossip_port;
-  uint64_t incarnation; // grows with every start
-  uint64_t version;     // grows with every change in one incarnation
-  int limit;            // calls in flight it takes now
+  uint64_t incarnation;  // grows with every start
+  uint64_t version;      // grows with every change of identity or state in one incarnation
+  uint64_t load_version; // grows with every change of load in one incarnation
+  int limit;             // calls in flight it takes now
   int in_flight;
   int queued;
   int level; // admission level
@@ -553,6 +554,7 @@
   int n_failures;          // sheds and timeouts in a row
   BjTime spill_skip_until; // after it refused a call of another domain
   int own_in_flight;       // calls this daemon has there
+  bool is_gone;            // takes no new call, kept while calls are open there
   void *link;              // the host's
 };
 
@@ -644,9 +646,13 @@
                      const BjPeerReport *r); // A peer's report; older ones are ignored
 void bj_kernel_peer_gone (BjKernel *k,
                           BjTime now,
-                          BjStr name); // Forget a peer; open calls there are lost by the host
-void bj_kernel_tick (BjKernel *k, BjTime now); // Deadlines that passed
-BjTime bj_kernel_next (const BjKernel *k);     // When to tick next
+                          BjStr name); // It takes no new call; forgotten by the call below
+void bj_kernel_each_gone_peer (BjKernel *k,
+                               void (*fn) (BjPeer *p, void *data),
+                               void *data);          // Gone ones without open calls
+void bj_kernel_forget_peer (BjKernel *k, BjPeer *p); // Frees a gone peer
+void bj_kernel_tick (BjKernel *k, BjTime now);       // Deadlines that passed
+BjTime bj_kernel_next (const BjKernel *k);           // When to tick next
 void bj_kernel_self (BjKernel *k,
                      BjTime now,
                      BjPeerReport *r);        // Fills the load of this daemon; strings are borrowed
--- a/src/config.h
+++ b/src/config.h
@@ -30,8 +30,13 @@
 #define BJ_PING_MS 250               // silence on a link with open calls before a ping
 #define BJ_IDLE_MS 30000             // a link without calls is closed after this long
 #define BJ_ANNOUNCE_LIFETIME_MS 3000 // an upstream that stays silent longer is gone
-#define BJ_GOSSIP_MS 200             // between gossip rounds
-#define BJ_PEER_LIFETIME_MS 3000     // a peer that stays silent longer is gone
+#define BJ_SWIM_TICK_MS 100          // between two looks of the membership at the clock
+#define BJ_PROBE_MS 500              // between two probes of other members
+#define BJ_PROBE_TIMEOUT_MS 200      // for an answer before others are asked to probe
+#define BJ_PROBE_LOST_MS 700         // for an answer, others included, before suspicion
+#define BJ_SUSPECT_MS 1000           // for a refutation, times log10 of the members
+#define BJ_SUSPECT_MIN_MS 2000       // for a refutation at least
+#define BJ_SWIM_PAUSE_MS 1000        // a later tick means that this process was paused
 #define BJ_SKIP_MS 500               // a failed peer gets no call for this long
 #define BJ_WATCH_MS 10000            // one long poll at the platform
 #define BJ_DRAIN_MS 30000            // longest wait of a stop for open calls
--- /dev/null
+++ b/src/datagram.c
@@ -0,0 +1,325 @@
+// Datagram: encodes and decodes what daemons tell each other by UDP, msgpack arrays.
+
+#include "internal.h"
+#include <arpa/inet.h>
+
+#define FIELDS 11
+#define FULL_FIELDS 20
+#define STATE_FIELDS 6
+#define LOAD_FIELDS 8
+#define PORT_MAX 65535
+#define LOAD_MAX 1000000000 // calls
+#define ARRAY_BYTES 3       // of the head of an array, at most
+#define STR_BYTES 2         // of the head of a string
+
+typedef struct
+{
+  const msgpack_object *at;
+  uint32_t left;
+  bool failed;
+} Fields;
+
+static void pack_update (msgpack_packer *p, const BjUpdate *u);
+static void pack_full (msgpack_packer *p, const BjUpdate *u);
+static void pack_str (msgpack_packer *p, BjStr s);
+static bool open_array (const msgpack_object *o, uint32_t n, Fields *in);
+static void read_update (const msgpack_object *o, BjUpdate *u, bool *failed);
+static void read_full (Fields *in, BjUpdate *u);
+static void read_load (Fields *in, BjPeerReport *r);
+static const msgpack_object *next (Fields *in, msgpack_object_type type);
+static uint64_t read_uint (Fields *in, uint64_t max);
+static BjStr read_str (Fields *in, size_t min);
+static BjStr read_ip (Fields *in);
+static size_t uint_size (uint64_t n);
+
+void
+bj_datagram_encode (msgpack_sbuffer *out, const BjDatagram *d)
+{
+  msgpack_packer p;
+  int n_buckets = d->kind == BJ_DATAGRAM_DIGEST ? BJ_DIGEST_BUCKETS : 0;
+
+  msgpack_packer_init (&p, out, msgpack_sbuffer_write);
+  msgpack_pack_array (&p, FIELDS);
+  msgpack_pack_int (&p, BJ_PROTOCOL_VERSION);
+  msgpack_pack_int (&p, d->kind);
+  msgpack_pack_uint64 (&p, d->sequence);
+  pack_str (&p, d->to_host);
+  msgpack_pack_int (&p, d->to_port);
+  msgpack_pack_uint64 (&p, d->answers);
+  pack_str (&p, d->target);
+  msgpack_pack_uint64 (&p, d->digest);
+  msgpack_pack_uint64 (&p, d->wanted);
+  msgpack_pack_array (&p, (size_t)n_buckets);
+  for (int i = 0; i < n_buckets; i++)
+    msgpack_pack_uint64 (&p, d->buckets[i]);
+  msgpack_pack_array (&p, (size_t)d->n_updates + 1);
+  pack_update (&p, &d->self);
+  for (int i = 0; i < d->n_updates; i++)
+    pack_update (&p, &d->updates[i]);
+}
+
+BjStatus
+bj_datagram_decode (BjStr bytes, msgpack_unpacked *keep, BjDatagram *d)
+{
+  size_t at = 0;
+  Fields in;
+  Fields buckets;
+  const msgpack_object *o;
+  bool failed = false;
+
+  if (msgpack_unpack_next (keep, bytes.data, bytes.len, &at) != MSGPACK_UNPACK_SUCCESS
+      || at != bytes.len || !open_array (&keep->data, FIELDS, &in))
+    return bj_fail (BJ_E_FORMAT, "A datagram is not an array of %d fields.", FIELDS);
+  if (read_uint (&in, UINT64_MAX) != BJ_PROTOCOL_VERSION || in.failed)
+    return bj_fail (BJ_E_FORMAT, "A datagram is not of protocol version %d.", BJ_PROTOCOL_VERSION);
+  d->kind = (BjDatagramKind)read_uint (&in, BJ_DATAGRAM_KINDS - 1);
+  d->sequence = read_uint (&in, UINT64_MAX);
+  d->to_host = read_ip (&in);
+  d->to_port = (int)read_uint (&in, PORT_MAX);
+  d->answers = read_uint (&in, UINT64_MAX);
+  d->target = read_str (&in, 0);
+  d->digest = read_uint (&in, UINT64_MAX);
+  d->wanted = read_uint (&in, UINT64_MAX);
+  o = next (&in, MSGPACK_OBJECT_ARRAY);
+  if (o != NULL && o->via.array.size > 0)
+    {
+      in.failed = in.failed || !open_array (o, BJ_DIGEST_BUCKETS, &buckets);
+      for (int i = 0; i < BJ_DIGEST_BUCKETS && !in.failed; i++)
+        {
+          d->buckets[i] = read_uint (&buckets, UINT64_MAX);
+          in.failed = buckets.failed;
+        }
+    }
+  in.failed = in.failed || (o->via.array.size > 0) != (d->kind == BJ_DATAGRAM_DIGEST);
+  o = next (&in, MSGPACK_OBJECT_ARRAY);
+  if (in.failed || d->kind == 0 || o->via.array.size == 0 || o->via.array.size > BJ_UPDATES_MAX + 1)
+    return bj_fail (BJ_E_FORMAT, "A datagram has a field of the wrong type or range.");
+  read_update (&o->via.array.ptr[0], &d->self, &failed);
+  d->n_updates = (int)o->via.array.size - 1;
+  for (int i = 0; i < d->n_updates && !failed; i++)
+    read_update (&o->via.array.ptr[i + 1], &d->updates[i], &failed);
+  if (failed || d->self.kind != BJ_UPDATE_FULL)
+    return bj_fail (BJ_E_FORMAT, "A datagram tells of a member in a form that is not known.");
+  return BJ_OK;
+}
+
+size_t
+bj_update_size (const BjUpdate *u)
+{
+  const BjPeerReport *r = &u->report;
+  BjStr texts[] = { r->domain, r->region, r->service, r->host, r->gossip_host };
+  int loads[] = { r->limit, r->in_flight, r->queued, r->level };
+  size_t n = ARRAY_BYTES + 1 + STR_BYTES + r->name.len + uint_size (r->incarnation);
+
+  if (u->kind != BJ_UPDATE_LOAD)
+    n += uint_size (u->instance) + uint_size (r->version) + 1;
+  if (u->kind == BJ_UPDATE_STATE)
+    return n;
+  n += uint_size (r->load_version);
+  for (size_t i = 0; i < G_N_ELEMENTS (loads); i++)
+    n += uint_size ((uint64_t)loads[i]);
+  if (u->kind == BJ_UPDATE_LOAD)
+    return n;
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    n += STR_BYTES + texts[i].len;
+  return n + uint_size ((uint64_t)r->link_port) + uint_size ((uint64_t)r->gossip_port)
+         + uint_size ((uint64_t)r->config_number) + 1;
+}
+
+static void
+pack_update (msgpack_packer *p, const BjUpdate *u)
+{
+  const BjPeerReport *r = &u->report;
+
+  if (u->kind == BJ_UPDATE_FULL)
+    {
+      pack_full (p, u);
+      return;
+    }
+  msgpack_pack_array (p, u->kind == BJ_UPDATE_STATE ? STATE_FIELDS : LOAD_FIELDS);
+  msgpack_pack_int (p, u->kind);
+  pack_str (p, r->name);
+  msgpack_pack_uint64 (p, r->incarnation);
+  if (u->kind == BJ_UPDATE_STATE)
+    {
+      msgpack_pack_uint64 (p, u->instance);
+      msgpack_pack_uint64 (p, r->version);
+      msgpack_pack_int (p, u->state);
+      return;
+    }
+  msgpack_pack_uint64 (p, r->load_version);
+  msgpack_pack_int (p, r->limit);
+  msgpack_pack_int (p, r->in_flight);
+  msgpack_pack_int (p, r->queued);
+  msgpack_pack_int (p, r->level);
+}
+
+static void
+pack_full (msgpack_packer *p, const BjUpdate *u)
+{
+  const BjPeerReport *r = &u->report;
+
+  msgpack_pack_array (p, FULL_FIELDS);
+  msgpack_pack_int (p, u->kind);
+  pack_str (p, r->name);
+  msgpack_pack_uint64 (p, r->incarnation);
+  msgpack_pack_uint64 (p, u->instance);
+  msgpack_pack_uint64 (p, r->version);
+  msgpack_pack_int (p, u->state);
+  pack_str (p, r->domain);
+  pack_str (p, r->region);
+  pack_str (p, r->service);
+  pack_str (p, r->host);
+  msgpack_pack_int (p, r->link_port);
+  pack_str (p, r->gossip_host);
+  msgpack_pack_int (p, r->gossip_port);
+  msgpack_pack_uint64 (p, (uint64_t)r->config_number);
+  r->draining ? msgpack_pack_true (p) : msgpack_pack_false (p);
+  msgpack_pack_uint64 (p, r->load_version);
+  msgpack_pack_int (p, r->limit);
+  msgpack_pack_int (p, r->in_flight);
+  msgpack_pack_int (p, r->queued);
+  msgpack_pack_int (p, r->level);
+}
+
+static void
+pack_str (msgpack_packer *p, BjStr s)
+{
+  msgpack_pack_bin (p, s.len);
+  msgpack_pack_bin_body (p, s.len > 0 ? s.data : "", s.len);
+}
+
+static bool
+open_array (const msgpack_object *o, uint32_t n, Fields *in)
+{
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != n)
+    return false;
+  *in = (Fields){ .at = o->via.array.ptr, .left = n };
+  return true;
+}
+
+static void
+read_update (const msgpack_object *o, BjUpdate *u, bool *failed)
+{
+  static const uint32_t counts[BJ_UPDATE_KINDS] = {
+    [BJ_UPDATE_FULL] = FULL_FIELDS, [BJ_UPDATE_STATE] = STATE_FIELDS, [BJ_UPDATE_LOAD] = LOAD_FIELDS
+  };
+  Fields in = { .failed = true };
+
+  *u = (BjUpdate){ 0 };
+  if (o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size > 0)
+    open_array (o, o->via.array.size, &in);
+  u->kind = (BjUpdateKind)read_uint (&in, BJ_UPDATE_KINDS - 1);
+  if (in.failed || u->kind == 0 || o->via.array.size != counts[u->kind])
+    {
+      *failed = true;
+      return;
+    }
+  u->report.name = read_str (&in, 1);
+  u->report.incarnation = read_uint (&in, INT64_MAX);
+  if (u->kind == BJ_UPDATE_LOAD)
+    read_load (&in, &u->report);
+  else
+    {
+      u->instance = (uint32_t)read_uint (&in, UINT32_MAX);
+      u->report.version = read_uint (&in, INT64_MAX);
+      u->state = (BjMemberState)read_uint (&in, BJ_MEMBER_STATES - 1);
+    }
+  if (u->kind == BJ_UPDATE_FULL)
+    read_full (&in, u);
+  *failed = *failed || in.failed;
+}
+
+static void
+read_full (Fields *in, BjUpdate *u)
+{
+  BjPeerReport *r = &u->report;
+  const msgpack_object *o;
+
+  r->domain = read_str (in, 1);
+  r->region = read_str (in, 1);
+  r->service = read_str (in, 0);
+  r->host = read_ip (in);
+  r->link_port = (int)read_uint (in, PORT_MAX);
+  r->gossip_host = read_ip (in);
+  r->gossip_port = (int)read_uint (in, PORT_MAX);
+  r->config_number = (int64_t)read_uint (in, INT64_MAX);
+  o = next (in, MSGPACK_OBJECT_BOOLEAN);
+  r->draining = o != NULL && o->via.boolean;
+  read_load (in, r);
+  in->failed = in->failed || r->link_port == 0 || r->gossip_port == 0;
+}
+
+static void
+read_load (Fields *in, BjPeerReport *r)
+{
+  r->load_version = read_uint (in, INT64_MAX);
+  r->limit = (int)read_uint (in, LOAD_MAX);
+  r->in_flight = (int)read_uint (in, LOAD_MAX);
+  r->queued = (int)read_uint (in, LOAD_MAX);
+  r->level = (int)read_uint (in, LOAD_MAX);
+}
+
+static const msgpack_object *
+next (Fields *in, msgpack_object_type type)
+{
+  if (in->failed || in->left == 0 || in->at->type != type)
+    {
+      in->failed = true;
+      return NULL;
+    }
+  in->left--;
+  return in->at++;
+}
+
+static uint64_t
+read_uint (Fields *in, uint64_t max)
+{
+  const msgpack_object *o = next (in, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+  in->failed = in->failed || o->via.u64 > max;
+  return in->failed ? 0 : o->via.u64;
+}
+
+// Texts reach log lines and JSON, so control characters are refused.
+static BjStr
+read_str (Fields *in, size_t min)
+{
+  const msgpack_object *o = next (in, MSGPACK_OBJECT_BIN);
+  BjStr s;
+
+  if (o == NULL)
+    return BJ_STR_NULL;
+  s = (BjStr){ o->via.bin.ptr, o->via.bin.size };
+  in->failed = s.len < min || s.len > BJ_MEMBER_NAME_MAX
+               || (s.len > 0 && !g_utf8_validate (s.data, (gssize)s.len, NULL));
+  for (size_t i = 0; i < s.len && !in->failed; i++)
+    in->failed = (unsigned char)s.data[i] < ' ' || s.data[i] == 0x7f;
+  return in->failed ? BJ_STR_NULL : s;
+}
+
+static BjStr
+read_ip (Fields *in)
+{
+  BjStr s = read_str (in, 1);
+  char text[BJ_MEMBER_NAME_MAX + 1];
+  struct in_addr v4;
+
+  if (in->failed)
+    return BJ_STR_NULL;
+  g_strlcpy (text, s.data, s.len + 1);
+  in->failed = inet_pton (AF_INET, text, &v4) != 1;
+  return in->failed ? BJ_STR_NULL : s;
+}
+
+static size_t
+uint_size (uint64_t n)
+{
+  if (n < 128)
+    return 1;
+  if (n <= UINT8_MAX)
+    return 2;
+  if (n <= UINT16_MAX)
+    return 3;
+  return n <= UINT32_MAX ? 5 : 9;
+}
--- a/src/internal.h
+++ b/src/internal.h
@@ -234,6 +234,155 @@
 int bj_admin_handle (
     BjDaemon *d, BjStr method, BjStr path, BjStr body, GString *out); // Returns the HTTP status
 
+// ---------------------------------------------------------------------------------------------
+// Datagram: what daemons tell each other by UDP, msgpack arrays
+// ---------------------------------------------------------------------------------------------
+
+#define BJ_UPDATES_MAX 64     // members told of in one datagram
+#define BJ_DIGEST_BUCKETS 64  // parts of the table that are compared one by one
+#define BJ_MEMBER_NAME_MAX 64 // bytes
+
+typedef enum
+{
+  BJ_MEMBER_ALIVE,
+  BJ_MEMBER_SUSPECT, // did not answer a probe
+  BJ_MEMBER_DEAD,    // did not refute the suspicion
+  BJ_MEMBER_LEFT,    // said so itself
+  BJ_MEMBER_STATES,
+} BjMemberState;
+
+typedef enum
+{
+  BJ_UPDATE_FULL = 1, // the whole report
+  BJ_UPDATE_STATE,    // name, incarnation, version and state
+  BJ_UPDATE_LOAD,     // name, incarnation and load
+  BJ_UPDATE_KINDS,
+} BjUpdateKind;
+
+typedef struct
+{
+  BjUpdateKind kind;
+  BjMemberState state;
+  uint32_t instance; // random in each process, tells two daemons of one name apart
+  BjPeerReport report;
+} BjUpdate;
+
+typedef enum
+{
+  BJ_DATAGRAM_PING = 1,
+  BJ_DATAGRAM_ACK,
+  BJ_DATAGRAM_PING_ASK, // ping the target for me
+  BJ_DATAGRAM_NEWS,     // updates only
+  BJ_DATAGRAM_RECORDS,  // whole buckets, after a comparison
+  BJ_DATAGRAM_DIGEST,   // hashes of the buckets, to be compared
+  BJ_DATAGRAM_STALE,    // the receiver's incarnation is older than one known here
+  BJ_DATAGRAM_KINDS,
+} BjDatagramKind;
+
+typedef struct
+{
+  BjDatagramKind kind;
+  uint64_t sequence; // of the sender's incarnation
+  BjStr to_host;     // where it was sent
+  int to_port;
+  uint64_t answers; // ACK: sequence of the ping
+  BjStr target;     // PING_ASK: whom to ping; ACK: who answered, empty for the sender
+  BjUpdate self;    // the sender
+  uint64_t digest;  // of the sender's table
+  uint64_t wanted;  // RECORDS: set of buckets that the receiver is asked to send
+  uint64_t buckets[BJ_DIGEST_BUCKETS]; // DIGEST
+  BjUpdate updates[BJ_UPDATES_MAX];
+  int n_updates;
+} BjDatagram;
+
+void bj_datagram_encode (msgpack_sbuffer *out, const BjDatagram *d); // Appends
+BjStatus bj_datagram_decode (BjStr bytes,
+                             msgpack_unpacked *keep,
+                             BjDatagram *d); // BJ_E_FORMAT; strings live in bytes and keep
+size_t bj_update_size (const BjUpdate *u);   // Bytes it takes at most
+
+// ---------------------------------------------------------------------------------------------
+// Auth: signatures under the deployment key
+// ---------------------------------------------------------------------------------------------
+
+#define BJ_TAG_BYTES 16     // of HMAC-SHA-256
+#define BJ_KEY_MIN_BYTES 16 // of a deployment key
+
+typedef struct BjAuth BjAuth;
+
+BjStatus bj_auth_new (BjStr key_file,
+                      BjAuth **a); // Empty name for no key; BJ_E_SETTINGS if unreadable or short
+void bj_auth_free (BjAuth *a);     // NULL does nothing
+void bj_auth_sign (const BjAuth *a, BjStr data, uint8_t tag[BJ_TAG_BYTES]); // Zeros without a key
+BjStatus bj_auth_check (const BjAuth *a, BjStr data,
+                        BjStr tag); // BJ_E_AUTH when missing or wrong
+
+// ---------------------------------------------------------------------------------------------
+// Swim: membership as a state machine without I/O
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjSwim BjSwim;
+typedef struct BjSwimHost BjSwimHost;
+
+typedef struct
+{
+  BjPeerReport report; // owned strings
+  BjMemberState state;
+  uint32_t instance;
+  bool is_self;
+  BjTime since;          // when the state began
+  int news_left;         // datagrams that still tell of it
+  int load_left;         // datagrams that still tell of its load
+  uint64_t sequence;     // highest seen from it
+  uint64_t window;       // of the 64 sequences up to the highest, which were seen
+  BjTime stale_told;     // when it was last told that its incarnation is old
+  uint64_t digest_share; // its part of the digest, 0 when it counts for nothing
+} BjMember;
+
+typedef struct
+{
+  void (*send) (BjSwimHost *h, const BjDatagram *d);       // To d->to_host and d->to_port
+  void (*changed) (BjSwimHost *h, const BjMember *m);      // New, or its report changed
+  void (*gone) (BjSwimHost *h, const BjMember *m);         // Dead or left
+  void (*refresh) (BjSwimHost *h, BjPeerReport *self);     // Fills the own report as of now
+  void (*incarnation) (BjSwimHost *h, uint64_t new_value); // The own incarnation grew
+} BjSwimHostOps;
+
+struct BjSwimHost
+{
+  const BjSwimHostOps *ops;
+};
+
+typedef struct
+{
+  BjPeerReport self; // copied
+  uint32_t instance;
+  BjAddress bound;        // where the socket listens, copied
+  const BjAddress *seeds; // copied
+  int n_seeds;
+  BjSwimHost *host;
+  uint32_t seed; // of every random choice
+} BjSwimOptions;
+
+typedef enum
+{
+  BJ_SWIM_ACCEPTED,
+  BJ_SWIM_REPLAYED,  // the sequence was seen or is too old
+  BJ_SWIM_STALE,     // from an older incarnation
+  BJ_SWIM_MISPLACED, // sent to another address
+  BJ_SWIM_CONFLICT,  // from another daemon under the own name
+} BjSwimVerdict;
+
+BjSwim *bj_swim_new (const BjSwimOptions *o, BjTime now); // Never fails
+void bj_swim_free (BjSwim *s);
+void bj_swim_tick (BjSwim *s, BjTime now);                                  // Every BJ_SWIM_TICK_MS
+BjSwimVerdict bj_swim_receive (BjSwim *s, BjTime now, const BjDatagram *d); // May send
+void bj_swim_leave (BjSwim *s, BjTime now);                 // Tells the others of a planned stop
+void bj_swim_add_seed (BjSwim *s, BjStr host, int port);    // One more address to begin with
+const BjMember *bj_swim_find (const BjSwim *s, BjStr name); // NULL when unknown
+const BjMember *bj_swim_member (const BjSwim *s, guint i);  // NULL past the last one
+int bj_swim_count (const BjSwim *s);                        // Alive or suspected, itself included
+
 // ---------------------------------------------------------------------------------------------
 // Member: who is in the deployment, by UDP
 // ---------------------------------------------------------------------------------------------
--- a/src/member.c
+++ b/src/member.c
@@ -1,4 +1,4 @@
-// Member: who is in the deployment. Each daemon sends what it knows to a few others over UDP.
+// Member: carries the membership over UDP and tells the kernel who is there.
 
 #include "internal.h"
 #include <arpa/inet.h>
@@ -9,79 +9,83 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define FANOUT 3 // daemons told in one round
-#define REPORT_FIELDS 16
+#define DATAGRAM_READ_MAX 65536
+#define READS_AT_ONCE 64   // datagrams taken before other events have their turn
+#define GONE_EVERY_MS 1000 // between two looks for gone peers without open calls
 
 struct BjMembers
 {
+  BjSwimHost host; // first
   BjDaemon *daemon;
+  BjSwim *swim;
   int fd;
   ev_io io;
-  ev_timer round;
-  uint64_t version;
-  bool leaving;
+  ev_timer tick;
+  BjTime next_gone;
 };
 
-typedef struct
-{
-  BjMembers *members;
-  msgpack_packer *packer;
-  GPtrArray *peers; // BjPeer*
-} Round;
-
+static BjStatus open_socket (const BjAddress *a, int *fd);
+static void register_counters (void);
 static void on_datagram (struct ev_loop *loop, ev_io *w, int events);
-static void on_round (struct ev_loop *loop, ev_timer *w, int events);
-static void send_round (BjMembers *m);
-static void collect (BjPeer *p, void *array);
-static void forget_silent (BjMembers *m, GPtrArray *peers, BjTime now);
-static void send_to (BjMembers *m, BjStr host, int port, const msgpack_sbuffer *out);
-static void pack_report (msgpack_packer *p, const BjPeerReport *r);
-static bool read_report (const msgpack_object *o, BjPeerReport *r);
-static BjStr str_of (const msgpack_object *o);
-
-static BjCounter n_bad
-    = { "member_malformed_datagrams_total", "Datagrams that could not be decoded.", 0 };
+static void on_tick (struct ev_loop *loop, ev_timer *w, int events);
+static void receive (BjMembers *m, BjStr bytes);
+static void forget_gone (BjPeer *p, void *members);
+static void send_datagram (BjSwimHost *h, const BjDatagram *d);
+static void changed (BjSwimHost *h, const BjMember *m);
+static void gone (BjSwimHost *h, const BjMember *m);
+static void refresh (BjSwimHost *h, BjPeerReport *self);
+static void incarnation (BjSwimHost *h, uint64_t new_value);
+
+static const BjSwimHostOps swim_ops = { send_datagram, changed, gone, refresh, incarnation };
 static BjCounter n_sent = { "member_sent_datagrams_total", "Datagrams sent.", 0 };
 static BjCounter n_sent_bytes = { "member_sent_bytes_total", "Bytes of datagrams sent.", 0 };
 static BjCounter n_received = { "member_received_datagrams_total", "Datagrams received.", 0 };
 static BjCounter n_received_bytes
     = { "member_received_bytes_total", "Bytes of datagrams received.", 0 };
+static BjCounter n_bad
+    = { "member_malformed_datagrams_total", "Datagrams that could not be decoded.", 0 };
+static BjCounter n_refused[] = {
+  [BJ_SWIM_REPLAYED] = { "member_replayed_datagrams_total", "Datagrams seen before.", 0 },
+  [BJ_SWIM_STALE] = { "member_stale_datagrams_total", "Datagrams of an older incarnation.", 0 },
+  [BJ_SWIM_MISPLACED]
+  = { "member_misplaced_datagrams_total", "Datagrams sent to another address.", 0 },
+  [BJ_SWIM_CONFLICT]
+  = { "member_conflicting_datagrams_total", "Datagrams of another daemon of the own name.", 0 },
+};
 
 BjStatus
 bj_members_new (BjDaemon *d, BjMembers **members)
 {
-  BjAddress a = d->settings.gossip;
-  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)a.port) };
-  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const BjSettings *settings = &d->settings;
+  BjSwimOptions o = {
+    .instance = g_random_int (),
+    .bound = settings->gossip,
+    .seeds = settings->seeds,
+    .n_seeds = settings->n_seeds,
+    .seed = g_random_int (),
+  };
+  BjTime now = bj_clock_now ();
   BjMembers *m;
+  BjStatus s;
+  int fd;
 
-  inet_pton (AF_INET, a.host.data, &addr.sin_addr);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&addr, sizeof addr) != 0)
-    {
-      int error = errno;
-
-      if (fd >= 0)
-        close (fd);
-      return bj_fail (BJ_E_IO,
-                      "settings.gossip: %s:%d can't be opened: %s.",
-                      a.host.data,
-                      a.port,
-                      g_strerror (error));
-    }
-  bj_metric_register (&n_bad);
-  bj_metric_register (&n_sent);
-  bj_metric_register (&n_sent_bytes);
-  bj_metric_register (&n_received);
-  bj_metric_register (&n_received_bytes);
+  s = open_socket (&settings->gossip, &fd);
+  if (s != BJ_OK)
+    return s;
+  register_counters ();
   m = g_new0 (BjMembers, 1);
+  m->host.ops = &swim_ops;
   m->daemon = d;
   m->fd = fd;
+  bj_kernel_self (d->kernel, now, &o.self);
+  o.host = &m->host;
+  m->swim = bj_swim_new (&o, now);
   ev_io_init (&m->io, on_datagram, fd, EV_READ);
-  ev_timer_init (&m->round, on_round, 0, BJ_GOSSIP_MS / 1000.0);
+  ev_timer_init (&m->tick, on_tick, 0, BJ_SWIM_TICK_MS / 1000.0);
   m->io.data = m;
-  m->round.data = m;
+  m->tick.data = m;
   ev_io_start (d->loop, &m->io);
-  ev_timer_start (d->loop, &m->round);
+  ev_timer_start (d->loop, &m->tick);
   *members = m;
   return BJ_OK;
 }
@@ -90,196 +94,161 @@
 bj_members_free (BjMembers *m)
 {
   ev_io_stop (m->daemon->loop, &m->io);
-  ev_timer_stop (m->daemon->loop, &m->round);
+  ev_timer_stop (m->daemon->loop, &m->tick);
   close (m->fd);
+  bj_swim_free (m->swim);
   g_free (m);
 }
 
 void
 bj_members_leave (BjMembers *m)
 {
-  m->leaving = true;
-  send_round (m);
+  bj_swim_leave (m->swim, bj_clock_now ());
+}
+
+static BjStatus
+open_socket (const BjAddress *a, int *fd)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)a->port) };
+  int error;
+
+  inet_pton (AF_INET, a->host.data, &addr.sin_addr);
+  *fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (*fd >= 0 && bind (*fd, (struct sockaddr *)&addr, sizeof addr) == 0)
+    return BJ_OK;
+  error = errno;
+  if (*fd >= 0)
+    close (*fd);
+  return bj_fail (BJ_E_IO,
+                  "settings.gossip: %s:%d can't be opened: %s.",
+                  a->host.data,
+                  a->port,
+                  g_strerror (error));
+}
+
+static void
+register_counters (void)
+{
+  BjCounter *all[] = { &n_sent, &n_sent_bytes, &n_received, &n_received_bytes, &n_bad };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (all); i++)
+    bj_metric_register (all[i]);
+  for (size_t i = BJ_SWIM_REPLAYED; i < G_N_ELEMENTS (n_refused); i++)
+    bj_metric_register (&n_refused[i]);
 }
 
 static void
 on_datagram (struct ev_loop *loop, ev_io *w, int events)
 {
   BjMembers *m = w->data;
-  char buffer[65536];
+  char buffer[DATAGRAM_READ_MAX];
   ssize_t n;
 
   (void)loop;
   (void)events;
-  while ((n = recv (m->fd, buffer, sizeof buffer, 0)) > 0)
+  for (int i = 0; i < READS_AT_ONCE; i++)
     {
-      msgpack_unpacked keep;
-      size_t at = 0;
-
-      if (!bj_msgpack_is_bounded ((BjStr){ buffer, (size_t)n }))
-        {
-          n_bad.value++;
-          continue;
-        }
+      n = recv (m->fd, buffer, sizeof buffer, 0);
+      if (n < 0)
+        return;
       n_received.value++;
       n_received_bytes.value += (uint64_t)n;
-      msgpack_unpacked_init (&keep);
-      while (msgpack_unpack_next (&keep, buffer, (size_t)n, &at) == MSGPACK_UNPACK_SUCCESS)
-        {
-          BjPeerReport r;
-
-          if (!read_report (&keep.data, &r))
-            {
-              n_bad.value++;
-              break;
-            }
-          bj_kernel_peer (m->daemon->kernel, bj_clock_now (), &r);
-          if (m->daemon->reader != NULL)
-            {
-              BjPeer *p = bj_kernel_find_peer (m->daemon->kernel, r.name);
-
-              bj_reader_peer_has (m->daemon->reader, p);
-            }
-        }
-      msgpack_unpacked_destroy (&keep);
+      receive (m, (BjStr){ buffer, (size_t)n });
     }
 }
 
 static void
-on_round (struct ev_loop *loop, ev_timer *w, int events)
+on_tick (struct ev_loop *loop, ev_timer *w, int events)
 {
+  BjMembers *m = w->data;
+  BjTime now = bj_clock_now ();
+
   (void)loop;
   (void)events;
-  send_round (w->data);
+  bj_swim_tick (m->swim, now);
+  if (now < m->next_gone)
+    return;
+  m->next_gone = now + GONE_EVERY_MS;
+  bj_kernel_each_gone_peer (m->daemon->kernel, forget_gone, m);
 }
 
 static void
-send_round (BjMembers *m)
+receive (BjMembers *m, BjStr bytes)
 {
-  BjDaemon *d = m->daemon;
-  BjTime now = bj_clock_now ();
-  GPtrArray *peers = g_ptr_array_new ();
-  msgpack_sbuffer out;
-  msgpack_packer packer;
-  BjPeerReport self;
-
-  bj_kernel_self (d->kernel, now, &self);
-  self.version = ++m->version;
-  self.draining = self.draining || m->leaving;
-  msgpack_sbuffer_init (&out);
-  msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
-  pack_report (&packer, &self);
-  bj_kernel_each_peer (d->kernel, collect, peers);
-  forget_silent (m, peers, now);
-  for (guint i = 0; i < peers->len && out.size < BJ_DATAGRAM_MAX - 200; i++)
-    pack_report (&packer, &((BjPeer *)peers->pdata[i])->report);
-  for (int i = 0; i < FANOUT && peers->len > 0; i++)
-    {
-      const BjPeer *p = peers->pdata[g_random_int_range (0, (gint32)peers->len)];
-
-      send_to (m, p->report.gossip_host, p->report.gossip_port, &out);
-    }
-  if (d->settings.n_seeds > 0)
+  msgpack_unpacked keep;
+  BjDatagram d;
+  BjSwimVerdict v;
+
+  msgpack_unpacked_init (&keep);
+  if (bj_datagram_decode (bytes, &keep, &d) != BJ_OK)
+    n_bad.value++;
+  else
     {
-      const BjAddress *seed = &d->settings.seeds[g_random_int_range (0, d->settings.n_seeds)];
-
-      send_to (m, seed->host, seed->port, &out);
+      v = bj_swim_receive (m->swim, bj_clock_now (), &d);
+      if (v != BJ_SWIM_ACCEPTED)
+        n_refused[v].value++;
     }
-  msgpack_sbuffer_destroy (&out);
-  g_ptr_array_free (peers, TRUE);
-}
-
-static void
-collect (BjPeer *p, void *array)
-{
-  if (!p->is_self)
-    g_ptr_array_add (array, p);
+  msgpack_unpacked_destroy (&keep);
 }
 
 static void
-forget_silent (BjMembers *m, GPtrArray *peers, BjTime now)
+forget_gone (BjPeer *p, void *members)
 {
-  for (guint i = peers->len; i > 0; i--)
-    {
-      BjPeer *p = peers->pdata[i - 1];
+  BjDaemon *d = ((BjMembers *)members)->daemon;
 
-      if (now - p->reported < BJ_PEER_LIFETIME_MS)
-        continue;
-      g_ptr_array_remove_index_fast (peers, i - 1);
-      bj_links_forget (m->daemon->links, p);
-      bj_kernel_peer_gone (m->daemon->kernel, now, p->report.name);
-    }
+  bj_links_forget (d->links, p);
+  bj_kernel_forget_peer (d->kernel, p);
 }
 
 static void
-send_to (BjMembers *m, BjStr host, int port, const msgpack_sbuffer *out)
+send_datagram (BjSwimHost *h, const BjDatagram *d)
 {
-  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  BjMembers *m = (BjMembers *)h;
+  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)d->to_port) };
+  char host[INET_ADDRSTRLEN];
+  msgpack_sbuffer out;
 
-  if (inet_pton (AF_INET, host.data, &addr.sin_addr) != 1)
+  g_strlcpy (host, d->to_host.data, MIN (sizeof host, d->to_host.len + 1));
+  if (inet_pton (AF_INET, host, &addr.sin_addr) != 1)
     return;
+  msgpack_sbuffer_init (&out);
+  bj_datagram_encode (&out, d);
   n_sent.value++;
-  n_sent_bytes.value += out->size;
-  sendto (m->fd, out->data, out->size, 0, (struct sockaddr *)&addr, sizeof addr);
+  n_sent_bytes.value += out.size;
+  // A lost datagram is like one lost on the way.
+  (void)sendto (m->fd, out.data, out.size, 0, (struct sockaddr *)&addr, sizeof addr);
+  msgpack_sbuffer_destroy (&out);
 }
 
 static void
-pack_report (msgpack_packer *p, const BjPeerReport *r)
+changed (BjSwimHost *h, const BjMember *member)
 {
-  BjStr texts[] = { r->name, r->domain, r->region, r->service, r->host, r->gossip_host };
-
-  msgpack_pack_array (p, REPORT_FIELDS);
-  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
-    {
-      msgpack_pack_bin (p, texts[i].len);
-      msgpack_pack_bin_body (p, texts[i].len > 0 ? texts[i].data : "", texts[i].len);
-    }
-  msgpack_pack_uint64 (p, (uint64_t)r->link_port);
-  msgpack_pack_uint64 (p, (uint64_t)r->gossip_port);
-  msgpack_pack_uint64 (p, r->incarnation);
-  msgpack_pack_uint64 (p, r->version);
-  msgpack_pack_uint64 (p, (uint64_t)r->limit);
-  msgpack_pack_uint64 (p, (uint64_t)r->in_flight);
-  msgpack_pack_uint64 (p, (uint64_t)r->queued);
-  msgpack_pack_uint64 (p, (uint64_t)r->level);
-  msgpack_pack_uint64 (p, r->draining ? 1 : 0);
-  msgpack_pack_uint64 (p, (uint64_t)r->config_number);
+  BjDaemon *d = ((BjMembers *)h)->daemon;
+  BjPeer *p = bj_kernel_find_peer (d->kernel, member->report.name);
+
+  // Calls open at an earlier incarnation get no answer any more.
+  if (p != NULL && p->report.incarnation != member->report.incarnation)
+    bj_links_forget (d->links, p);
+  bj_kernel_peer (d->kernel, bj_clock_now (), &member->report);
+  p = bj_kernel_find_peer (d->kernel, member->report.name);
+  if (d->reader != NULL)
+    bj_reader_peer_has (d->reader, p);
 }
 
-static bool
-read_report (const msgpack_object *o, BjPeerReport *r)
+static void
+gone (BjSwimHost *h, const BjMember *member)
 {
-  const msgpack_object *f;
+  bj_kernel_peer_gone (((BjMembers *)h)->daemon->kernel, bj_clock_now (), member->report.name);
+}
 
-  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != REPORT_FIELDS)
-    return false;
-  f = o->via.array.ptr;
-  for (int i = 0; i < REPORT_FIELDS; i++)
-    if (f[i].type != (i < 6 ? MSGPACK_OBJECT_BIN : MSGPACK_OBJECT_POSITIVE_INTEGER))
-      return false;
-  *r = (BjPeerReport){
-    .name = str_of (&f[0]),
-    .domain = str_of (&f[1]),
-    .region = str_of (&f[2]),
-    .service = str_of (&f[3]),
-    .host = str_of (&f[4]),
-    .gossip_host = str_of (&f[5]),
-    .link_port = (int)f[6].via.u64,
-    .gossip_port = (int)f[7].via.u64,
-    .incarnation = f[8].via.u64,
-    .version = f[9].via.u64,
-    .limit = (int)f[10].via.u64,
-    .in_flight = (int)f[11].via.u64,
-    .queued = (int)f[12].via.u64,
-    .level = (int)f[13].via.u64,
-    .draining = f[14].via.u64 != 0,
-    .config_number = (int64_t)f[15].via.u64,
-  };
-  return r->name.len > 0;
+static void
+refresh (BjSwimHost *h, BjPeerReport *self)
+{
+  bj_kernel_self (((BjMembers *)h)->daemon->kernel, bj_clock_now (), self);
 }
 
-static BjStr
-str_of (const msgpack_object *o)
+static void
+incarnation (BjSwimHost *h, uint64_t new_value)
 {
-  return (BjStr){ o->via.bin.ptr, o->via.bin.size };
+  ((BjMembers *)h)->daemon->incarnation = new_value;
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -4,6 +4,7 @@
 
 static void set_service (BjKernel *k, BjPeer *p);
 static bool is_newer (const BjPeerReport *a, const BjPeerReport *b);
+static void leave_service (BjPeer *p);
 
 void
 bj_peer_report_copy (BjPeerReport *to, const BjPeerReport *from)
@@ -38,18 +39,19 @@
 
   if (p != NULL && p->is_self)
     return;
-  if (p != NULL && !is_newer (r, &p->report))
+  if (p != NULL && !p->is_gone && !is_newer (r, &p->report))
     return;
+  if (p == NULL || p->is_gone)
+    bj_log (BJ_LOG_INFO,
+            "MEMBER",
+            "%.*s joined from %.*s.",
+            BJ_STR_ARG (r->name),
+            BJ_STR_ARG (r->domain));
   if (p == NULL)
     {
       p = g_new0 (BjPeer, 1);
       bj_peer_report_copy (&p->report, r);
       g_hash_table_insert (k->peers, &p->report.name, p);
-      bj_log (BJ_LOG_INFO,
-              "MEMBER",
-              "%.*s joined from %.*s.",
-              BJ_STR_ARG (r->name),
-              BJ_STR_ARG (r->domain));
     }
   else
     {
@@ -61,6 +63,7 @@
       bj_str_free (&p->report.name);
       p->report.name = name;
     }
+  p->is_gone = false;
   p->reported = now;
   set_service (k, p);
 }
@@ -73,9 +76,24 @@
   (void)now;
   if (p == NULL || p->is_self)
     return;
-  bj_log (BJ_LOG_INFO, "MEMBER", "%.*s is gone.", BJ_STR_ARG (name));
-  if (p->service != NULL)
-    g_ptr_array_remove (p->service->peers, p);
+  p->is_gone = true;
+  leave_service (p);
+}
+
+void
+bj_kernel_each_gone_peer (BjKernel *k, void (*fn) (BjPeer *p, void *data), void *data)
+{
+  GList *all = g_hash_table_get_values (k->peers);
+
+  for (GList *l = all; l != NULL; l = l->next)
+    if (((BjPeer *)l->data)->is_gone && ((BjPeer *)l->data)->own_in_flight == 0)
+      fn (l->data, data);
+  g_list_free (all);
+}
+
+void
+bj_kernel_forget_peer (BjKernel *k, BjPeer *p)
+{
   g_hash_table_remove (k->peers, &p->report.name);
 }
 
@@ -91,7 +109,8 @@
   GList *all = g_hash_table_get_values (k->peers);
 
   for (GList *l = all; l != NULL; l = l->next)
-    fn (l->data, data);
+    if (!((BjPeer *)l->data)->is_gone)
+      fn (l->data, data);
   g_list_free (all);
 }
 
@@ -182,8 +201,7 @@
 
   if (s == p->service)
     return;
-  if (p->service != NULL)
-    g_ptr_array_remove (p->service->peers, p);
+  leave_service (p);
   p->service = s;
   if (s != NULL)
     g_ptr_array_add (s->peers, p);
@@ -194,5 +212,15 @@
 {
   if (a->incarnation != b->incarnation)
     return a->incarnation > b->incarnation;
-  return a->version > b->version;
+  if (a->version != b->version)
+    return a->version > b->version;
+  return a->load_version > b->load_version;
+}
+
+static void
+leave_service (BjPeer *p)
+{
+  if (p->service != NULL)
+    g_ptr_array_remove (p->service->peers, p);
+  p->service = NULL;
 }
--- a/tests/bench_members.c
+++ b/tests/bench_members.c
@@ -16,10 +16,13 @@
 #define DOMAINS 8
 #define REGIONS 3
 #define SERVICES 22
+#define SLOTS_MIN 16 // announced; a new number each time, so that every load keeps changing
+#define SLOTS_MAX 32
 #define HEAD_BYTES 28 // of IP and UDP in front of a datagram
 #define ANNOUNCE_EVERY_MS 1500
 #define POLL_US 10000
 #define WAIT_MS 60000
+#define SETTLE_MS 20000 // before the costs are counted
 
 typedef struct
 {
@@ -28,11 +31,14 @@
   double datagrams_sent;
   double datagrams_received;
   double cpu_ms;
+  double suspected;
 } Cost;
 
 static Fleet fleet;
 static BjTime announced;
 
+static void file_ticket (void);
+static void pass (double ms);
 static void announce_all (void);
 static Cost read_cost (void);
 static double metric (const char *text, const char *name);
@@ -71,27 +77,27 @@
   fleet_start_platform (&fleet);
   for (int i = 0; i < n; i++)
     fleet_start_daemon (&fleet, i);
+  file_ticket ();
   printf ("daemons %d", n);
   printf (", all known after %.1f s", wait_all_known (n) / 1000);
   fflush (stdout);
-  g_usleep (5 * G_USEC_PER_SEC);
+  pass (SETTLE_MS);
   a = read_cost ();
   start = bj_clock_now ();
-  while (bj_clock_now () - start < seconds * 1000)
-    {
-      announce_all ();
-      g_usleep (POLL_US);
-    }
+  pass (seconds * 1000);
   b = read_cost ();
   seconds = (bj_clock_now () - start) / 1000;
   for (int i = 0; i < n; i++)
     rss = MAX (rss, rss_kb (fleet.members[i].daemon));
-  printf (", sent %.0f B/s, received %.0f B/s, processor %.3f %%, memory %.1f MB",
+  printf (", sent %.1f datagrams/s %.0f B/s, received %.0f B/s, processor %.3f %%, memory %.1f MB, "
+          "%.0f false suspicions",
+          (b.datagrams_sent - a.datagrams_sent) / seconds / n,
           (b.sent - a.sent + HEAD_BYTES * (b.datagrams_sent - a.datagrams_sent)) / seconds / n,
           (b.received - a.received + HEAD_BYTES * (b.datagrams_received - a.datagrams_received))
               / seconds / n,
           (b.cpu_ms - a.cpu_ms) / seconds / 10 / n,
-          rss / 1024);
+          rss / 1024,
+          b.suspected - a.suspected);
   fflush (stdout);
   fleet_end (&fleet.members[n - 1].daemon, SIGKILL);
   printf (", killed one gone everywhere after %.1f s", wait_news (0, n - 1, killed, NULL) / 1000);
@@ -103,6 +109,37 @@
   return 0;
 }
 
+// With a fixed limiter the limit follows the slots announced.
+static void
+file_ticket (void)
+{
+  GString *t = g_string_new ("{\"number\":1,\"base\":0,\"priorities\":[\"all\"],\"services\":{");
+
+  for (int i = 0; i < SERVICES; i++)
+    g_string_append_printf (t,
+                            "%s\"service-%d\":{\"limiter\":{\"plugin\":\"fixed\"},\"routes\":["
+                            "{\"prefix\":\"/service-%d/\",\"class\":\"all\"}]}",
+                            i > 0 ? "," : "",
+                            i,
+                            i);
+  g_string_append (t, "}}");
+  if (!fleet_file_ticket (&fleet, t->str))
+    printf ("the ticket was refused, ");
+  g_string_free (t, TRUE);
+}
+
+static void
+pass (double ms)
+{
+  BjTime until = bj_clock_now () + ms;
+
+  while (bj_clock_now () < until)
+    {
+      announce_all ();
+      g_usleep (POLL_US);
+    }
+}
+
 static void
 announce_all (void)
 {
@@ -115,9 +152,10 @@
     {
       g_snprintf (body,
                   sizeof body,
-                  "{\"service\":\"service-%d\",\"host\":\"127.0.0.1\",\"port\":%d,\"slots\":16}",
+                  "{\"service\":\"service-%d\",\"host\":\"127.0.0.1\",\"port\":%d,\"slots\":%d}",
                   i % SERVICES,
-                  fleet.members[i].upstream_port);
+                  fleet.members[i].upstream_port,
+                  g_random_int_range (SLOTS_MIN, SLOTS_MAX));
       fleet_http ("POST", fleet.members[i].admin_port, "/v1/announce", NULL, body, NULL);
     }
 }
@@ -136,6 +174,7 @@
       c.received += metric (out->str, "\nbj_member_received_bytes_total ");
       c.datagrams_sent += metric (out->str, "\nbj_member_sent_datagrams_total ");
       c.datagrams_received += metric (out->str, "\nbj_member_received_datagrams_total ");
+      c.suspected += metric (out->str, "\nbj_member_suspected_total ");
       c.cpu_ms += cpu_ms (fleet.members[i].daemon);
     }
   g_string_free (out, TRUE);
--- /dev/null
+++ b/tests/test_member.c
@@ -0,0 +1,511 @@
+// Membership: the codec against bad input, signatures, and the state machine, one daemon driven by
+// tables of datagrams and times.
+
+#include "internal.h"
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define SENT_MAX 512
+#define MUTATIONS 20000
+#define SEED 7
+
+typedef struct
+{
+  BjSwimHost base; // first
+  BjSwim *swim;
+  BjDatagramKind kinds[SENT_MAX];
+  char to[SENT_MAX][16]; // name that stands for the port
+  uint64_t sequences[SENT_MAX];
+  uint64_t versions[SENT_MAX];  // of the sender
+  BjMemberState told[SENT_MAX]; // state of the receiver in the updates, ALIVE if not told
+  BjMemberState self_states[SENT_MAX];
+  int n_sent;
+  int n_changed;
+  int n_gone;
+  uint64_t incarnation;
+  BjPeerReport self;
+} Bench;
+
+static void on_send (BjSwimHost *h, const BjDatagram *d);
+static void on_changed (BjSwimHost *h, const BjMember *m);
+static void on_gone (BjSwimHost *h, const BjMember *m);
+static void on_refresh (BjSwimHost *h, BjPeerReport *self);
+static void on_incarnation (BjSwimHost *h, uint64_t new_value);
+
+static const BjSwimHostOps ops = { on_send, on_changed, on_gone, on_refresh, on_incarnation };
+
+static BjPeerReport
+report_of (const char *name, const char *domain, int port, uint64_t incarnation, uint64_t version)
+{
+  return (BjPeerReport){
+    .name = bj_str (name),
+    .domain = bj_str (domain),
+    .region = BJ_STR ("north"),
+    .service = BJ_STR ("orders"),
+    .host = BJ_STR ("127.0.0.1"),
+    .link_port = port + 1000,
+    .gossip_host = BJ_STR ("127.0.0.1"),
+    .gossip_port = port,
+    .incarnation = incarnation,
+    .version = version,
+  };
+}
+
+static BjUpdate
+full (const char *name, int port, uint64_t incarnation, uint64_t version, BjMemberState state)
+{
+  return (BjUpdate){ .kind = BJ_UPDATE_FULL,
+                     .state = state,
+                     .instance = 5,
+                     .report = report_of (name, "north-a", port, incarnation, version) };
+}
+
+static void
+open_bench (Bench *b)
+{
+  BjSwimOptions o = { .instance = 9, .host = &b->base, .seed = SEED };
+
+  memset (b, 0, sizeof *b);
+  b->base.ops = &ops;
+  b->self = report_of ("self", "north-a", 1, 100, 1);
+  o.self = b->self;
+  o.bound = (BjAddress){ BJ_STR ("127.0.0.1"), 1 };
+  b->swim = bj_swim_new (&o, 0);
+}
+
+static BjSwimVerdict
+give (
+    Bench *b, BjTime now, BjDatagramKind kind, uint64_t sequence, BjUpdate from, const BjUpdate *u)
+{
+  BjDatagram d = {
+    .kind = kind, .sequence = sequence, .to_host = BJ_STR ("127.0.0.1"), .to_port = 1, .self = from
+  };
+
+  if (u != NULL)
+    d.updates[d.n_updates++] = *u;
+  return bj_swim_receive (b->swim, now, &d);
+}
+
+static int
+count (const Bench *b, BjDatagramKind kind, const char *to)
+{
+  int n = 0;
+
+  for (int i = 0; i < b->n_sent; i++)
+    n += b->kinds[i] == kind && strcmp (b->to[i], to) == 0;
+  return n;
+}
+
+static void
+run (Bench *b, BjTime from, BjTime until)
+{
+  int n = (int)((until - from) / BJ_SWIM_TICK_MS);
+
+  for (int i = 0; i <= n; i++)
+    bj_swim_tick (b->swim, from + i * BJ_SWIM_TICK_MS);
+}
+
+// Which of two statements on one member holds, whatever their order.
+static void
+test_precedence (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    uint64_t incarnation;
+    uint64_t version;
+    BjMemberState told;
+    BjUpdateKind kind;
+    BjMemberState expected;
+    uint64_t expected_version;
+  } cases[] = {
+    { "suspicion of the version known",
+      10,
+      5,
+      BJ_MEMBER_SUSPECT,
+      BJ_UPDATE_STATE,
+      BJ_MEMBER_SUSPECT,
+      5 },
+    { "death of the version known", 10, 5, BJ_MEMBER_DEAD, BJ_UPDATE_STATE, BJ_MEMBER_DEAD, 5 },
+    { "planned stop", 10, 5, BJ_MEMBER_LEFT, BJ_UPDATE_STATE, BJ_MEMBER_LEFT, 5 },
+    { "suspicion of an older version",
+      10,
+      4,
+      BJ_MEMBER_SUSPECT,
+      BJ_UPDATE_STATE,
+      BJ_MEMBER_ALIVE,
+      5 },
+    { "death of an older incarnation", 9, 9, BJ_MEMBER_DEAD, BJ_UPDATE_FULL, BJ_MEMBER_ALIVE, 5 },
+    { "death of a later incarnation without its report",
+      11,
+      1,
+      BJ_MEMBER_DEAD,
+      BJ_UPDATE_STATE,
+      BJ_MEMBER_ALIVE,
+      5 },
+    { "later version", 10, 6, BJ_MEMBER_ALIVE, BJ_UPDATE_FULL, BJ_MEMBER_ALIVE, 6 },
+    { "later incarnation", 11, 1, BJ_MEMBER_ALIVE, BJ_UPDATE_FULL, BJ_MEMBER_ALIVE, 1 },
+    { "older version", 10, 4, BJ_MEMBER_ALIVE, BJ_UPDATE_FULL, BJ_MEMBER_ALIVE, 5 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      BjUpdate u = full ("b", 3, cases[i].incarnation, cases[i].version, cases[i].told);
+      BjUpdate b5 = full ("b", 3, 10, 5, BJ_MEMBER_ALIVE);
+      const BjMember *m;
+      Bench b;
+
+      u.kind = cases[i].kind;
+      open_bench (&b);
+      give (&b, 1, BJ_DATAGRAM_NEWS, 1, full ("a", 2, 10, 1, BJ_MEMBER_ALIVE), &b5);
+      give (&b, 2, BJ_DATAGRAM_NEWS, 2, full ("a", 2, 10, 1, BJ_MEMBER_ALIVE), &u);
+      m = bj_swim_find (b.swim, BJ_STR ("b"));
+      if (m->state != cases[i].expected || m->report.version != cases[i].expected_version)
+        print_error ("%s\n", cases[i].name);
+      assert_int_equal (m->state, cases[i].expected);
+      assert_int_equal (m->report.version, cases[i].expected_version);
+      assert_int_equal (b.n_gone, m->state == BJ_MEMBER_DEAD || m->state == BJ_MEMBER_LEFT);
+      bj_swim_free (b.swim);
+    }
+}
+
+static void
+test_probing (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool refutes; // of the suspicion
+    BjMemberState expected;
+  } cases[] = {
+    { "silent", false, BJ_MEMBER_DEAD },
+    { "refutes", true, BJ_MEMBER_ALIVE },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Bench b;
+
+      open_bench (&b);
+      give (&b, 0, BJ_DATAGRAM_NEWS, 1, full ("a", 2, 10, 1, BJ_MEMBER_ALIVE), NULL);
+      give (&b, 0, BJ_DATAGRAM_NEWS, 1, full ("b", 3, 10, 1, BJ_MEMBER_ALIVE), NULL);
+      run (&b, 0, BJ_PROBE_MS + BJ_PROBE_TIMEOUT_MS);
+      assert_true (count (&b, BJ_DATAGRAM_PING, "a") + count (&b, BJ_DATAGRAM_PING, "b") > 0);
+      assert_true (count (&b, BJ_DATAGRAM_PING_ASK, "a") + count (&b, BJ_DATAGRAM_PING_ASK, "b")
+                   > 0);
+      run (&b, BJ_PROBE_MS + BJ_PROBE_TIMEOUT_MS, 2000);
+      assert_int_equal (bj_swim_find (b.swim, BJ_STR ("a"))->state, BJ_MEMBER_SUSPECT);
+      if (cases[i].refutes)
+        for (int now = 2000; now < 6000; now += 400)
+          {
+            // Answers each ping of the last turns, with the version raised.
+            give (&b,
+                  now,
+                  BJ_DATAGRAM_NEWS,
+                  (uint64_t)now,
+                  full ("a", 2, 10, 2, BJ_MEMBER_ALIVE),
+                  NULL);
+            for (int j = 0; j < b.n_sent; j++)
+              if (b.kinds[j] == BJ_DATAGRAM_PING && strcmp (b.to[j], "a") == 0)
+                {
+                  BjDatagram ack = { .kind = BJ_DATAGRAM_ACK,
+                                     .sequence = 100000 + (uint64_t)now * 10 + (uint64_t)j,
+                                     .answers = b.sequences[j],
+                                     .to_host = BJ_STR ("127.0.0.1"),
+                                     .to_port = 1,
+                                     .self = full ("a", 2, 10, 2, BJ_MEMBER_ALIVE) };
+
+                  bj_swim_receive (b.swim, now, &ack);
+                }
+            b.n_sent = 0;
+            run (&b, now, now + 300);
+          }
+      else
+        run (&b, 2000, 6000);
+      assert_int_equal (bj_swim_find (b.swim, BJ_STR ("a"))->state, cases[i].expected);
+      assert_int_equal (bj_swim_find (b.swim, BJ_STR ("b"))->state, BJ_MEMBER_DEAD);
+      b.n_sent = 0;
+      run (&b, 6100, 20000);
+      assert_true (count (&b, BJ_DATAGRAM_PING, "b") > 0); // departed ones are probed again
+      bj_swim_free (b.swim);
+    }
+}
+
+static void
+test_own_name (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    BjTime at;
+    uint64_t incarnation;
+    uint32_t instance;
+    BjMemberState told;
+    uint64_t expected_incarnation;
+    uint64_t expected_version;
+  } cases[] = {
+    { "suspected", 9000, 100, 9, BJ_MEMBER_SUSPECT, 100, 2 },
+    { "taken for dead", 9000, 100, 9, BJ_MEMBER_DEAD, 100, 2 },
+    { "known alive", 9000, 100, 9, BJ_MEMBER_ALIVE, 100, 1 },
+    { "predecessor with a later clock", 1000, 500, 4, BJ_MEMBER_ALIVE, 501, 1 },
+    { "predecessor started in the same millisecond", 1000, 100, 10, BJ_MEMBER_ALIVE, 101, 1 },
+    { "predecessor known dead", 9000, 500, 4, BJ_MEMBER_DEAD, 501, 1 },
+    { "an older predecessor", 9000, 50, 4, BJ_MEMBER_ALIVE, 100, 1 },
+    { "another daemon started later under this name", 9000, 500, 4, BJ_MEMBER_ALIVE, 100, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      BjUpdate u = full ("self", 1, cases[i].incarnation, 1, cases[i].told);
+      Bench b;
+
+      u.instance = cases[i].instance;
+      open_bench (&b);
+      give (&b, cases[i].at, BJ_DATAGRAM_NEWS, 1, full ("a", 2, 10, 1, BJ_MEMBER_ALIVE), &u);
+      bj_swim_tick (b.swim, cases[i].at);
+      if (b.n_sent == 0)
+        print_error ("%s\n", cases[i].name);
+      assert_true (b.n_sent > 0);
+      if (b.versions[b.n_sent - 1] != cases[i].expected_version)
+        print_error ("%s\n", cases[i].name);
+      assert_int_equal (b.versions[b.n_sent - 1], cases[i].expected_version);
+      assert_int_equal (bj_swim_find (b.swim, BJ_STR ("self"))->report.incarnation,
+                        cases[i].expected_incarnation);
+      assert_int_equal (b.incarnation,
+                        cases[i].expected_incarnation == 100 ? 0 : cases[i].expected_incarnation);
+      bj_swim_free (b.swim);
+    }
+}
+
+static void
+test_refused (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *from;
+    uint64_t incarnation;
+    uint64_t sequence;
+    int to_port;
+    BjSwimVerdict expected;
+  } cases[] = {
+    { "next sequence", "a", 10, 201, 1, BJ_SWIM_ACCEPTED },
+    { "the same sequence again", "a", 10, 200, 1, BJ_SWIM_REPLAYED },
+    { "earlier sequence that came late", "a", 10, 190, 1, BJ_SWIM_ACCEPTED },
+    { "sequence before the window", "a", 10, 100, 1, BJ_SWIM_REPLAYED },
+    { "older incarnation", "a", 9, 900, 1, BJ_SWIM_STALE },
+    { "later incarnation", "a", 11, 1, 1, BJ_SWIM_ACCEPTED },
+    { "sent to another daemon", "a", 10, 202, 77, BJ_SWIM_MISPLACED },
+    { "another daemon of the own name", "self", 90, 1, 1, BJ_SWIM_CONFLICT },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      BjDatagram d = { .kind = BJ_DATAGRAM_PING,
+                       .sequence = cases[i].sequence,
+                       .to_host = BJ_STR ("127.0.0.1"),
+                       .to_port = cases[i].to_port,
+                       .self = full (cases[i].from, 2, cases[i].incarnation, 1, BJ_MEMBER_ALIVE) };
+      BjSwimVerdict v;
+      Bench b;
+
+      open_bench (&b);
+      give (&b, 1000, BJ_DATAGRAM_NEWS, 200, full ("a", 2, 10, 1, BJ_MEMBER_ALIVE), NULL);
+      b.n_sent = 0;
+      v = bj_swim_receive (b.swim, 2000, &d);
+      if (v != cases[i].expected)
+        print_error ("%s\n", cases[i].name);
+      assert_int_equal (v, cases[i].expected);
+      assert_int_equal (count (&b, BJ_DATAGRAM_ACK, "a"), v == BJ_SWIM_ACCEPTED);
+      assert_int_equal (count (&b, BJ_DATAGRAM_STALE, "a"), v == BJ_SWIM_STALE);
+      bj_swim_free (b.swim);
+    }
+}
+
+// A process that was paused must not blame the others for its own silence.
+static void
+test_pause (void **state)
+{
+  Bench b;
+
+  (void)state;
+  open_bench (&b);
+  give (&b, 0, BJ_DATAGRAM_NEWS, 1, full ("a", 2, 10, 1, BJ_MEMBER_ALIVE), NULL);
+  run (&b, 0, 300);
+  bj_swim_tick (b.swim, 90000);
+  assert_int_equal (bj_swim_find (b.swim, BJ_STR ("a"))->state, BJ_MEMBER_ALIVE);
+  assert_int_equal (b.n_gone, 0);
+  bj_swim_free (b.swim);
+}
+
+static void
+test_leave (void **state)
+{
+  Bench b;
+
+  (void)state;
+  open_bench (&b);
+  give (&b, 0, BJ_DATAGRAM_NEWS, 1, full ("a", 2, 10, 1, BJ_MEMBER_ALIVE), NULL);
+  give (&b, 0, BJ_DATAGRAM_NEWS, 1, full ("b", 3, 10, 1, BJ_MEMBER_ALIVE), NULL);
+  b.n_sent = 0;
+  bj_swim_leave (b.swim, 10);
+  assert_true (count (&b, BJ_DATAGRAM_NEWS, "a") > 0 && count (&b, BJ_DATAGRAM_NEWS, "b") > 0);
+  for (int i = 0; i < b.n_sent; i++)
+    assert_int_equal (b.self_states[i], BJ_MEMBER_LEFT);
+  bj_swim_free (b.swim);
+}
+
+static void
+fill_datagram (BjDatagram *d, GRand *rand)
+{
+  *d = (BjDatagram){ .kind = (BjDatagramKind)g_rand_int_range (rand, 1, BJ_DATAGRAM_KINDS),
+                     .sequence = g_rand_int (rand),
+                     .to_host = BJ_STR ("127.0.0.1"),
+                     .to_port = 1,
+                     .self = full ("a", 2, 10, 1, BJ_MEMBER_ALIVE) };
+  d->n_updates = g_rand_int_range (rand, 0, 6);
+  for (int i = 0; i < d->n_updates; i++)
+    {
+      d->updates[i] = full (i % 2 == 0 ? "b" : "self", 3, UINT64_C (1) << 50, 9, BJ_MEMBER_ALIVE);
+      d->updates[i].kind = (BjUpdateKind)g_rand_int_range (rand, 1, BJ_UPDATE_KINDS);
+      d->updates[i].state = (BjMemberState)g_rand_int_range (rand, 0, BJ_MEMBER_STATES);
+      d->updates[i].report.load_version = g_rand_int (rand);
+    }
+}
+
+// Whatever arrives, the daemon decodes it or refuses it, and goes on.
+static void
+test_mutations (void **state)
+{
+  GRand *rand = g_rand_new_with_seed (SEED);
+  Bench b;
+
+  (void)state;
+  open_bench (&b);
+  for (int i = 0; i < MUTATIONS; i++)
+    {
+      BjDatagram d;
+      BjDatagram back;
+      msgpack_sbuffer out;
+      msgpack_unpacked keep;
+      size_t len;
+      int n = i % 4; // a quarter stays as it was
+
+      fill_datagram (&d, rand);
+      msgpack_sbuffer_init (&out);
+      bj_datagram_encode (&out, &d);
+      len = out.size;
+      for (int j = 0; j < n; j++)
+        out.data[g_rand_int_range (rand, 0, (gint32)len)] = (char)g_rand_int (rand);
+      if (n == 3)
+        len = (size_t)g_rand_int_range (rand, 0, (gint32)len);
+      msgpack_unpacked_init (&keep);
+      if (bj_datagram_decode ((BjStr){ out.data, len }, &keep, &back) == BJ_OK)
+        bj_swim_receive (b.swim, i, &back);
+      else if (n == 0)
+        fail_msg ("seed %d, datagram %d: %s", SEED, i, bj_last_message ());
+      msgpack_unpacked_destroy (&keep);
+      msgpack_sbuffer_destroy (&out);
+      if (i % 100 == 0)
+        bj_swim_tick (b.swim, i);
+      b.n_sent = 0;
+    }
+  bj_swim_free (b.swim);
+  g_rand_free (rand);
+}
+
+static void
+test_sizes (void **state)
+{
+  static const BjUpdateKind kinds[] = { BJ_UPDATE_FULL, BJ_UPDATE_STATE, BJ_UPDATE_LOAD };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      BjDatagram d = { .kind = BJ_DATAGRAM_NEWS,
+                       .to_host = BJ_STR ("127.0.0.1"),
+                       .self = full ("a", 65535, INT64_MAX, INT64_MAX, BJ_MEMBER_ALIVE) };
+      BjUpdate u = full ("b", 60000, INT64_MAX, INT64_MAX, BJ_MEMBER_LEFT);
+      msgpack_sbuffer out;
+      size_t before;
+
+      u.kind = kinds[i];
+      u.instance = UINT32_MAX;
+      u.report.load_version = u.report.config_number = INT64_MAX;
+      u.report.limit = u.report.in_flight = u.report.queued = u.report.level = 1000000000;
+      msgpack_sbuffer_init (&out);
+      bj_datagram_encode (&out, &d);
+      before = out.size;
+      msgpack_sbuffer_clear (&out);
+      d.updates[d.n_updates++] = u;
+      bj_datagram_encode (&out, &d);
+      assert_true (out.size - before <= bj_update_size (&u));
+      msgpack_sbuffer_destroy (&out);
+    }
+}
+
+static void
+on_send (BjSwimHost *h, const BjDatagram *d)
+{
+  Bench *b = (Bench *)h;
+  int i = b->n_sent++;
+
+  if (i >= SENT_MAX)
+    {
+      b->n_sent = SENT_MAX;
+      return;
+    }
+  b->kinds[i] = d->kind;
+  b->sequences[i] = d->sequence;
+  b->versions[i] = d->self.report.version;
+  b->self_states[i] = d->self.state;
+  g_snprintf (b->to[i], sizeof b->to[i], "%c", d->to_port == 1 ? 's' : 'a' + d->to_port - 2);
+}
+
+static void
+on_changed (BjSwimHost *h, const BjMember *m)
+{
+  (void)m;
+  ((Bench *)h)->n_changed++;
+}
+
+static void
+on_gone (BjSwimHost *h, const BjMember *m)
+{
+  (void)m;
+  ((Bench *)h)->n_gone++;
+}
+
+static void
+on_refresh (BjSwimHost *h, BjPeerReport *self)
+{
+  *self = ((Bench *)h)->self;
+}
+
+static void
+on_incarnation (BjSwimHost *h, uint64_t new_value)
+{
+  ((Bench *)h)->incarnation = new_value;
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_precedence), cmocka_unit_test (test_probing),
+    cmocka_unit_test (test_own_name),   cmocka_unit_test (test_refused),
+    cmocka_unit_test (test_pause),      cmocka_unit_test (test_leave),
+    cmocka_unit_test (test_mutations),  cmocka_unit_test (test_sizes),
+  };
+
+  bj_log_open (BJ_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
