swim: a ticket's number is taken even when newer load came first

Cause: load and ticket number shared one version; a LOAD update (without the number) with a higher load version made every later FULL update of that version count as old, so a daemon never learned that a peer had a newer configuration. Ruled out: the fetch (asked again every time it is told), the digests (numbers are not in them).

--- a/src/swim.c
+++ b/src/swim.c
@@ -498,15 +498,24 @@
 static void
 apply_load (BjSwim *s, BjMember *m, const BjUpdate *u)
 {
-  if (u->report.incarnation != m->report.incarnation
-      || u->report.load_version <= m->report.load_version)
+  bool has_new_load = u->report.load_version > m->report.load_version;
+  bool has_new_config
+      = u->kind == BJ_UPDATE_FULL && u->report.config_number > m->report.config_number;
+
+  if (u->report.incarnation != m->report.incarnation || (!has_new_load && !has_new_config))
     return;
-  set_load (&m->report, &u->report);
-  m->report.load_version = u->report.load_version;
-  if (u->kind == BJ_UPDATE_FULL)
+  // A ticket's number only grows; newer load without it may have come first.
+  if (has_new_config)
     m->report.config_number = u->report.config_number;
-  if (bj_swim_is_near (s, m))
+  if (has_new_load)
+    {
+      set_load (&m->report, &u->report);
+      m->report.load_version = u->report.load_version;
+    }
+  if (has_new_load && bj_swim_is_near (s, m))
     m->load_left = LOAD_DATAGRAMS;
+  if (has_new_config)
+    bj_spread_little (m);
   if (bj_member_is_up (m))
     s->host->ops->changed (s->host, m);
 }
