--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -21,6 +21,8 @@
 #define PAUSE_MS 3500 // above the time after which a silent daemon is gone
 #define ANSWER_BYTES 64
 #define BACK_MAX_MS 300 // longest time a caller waits before it comes back
+#define OUTAGE_LOAD_MS 1500
+#define DRAIN_TARGET_MS 3000 // no new work later than this after a drain was announced
 #define STORE_ROOT "/apis/boragejunction/v1/claims/"
 
 static const char ticket[]
@@ -87,9 +89,9 @@
 
 // A UUID of version 7, unique in this process.
 static void
-make_key (char *key, size_t size)
+make_key_at (char *key, size_t size, double wall_ms)
 {
-  uint64_t ms = (uint64_t)bj_clock_wall ();
+  uint64_t ms = (uint64_t)wall_ms;
   gint64 n = g_atomic_pointer_add (&n_keys, 1);
 
   g_snprintf (key,
@@ -102,6 +104,12 @@
               n);
 }
 
+static void
+make_key (char *key, size_t size)
+{
+  make_key_at (key, size, bj_clock_wall ());
+}
+
 static bool
 mint (int member, char *key, size_t size)
 {
@@ -594,12 +602,229 @@
     }
 }
 
+typedef struct
+{
+  const char *name;
+  const char *key;   // NULL for a fresh one of version 7
+  int64_t ahead_ms;  // of the key's time
+  const char *id[2]; // of the request and of its resend at the next domain, NULL for no resend
+  int status[2];
+} KeyCase;
+
+static const KeyCase key_cases[] = {
+  { "resend elsewhere", NULL, 0, { "r1", "r1" }, { 200, 200 } },
+  { "resend of another request", NULL, 0, { "r2", "r3" }, { 200, 400 } },
+  { "key of version 4", "919108f7-52d1-4320-9bac-f847db4148a8", 0, { "r4" }, { 400 } },
+  { "key ahead of time", NULL, 10 * BJ_KEY_FUTURE_MS, { "r5" }, { 400 } },
+  { "key a little ahead", NULL, BJ_KEY_FUTURE_MS / 2, { "r6", "r6" }, { 200, 200 } },
+  { "no key", "", 0, { "r7" }, { 400 } },
+  { "home-bound id that nobody minted", "home:nobody:1:1", 0, { "r8" }, { 421 } },
+  { "home-bound id, malformed", "home:x", 0, { "r9" }, { 400 } },
+};
+
+static void
+test_keys (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (key_cases); i++)
+    {
+      const KeyCase *c = &key_cases[i];
+      Action a = { 0 };
+      double retry_ms;
+      int status;
+
+      make_key_at (a.key, sizeof a.key, bj_clock_wall () + (double)c->ahead_ms);
+      if (c->key != NULL)
+        g_strlcpy (a.key, c->key, sizeof a.key);
+      print_message ("  %s\n", c->name);
+      for (int s = 0; s < 2 && c->id[s] != NULL; s++)
+        {
+          g_strlcpy (a.id, c->id[s], sizeof a.id);
+          send_action (&a, s, "/orders/accept", &status, &retry_ms);
+          // Until its outcome is recorded, a resend is told to come back.
+          for (int n = 0; s > 0 && status == 409 && n < 20; n++)
+            {
+              g_usleep ((gulong)MAX (retry_ms, 1) * 1000);
+              send_action (&a, s, "/orders/accept", &status, &retry_ms);
+            }
+          assert_int_equal (status, c->status[s]);
+        }
+      assert_in_range (fleet_executions (&fleet, a.key), 0, 1);
+    }
+}
+
+typedef struct
+{
+  const char *name;
+  const char *domain; // cut off from the store, NULL for all
+  const char *mode;   // of bj-fault
+  bool is_alone;      // the domain is cut off from the others too
+} OutageCase;
+
+static const OutageCase outage_cases[] = {
+  { "the store refuses connections", NULL, "cut", false },
+  { "the store hangs", NULL, "hold", false },
+  { "a domain alone", "south-b", "cut", true },
+  { "a domain alone, everything hangs", "south-b", "hold", true },
+};
+
+static void
+set_outage (const OutageCase *c, const char *mode)
+{
+  for (int i = 0; i < DOMAINS; i++)
+    {
+      const char *domain = fleet.members[i].node.domain;
+      char tag[96];
+
+      if (c->domain != NULL && strcmp (domain, c->domain) != 0)
+        {
+          if (!c->is_alone)
+            continue;
+          fleet_cut (&fleet, domain, c->domain, mode);
+          fleet_cut (&fleet, c->domain, domain, mode);
+          continue;
+        }
+      g_snprintf (tag, sizeof tag, "platform-%s", domain);
+      fleet_fault (&fleet, tag, "*", mode, 0);
+    }
+}
+
+// An outage of an hour, compressed: it outlasts every timeout and the longest backoff of the claims
+// twice over, so a longer one goes through no state that this one does not.
+static void
+test_outage (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (outage_cases); i++)
+    {
+      const OutageCase *c = &outage_cases[i];
+      int member = c->domain != NULL ? DOMAINS - 1 : 0;
+      GThread *threads[CALLERS];
+      Caller callers[CALLERS];
+      Action a = { .id = "claimed" };
+      double retry_ms;
+      int status;
+      BjTime until;
+
+      assert_true (fleet_until (is_serving, NULL, 15000));
+      check_begin ();
+      set_outage (c, c->mode);
+      g_usleep (2 * BJ_PLATFORM_TIMEOUT_MS * 1000);
+      load_begin (threads, callers, true);
+      until = bj_clock_now () + OUTAGE_LOAD_MS;
+      while (bj_clock_now () < until)
+        {
+          make_key (a.key, sizeof a.key);
+          assert_int_equal (send_action (&a, member, "/orders/accept", &status, &retry_ms),
+                            BJ_NOT_RUN);
+          assert_true (retry_ms > 0);
+          g_usleep (BACK_MAX_MS * 1000);
+        }
+      load_end (threads);
+      set_outage (c, "ok");
+      assert_true (n_done > 100);
+      check_end (c->name);
+    }
+}
+
+static gint64
+runs_of (int member)
+{
+  GString *out = g_string_new (NULL);
+  gint64 n = -1;
+
+  if (fleet_http ("GET", fleet.members[member].upstream_port, "/control/stats", NULL, NULL, out)
+      == 200)
+    n = g_ascii_strtoll (out->str + strlen ("run "), NULL, 10);
+  g_string_free (out, TRUE);
+  return n;
+}
+
+typedef struct
+{
+  int member;
+  gint is_leaving; // its callers stop asking
+  int n_cut;
+  int n_whole;
+} Reader;
+
+// Asks one daemon for slow answers; every one must come whole.
+static gpointer
+read_slowly (gpointer data)
+{
+  Reader *r = data;
+
+  while (!g_atomic_int_get (&stopping) && !g_atomic_int_get (&r->is_leaving))
+    {
+      GString *out = g_string_new (NULL);
+      int status = fleet_http ("GET",
+                               fleet.members[r->member].front_port,
+                               "/orders/slow?id=s&bytes=64",
+                               NULL,
+                               NULL,
+                               out);
+
+      if (status == 200 && out->len == ANSWER_BYTES)
+        r->n_whole++;
+      else if (status == 0)
+        r->n_cut++;
+      g_string_free (out, TRUE);
+    }
+  return NULL;
+}
+
+// An upstream is drained by ticket, then its daemon is told to stop, both under load.
+static void
+test_planned_stop (void **state)
+{
+  Reader readers[CALLERS];
+  GThread *threads[CALLERS];
+  char url[64];
+  char *const drain[] = { BJ_BUILD_DIR "/bjctl", "--platform", url, "drain", "south-b-1", NULL };
+  gint64 before;
+  int n_cut = 0;
+
+  (void)state;
+  assert_true (fleet_until (is_serving, NULL, 15000));
+  check_begin ();
+  set_service_us (300000);
+  g_atomic_int_set (&stopping, 0);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      readers[i] = (Reader){ .member = i % DOMAINS };
+      threads[i] = g_thread_new ("reader", read_slowly, &readers[i]);
+    }
+  g_usleep (500 * 1000);
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d", fleet.platform_port);
+  assert_int_equal (fleet_run (drain, NULL), 0);
+  g_usleep (DRAIN_TARGET_MS * 1000);
+  before = runs_of (DOMAINS - 1);
+  g_usleep (1500 * 1000);
+  checker_after_drain (checker, "south-b-1", runs_of (DOMAINS - 1) - before);
+  for (int i = 0; i < CALLERS; i++)
+    if (readers[i].member == DOMAINS - 1)
+      g_atomic_int_set (&readers[i].is_leaving, 1);
+  kill (fleet.members[DOMAINS - 1].daemon, SIGTERM);
+  assert_int_equal (fleet_wait_exit (&fleet.members[DOMAINS - 1].daemon, 10000), 0);
+  g_usleep (500 * 1000);
+  g_atomic_int_set (&stopping, 1);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      g_thread_join (threads[i]);
+      assert_true (readers[i].n_whole > 0);
+      n_cut += readers[i].n_cut;
+    }
+  checker_stop (checker, "south-b-1", n_cut);
+  check_end ("drained by ticket, then stopped");
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_poison),
-    cmocka_unit_test (test_cases),
+    cmocka_unit_test (test_keys),         cmocka_unit_test (test_poison),
+    cmocka_unit_test (test_outage),       cmocka_unit_test (test_cases),
+    cmocka_unit_test (test_planned_stop),
   };
 
   return cmocka_run_group_tests (tests, start, stop);
