claim: reads from a copy that lags behind

Cause: the seeded test now has stale reads (one read in eight sees the object before its last update).

Change: a refused claim that was written before is released; an outcome whose claim is not in the table is written all the same, since only a conditional update shows that the table is current.

--- a/src/claim.c
+++ b/src/claim.c
@@ -62,8 +62,11 @@
 static bool is_due (const Lane *l, BjTime now);
 static void pump (BjClaims *c, BjTime now, Lane *l);
 static bool apply_all (BjClaims *c, Lane *l, GArray *decisions, bool *must_read);
-static bool apply_claim (BjClaims *c, Lane *l, Request *r, GArray *decisions, bool *must_read);
+static bool apply_claim (Lane *l, Request *r, GArray *decisions, bool *must_read);
+static bool is_same_attempt (const BjClaim *a, const BjClaim *b);
+static bool apply_record (Lane *l, Request *r);
 static bool apply_release (Lane *l, Request *r);
+static void release_written (Lane *l, Request *r);
 static void start_read (BjClaims *c, BjTime now, Lane *l);
 static void start_write (BjClaims *c, BjTime now, Lane *l);
 static void fail (BjClaims *c, BjTime now, Lane *l);
@@ -326,8 +329,8 @@
       if (r->kind == REQUEST_RELEASE)
         r->is_applied = apply_release (l, r);
       else if (r->kind == REQUEST_RECORD)
-        r->is_applied = bj_shard_record (l->table, &r->claim);
-      else if (!apply_claim (c, l, r, decisions, must_read))
+        r->is_applied = apply_record (l, r);
+      else if (!apply_claim (l, r, decisions, must_read))
         continue; // it waits for a read
       if (r->is_applied)
         must_write = true;
@@ -339,11 +342,10 @@
 
 // False when it can't be told without reading afresh.
 static bool
-apply_claim (BjClaims *c, Lane *l, Request *r, GArray *decisions, bool *must_read)
+apply_claim (Lane *l, Request *r, GArray *decisions, bool *must_read)
 {
   const BjClaim *other = bj_shard_find (l->table, r->claim.id);
-  bool is_mine = other != NULL && other->sequence == r->claim.sequence
-                 && bj_str_equal (other->claimant, c->o.claimant);
+  bool is_mine = other != NULL && is_same_attempt (other, &r->claim);
 
   if (other == NULL && !bj_shard_has_forgotten (l->table, r->claim.order))
     {
@@ -359,6 +361,7 @@
   if (other != NULL && other->fingerprint != r->claim.fingerprint)
     {
       decide (decisions, r, BJ_E_KEY, NULL, 0);
+      release_written (l, r);
       return true;
     }
   if (other != NULL && other->state == BJ_CLAIM_HELD && !l->is_fresh)
@@ -368,6 +371,25 @@
     }
   n_forgotten.value += other == NULL;
   decide (decisions, r, BJ_E_DUPLICATE, other, 0);
+  release_written (l, r);
+  return true;
+}
+
+static bool
+is_same_attempt (const BjClaim *a, const BjClaim *b)
+{
+  return a->sequence == b->sequence && bj_str_equal (a->claimant, b->claimant);
+}
+
+// Written though the claim is not in the table: only a write shows that the table is no copy that
+// lags behind.
+static bool
+apply_record (Lane *l, Request *r)
+{
+  const BjClaim *c = bj_shard_find (l->table, r->claim.id);
+
+  if (c != NULL && is_same_attempt (c, &r->claim))
+    return bj_shard_record (l->table, &r->claim);
   return true;
 }
 
@@ -380,6 +402,17 @@
   return true;
 }
 
+// The table may have been read from a copy that lags behind, so a refused claim that was written
+// before may be in the store all the same.
+static void
+release_written (Lane *l, Request *r)
+{
+  if (!r->was_written)
+    return;
+  r->kind = REQUEST_RELEASE;
+  r->is_applied = apply_release (l, r);
+}
+
 static void
 start_read (BjClaims *c, BjTime now, Lane *l)
 {
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -17,6 +17,7 @@
 #define SETTLE_STEPS 20000
 #define DEADLINE_MS 300
 #define STEP_MS 10
+#define STALE_READS 8 // one read in so many sees the object before its last update
 
 typedef struct
 {
@@ -82,6 +83,8 @@
   GPtrArray *sends;    // Send*
   char *spec;          // of the store's object, NULL when absent
   int64_t version;
+  char *old_spec; // before the last update, for stale reads
+  int64_t old_version;
   int runs[KEYS];
   bool is_calm; // no more faults
   const char *breach;
@@ -185,24 +188,28 @@
 at_store (World *w, Message *m)
 {
   char text[32];
+  bool has_faults = w->plan->has_faults && !w->is_calm;
+  bool is_stale = !m->is_put && has_faults && g_rand_int_range (w->rand, 0, STALE_READS) == 0;
 
   m->is_answer = true;
   g_snprintf (text, sizeof text, "%" G_GINT64_FORMAT, w->version);
   if (!m->is_put)
     {
-      m->code = w->spec != NULL ? BJ_OK : BJ_E_NOT_FOUND;
-      m->spec = g_strdup (w->spec);
+      m->spec = g_strdup (is_stale ? w->old_spec : w->spec);
+      m->code = m->spec != NULL ? BJ_OK : BJ_E_NOT_FOUND;
     }
   else if ((w->spec == NULL) != (m->version[0] == '\0')
            || (w->spec != NULL && g_strcmp0 (m->version, text) != 0))
     m->code = BJ_E_CONFLICT;
   else
     {
-      g_free (w->spec);
+      g_free (w->old_spec);
+      w->old_spec = w->spec;
+      w->old_version = w->version;
       w->spec = g_strdup (m->spec);
       w->version++;
     }
-  m->new_version = g_strdup_printf ("%" G_GINT64_FORMAT, w->version);
+  m->new_version = g_strdup_printf ("%" G_GINT64_FORMAT, is_stale ? w->old_version : w->version);
 }
 
 static void
@@ -401,6 +408,31 @@
   return NULL;
 }
 
+// An outcome that its claimant recorded stands in the store.
+static const char *
+check_recorded (const World *w)
+{
+  struct json_object *o = json_tokener_parse (w->spec != NULL ? w->spec : "{}");
+  BjShard *s = bj_shard_new (w->plan->claims_max, BJ_CLAIM_SHARD_BODY_BYTES);
+  const char *breach = NULL;
+
+  bj_shard_parse (s, o);
+  for (guint i = 0; i < w->sends->len; i++)
+    {
+      const Send *d = w->sends->pdata[i];
+      const BjClaim *c;
+      char id[16];
+
+      g_snprintf (id, sizeof id, "key-%d", d->key);
+      c = bj_shard_find (s, bj_str (id));
+      if (d->state == SEND_RECORDED && (c == NULL || c->state != BJ_CLAIM_DONE))
+        breach = "an outcome is not recorded";
+    }
+  bj_shard_free (s);
+  json_object_put (o);
+  return breach;
+}
+
 static const char *
 run_seed (const Plan *plan, guint32 seed)
 {
@@ -421,6 +453,8 @@
   breach = settle (&w) ? w.breach : "does not settle";
   if (breach == NULL && !plan->has_restarts)
     breach = check_free (&w);
+  if (breach == NULL && !plan->has_restarts)
+    breach = check_recorded (&w);
   for (int key = 0; key < KEYS; key++)
     if (w.runs[key] > 1)
       breach = "a key ran twice";
@@ -429,6 +463,7 @@
   g_ptr_array_free (w.messages, TRUE);
   g_ptr_array_free (w.sends, TRUE);
   g_free (w.spec);
+  g_free (w.old_spec);
   g_rand_free (w.rand);
   return breach;
 }
