--- a/src/admin.c
+++ b/src/admin.c
@@ -5,6 +5,8 @@
 
 #define PORT_MAX 65535
 #define SLOTS_MAX 1000000
+#define SICK_LOAD 2.0         // counts for an upstream that says it is not healthy
+#define LOWERED_SHARE_MIN 0.5 // of the slots that announced load leaves
 
 typedef int (*Handler) (BjDaemon *d, BjStr path, BjStr body, GString *out);
 
@@ -22,9 +24,11 @@
   { "slots", BJ_JSON_INT, true, 1, SLOTS_MAX },
   { "connections", BJ_JSON_INT, false, 0, SLOTS_MAX },
   { "load", BJ_JSON_NUMBER, false, 0, 1000 },
+  { "healthy", BJ_JSON_BOOL, false, 0, 0 },
 };
 
 static int post_announce (BjDaemon *d, BjStr path, BjStr body, GString *out);
+static int announced_slots (struct json_object *o);
 static int get_status (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int get_members (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int get_metrics (BjDaemon *d, BjStr path, BjStr body, GString *out);
@@ -76,12 +80,27 @@
     }
   a.host = bj_json_str (o, "host");
   a.port = (int)bj_json_number (o, "port", 0);
-  bj_daemon_announce (d, bj_json_str (o, "service"), a, (int)bj_json_number (o, "slots", 1));
+  bj_daemon_announce (d, bj_json_str (o, "service"), a, announced_slots (o));
   json_object_put (o);
   g_string_append (out, "{}\n");
   return 200;
 }
 
+// The slots, lowered while the upstream claims to be overloaded or sick. A claim may mislead: it
+// never raises them and takes no more than a part of them; the limiter measures the rest.
+static int
+announced_slots (struct json_object *o)
+{
+  int slots = (int)bj_json_number (o, "slots", 1);
+  double load = bj_json_number (o, "load", 0);
+
+  if (!bj_json_bool (o, "healthy", true))
+    load = MAX (load, SICK_LOAD);
+  if (load <= 1)
+    return slots;
+  return MAX (1, (int)(slots * MAX (1 / load, LOWERED_SHARE_MIN)));
+}
+
 static int
 get_status (BjDaemon *d, BjStr path, BjStr body, GString *out)
 {
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -516,6 +516,7 @@
 static void
 on_announce (struct ev_loop *l, ev_timer *w, int events)
 {
+  double load;
   char *url;
   char *body;
 
@@ -524,14 +525,16 @@
   (void)events;
   if (mute)
     return;
+  load = announced_load ();
   url = g_strdup_printf ("http://%s/v1/announce", admin_address);
   body = g_strdup_printf (
       "{\"service\":\"%s\",\"host\":\"127.0.0.1\",\"port\":%d,\"slots\":%" G_GINT64_FORMAT
-      ",\"load\":%.2f}",
+      ",\"load\":%.2f,\"healthy\":%s}",
       service,
       announced_port,
       announced_slots,
-      announced_load ());
+      load,
+      load > 1 ? "false" : "true");
   bj_http_start (http,
                  &(BjHttpOptions){
                      .method = "POST",
