Datagrams and the HELLO of links are signed with the deployment key

Cause: anyone who reached a gossip port could add, replace or bury members. Refused ones are counted by kind in /metrics. Without key_file nothing is signed. Not covered: a recorded HELLO can be replayed to the same daemon while its sender's incarnation lives.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -56,7 +56,9 @@
   ev_idle_init (&d->watchers->idle, on_idle);
   d->watchers->prepare.data = d;
   d->watchers->tick.data = d;
-  status = open_modules (d);
+  status = bj_auth_new (s->key_file, &d->auth);
+  if (status == BJ_OK)
+    status = open_modules (d);
   if (status != BJ_OK)
     {
       bj_daemon_free (d);
@@ -100,6 +102,7 @@
     d->platform->ops->destroy (d->platform);
   bj_http_free (d->http);
   bj_http_free (d->upstream_http);
+  bj_auth_free (d->auth);
   bj_str_free (&d->upstream.host);
   g_free (d->watchers);
   g_free (d);
--- a/src/frame.c
+++ b/src/frame.c
@@ -148,6 +148,7 @@
     case BJ_FRAME_HELLO:
       msgpack_pack_int (p, f->protocol);
       pack_str (p, f->name);
+      pack_str (p, f->data);
       break;
     case BJ_FRAME_CALL:
       pack_call (p, f);
@@ -224,7 +225,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 2, [BJ_FRAME_CALL] = 13,  [BJ_FRAME_ANSWER] = 9, [BJ_FRAME_DATA] = 1,
+    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 13,  [BJ_FRAME_ANSWER] = 9, [BJ_FRAME_DATA] = 1,
     [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_NOTICE] = 3, [BJ_FRAME_CONFIG] = 1,
   };
 
@@ -239,6 +240,7 @@
     case BJ_FRAME_HELLO:
       f->protocol = (int)read_int (in);
       f->name = read_str (in);
+      f->data = read_str (in);
       break;
     case BJ_FRAME_CALL:
       read_call (in, f);
--- a/src/internal.h
+++ b/src/internal.h
@@ -173,7 +173,7 @@
 
 typedef enum
 {
-  BJ_FRAME_HELLO = 1, // protocol, name, incarnation
+  BJ_FRAME_HELLO = 1, // protocol, name, incarnation, signature
   BJ_FRAME_CALL,
   BJ_FRAME_ANSWER,
   BJ_FRAME_DATA,
@@ -197,7 +197,7 @@
   BjRequest request; // CALL
   uint64_t expected; // CALL: incarnation that may have got it already, 0 on the first sending
   BjAnswer answer;   // ANSWER
-  BjStr data;        // DATA, CONFIG
+  BjStr data;        // DATA, CONFIG; HELLO: signature
   uint64_t length;   // END: bytes of body; WINDOW: bytes granted
   uint64_t hash;     // END: xxHash of the body
   bool whole;        // END
@@ -327,6 +327,13 @@
                       BjAuth **a); // Empty name for no key; BJ_E_SETTINGS if unreadable or short
 void bj_auth_free (BjAuth *a);     // NULL does nothing
 void bj_auth_sign (const BjAuth *a, BjStr data, uint8_t tag[BJ_TAG_BYTES]); // Zeros without a key
+void bj_auth_sign_hello (const BjAuth *a,
+                         uint64_t incarnation,
+                         BjStr from,
+                         BjStr to,
+                         uint8_t tag[BJ_TAG_BYTES]); // Of a link, from one daemon to another
+BjStatus bj_auth_check_hello (
+    const BjAuth *a, uint64_t incarnation, BjStr from, BjStr to, BjStr tag); // BJ_E_AUTH
 BjStatus bj_auth_check (const BjAuth *a, BjStr data,
                         BjStr tag); // BJ_E_AUTH when missing or wrong
 
@@ -636,6 +643,7 @@
   BjFront *front;
   BjFront *admin;
   BjMembers *members;
+  struct BjAuth *auth;
   BjPlatform *platform;
   BjReader *reader;
   BjOutcomes *outcomes;
--- a/src/link.c
+++ b/src/link.c
@@ -37,11 +37,14 @@
 static bool handle (BjConn *c, const BjFrame *f);
 static void send_suspects (BjConn *c);
 static void notify_peer (BjPeer *p, void *data);
+static bool is_signed (const BjConn *c, const BjFrame *f);
 static bool handle_hello (BjConn *c, const BjFrame *f);
 static void handle_config_ask (BjConn *c, const BjFrame *f);
 
 static BjCounter n_unmatched
     = { "link_unmatched_frames_total", "Frames that matched no open call.", 0 };
+static BjCounter n_forged
+    = { "link_forged_hellos_total", "Connections closed for a wrong signature.", 0 };
 static BjCounter n_malformed
     = { "link_malformed_frames_total", "Connections closed for a malformed frame.", 0 };
 static BjCounter n_silent
@@ -72,6 +75,7 @@
     }
   bj_metric_register (&n_unmatched);
   bj_metric_register (&n_malformed);
+  bj_metric_register (&n_forged);
   l = g_new0 (BjLinks, 1);
   l->daemon = d;
   l->fd = fd;
@@ -359,13 +363,16 @@
 send_hello (BjConn *c)
 {
   const BjDaemon *d = c->links->daemon;
+  uint8_t tag[BJ_TAG_BYTES];
   BjFrame hello = {
     .kind = BJ_FRAME_HELLO,
     .id = d->incarnation,
     .protocol = BJ_PROTOCOL_VERSION,
     .name = d->settings.name,
+    .data = { (const char *)tag, sizeof tag },
   };
 
+  bj_auth_sign_hello (d->auth, d->incarnation, d->settings.name, c->peer, tag);
   bj_conn_send (c, &hello);
 }
 
@@ -534,6 +541,21 @@
   g_array_free (all, TRUE);
 }
 
+static bool
+is_signed (const BjConn *c, const BjFrame *f)
+{
+  const BjDaemon *d = c->links->daemon;
+
+  if (bj_auth_check_hello (d->auth, f->id, f->name, d->settings.name, f->data) == BJ_OK)
+    return true;
+  n_forged.value++;
+  bj_log (BJ_LOG_WARNING,
+          "LINK",
+          "A connection as %.*s is not signed with the deployment key, closed.",
+          BJ_STR_ARG (f->name));
+  return false;
+}
+
 static bool
 handle_hello (BjConn *c, const BjFrame *f)
 {
@@ -547,6 +569,8 @@
               BJ_PROTOCOL_VERSION);
       return false;
     }
+  if (!is_signed (c, f))
+    return false;
   c->peer_incarnation = f->id;
   if (c->is_dialled && !bj_str_equal (c->peer, f->name))
     return false;
--- a/src/member.c
+++ b/src/member.c
@@ -28,6 +28,7 @@
 static void register_counters (void);
 static void on_datagram (struct ev_loop *loop, ev_io *w, int events);
 static void on_tick (struct ev_loop *loop, ev_timer *w, int events);
+static bool is_signed (const BjMembers *m, BjStr bytes);
 static void receive (BjMembers *m, BjStr bytes);
 static void forget_gone (BjPeer *p, void *members);
 static void send_datagram (BjSwimHost *h, const BjDatagram *d);
@@ -44,6 +45,11 @@
     = { "member_received_bytes_total", "Bytes of datagrams received.", 0 };
 static BjCounter n_bad
     = { "member_malformed_datagrams_total", "Datagrams that could not be decoded.", 0 };
+static BjCounter n_unsigned = { "member_unsigned_datagrams_total",
+                                "Datagrams without a signature under the deployment key.",
+                                0 };
+static BjCounter n_forged
+    = { "member_forged_datagrams_total", "Datagrams with a wrong signature.", 0 };
 static BjCounter n_refused[] = {
   [BJ_SWIM_REPLAYED] = { "member_replayed_datagrams_total", "Datagrams seen before.", 0 },
   [BJ_SWIM_STALE] = { "member_stale_datagrams_total", "Datagrams of an older incarnation.", 0 },
@@ -129,7 +135,8 @@
 static void
 register_counters (void)
 {
-  BjCounter *all[] = { &n_sent, &n_sent_bytes, &n_received, &n_received_bytes, &n_bad };
+  BjCounter *all[]
+      = { &n_sent, &n_sent_bytes, &n_received, &n_received_bytes, &n_bad, &n_unsigned, &n_forged };
 
   for (size_t i = 0; i < G_N_ELEMENTS (all); i++)
     bj_metric_register (all[i]);
@@ -172,6 +179,23 @@
   bj_kernel_each_gone_peer (m->daemon->kernel, forget_gone, m);
 }
 
+// The signature stands in front of the datagram.
+static bool
+is_signed (const BjMembers *m, BjStr bytes)
+{
+  static const uint8_t none[BJ_TAG_BYTES];
+  BjStr tag = { bytes.data, MIN (bytes.len, BJ_TAG_BYTES) };
+  BjStr data = { bytes.data + tag.len, bytes.len - tag.len };
+
+  if (bj_auth_check (m->daemon->auth, data, tag) == BJ_OK)
+    return true;
+  if (tag.len < BJ_TAG_BYTES || memcmp (tag.data, none, BJ_TAG_BYTES) == 0)
+    n_unsigned.value++;
+  else
+    n_forged.value++;
+  return false;
+}
+
 static void
 receive (BjMembers *m, BjStr bytes)
 {
@@ -179,6 +203,9 @@
   BjDatagram d;
   BjSwimVerdict v;
 
+  if (!is_signed (m, bytes))
+    return;
+  bytes = (BjStr){ bytes.data + BJ_TAG_BYTES, bytes.len - BJ_TAG_BYTES };
   msgpack_unpacked_init (&keep);
   if (bj_datagram_decode (bytes, &keep, &d) != BJ_OK)
     n_bad.value++;
@@ -206,13 +233,18 @@
   BjMembers *m = (BjMembers *)h;
   struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)d->to_port) };
   char host[INET_ADDRSTRLEN];
+  uint8_t tag[BJ_TAG_BYTES] = { 0 };
   msgpack_sbuffer out;
 
   g_strlcpy (host, d->to_host.data, MIN (sizeof host, d->to_host.len + 1));
   if (inet_pton (AF_INET, host, &addr.sin_addr) != 1)
     return;
   msgpack_sbuffer_init (&out);
+  msgpack_sbuffer_write (&out, (const char *)tag, sizeof tag);
   bj_datagram_encode (&out, d);
+  bj_auth_sign (m->daemon->auth,
+                (BjStr){ out.data + sizeof tag, out.size - sizeof tag },
+                (uint8_t *)out.data);
   n_sent.value++;
   n_sent_bytes.value += out.size;
   // A lost datagram is like one lost on the way.
