--- a/src/admin.c
+++ b/src/admin.c
@@ -134,9 +134,9 @@
 static int
 get_metrics (BjDaemon *d, BjStr path, BjStr body, GString *out)
 {
-  (void)d;
   (void)path;
   (void)body;
+  bj_kernel_metrics (d->kernel, bj_clock_now (), out);
   bj_metric_print (out);
   return 200;
 }
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -681,7 +681,9 @@
 int bj_kernel_open_calls (const BjKernel *k); // Calls not ended
 void
 bj_kernel_explain (const BjKernel *k, BjStr key, GString *out); // Recent decisions about an action
-BjPeer *bj_kernel_find_peer (BjKernel *k, BjStr name);          // NULL when unknown
+void
+bj_kernel_metrics (BjKernel *k, BjTime now, GString *out); // Text exposition of calls, limit, queue
+BjPeer *bj_kernel_find_peer (BjKernel *k, BjStr name);     // NULL when unknown
 void
 bj_kernel_each_peer (BjKernel *k, void (*fn) (BjPeer *p, void *data), void *data); // In no order
 
--- /dev/null
+++ b/src/count.c
@@ -0,0 +1,78 @@
+// Count: how calls ended, by role, class, outcome and result code, for /metrics.
+
+#include "kernel.h"
+
+static const char *const role_names[BJ_ROLES] = { "guard", "front" };
+
+static void print_answers (const BjKernel *k, GString *out);
+static void print_codes (const BjKernel *k, GString *out);
+static void print_gauge (GString *out, const char *name, const char *help, double value);
+
+void
+bj_count_answer (BjKernel *k, const BjCall *c, BjStatus code, BjOutcome o)
+{
+  if (c->detached)
+    return;
+  k->counts.answers[c->is_front][CLAMP (c->klass, 0, BJ_CLASSES - 1)][o]++;
+  if (code != BJ_OK && (int)code < BJ_CODES_MAX)
+    k->counts.codes[code]++;
+}
+
+void
+bj_kernel_metrics (BjKernel *k, BjTime now, GString *out)
+{
+  BjPeerReport self;
+
+  bj_kernel_self (k, now, &self);
+  print_answers (k, out);
+  print_codes (k, out);
+  print_gauge (out, "open_calls", "Calls not ended.", bj_kernel_open_calls (k));
+  print_gauge (out, "in_flight", "Calls on the own upstream.", self.in_flight);
+  print_gauge (out, "limit", "Calls that may run on the own upstream.", self.limit);
+  print_gauge (out, "queued", "Calls that wait for the own upstream.", self.queued);
+  print_gauge (out, "level", "Admission level told to fronts.", self.level);
+  print_gauge (out, "ticket", "Ticket in force.", (double)self.config_number);
+  print_gauge (out, "members", "Daemons known, this one included.", g_hash_table_size (k->peers));
+  print_gauge (out,
+               "log_dropped",
+               "Log lines lost because nobody read them in time.",
+               (double)bj_log_dropped ());
+}
+
+static void
+print_answers (const BjKernel *k, GString *out)
+{
+  g_string_append (out, "# HELP bj_answers_total Answers by role, class and outcome.\n");
+  g_string_append (out, "# TYPE bj_answers_total counter\n");
+  for (int role = 0; role < BJ_ROLES; role++)
+    for (int klass = 0; klass < BJ_CLASSES; klass++)
+      for (int o = 0; o < BJ_OUTCOMES; o++)
+        if (k->counts.answers[role][klass][o] > 0)
+          g_string_append_printf (
+              out,
+              "bj_answers_total{role=\"%s\",class=\"%d\",outcome=\"%s\"} %" G_GUINT64_FORMAT "\n",
+              role_names[role],
+              klass,
+              bj_outcome_name ((BjOutcome)o),
+              k->counts.answers[role][klass][o]);
+}
+
+static void
+print_codes (const BjKernel *k, GString *out)
+{
+  g_string_append (out, "# HELP bj_refusals_total The layer's own answers by result code.\n");
+  g_string_append (out, "# TYPE bj_refusals_total counter\n");
+  for (int code = 0; code < BJ_CODES_MAX; code++)
+    if (k->counts.codes[code] > 0)
+      g_string_append_printf (out,
+                              "bj_refusals_total{code=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                              bj_status_name ((BjStatus)code),
+                              k->counts.codes[code]);
+}
+
+static void
+print_gauge (GString *out, const char *name, const char *help, double value)
+{
+  g_string_append_printf (
+      out, "# HELP bj_%s %s\n# TYPE bj_%s gauge\nbj_%s %.0f\n", name, help, name, name, value);
+}
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -220,6 +220,7 @@
 void
 bj_kernel_answer_end (BjKernel *k, BjTime now, BjCall *c, bool whole)
 {
+  bj_count_answer (k, c, whole ? BJ_OK : BJ_E_BROKEN, whole ? BJ_DONE : BJ_UNKNOWN);
   leave_state (k, now, c, whole ? BJ_OK : BJ_E_BROKEN);
   end_call (k, c);
 }
@@ -636,6 +637,7 @@
                   bj_status_name (a.code),
                   bj_outcome_name (a.outcome),
                   a.retry_after_ms);
+  bj_count_answer (k, c, a.code, a.outcome);
   k->host->ops->answer (k->host, c, &a);
   end_call (k, c);
 }
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -56,6 +56,16 @@
 void bj_quarantine_list (BjQuarantine *q, BjTime now, GArray *notices);    // All that is in force
 BjPeer *bj_quarantine_home (const BjService *s, uint64_t fingerprint);     // Where a suspect runs
 
+#define BJ_ROLES 2 // guard, front
+#define BJ_OUTCOMES 3
+#define BJ_CODES_MAX 64 // result codes are below this
+
+typedef struct
+{
+  uint64_t answers[BJ_ROLES][BJ_CLASSES][BJ_OUTCOMES];
+  uint64_t codes[BJ_CODES_MAX]; // the layer's own answers
+} BjCounts;
+
 struct BjKernel
 {
   BjHost *host;
@@ -68,6 +78,7 @@
   GHashTable *calls;    // call id to open BjCall*
   BjGuard guard;
   BjQuarantine *quarantine;
+  BjCounts counts;
   uint64_t next_id;
   BjDecision ring[BJ_RING_SIZE];
   guint ring_next;
@@ -83,6 +94,10 @@
     BjKernel *k, BjTime now, const BjCall *c, const char *prefix, const char *format, ...)
     G_GNUC_PRINTF (5, 6); // Decision line, logged and kept for explain
 
+// Count
+void
+bj_count_answer (BjKernel *k, const BjCall *c, BjStatus code, BjOutcome o); // A call got its answer
+
 // Guard
 void bj_guard_configure (BjKernel *k, BjTime now); // After an announcement or a configuration
 void bj_guard_admit (BjKernel *k, BjTime now, BjCall *c);         // Run, queue or refuse
