A daemon whose seeds are dead finds the others through members/<domain>

Cause: seeds of the settings are instances like any other and may all be gone. Ruled out: every daemon writing itself into the store (writes would grow with the fleet).

--- a/src/internal.h
+++ b/src/internal.h
@@ -403,6 +403,15 @@
 const BjMember *bj_swim_member (const BjSwim *s, guint i);  // NULL past the last one
 int bj_swim_count (const BjSwim *s);                        // Alive or suspected, itself included
 
+// ---------------------------------------------------------------------------------------------
+// Seeds: the object members/<domain> in the store, to find the others when seeds are dead
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjSeeds BjSeeds;
+
+BjSeeds *bj_seeds_new (BjDaemon *d, BjSwim *swim); // Reads it while alone, keeps it as a keeper
+void bj_seeds_free (BjSeeds *s);                   // Before the platform; NULL does nothing
+
 // ---------------------------------------------------------------------------------------------
 // Member: who is in the deployment, by UDP
 // ---------------------------------------------------------------------------------------------
--- a/src/member.c
+++ b/src/member.c
@@ -22,6 +22,7 @@
   ev_io io;
   ev_timer tick;
   BjTime next_gone;
+  BjSeeds *seeds;
 };
 
 static BjStatus open_socket (const BjAddress *a, int *fd);
@@ -92,6 +93,7 @@
   m->tick.data = m;
   ev_io_start (d->loop, &m->io);
   ev_timer_start (d->loop, &m->tick);
+  m->seeds = bj_seeds_new (d, m->swim);
   *members = m;
   return BJ_OK;
 }
@@ -101,6 +103,7 @@
 {
   ev_io_stop (m->daemon->loop, &m->io);
   ev_timer_stop (m->daemon->loop, &m->tick);
+  bj_seeds_free (m->seeds);
   close (m->fd);
   bj_swim_free (m->swim);
   g_free (m);
--- a/tests/test_fleet_member.c
+++ b/tests/test_fleet_member.c
@@ -18,6 +18,7 @@
 
 #define DAEMONS 6      // three in each of two failure domains
 #define BOUND_MS 10000 // for everyone to know of a failure or a return
+#define CLOSED_PORT 9
 
 typedef struct
 {
@@ -90,6 +91,38 @@
   fleet_stop (&f);
 }
 
+// The seeds of the settings are dead: the object in the platform's store leads to the others.
+static void
+test_dead_seeds (void **state)
+{
+  static FleetNode nodes[4];
+  static Fleet f;
+  Matrix m = { &f, "1110-- 1110-- 1110-- ------ ------ ------" };
+  char path[64];
+
+  (void)state;
+  for (int i = 0; i < 4; i++)
+    {
+      g_snprintf (nodes[i].name, FLEET_TEXT_MAX, "up-%d", i);
+      g_strlcpy (nodes[i].domain, "north-a", FLEET_TEXT_MAX);
+      g_strlcpy (nodes[i].region, "north", FLEET_TEXT_MAX);
+    }
+  fleet_init (&f, nodes, 4);
+  fleet_start_platform (&f);
+  for (int i = 0; i < 3; i++)
+    fleet_start_daemon (&f, i);
+  assert_true (fleet_until (holds, &m, BOUND_MS));
+  g_snprintf (path, sizeof path, "/apis/boragejunction/v1/members/north-a");
+  for (BjTime until = bj_clock_now () + 3 * BOUND_MS;
+       fleet_http ("GET", f.platform_port, path, NULL, NULL, NULL) != 200;)
+    assert_true (bj_clock_now () < until);
+  g_snprintf (f.seed_addresses, sizeof f.seed_addresses, "\"127.0.0.1:%d\"", CLOSED_PORT);
+  fleet_start_daemon (&f, 3);
+  m.expected = "1111-- 1111-- 1111-- 1111-- ------ ------";
+  assert_true (fleet_until (holds, &m, BOUND_MS));
+  fleet_stop (&f);
+}
+
 typedef struct
 {
   const char *name;
@@ -316,6 +349,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_failures),
+    cmocka_unit_test (test_dead_seeds),
     cmocka_unit_test (test_bad_keys),
     cmocka_unit_test (test_keys),
   };
