guard: refused callers queue up outside, spread by jitter; prefer goodput or recovery

Cause: the time to come back looked at the calls that wait here, not at the callers sent away before; after a surge they came back together, and those of starved classes for many seconds.

Change: each refused caller is told to come back one served call after the one refused before it, in its class, up to a longest time, spread by half to both sides. "prefer" of a service chooses: recovery (default) waits 100 ms in the queue and at most 250 ms outside; goodput 300 ms and 10 s.

tests/test_guard.c test_returns: 1000 callers refused in one millisecond are all answered in that turn, the same seed gives the same times; failed first without the spread (fullest_bin). test_order also has calls spilled from other domains.

--- a/src/bjbench/guard.c
+++ b/src/bjbench/guard.c
@@ -6,6 +6,7 @@
 #include <json-c/json.h>
 #include <math.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define EXIT_USAGE 2
@@ -102,6 +103,7 @@
 typedef struct
 {
   const char *policy;
+  const char *prefer;
   struct json_object *json;
   uint32_t seed;
 } Report;
@@ -112,7 +114,7 @@
 static Sim *simulate (const Report *r, const Load *load);
 static void free_sim (Sim *s);
 static void print_value (Report *r, double value, const char *format, ...) G_GNUC_PRINTF (3, 4);
-static BjConfig *make_config (const char *policy);
+static BjConfig *make_config (const Report *r);
 static void next_arrival (Sim *s);
 static void new_action (Sim *s);
 static void send_request (Sim *s, Action *a);
@@ -151,11 +153,12 @@
 {
   struct arg_str *policy = arg_str0 (NULL, "policy", "borage|baseline|both", "plug-ins, both");
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "of every random choice, 1");
+  struct arg_str *prefer = arg_str0 (NULL, "prefer", "recovery|goodput", "of borage, recovery");
   struct arg_file *json = arg_file0 (NULL, "json", "FILE", "gets the figures as one JSON object");
   struct arg_lit *inside = arg_lit0 (NULL, "in-process", "one kernel, no sockets; the only way");
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
   struct arg_end *end = arg_end (4);
-  void *table[] = { policy, seed, json, inside, help, end };
+  void *table[] = { policy, seed, prefer, json, inside, help, end };
   int n_errors = arg_parse (argc, argv, table);
   const char *which = policy->count > 0 ? policy->sval[0] : "both";
   bool is_both = strcmp (which, "both") == 0;
@@ -181,6 +184,7 @@
   else
     {
       bj_log_open (BJ_LOG_ERROR);
+      r.prefer = prefer->count > 0 ? prefer->sval[0] : "recovery";
       r.json = json_object_new_object ();
       for (int i = 0; i < 2; i++)
         {
@@ -289,7 +293,7 @@
   s->rand = g_rand_new_with_seed (r->seed);
   s->events = g_sequence_new (g_free);
   s->kernel = bj_kernel_new (&o, 0);
-  bj_kernel_set_config (s->kernel, 0, make_config (r->policy));
+  bj_kernel_set_config (s->kernel, 0, make_config (r));
   bj_kernel_announce (s->kernel, 0, BJ_STR ("orders"), SLOTS);
   next_arrival (s);
   while (!g_sequence_is_empty (s->events))
@@ -343,19 +347,23 @@
 }
 
 static BjConfig *
-make_config (const char *policy)
+make_config (const Report *r)
 {
   static const char format[]
       = "{\"number\":1,\"priorities\":[\"acceptance\",\"preview\",\"lookup\"],\"services\":{"
-        "\"orders\":{\"routes\":[{\"prefix\":\"/\",\"class\":\"lookup\"}]%s}}}";
+        "\"orders\":{\"routes\":[{\"prefix\":\"/\",\"class\":\"lookup\"}],\"prefer\":\"%s\"%s}}}";
   static const char plain[]
       = ",\"limiter\":{\"plugin\":\"none\"},\"queue\":{\"plugin\":\"fifo\"},"
         "\"router\":{\"plugin\":\"round-robin\"},\"retry\":{\"plugin\":\"naive\"}";
-  char *text = g_strdup_printf (format, strcmp (policy, "baseline") == 0 ? plain : "");
+  char *text
+      = g_strdup_printf (format, r->prefer, strcmp (r->policy, "baseline") == 0 ? plain : "");
   BjConfig *c;
 
   if (bj_config_parse (bj_str (text), &c) != BJ_OK)
-    g_error ("%s", bj_last_message ());
+    {
+      fprintf (stderr, "%s\n", bj_last_message ());
+      exit (EXIT_USAGE);
+    }
   g_free (text);
   return c;
 }
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -409,10 +409,17 @@
   int attempts; // further attempts of one user action, whole chain
 } BjRoute;
 
+typedef enum
+{
+  BJ_PREFER_RECOVERY, // short waits; refused callers come back soon or not at all
+  BJ_PREFER_GOODPUT,  // longer waits; refused callers come back when they can be served
+} BjPrefer;
+
 typedef struct
 {
   BjStr name;
   int64_t number; // ticket that set it
+  BjPrefer prefer;
   BjRoute *routes;
   int n_routes;
   const BjLimiterOps *limiter;
--- a/src/config.h
+++ b/src/config.h
@@ -42,16 +42,18 @@
 #define BJ_DRAIN_MS 30000            // longest wait of a stop for open calls
 #define BJ_PLATFORM_TIMEOUT_MS 2000  // of one platform call that is not a watch
 #define BJ_RETRY_AFTER_MIN_MS 100    // shortest time to come back
-#define BJ_RETRY_AFTER_MAX_MS 10000  // longest time to come back
+#define BJ_RETRY_AFTER_MAX_MS 10000  // longest time to come back, preferring goodput
+#define BJ_RETRY_AFTER_SOON_MS 250   // longest time to come back, preferring recovery
 
 // Policy defaults
-#define BJ_ATTEMPTS 3            // further attempts of one user action, whole chain
-#define BJ_RETRY_RATIO 0.1       // retries per fresh call
-#define BJ_RETRY_BURST 10        // retry tokens at rest
-#define BJ_QUEUE_MAX_WAIT_MS 100 // estimated wait above which a call is refused
-#define BJ_QUEUE_MAX_LENGTH 4096 // calls, a bound on memory only
-#define BJ_SPILL_SHARE 0.8       // of a daemon's spare capacity that other domains may use
-#define BJ_LIMIT_MIN 1           // in flight, whatever happens
+#define BJ_ATTEMPTS 3                // further attempts of one user action, whole chain
+#define BJ_RETRY_RATIO 0.1           // retries per fresh call
+#define BJ_RETRY_BURST 10            // retry tokens at rest
+#define BJ_QUEUE_MAX_WAIT_MS 100     // estimated wait above which a call is refused
+#define BJ_QUEUE_GOODPUT_WAIT_MS 300 // the same when goodput is preferred
+#define BJ_QUEUE_MAX_LENGTH 4096     // calls, a bound on memory only
+#define BJ_SPILL_SHARE 0.8           // of a daemon's spare capacity that other domains may use
+#define BJ_LIMIT_MIN 1               // in flight, whatever happens
 
 // Configuration
 #define BJ_FILING_TRIES 12             // failed store calls before a filing ends
--- a/src/guard.c
+++ b/src/guard.c
@@ -5,6 +5,8 @@
 
 #define DEMAND_MS 1000.0      // time constant of the smoothed demand of the top class
 #define HEADROOM_SHARE 0.0625 // of the limit, the most that is kept free for the top class
+#define END_WEIGHT 0.02       // of the newest interval in the smoothed one
+#define RETURN_SPREAD 0.5     // of the time to come back, to both sides
 #define HEADROOM_LIMIT_MIN 4  // smaller limits keep nothing free
 
 static void configure_queue (BjKernel *k, BjTime now, const BjServiceConfig *s);
@@ -15,6 +17,7 @@
 static void smooth_demand (BjGuard *g, BjTime now);
 static bool is_held_back (BjGuard *g, const BjCall *c);
 static void refuse_for_load (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
+static void learn_end_interval (BjGuard *g, BjTime now);
 static double time_to_return (BjKernel *k, BjTime now, int klass);
 
 void
@@ -40,6 +43,8 @@
         g->limiter->ops->destroy (g->limiter);
       g->limiter = s->limiter->create (&o, now);
     }
+  g->longest_return_ms
+      = s->prefer == BJ_PREFER_GOODPUT ? BJ_RETRY_AFTER_MAX_MS : BJ_RETRY_AFTER_SOON_MS;
   configure_queue (k, now, s);
   start_next (k, now);
 }
@@ -106,6 +111,7 @@
   smooth_demand (g, now);
   g->in_flight--;
   g->top_in_flight -= c->klass == 0;
+  learn_end_interval (g, now);
   if (g->limiter == NULL)
     return;
   g->limiter->ops->sample (g->limiter, now, &sample);
@@ -253,12 +259,28 @@
   g->top_demand_at = now;
 }
 
+static void
+learn_end_interval (BjGuard *g, BjTime now)
+{
+  double interval = MIN (now - g->last_end, BJ_RETRY_AFTER_MIN_MS);
+
+  if (g->last_end > 0)
+    g->end_interval_ms += (interval - g->end_interval_ms) * END_WEIGHT;
+  g->last_end = now;
+}
+
+// Refused callers queue up outside: each is told to come back when the calls that wait and the
+// callers told before it could have been served, and the random spread keeps them apart.
 static double
 time_to_return (BjKernel *k, BjTime now, int klass)
 {
-  BjQueue *q = k->guard.queue;
-  double wait = q != NULL ? q->ops->wait_ms (q, now, klass) : 0;
-  double jitter = g_rand_double_range (k->rand, 1, 2);
+  BjGuard *g = &k->guard;
+  BjTime *at = &g->returns_at[klass];
+  double wait = g->queue != NULL ? g->queue->ops->wait_ms (g->queue, now, klass) : 0;
+  double most = MAX (BJ_RETRY_AFTER_MIN_MS, g->longest_return_ms);
+  double ms;
 
-  return CLAMP (wait, BJ_RETRY_AFTER_MIN_MS, BJ_RETRY_AFTER_MAX_MS) * jitter;
+  *at = CLAMP (*at + g->end_interval_ms, now, now + most);
+  ms = CLAMP (wait + *at - now, BJ_RETRY_AFTER_MIN_MS, most);
+  return ms * g_rand_double_range (k->rand, 1 - RETURN_SPREAD, 1 + RETURN_SPREAD);
 }
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -19,10 +19,14 @@
   BjQueue *queue;     // NULL before
   int in_flight;
   uint64_t n_started;
-  int admitted_klass;   // lower classes are refused while calls of this one wait
-  int top_in_flight;    // calls of the most important class
-  double top_demand;    // the same, smoothed over the last second or so
-  BjTime top_demand_at; // when it was smoothed
+  double longest_return_ms;      // that a refused caller is told, but for the spread
+  double end_interval_ms;        // smoothed time between two calls that ended, 0 before
+  BjTime last_end;               // of a call
+  BjTime returns_at[BJ_CLASSES]; // until when refused callers are told to stay away
+  int admitted_klass;            // lower classes are refused while calls of this one wait
+  int top_in_flight;             // calls of the most important class
+  double top_demand;             // the same, smoothed over the last second or so
+  BjTime top_demand_at;          // when it was smoothed
   bool draining;
   int spilled;        // of in_flight, calls from other domains
   double own_average; // calls of the own domain in flight
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -29,6 +29,7 @@
   { "number", BJ_JSON_INT, false, 1, NUMBER_MAX }, { "routes", BJ_JSON_ARRAY, true, 1, ROUTES_MAX },
   { "limiter", BJ_JSON_OBJECT, false, 0, 0 },      { "queue", BJ_JSON_OBJECT, false, 0, 0 },
   { "router", BJ_JSON_OBJECT, false, 0, 0 },       { "retry", BJ_JSON_OBJECT, false, 0, 0 },
+  { "prefer", BJ_JSON_STR, false, 0, 0 },
 };
 static const BjJsonKey route_keys[] = {
   { "prefix", BJ_JSON_STR, true, 1, 256 },
@@ -90,6 +91,7 @@
                              int n,
                              struct json_object **options,
                              const void **ops);
+static BjStatus read_prefer (const char *path, struct json_object *o, BjServiceConfig *s);
 static BjStatus read_upstreams (struct json_object *o, BjConfig *c);
 static int class_of (const BjConfig *c, BjStr name);
 
@@ -300,6 +302,8 @@
       s->n_routes++;
       status = read_route (path, json_object_array_get_idx (routes, i), c, &s->routes[i]);
     }
+  if (status == BJ_OK)
+    status = read_prefer (path, o, s);
   return status == BJ_OK ? read_plugins (path, o, s) : status;
 }
 
@@ -335,6 +339,8 @@
 
   s->limiter_options = (BjLimiterOptions)BJ_LIMITER_OPTIONS_DEFAULT;
   s->queue_options = (BjQueueOptions)BJ_QUEUE_OPTIONS_DEFAULT;
+  if (s->prefer == BJ_PREFER_GOODPUT)
+    s->queue_options.max_wait_ms = BJ_QUEUE_GOODPUT_WAIT_MS;
   s->retry_options = (BjRetryOptions)BJ_RETRY_OPTIONS_DEFAULT;
   status = read_plugin (path,
                         o,
@@ -426,6 +432,21 @@
   return s;
 }
 
+static BjStatus
+read_prefer (const char *path, struct json_object *o, BjServiceConfig *s)
+{
+  BjStr name = bj_json_str (o, "prefer");
+
+  if (bj_str_equal (name, BJ_STR ("goodput")))
+    s->prefer = BJ_PREFER_GOODPUT;
+  else if (name.len > 0 && !bj_str_equal (name, BJ_STR ("recovery")))
+    return bj_fail (BJ_E_TICKET,
+                    "%s.prefer: \"%.*s\" is unknown, allowed: goodput, recovery.",
+                    path,
+                    BJ_STR_ARG (name));
+  return BJ_OK;
+}
+
 static BjStatus
 read_upstreams (struct json_object *o, BjConfig *c)
 {
--- a/tests/test_guard.c
+++ b/tests/test_guard.c
@@ -404,6 +404,7 @@
   g->waiting[a->klass]++;
   g->n_open++;
   r.klass = a->klass;
+  r.is_spilled = g_rand_int_range (g->rand, 0, 4) == 0;
   r.irreversible = a->klass < 2 && g_rand_boolean (g->rand);
   r.deadline_ms = g_rand_double_range (g->rand, 1, 500);
   c = bj_kernel_arrive_peer (g->kernel, g->now, &r, BJ_STR ("s"), a);
@@ -493,14 +494,103 @@
   print_message ("fifo breaks the order with %d of %d seeds\n", n_wrong, ORDER_SEEDS);
 }
 
+#define RETURNS 1000
+#define RETURN_BIN_MS 50
+
+typedef struct
+{
+  BjHost host;
+  double at[RETURNS];
+  int n;
+} Returns;
+
+static void
+returns_answer (BjHost *h, BjCall *c, const BjAnswer *a)
+{
+  Returns *r = (Returns *)h;
+
+  if (a->code == BJ_E_OVERLOAD && r->n < RETURNS)
+    r->at[r->n++] = a->retry_after_ms;
+  (void)c;
+}
+
+// One call runs, all others are refused in the same millisecond.
+static void
+refuse_many (Returns *r, guint32 seed, const char *prefer)
+{
+  static const BjHostOps ops
+      = { guard_send, guard_nothing, guard_nothing, returns_answer, guard_nothing, guard_nothing };
+  BjKernelOptions o = { .self = { .name = BJ_STR ("one") }, .host = &r->host, .seed = seed };
+  BjRequest ask
+      = { .method = BJ_STR ("GET"), .path = BJ_STR ("/"), .klass = 0, .deadline_ms = 5000 };
+  BjKernel *k = bj_kernel_new (&o, 0);
+  char *text = g_strdup_printf (
+      "{\"number\":1,\"priorities\":[\"a\"],\"services\":{\"s\":{\"routes\":[{\"prefix\":"
+      "\"/\",\"class\":\"a\"}],\"limiter\":{\"plugin\":\"fixed\"},\"queue\":{\"max_length\":1},"
+      "\"prefer\":\"%s\"}}}",
+      prefer);
+  BjConfig *c;
+  BjCall *running;
+
+  *r = (Returns){ .host = { &ops } };
+  assert_int_equal (bj_config_parse (bj_str (text), &c), BJ_OK);
+  bj_kernel_set_config (k, 0, c);
+  bj_kernel_announce (k, 0, BJ_STR ("s"), 1);
+  for (int i = 0; i < 200; i++)
+    {
+      running = bj_kernel_arrive_peer (k, i * 10, &ask, BJ_STR ("s"), NULL);
+      bj_kernel_answer_begin (k, i * 10 + 9, running, &(BjAnswer){ .outcome = BJ_DONE });
+      bj_kernel_answer_end (k, i * 10 + 9, running, true);
+    }
+  for (int i = 0; i < RETURNS + 2; i++)
+    bj_kernel_arrive_peer (k, 2000, &ask, BJ_STR ("s"), NULL);
+  bj_kernel_free (k);
+  g_free (text);
+}
+
+static int
+fullest_bin (const Returns *r)
+{
+  int bins[1024] = { 0 };
+  int most = 0;
+
+  for (int i = 0; i < r->n; i++)
+    {
+      int *bin = &bins[MIN (1023, (int)(r->at[i] / RETURN_BIN_MS))];
+
+      ++*bin;
+      most = MAX (most, *bin);
+    }
+  return most;
+}
+
+// All are answered in the turn that refuses them, with times to come back that lie apart.
+static void
+test_returns (void **state)
+{
+  Returns a;
+  Returns b;
+  Returns other;
+
+  (void)state;
+  refuse_many (&a, 1, "recovery");
+  refuse_many (&b, 1, "recovery");
+  refuse_many (&other, 2, "recovery");
+  assert_int_equal (a.n, RETURNS);
+  assert_memory_equal (a.at, b.at, sizeof a.at);
+  assert_memory_not_equal (a.at, other.at, sizeof a.at);
+  assert_true (fullest_bin (&a) < RETURNS / 4); // five bins lie within the spread
+  refuse_many (&a, 1, "goodput");
+  assert_true (fullest_bin (&a) < RETURNS / 50); // 50 ms serve 5 of them
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_limiter),
-    cmocka_unit_test (test_limiter_ramp),
-    cmocka_unit_test (test_queue),
-    cmocka_unit_test (test_order),
+    cmocka_unit_test (test_limiter), cmocka_unit_test (test_limiter_ramp),
+    cmocka_unit_test (test_queue),   cmocka_unit_test (test_order),
+    cmocka_unit_test (test_returns),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
