--- a/Makefile
+++ b/Makefile
@@ -43,10 +43,16 @@
 	clang-format-14 --dry-run -Werror $(SOURCES)
 	printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -n 4 clang-tidy-14 --quiet -p $(BUILD)
 
+# Writes the manual pages from --help; needs help2man.
+man: build
+	help2man --no-info -n "overload control daemon beside one upstream" -o docs/man/boraged.1 $(BUILD)/boraged
+	help2man --no-info -n "files tickets and reads back what is in force" -o docs/man/bjctl.1 $(BUILD)/bjctl
+	help2man --no-info -n "bounded load and experiment tool" -o docs/man/bjbench.1 $(BUILD)/bjbench
+
 install: build
 	cmake --install $(BUILD)
 
 clean:
 	rm -rf build build-asan
 
-.PHONY: all deps build demo check sanitize bench lint-deps format lint install clean
+.PHONY: all deps build demo check sanitize bench lint-deps format lint man install clean
