The ticket in force rides on a member's version; more fleet cases for tickets

Cause: with the new membership tests/test_fleet_ticket.c failed: 7 filings of one run ended with "1 of 6 daemons have not got it after 15 s", and a restarted daemon went back from ticket 19 to 18. A change of config_number raised only the load version: receivers took it without passing it on, load updates (which don't carry it) that came first made it look old, and digests compare the version, so that nothing repaired it. A daemon that had just started saw peers with an older number than theirs.

Change: a new config_number raises the member's version, like a service or a drain.

Ruled out: carrying it in load updates, which digests don't repair either.

Test: four cases more (readers paused, domain cut from the store, domain cut from everything, store restored while all are cut from it), all traffic through bj-fault.

--- a/src/swim.c
+++ b/src/swim.c
@@ -200,9 +200,8 @@
       self->config_number = r.config_number;
       self->load_version++;
     }
-  if (has_new_config)
-    bj_spread_news (s, s->self);
-  if (bj_str_equal (r.service, self->service) && r.draining == self->draining)
+  // The ticket in force rides on the version, so that news are relayed and digests repair it.
+  if (bj_str_equal (r.service, self->service) && r.draining == self->draining && !has_new_config)
     return;
   bj_str_set (&self->service, r.service);
   self->draining = r.draining;
--- a/tests/test_fleet_ticket.c
+++ b/tests/test_fleet_ticket.c
@@ -375,6 +375,74 @@
   return filed && fleet_wait_ticket (&fleet, last, FILE_TIMEOUT_MS);
 }
 
+static bool
+readers_paused (void)
+{
+  bool filed;
+
+  kill (fleet.members[3].daemon, SIGSTOP);
+  kill (fleet.members[4].daemon, SIGSTOP);
+  last++;
+  filed = file_ticket (last, last - 1, "paused", NULL) == 0;
+  kill (fleet.members[3].daemon, SIGCONT);
+  kill (fleet.members[4].daemon, SIGCONT);
+  return filed && fleet_wait_ticket (&fleet, last, FILE_TIMEOUT_MS);
+}
+
+static bool
+domain_cut_from_store (void)
+{
+  InForce f = { 4, 0 };
+  BjTime begun;
+  bool ok;
+
+  fleet_fault (&fleet, "platform-b", "*", "cut", 0);
+  ok = file_next ();
+  f.number = last;
+  begun = bj_clock_now ();
+  restart_daemon (4);
+  ok = ok && fleet_until (has_ticket, &f, OUTAGE_START_MS);
+  printf ("started cut from the store: in force after %.0f ms\n", bj_clock_now () - begun);
+  fleet_fault (&fleet, "platform-b", "*", "ok", 0);
+  return ok;
+}
+
+static bool
+domain_cut_off (void)
+{
+  InForce f = { 3, last };
+  bool ok;
+
+  fleet_fault (&fleet, "platform-b", "*", "cut", 0);
+  fleet_cut (&fleet, "a", "b", "cut");
+  fleet_cut (&fleet, "b", "a", "cut");
+  restart_daemon (3);
+  ok = fleet_until (has_ticket, &f, FILE_TIMEOUT_MS);
+  ok = file_next () && ok;
+  fleet_cut (&fleet, "a", "b", "ok");
+  fleet_cut (&fleet, "b", "a", "ok");
+  fleet_fault (&fleet, "platform-b", "*", "ok", 0);
+  return fleet_wait_ticket (&fleet, last, COMPLETE_MS) && ok;
+}
+
+static bool
+restored_while_cut (void)
+{
+  bool ok;
+
+  control ("snapshot");
+  ok = file_next ();
+  fleet_fault (&fleet, "platform-a", "*", "cut", 0);
+  fleet_fault (&fleet, "platform-b", "*", "cut", 0);
+  control ("restore");
+  restart_daemon (0);
+  restart_daemon (5);
+  fleet_fault (&fleet, "platform-a", "*", "ok", 0);
+  ok = ok && fleet_until (store_has_last, NULL, COMPLETE_MS);
+  fleet_fault (&fleet, "platform-b", "*", "ok", 0);
+  return ok && fleet_wait_ticket (&fleet, last, FILE_TIMEOUT_MS);
+}
+
 static const Case cases[] = {
   { "first tickets", first_tickets },
   { "two operators race for a number", two_operators_race },
@@ -392,6 +460,10 @@
   { "store restored, next ticket at once", restored_while_filing },
   { "stale reads", stale_reads },
   { "readers killed", readers_killed },
+  { "readers paused", readers_paused },
+  { "domain cut from the store", domain_cut_from_store },
+  { "domain cut from everything", domain_cut_off },
+  { "store restored while all are cut from it", restored_while_cut },
 };
 
 static void
@@ -436,6 +508,7 @@
       g_strlcpy (nodes[i].region, "north", sizeof nodes[i].region);
     }
   fleet_init (&fleet, nodes, N_NODES);
+  fleet.use_fault = true;
   return fleet_start (&fleet) ? 0 : 1;
 }
 
