test_fleet_faults: answers are under way when the daemon is told to stop

Cause: on a scratch copy whose stop does not wait for open calls the test still passed, because its readers had mostly ended by then. Change: eight slow answers (600 ms, above the 250 ms between two looks at the clock) are under way at SIGTERM. The checker now tells when the upstreams' record can't be read.

--- a/tests/checker.c
+++ b/tests/checker.c
@@ -67,14 +67,14 @@
   action_of (c, key)->runs++;
 }
 
-void
+bool
 checker_runs (Checker *c, const char *path)
 {
   char *text = NULL;
   char **lines;
 
   if (!g_file_get_contents (path, &text, NULL, NULL))
-    return;
+    return false;
   lines = g_strsplit (text, "\n", -1);
   for (int i = 0; lines[i] != NULL; i++)
     {
@@ -87,6 +87,7 @@
     }
   g_strfreev (lines);
   g_free (text);
+  return true;
 }
 
 void
--- a/tests/checker.h
+++ b/tests/checker.h
@@ -35,7 +35,9 @@
 void checker_free (Checker *c);
 void checker_told (Checker *c, const CheckSend *s); // One request and what came back
 void checker_ran (Checker *c, const char *key);     // One run on an upstream
-void checker_runs (Checker *c, const char *path);   // The upstreams' record, a line "key id" a run
+bool checker_runs (
+    Checker *c,
+    const char *path); // The upstreams' record, a line "key id" a run; false when unreadable
 void checker_ticket (Checker *c, const char *daemon, int64_t number);      // In force there now
 void checker_store (Checker *c, struct json_object *spec);                 // One shard of claims
 void checker_after_drain (Checker *c, const char *upstream, int64_t runs); // Begun after 3 s
--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -22,6 +22,7 @@
 #define ANSWER_BYTES 64
 #define BACK_MAX_MS 300 // longest time a caller waits before it comes back
 #define OUTAGE_LOAD_MS 1500
+#define SLOW_US 600000       // above the daemon's longest pause between two looks at the clock
 #define DRAIN_TARGET_MS 3000 // no new work later than this after a drain was announced
 #define STORE_ROOT "/apis/boragejunction/v1/claims/"
 
@@ -293,7 +294,7 @@
   int total;
 
   g_snprintf (path, sizeof path, "%s/" FLEET_RECORD, fleet.dir);
-  checker_runs (checker, path);
+  assert_true (checker_runs (checker, path));
   check_tickets ();
   check_store ();
   total = checker_finish (checker, NULL, out);
@@ -743,7 +744,6 @@
 typedef struct
 {
   int member;
-  gint is_leaving; // its callers stop asking
   int n_cut;
   int n_whole;
 } Reader;
@@ -754,7 +754,7 @@
 {
   Reader *r = data;
 
-  while (!g_atomic_int_get (&stopping) && !g_atomic_int_get (&r->is_leaving))
+  do
     {
       GString *out = g_string_new (NULL);
       int status = fleet_http ("GET",
@@ -770,9 +770,23 @@
         r->n_cut++;
       g_string_free (out, TRUE);
     }
+  while (!g_atomic_int_get (&stopping));
   return NULL;
 }
 
+static bool
+has_open_calls (void *data)
+{
+  GString *out = g_string_new (NULL);
+  int status
+      = fleet_http ("GET", fleet.members[DOMAINS - 1].admin_port, "/v1/status", NULL, NULL, out);
+  bool holds = status == 200 && fleet_number (out->str, "open_calls") >= CALLERS;
+
+  (void)data;
+  g_string_free (out, TRUE);
+  return holds;
+}
+
 // An upstream is drained by ticket, then its daemon is told to stop, both under load.
 static void
 test_planned_stop (void **state)
@@ -787,7 +801,7 @@
   (void)state;
   assert_true (fleet_until (is_serving, NULL, 15000));
   check_begin ();
-  set_service_us (300000);
+  set_service_us (SLOW_US);
   g_atomic_int_set (&stopping, 0);
   for (int i = 0; i < CALLERS; i++)
     {
@@ -801,17 +815,25 @@
   before = runs_of (DOMAINS - 1);
   g_usleep (1500 * 1000);
   checker_after_drain (checker, "south-b-1", runs_of (DOMAINS - 1) - before);
+  g_atomic_int_set (&stopping, 1);
   for (int i = 0; i < CALLERS; i++)
-    if (readers[i].member == DOMAINS - 1)
-      g_atomic_int_set (&readers[i].is_leaving, 1);
+    {
+      g_thread_join (threads[i]);
+      assert_true (readers[i].n_whole > 0);
+      n_cut += readers[i].n_cut;
+    }
+  // Each of these asks once; their answers are under way when the daemon is told to stop.
+  for (int i = 0; i < CALLERS; i++)
+    {
+      readers[i] = (Reader){ .member = DOMAINS - 1 };
+      threads[i] = g_thread_new ("reader", read_slowly, &readers[i]);
+    }
+  assert_true (fleet_until (has_open_calls, NULL, 5000));
   kill (fleet.members[DOMAINS - 1].daemon, SIGTERM);
   assert_int_equal (fleet_wait_exit (&fleet.members[DOMAINS - 1].daemon, 10000), 0);
-  g_usleep (500 * 1000);
-  g_atomic_int_set (&stopping, 1);
   for (int i = 0; i < CALLERS; i++)
     {
       g_thread_join (threads[i]);
-      assert_true (readers[i].n_whole > 0);
       n_cut += readers[i].n_cut;
     }
   checker_stop (checker, "south-b-1", n_cut);
