limit: the limit of "none" fits into a report

Change: "none" reports BJ_LIMIT_MAX. Test shown failing first: "none: limit, A datagram tells of a member in a form that is not known".

--- a/src/config.h
+++ b/src/config.h
@@ -51,6 +51,7 @@
 #define BJ_QUEUE_MAX_WAIT_MS 100 // estimated wait above which a call is refused
 #define BJ_QUEUE_MAX_LENGTH 4096 // calls, a bound on memory only
 #define BJ_SPILL_SHARE 0.8       // of a daemon's spare capacity that other domains may use
+#define BJ_LIMIT_MAX 1000000     // in flight, of a limiter without a limit
 #define BJ_LIMIT_MIN 1           // in flight, whatever happens
 
 // Configuration
--- a/src/limit.c
+++ b/src/limit.c
@@ -130,7 +130,7 @@
 {
   (void)l;
   (void)now;
-  return G_MAXINT / 2;
+  return BJ_LIMIT_MAX;
 }
 
 static int
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -1,7 +1,7 @@
 // Routing: which candidates get calls and how many, after which results one is skipped, and how
 // many calls of other domains a guard lets in.
 
-#include "boragejunction.h"
+#include "internal.h"
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -334,6 +334,45 @@
     }
 }
 
+// A limit that peers cannot decode would cost the daemon its membership.
+static void
+test_limits_in_reports (void **state)
+{
+  static const char *const limiters[] = { "none", "fixed", "adaptive" };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (limiters); i++)
+    {
+      const BjLimiterOps *ops = bj_plugin_find (BJ_PLUGIN_LIMITER, bj_str (limiters[i]));
+      BjLimiterOptions o = BJ_LIMITER_OPTIONS_DEFAULT;
+      BjLimiter *l = ops->create (&o, 0);
+      BjDatagram d = { .kind = BJ_DATAGRAM_PING, .to_host = BJ_STR ("127.0.0.1"), .to_port = 1 };
+      BjDatagram back;
+      msgpack_unpacked keep;
+      msgpack_sbuffer out;
+
+      d.self.kind = BJ_UPDATE_FULL;
+      d.self.report = (BjPeerReport){ .name = BJ_STR ("one"),
+                                      .domain = BJ_STR ("a"),
+                                      .region = BJ_STR ("n"),
+                                      .host = BJ_STR ("127.0.0.1"),
+                                      .gossip_host = BJ_STR ("127.0.0.1"),
+                                      .link_port = 1,
+                                      .gossip_port = 1,
+                                      .incarnation = 1,
+                                      .limit = l->ops->limit (l, NOW) };
+      msgpack_sbuffer_init (&out);
+      msgpack_unpacked_init (&keep);
+      bj_datagram_encode (&out, &d);
+      if (bj_datagram_decode ((BjStr){ out.data, out.size }, &keep, &back) != BJ_OK)
+        fail_msg ("%s: limit %d, %s", limiters[i], d.self.report.limit, bj_last_message ());
+      assert_int_equal (back.self.report.limit, d.self.report.limit);
+      msgpack_unpacked_destroy (&keep);
+      msgpack_sbuffer_destroy (&out);
+      ops->destroy (l);
+    }
+}
+
 static int
 find_router (void **state)
 {
@@ -350,6 +389,7 @@
     cmocka_unit_test (test_result),
     cmocka_unit_test (test_many),
     cmocka_unit_test (test_spill),
+    cmocka_unit_test (test_limits_in_reports),
   };
 
   return cmocka_run_group_tests (tests, find_router, NULL);
