--- a/src/config.h
+++ b/src/config.h
@@ -53,6 +53,7 @@
 #define BJ_QUEUE_GOODPUT_WAIT_MS 300 // the same when goodput is preferred
 #define BJ_QUEUE_MAX_LENGTH 4096     // calls, a bound on memory only
 #define BJ_SPILL_SHARE 0.8           // of a daemon's spare capacity that other domains may use
+#define BJ_LIMIT_MAX 1000000         // in flight, of a limiter without a limit
 #define BJ_LIMIT_MIN 1               // in flight, whatever happens
 
 // Configuration
