deep-chain: six services, the deepest slows tenfold, upstreams send failed deeper calls again

Cause: retries over a whole chain were not measured with real processes. Change: scenario deep-chain; the stand-in upstream sends a failed deeper call again (control "retries"), no more often than its answer's Bj-Attempts-Left says and only within its deadline, and passes the rest of its deadline on. Ruled out as the cause of the missing recovery: the router and the guards alone.

--- a/src/bjbench/bjbench.h
+++ b/src/bjbench/bjbench.h
@@ -164,4 +164,5 @@
 int scenario_domain_loss (int argc, char **argv);
 int scenario_cold_start (int argc, char **argv);
 int scenario_lying_load (int argc, char **argv);
+int scenario_deep_chain (int argc, char **argv);
 int scenario_claims (int argc, char **argv);
--- a/src/bjbench/chain.c
+++ b/src/bjbench/chain.c
@@ -26,7 +26,7 @@
 
 typedef struct
 {
-  uint64_t n; // over all hops
+  uint64_t n;        // over all hops
   uint64_t n_failed; // of these, for actions without a whole answer
   int most_of_one;   // of one action at one hop
 } Executions;
--- a/src/bjbench/main.c
+++ b/src/bjbench/main.c
@@ -19,6 +19,7 @@
   { "cold-start", "one upstream joins cold, one fails", scenario_cold_start },
   { "claims", "false refusals of old keys against claims kept, in process", scenario_claims },
   { "lying-load", "load comes late, one upstream claims idle, one sick", scenario_lying_load },
+  { "deep-chain", "six deep, the deepest slows tenfold and recovers", scenario_deep_chain },
 };
 
 static void print_list (void);
--- a/tests/bench.sh
+++ b/tests/bench.sh
@@ -8,7 +8,7 @@
 shift || true
 seed=${SEED:-1}
 scenarios=("$@")
-if [ ${#scenarios[@]} -eq 0 ]; then scenarios=(domain-loss cold-start lying-load); fi
+if [ ${#scenarios[@]} -eq 0 ]; then scenarios=(domain-loss cold-start lying-load deep-chain); fi
 
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
@@ -55,6 +55,15 @@
       ;;
     cold-start) domain north-a north 4 ;;
     lying-load) domain north-a north 5 ;;
+    deep-chain)
+      echo "north-a-front:north-a:north:front:8:1"
+      for i in 1 2; do
+        for hop in 1 2 3 4 5; do
+          echo "hop$hop-$i:north-a:north:hop$hop:64:2:/hop$((hop + 1))/step"
+        done
+        echo "hop6-$i:north-a:north:hop6:8:20"
+      done
+      ;;
     *)
       echo "bench.sh: there is no scenario \"$1\"." >&2
       exit 2
@@ -62,6 +71,10 @@
   esac
 }
 
+services() { # scenario
+  if [ "$1" = deep-chain ]; then echo hop1 hop2 hop3 hop4 hop5 hop6; else echo catalogue; fi
+}
+
 deadline() { # scenario, in ms
   if [ "$1" = domain-loss ]; then echo 400; else echo 1000; fi
 }
@@ -69,7 +82,8 @@
 run() { # scenario, policy
   local list
   list=$(nodes "$1")
-  ticket "$2" "$(deadline "$1")" catalogue front >"$work/ticket.json"
+  # shellcheck disable=SC2046
+  ticket "$2" "$(deadline "$1")" $(services "$1") front >"$work/ticket.json"
   # shellcheck disable=SC2086
   "$build/bj-fleet" --log warning --ticket "$work/ticket.json" $list -- \
     sh -c "\"$build/bjbench\" $1 --fleet \"\$BJ_FLEET\" --policy $2 --seed $seed" |
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -11,8 +11,9 @@
 // id, executions. POST /control/<what>?value=N sets service_us, slots, announced_slots, mute (no
 // announcements), shed (refuse everything), cold_ms (ten times the service time for so long from
 // now), load_lag_ms (announced load is so old), load_claim (percent announced instead of the load,
-// -1 for the truth). With --record a line "key id" is appended to FILE before each run, "-" for no
-// key, so that what ran is known after the process was killed.
+// -1 for the truth), retries (of a deeper call that failed; where its answer says how many attempts
+// are left, no more than these). With --record a line "key id" is appended to FILE before each run,
+// "-" for no key, so that what ran is known after the process was killed.
 
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -47,6 +48,8 @@
   int status;
   int wanted_status;
   int attempts_left; // given back by the deeper call, -1 if none
+  gint64 n_retries;  // of the deeper call so far
+  double arrived_ms;
   bool is_not_run;
   bool is_started;
   bool is_suspended;
@@ -67,7 +70,7 @@
 static const char *service, *admin_address, *front_address, *next_path;
 static int port, announced_port, in_flight;
 static gint64 service_us, slots = 16, announced_slots, mute, shed, cold_ms, cold_from_ms, n_shed,
-                          n_run, load_lag_ms, load_claim = -1;
+                          n_run, load_lag_ms, load_claim = -1, retries;
 static double loads[LOADS_MAX]; // ring of the loads at past announcements
 static guint n_loads;
 
@@ -90,6 +93,7 @@
 static void take_slot (Run *r);
 static void on_service_end (struct ev_loop *l, ev_timer *w, int events);
 static void call_deeper (Run *r);
+static double left_ms (Run *r);
 static void deeper_head (void *data, const BjHttpHead *h);
 static size_t deeper_body (void *data, BjStr part);
 static void deeper_done (void *data, BjStatus s, bool sent);
@@ -278,7 +282,8 @@
               { "shed", &shed },
               { "cold_ms", &cold_ms },
               { "load_lag_ms", &load_lag_ms },
-              { "load_claim", &load_claim } };
+              { "load_claim", &load_claim },
+              { "retries", &retries } };
   const char *value = MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, "value");
   char text[128];
 
@@ -330,6 +335,7 @@
   const char *key = header (r, "Idempotency-Key");
 
   r->is_started = true;
+  r->arrived_ms = now_ms ();
   r->wanted_status = status != NULL ? (int)g_ascii_strtoll (status, NULL, 10) : 200;
   g_snprintf (r->id, sizeof r->id, "%s ", id != NULL ? id : "none");
   r->size = bytes != NULL ? g_ascii_strtoull (bytes, NULL, 10) : 64;
@@ -400,7 +406,11 @@
   int n = 0;
 
   for (size_t i = 0; i < G_N_ELEMENTS (passed); i++)
-    if (header (r, passed[i]) != NULL)
+    if (strcmp (passed[i], "Bj-Attempts-Left") == 0 && r->attempts_left >= 0)
+      lines[n++] = g_strdup_printf ("%s: %d", passed[i], r->attempts_left);
+    else if (strcmp (passed[i], "Bj-Deadline-Ms") == 0 && header (r, passed[i]) != NULL)
+      lines[n++] = g_strdup_printf ("%s: %.0f", passed[i], MAX (1, left_ms (r)));
+    else if (header (r, passed[i]) != NULL)
       lines[n++] = g_strdup_printf ("%s: %s", passed[i], header (r, passed[i]));
   r->status = 502;
   r->deeper = bj_http_start (http,
@@ -419,6 +429,17 @@
   g_free (url);
 }
 
+// Of the deadline that the call came with.
+static double
+left_ms (Run *r)
+{
+  const char *deadline = header (r, "Bj-Deadline-Ms");
+
+  if (deadline == NULL)
+    return G_MAXINT;
+  return g_ascii_strtod (deadline, NULL) - (now_ms () - r->arrived_ms);
+}
+
 static void
 deeper_head (void *data, const BjHttpHead *h)
 {
@@ -442,7 +463,16 @@
 
   (void)sent;
   r->deeper = NULL;
-  finish (r, s == BJ_OK ? r->status : 502);
+  if (s != BJ_OK)
+    r->status = 502;
+  if (r->status >= 500 && r->n_retries < retries && r->attempts_left != 0 && left_ms (r) > 0)
+    {
+      r->n_retries++;
+      r->attempts_left = MAX (-1, r->attempts_left - 1);
+      call_deeper (r);
+      return;
+    }
+  finish (r, r->status);
 }
 
 static void
