Planned stops end under steady load; an upstream can drain by its own word

Cause: a stop waited for no open call at all, which never comes while callers keep sending to the front of the stopping daemon, and then cut what was open; a ticket could end the drain of a stop; answers still queued for a caller or a peer were dropped. Change: drain has reasons (ticket, the upstream's own word, stop) and lasts while there is one. Announcements take "draining". Ruled out: refusing new callers at once (they would see refusals where other members have room); staying open until idle (never, see above).

Left: a connection that the system accepts between the last look and the close of the listening socket is reset (microseconds); a request on a kept-alive connection may cross with its close, as HTTP/1.1 allows.

--- a/src/admin.c
+++ b/src/admin.c
@@ -25,6 +25,7 @@
   { "connections", BJ_JSON_INT, false, 0, SLOTS_MAX },
   { "load", BJ_JSON_NUMBER, false, 0, 1000 },
   { "healthy", BJ_JSON_BOOL, false, 0, 0 },
+  { "draining", BJ_JSON_BOOL, false, 0, 0 },
 };
 
 static int post_announce (BjDaemon *d, BjStr path, BjStr body, GString *out);
@@ -80,7 +81,8 @@
     }
   a.host = bj_json_str (o, "host");
   a.port = (int)bj_json_number (o, "port", 0);
-  bj_daemon_announce (d, bj_json_str (o, "service"), a, announced_slots (o));
+  bj_daemon_announce (
+      d, bj_json_str (o, "service"), a, announced_slots (o), bj_json_bool (o, "draining", false));
   json_object_put (o);
   g_string_append (out, "{}\n");
   return 200;
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -631,6 +631,13 @@
   BJ_ABSORB, // drop it, the call goes on elsewhere or was answered
 } BjVerdict;
 
+typedef enum
+{
+  BJ_DRAIN_TICKET = 1,   // the configuration says so
+  BJ_DRAIN_UPSTREAM = 2, // the upstream announced it
+  BJ_DRAIN_STOP = 4,     // the daemon stops
+} BjDrainReason;
+
 BjKernel *bj_kernel_new (const BjKernelOptions *o, BjTime now); // Never fails
 void bj_kernel_free (BjKernel *k);                              // Ends open calls without an answer
 void bj_kernel_set_config (BjKernel *k,
@@ -667,9 +674,12 @@
 void bj_kernel_announce (BjKernel *k,
                          BjTime now,
                          BjStr service,
-                         int slots);                        // The own upstream announced itself
-void bj_kernel_upstream_gone (BjKernel *k, BjTime now);     // It stopped announcing
-void bj_kernel_drain (BjKernel *k, BjTime now, bool drain); // No new work, or take it again
+                         int slots);                    // The own upstream announced itself
+void bj_kernel_upstream_gone (BjKernel *k, BjTime now); // It stopped announcing
+void bj_kernel_drain (BjKernel *k,
+                      BjTime now,
+                      BjDrainReason r,
+                      bool drain); // No new work, or take it again when no reason is left
 void bj_kernel_peer (BjKernel *k,
                      BjTime now,
                      const BjPeerReport *r); // A peer's report; older ones are ignored
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -24,6 +24,7 @@
 static void on_idle (struct ev_loop *loop, ev_idle *w, int events);
 static void check_announcement (BjDaemon *d, BjTime now);
 static void check_stop (BjDaemon *d, BjTime now);
+static bool is_busy (const BjDaemon *d);
 static void send_peer (BjHost *h, BjCall *c, BjPeer *p);
 static void start_upstream (BjHost *h, BjCall *c);
 static void cancel (BjHost *h, BjCall *c);
@@ -77,9 +78,11 @@
     return;
   d->stopping = true;
   d->stop_by = bj_clock_now () + d->settings.drain_ms;
-  bj_log (BJ_LOG_INFO, "MEMBER", "Stopping, %d calls open.", bj_kernel_open_calls (d->kernel));
+  d->told_by = bj_clock_now () + MIN (BJ_DRAIN_TELL_MS, d->settings.drain_ms);
+  bj_log (BJ_LOG_INFO, "DRAIN", "Stopping, %d calls open.", bj_kernel_open_calls (d->kernel));
   bj_daemon_drain (d, true);
-  bj_members_leave (d->members);
+  bj_members_tell (d->members);
+  bj_front_close (d->front);
 }
 
 void
@@ -140,19 +143,20 @@
 }
 
 void
-bj_daemon_announce (BjDaemon *d, BjStr service, BjAddress a, int slots)
+bj_daemon_announce (BjDaemon *d, BjStr service, BjAddress a, int slots, bool draining)
 {
   bj_str_set (&d->upstream.host, a.host);
   d->upstream.port = a.port;
   d->announced = bj_clock_now ();
   bj_kernel_announce (d->kernel, d->announced, service, slots);
+  bj_kernel_drain (d->kernel, d->announced, BJ_DRAIN_UPSTREAM, draining);
 }
 
 void
 bj_daemon_drain (BjDaemon *d, bool drain)
 {
   d->draining = drain;
-  bj_kernel_drain (d->kernel, bj_clock_now (), drain);
+  bj_kernel_drain (d->kernel, bj_clock_now (), BJ_DRAIN_STOP, drain);
 }
 
 void
@@ -321,16 +325,31 @@
   bj_kernel_upstream_gone (d->kernel, now);
 }
 
+static bool
+is_busy (const BjDaemon *d)
+{
+  return bj_kernel_open_calls (d->kernel) > 0 || bj_front_open (d->front) > 0
+         || !bj_links_is_written (d->links);
+}
+
 static void
 check_stop (BjDaemon *d, BjTime now)
 {
-  if (!d->stopping || (bj_kernel_open_calls (d->kernel) > 0 && now < d->stop_by))
+  if (!d->stopping || now < d->told_by)
+    return;
+  if (!d->is_quiesced)
+    {
+      d->is_quiesced = true;
+      bj_front_quiesce (d->front);
+    }
+  if (is_busy (d) && now < d->stop_by)
     return;
   if (d->flush_by == 0)
     d->flush_by = now + OUTCOME_FLUSH_MS;
   if (bj_outcomes_unwritten (d->outcomes) > 0 && now < MIN (d->flush_by, d->stop_by))
     return;
-  bj_log (BJ_LOG_INFO, "MEMBER", "Stopped, %d calls open.", bj_kernel_open_calls (d->kernel));
+  bj_members_leave (d->members);
+  bj_log (BJ_LOG_INFO, "DRAIN", "Stopped, %d calls open.", bj_kernel_open_calls (d->kernel));
   ev_break (d->loop, EVBREAK_ALL);
 }
 
--- a/src/front.c
+++ b/src/front.c
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define CONNECTIONS_MAX 8192
 #define IDLE_TIMEOUT_S 120
@@ -22,7 +23,9 @@
   struct MHD_Daemon *http;
   ev_io io;
   ev_timer timer;
-  bool is_ready; // MHD_run has something to do
+  bool is_ready;   // MHD_run has something to do
+  bool is_closing; // answers end their connections
+  int n_open;      // requests not yet answered whole
 };
 
 typedef struct
@@ -167,6 +170,39 @@
   return true;
 }
 
+void
+bj_front_close (BjFront *f)
+{
+  f->is_closing = true;
+}
+
+// Takes over the connections that the system has accepted already, then stops listening.
+void
+bj_front_quiesce (BjFront *f)
+{
+  struct sockaddr_storage addr;
+  socklen_t len = sizeof addr;
+  int listening = MHD_quiesce_daemon (f->http);
+  int fd;
+
+  if (listening < 0)
+    return;
+  while ((fd = accept4 (listening, (struct sockaddr *)&addr, &len, SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      MHD_add_connection (f->http, fd, (struct sockaddr *)&addr, len);
+      len = sizeof addr;
+    }
+  close (listening);
+  f->is_ready = true;
+}
+
+int
+bj_front_open (const BjFront *f)
+{
+  return f->n_open;
+}
+
 static void
 on_io (struct ev_loop *loop, ev_io *w, int events)
 {
@@ -209,6 +245,7 @@
 {
   Caller *c = g_new0 (Caller, 1);
 
+  ((BjFront *)front)->n_open++;
   c->sink.ops = &caller_ops;
   c->front = front;
   c->conn = conn;
@@ -275,6 +312,7 @@
   (void)code;
   if (c == NULL)
     return;
+  c->front->n_open--;
   ev_io_stop (c->front->daemon->loop, &c->gone);
   if (c->x != NULL)
     bj_exchange_gone (c->x);
@@ -407,6 +445,8 @@
   relay_headers (r, (BjStr){ c->headers->str, c->headers->len });
   if (!c->front->is_admin)
     add_headers (r, &c->answer);
+  if (c->front->is_closing)
+    MHD_add_response_header (r, "Connection", "close");
   result = MHD_queue_response (c->conn, (unsigned int)c->answer.http_status, r);
   MHD_destroy_response (r);
   return result;
--- a/src/internal.h
+++ b/src/internal.h
@@ -224,8 +224,9 @@
 void bj_links_forget (BjLinks *l, BjPeer *p); // Closes the connection; its open calls are lost
 void
 bj_links_ask_config (BjLinks *l, BjPeer *p, int64_t number); // The text arrives by bj_daemon_config
-void bj_links_notify (BjLinks *l); // Tells every peer the kernel's news of suspects
-void bj_links_flush (BjLinks *l);  // Writes what was queued in this turn
+void bj_links_notify (BjLinks *l);           // Tells every peer the kernel's news of suspects
+void bj_links_flush (BjLinks *l);            // Writes what was queued in this turn
+bool bj_links_is_written (const BjLinks *l); // Nothing queued is left
 
 // ---------------------------------------------------------------------------------------------
 // Front: HTTP from callers and operators through libmicrohttpd
@@ -238,7 +239,10 @@
                        bool is_admin,
                        BjFront **f); // BJ_E_IO when the port is busy
 void bj_front_free (BjFront *f);
-bool bj_front_turn (BjFront *f); // Runs what is ready; true if it did anything
+bool bj_front_turn (BjFront *f);      // Runs what is ready; true if it did anything
+void bj_front_close (BjFront *f);     // Answers end their connections from now on
+void bj_front_quiesce (BjFront *f);   // Takes no new connection from now on
+int bj_front_open (const BjFront *f); // Requests not yet answered whole
 
 // ---------------------------------------------------------------------------------------------
 // Admin: operators' and upstreams' requests to one daemon
@@ -420,7 +424,8 @@
 
 BjStatus bj_members_new (BjDaemon *d, BjMembers **m); // BJ_E_IO when the port is busy
 void bj_members_free (BjMembers *m);
-void bj_members_leave (BjMembers *m); // Tells peers of a planned stop
+void bj_members_tell (BjMembers *m);  // Tells peers at once what changed here
+void bj_members_leave (BjMembers *m); // Tells peers that this daemon is gone
 
 // ---------------------------------------------------------------------------------------------
 // Platform: the object API (plug-in)
@@ -663,6 +668,8 @@
   bool draining;
   bool stopping;
   BjTime stop_by;
+  BjTime told_by; // when all have heard that it stops
+  bool is_quiesced;
   BjTime flush_by; // while stopping, after the last call ended
   struct BjDaemonWatchers *watchers;
 };
@@ -672,6 +679,6 @@
                               const BjRequest *r,
                               BjSink *sink); // From a caller; NULL when already answered
 BjExchange *bj_daemon_arrive_peer (BjDaemon *d, const BjRequest *r, BjStr service, BjSink *sink);
-void bj_daemon_announce (BjDaemon *d, BjStr service, BjAddress a, int slots);
+void bj_daemon_announce (BjDaemon *d, BjStr service, BjAddress a, int slots, bool draining);
 void bj_daemon_drain (BjDaemon *d, bool drain);
 void bj_upstream_start (BjDaemon *d, BjExchange *x); // Runs the call on the own upstream
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -104,7 +104,7 @@
   bj_config_free (old);
   u = bj_config_upstream (c, k->self->report.name);
   if (u != NULL)
-    bj_kernel_drain (k, now, u->drain);
+    bj_kernel_drain (k, now, BJ_DRAIN_TICKET, u->drain);
   bj_guard_configure (k, now);
   bj_log (BJ_LOG_INFO, "TICKET", "Ticket %" G_GINT64_FORMAT " is in force.", c->number);
 }
@@ -308,9 +308,13 @@
 }
 
 void
-bj_kernel_drain (BjKernel *k, BjTime now, bool drain)
+bj_kernel_drain (BjKernel *k, BjTime now, BjDrainReason r, bool drain)
 {
+  int reasons = drain ? k->guard.drain_reasons | (int)r : k->guard.drain_reasons & ~(int)r;
+
   (void)now;
+  k->guard.drain_reasons = reasons;
+  drain = reasons != 0;
   if (k->guard.draining == drain)
     return;
   k->guard.draining = drain;
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -27,9 +27,10 @@
   int top_in_flight;             // calls of the most important class
   double top_demand;             // the same, smoothed over the last second or so
   BjTime top_demand_at;          // when it was smoothed
-  bool draining;
-  int spilled;        // of in_flight, calls from other domains
-  double own_average; // calls of the own domain in flight
+  int drain_reasons;             // set of BjDrainReason
+  bool draining;                 // there is one
+  int spilled;                   // of in_flight, calls from other domains
+  double own_average;            // calls of the own domain in flight
   BjTime averaged;
 } BjGuard;
 
--- a/src/link.c
+++ b/src/link.c
@@ -208,6 +208,19 @@
     }
 }
 
+bool
+bj_links_is_written (const BjLinks *l)
+{
+  GHashTableIter i;
+  gpointer key;
+
+  g_hash_table_iter_init (&i, l->conns);
+  while (g_hash_table_iter_next (&i, &key, NULL))
+    if (((BjConn *)key)->is_connected && ((BjConn *)key)->out.size > ((BjConn *)key)->out_at)
+      return false;
+  return true;
+}
+
 static void
 on_accept (struct ev_loop *loop, ev_io *w, int events)
 {
--- a/src/member.c
+++ b/src/member.c
@@ -109,6 +109,12 @@
   g_free (m);
 }
 
+void
+bj_members_tell (BjMembers *m)
+{
+  bj_swim_tick (m->swim, bj_clock_now ());
+}
+
 void
 bj_members_leave (BjMembers *m)
 {
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -66,8 +66,8 @@
 static GQueue waiting = G_QUEUE_INIT;
 static const char *service, *admin_address, *front_address, *next_path;
 static int port, announced_port, in_flight;
-static gint64 service_us, slots = 16, announced_slots, mute, shed, cold_ms, cold_from_ms, n_shed,
-                          n_run, load_lag_ms, load_claim = -1;
+static gint64 service_us, slots = 16, announced_slots, mute, draining, shed, cold_ms, cold_from_ms,
+                          n_shed, n_run, load_lag_ms, load_claim = -1;
 static double loads[LOADS_MAX]; // ring of the loads at past announcements
 static guint n_loads;
 
@@ -277,6 +277,7 @@
               { "mute", &mute },
               { "shed", &shed },
               { "cold_ms", &cold_ms },
+              { "draining", &draining },
               { "load_lag_ms", &load_lag_ms },
               { "load_claim", &load_claim } };
   const char *value = MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, "value");
@@ -529,12 +530,13 @@
   url = g_strdup_printf ("http://%s/v1/announce", admin_address);
   body = g_strdup_printf (
       "{\"service\":\"%s\",\"host\":\"127.0.0.1\",\"port\":%d,\"slots\":%" G_GINT64_FORMAT
-      ",\"load\":%.2f,\"healthy\":%s}",
+      ",\"load\":%.2f,\"healthy\":%s,\"draining\":%s}",
       service,
       announced_port,
       announced_slots,
       load,
-      load > 1 ? "false" : "true");
+      load > 1 ? "false" : "true",
+      draining != 0 ? "true" : "false");
   bj_http_start (http,
                  &(BjHttpOptions){
                      .method = "POST",
