--- a/src/config.h
+++ b/src/config.h
@@ -40,6 +40,7 @@
 #define BJ_SKIP_MS 500               // a failed peer gets no call for this long
 #define BJ_WATCH_MS 10000            // one long poll at the platform
 #define BJ_DRAIN_MS 30000            // longest wait of a stop for open calls
+#define BJ_DRAIN_TELL_MS 2000        // from a stop until no caller or peer sends new work
 #define BJ_PLATFORM_TIMEOUT_MS 2000  // of one platform call that is not a watch
 #define BJ_RETRY_AFTER_MIN_MS 100    // shortest time to come back
 #define BJ_RETRY_AFTER_MAX_MS 10000  // longest time to come back, preferring goodput
@@ -53,6 +54,7 @@
 #define BJ_QUEUE_GOODPUT_WAIT_MS 300 // the same when goodput is preferred
 #define BJ_QUEUE_MAX_LENGTH 4096     // calls, a bound on memory only
 #define BJ_SPILL_SHARE 0.8           // of a daemon's spare capacity that other domains may use
+#define BJ_LIMIT_MAX 1000000         // in flight, of a limiter without a limit
 #define BJ_LIMIT_MIN 1               // in flight, whatever happens
 
 // Configuration
