--- a/src/bjbench/bjbench.h
+++ b/src/bjbench/bjbench.h
@@ -159,6 +159,7 @@
 
 int scenario_load (int argc, char **argv);
 int scenario_overhead (int argc, char **argv);
+int scenario_decisions (int argc, char **argv);
 int scenario_overload (int argc, char **argv);
 int scenario_recovery (int argc, char **argv);
 int scenario_domain_loss (int argc, char **argv);
--- a/src/bjbench/main.c
+++ b/src/bjbench/main.c
@@ -15,6 +15,7 @@
     scenario_overhead },
   { "overload", "one guard at 1, 2, 5 and 10 times its capacity, in process", scenario_overload },
   { "recovery", "one guard after a surge at 5 times its capacity, in process", scenario_recovery },
+  { "decisions", "time and memory of one kernel by daemons known, in process", scenario_decisions },
   { "domain-loss", "a domain goes and its callers spill to the others", scenario_domain_loss },
   { "cold-start", "one upstream joins cold, one fails", scenario_cold_start },
   { "claims", "false refusals of old keys against claims kept, in process", scenario_claims },
