--- a/tests/spread.sh
+++ b/tests/spread.sh
@@ -24,13 +24,27 @@
 
 stat() { curl -s "$platform/control/stats" | sed "s/.*\"$1\":\([0-9]*\).*/\1/"; }
 
+urls=$(awk '$1 != "platform" { print "http://127.0.0.1:" $6 "/v1/status" }' "$BJ_FLEET")
+lagging() { # shellcheck disable=SC2086
+  echo $((daemons - $(curl -s $urls | grep -c "\"ticket\":$1[,}]" || true)))
+}
+
+# Filed, then every daemon is asked directly; then one daemon is asked what it knows of the others.
 for ((n = 2; n <= tickets + 1; n++)); do
   printf '{"number":%d,"base":%d,"upstreams":{"d%d":{"max_slots":%d}}}' \
     "$n" "$((n - 1))" "$((n % daemons))" "$n" >"$work/ticket.json"
-  "$build/bjctl" --platform "$platform" --admin "$admin" --wait 20 file "$work/ticket.json"
-done | sed -n 's/.*after \([0-9.]*\) s\.$/\1/p' | sort -n >"$work/seconds"
-awk -v d="$daemons" '{ s[NR] = $1 } END {
-  printf "daemons=%d tickets=%d in_force_s_median=%s in_force_s_max=%s\n", d, NR, s[int((NR + 1) / 2)], s[NR] }' "$work/seconds"
+  "$build/bjctl" --platform "$platform" file "$work/ticket.json" >/dev/null
+  begun=$EPOCHREALTIME
+  while [ "$(lagging "$n")" -gt 0 ]; do sleep 0.02; done
+  in_force=$EPOCHREALTIME
+  until "$build/bjctl" --admin "$admin" in-force >/dev/null; do sleep 0.05; done
+  echo "$begun $in_force $EPOCHREALTIME"
+done >"$work/seconds"
+figures() { # column, name
+  awk -v c="$1" '{ print $c - $1 }' "$work/seconds" | sort -n | awk -v name="$2" '{ s[NR] = $1 } END {
+    printf "%s_s_median=%.2f %s_s_max=%.2f ", name, s[int((NR + 1) / 2)], name, s[NR] }'
+}
+echo "daemons=$daemons tickets=$tickets $(figures 2 in_force)$(figures 3 known)"
 
 reads=$(stat reads)
 watches=$(stat watches)
