quarantine: a run that began after a crash is lost to another crash

Cause: an upstream that was started again within 100 ms of its crash and crashed on the same suspect counted as the same crash, so the poison ran a third time. Ruled out: late notices (the sends were hundreds of ms apart), other exits.

Change: a run that started after the crash opens a new one.

--- a/src/kernel.c
+++ b/src/kernel.c
@@ -237,7 +237,7 @@
   if (c->state == BJ_CALL_RUNNING && s == BJ_E_LOST && o == BJ_UNKNOWN)
     {
       a.code = BJ_E_CRASHED;
-      if (bj_quarantine_crashed (k->quarantine, now, c->fingerprint) == BJ_QUARANTINED)
+      if (bj_quarantine_crashed (k->quarantine, now, c->fingerprint, c->started) == BJ_QUARANTINED)
         a.code = BJ_E_QUARANTINED;
     }
   leave_state (k, now, c, s);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -54,7 +54,8 @@
                           bool has_answer); // An answer releases a suspect
 BjSuspicion bj_quarantine_crashed (BjQuarantine *q,
                                    BjTime now,
-                                   uint64_t fingerprint); // Its upstream died while it ran
+                                   uint64_t fingerprint,
+                                   BjTime started); // Its upstream died while it ran
 void bj_quarantine_merge (BjQuarantine *q, BjTime now, const BjNotice *n); // From a peer
 void bj_quarantine_take (BjQuarantine *q, GArray *notices);                // News for peers
 void bj_quarantine_list (BjQuarantine *q, BjTime now, GArray *notices);    // All that is in force
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -112,12 +112,13 @@
 }
 
 BjSuspicion
-bj_quarantine_crashed (BjQuarantine *q, BjTime now, uint64_t fingerprint)
+bj_quarantine_crashed (BjQuarantine *q, BjTime now, uint64_t fingerprint, BjTime started)
 {
   BjNotice n = { fingerprint, BJ_SUSPECT, BJ_SUSPECT_LIFETIME_MS };
   const Entry *e = find (q, now, fingerprint);
 
-  if (now - q->crash_at > CRASH_WINDOW_MS)
+  // A run that began since belongs to an upstream that was started again.
+  if (now - q->crash_at > CRASH_WINDOW_MS || started > q->crash_at)
     {
       q->crash++;
       q->crash_at = now;
