--- /dev/null
+++ b/examples/member/member.c
@@ -0,0 +1,79 @@
+// Drives the membership without a socket: one daemon hears of another, which then falls silent.
+
+#include "internal.h"
+#include <stdio.h>
+
+static const char *const kinds[BJ_DATAGRAM_KINDS]
+    = { "", "ping", "ack", "ping-ask", "news", "records", "digest", "stale" };
+
+static void
+send (BjSwimHost *h, const BjDatagram *d)
+{
+  (void)h;
+  printf ("send     %s to %.*s:%d\n", kinds[d->kind], BJ_STR_ARG (d->to_host), d->to_port);
+}
+
+static void
+changed (BjSwimHost *h, const BjMember *m)
+{
+  (void)h;
+  printf ("changed  %.*s\n", BJ_STR_ARG (m->report.name));
+}
+
+static void
+gone (BjSwimHost *h, const BjMember *m)
+{
+  (void)h;
+  printf ("gone     %.*s\n", BJ_STR_ARG (m->report.name));
+}
+
+static void
+refresh (BjSwimHost *h, BjPeerReport *self)
+{
+  (void)h;
+  self->in_flight = 3;
+}
+
+static void
+incarnation (BjSwimHost *h, uint64_t new_value)
+{
+  (void)h;
+  printf ("grown    to %" G_GUINT64_FORMAT "\n", new_value);
+}
+
+static BjPeerReport
+report (const char *name, int port)
+{
+  return (BjPeerReport){ .name = bj_str (name),
+                         .domain = BJ_STR ("north-a"),
+                         .region = BJ_STR ("north"),
+                         .host = BJ_STR ("127.0.0.1"),
+                         .link_port = port,
+                         .gossip_host = BJ_STR ("127.0.0.1"),
+                         .gossip_port = port,
+                         .incarnation = 1,
+                         .version = 1 };
+}
+
+int
+main (void)
+{
+  static const BjSwimHostOps ops = { send, changed, gone, refresh, incarnation };
+  BjSwimHost host = { &ops };
+  BjSwimOptions o = {
+    .self = report ("one", 7001), .bound = { BJ_STR ("127.0.0.1"), 7001 }, .host = &host, .seed = 1
+  };
+  BjSwim *s = bj_swim_new (&o, 0);
+  BjDatagram news = { .kind = BJ_DATAGRAM_NEWS,
+                      .sequence = 1,
+                      .to_host = BJ_STR ("127.0.0.1"),
+                      .to_port = 7001,
+                      .self = { .kind = BJ_UPDATE_FULL, .report = report ("two", 7002) } };
+
+  bj_swim_receive (s, 0, &news);
+  for (int ms = 0; ms <= 5000; ms += BJ_SWIM_TICK_MS)
+    bj_swim_tick (s, ms);
+  printf ("members  %d\n", bj_swim_count (s));
+  bj_swim_free (s);
+  return 0;
+}
