--- a/examples/member/member.c
+++ b/examples/member/member.c
@@ -7,7 +7,7 @@
     = { "", "ping", "ack", "ping-ask", "news", "records", "digest", "stale" };
 
 static void
-send (BjSwimHost *h, const BjDatagram *d)
+send_datagram (BjSwimHost *h, const BjDatagram *d)
 {
   (void)h;
   printf ("send     %s to %.*s:%d\n", kinds[d->kind], BJ_STR_ARG (d->to_host), d->to_port);
@@ -58,7 +58,7 @@
 int
 main (void)
 {
-  static const BjSwimHostOps ops = { send, changed, gone, refresh, incarnation };
+  static const BjSwimHostOps ops = { send_datagram, changed, gone, refresh, incarnation };
   BjSwimHost host = { &ops };
   BjSwimOptions o = {
     .self = report ("one", 7001), .bound = { BJ_STR ("127.0.0.1"), 7001 }, .host = &host, .seed = 1
