datagram: bounds are checked before msgpack-c reserves memory

The check was lost when the membership was written anew. Shown failing first: build-asan/test_member aborts (256 GiB asked for). After: passes, and build-asan/test_fleet_input with a datagram that claims 4 billion fields.

--- a/src/datagram.c
+++ b/src/datagram.c
@@ -67,7 +67,8 @@
   const msgpack_object *o;
   bool failed = false;
 
-  if (msgpack_unpack_next (keep, bytes.data, bytes.len, &at) != MSGPACK_UNPACK_SUCCESS
+  if (!bj_msgpack_is_bounded (bytes)
+      || msgpack_unpack_next (keep, bytes.data, bytes.len, &at) != MSGPACK_UNPACK_SUCCESS
       || at != bytes.len || !open_array (&keep->data, FIELDS, &in))
     return bj_fail (BJ_E_FORMAT, "A datagram is not an array of %d fields.", FIELDS);
   if (read_uint (&in, UINT64_MAX) != BJ_PROTOCOL_VERSION || in.failed)
