--- a/src/bjbench/cold.c
+++ b/src/bjbench/cold.c
@@ -59,7 +59,7 @@
   load_trace_sum (t, 0, JOIN_MS, FAIL_MS, &sum);
   figure (&s.figures, bj_hist_quantile (&sum.latency, 0.99), "join_p99_ms");
   for (int ms = 0; ms < FAIL_MS - JOIN_MS; ms += SAMPLE_MS)
-    figure (&s.figures, share (&s, t, JOINING, JOIN_MS + ms), "joined_share_%d_ms", ms);
+    figure (&s.figures, share (&s, t, JOINING, JOIN_MS + ms), "joined_share_%04d_ms", ms);
   load_trace_free (t);
   return scene_close (&s);
 }
