Shedding level: fronts refuse early what guards below would refuse, one cohort an action; older links closed

Change: a guard's level (ranks shed, class first, then cohort) rises with the share of a 100 ms window refused for load and falls without refusals; it travels on every answer, the highest below included; fronts learn it by route and refuse work of those ranks before a hop. One cohort an action: from its key, else drawn at the first front, passed in frames and to calls made for a guard call. Levels fade 300 ms after the last answer and are gone 1 s later. Irreversible work and the first class are never shed early. Besides: a HELLO closes the sender's older connections, so that a late first CALL can't begin a call that was sent again (noticed by reading); a resting link is pinged once, not once a call, before it counts as silent.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -176,6 +176,7 @@
   x->source = source;
   bj_outcomes_begin (x, a);
   relayed.attempts_left = x->call->attempts_left;
+  relayed.level = bj_kernel_level (x->daemon->kernel, bj_clock_now (), x->call);
   if (x->sink != NULL)
     x->sink->ops->begin (x->sink, &relayed);
 }
--- a/src/frame.c
+++ b/src/frame.c
@@ -195,6 +195,7 @@
   msgpack_pack_double (p, r->deadline_ms);
   msgpack_pack_int (p, r->attempts_left);
   msgpack_pack_int (p, r->depth);
+  msgpack_pack_uint64 (p, r->cohort);
   r->irreversible ? msgpack_pack_true (p) : msgpack_pack_false (p);
 }
 
@@ -225,7 +226,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 13,  [BJ_FRAME_ANSWER] = 9, [BJ_FRAME_DATA] = 1,
+    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 14,  [BJ_FRAME_ANSWER] = 9, [BJ_FRAME_DATA] = 1,
     [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_NOTICE] = 3, [BJ_FRAME_CONFIG] = 1,
   };
 
@@ -287,6 +288,8 @@
   r->deadline_ms = read_double (in);
   r->attempts_left = (int)read_int (in);
   r->depth = (int)read_int (in);
+  r->cohort = (uint32_t)read_uint (in);
+  r->has_cohort = true;
   r->irreversible = read_bool (in);
 }
 
--- a/src/guard.c
+++ b/src/guard.c
@@ -63,6 +63,7 @@
       bj_call_refuse (k, now, c, &a);
       return;
     }
+  bj_level_offered (k, now, false);
   if (c->request.is_spilled && !c->irreversible && !bj_spill_admit (k, now))
     {
       a = bj_guard_refusal (k, now, BJ_E_OVERLOAD, c->klass);
@@ -193,6 +194,7 @@
 {
   BjAnswer a = bj_guard_refusal (k, now, s, c->klass);
 
+  bj_level_offered (k, now, true);
   if (c->irreversible && s == BJ_E_OVERLOAD)
     k->guard.admitted_klass = MIN (k->guard.admitted_klass, c->klass);
   bj_call_refuse (k, now, c, &a);
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -9,6 +9,7 @@
   60000 // an irreversible call may run on this long after its caller was answered
 
 static BjCall *new_call (BjKernel *k, BjTime now, const BjRequest *r, void *data);
+static uint32_t cohort_of (BjKernel *k, const BjRequest *r);
 static void end_call (BjKernel *k, BjCall *c);
 static void set_deadline (BjKernel *k, BjCall *c, BjTime deadline);
 static gint by_deadline (gconstpointer a, gconstpointer b, gpointer data);
@@ -39,6 +40,7 @@
   k->deadlines = g_sequence_new (NULL);
   k->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   k->quarantine = bj_quarantine_new ();
+  bj_level_init (&k->level);
   k->guard.admitted_klass = BJ_CLASSES;
   k->self = g_new0 (BjPeer, 1);
   k->self->is_self = true;
@@ -72,6 +74,7 @@
       bj_str_free (&k->ring[i].key);
       g_free (k->ring[i].text);
     }
+  bj_level_clear (&k->level);
   g_hash_table_destroy (k->calls);
   g_hash_table_destroy (k->services);
   g_hash_table_destroy (k->peers);
@@ -150,6 +153,13 @@
   c->fingerprint = bj_quarantine_fingerprint (s->name, &c->request);
   if (refuse_quarantined (k, now, c))
     return NULL;
+  c->route = bj_str_hash (route->prefix);
+  if (bj_level_sheds (k, now, c))
+    {
+      bj_kernel_note (k, now, c, "ROUTE", "Shed early, its upstreams refuse work of its rank");
+      answer (k, now, c, bj_guard_refusal (k, now, BJ_E_OVERLOAD, c->klass));
+      return NULL;
+    }
   c->service->retry->ops->fresh (c->service->retry, now);
   c->state = BJ_CALL_CLAIMING;
   if (c->irreversible)
@@ -204,6 +214,8 @@
   BjAnswer copy = *a;
 
   bj_allowance_answered (c, a);
+  if (c->state == BJ_CALL_SENT)
+    bj_level_learn (k, now, c, a->level);
   if (a->outcome != BJ_NOT_RUN)
     c->may_have_run = true;
   learn_suspicion (k, now, c, a->code);
@@ -445,12 +457,27 @@
   c->arrived = now;
   c->data = data;
   copy_request (&c->request, r);
-  c->cohort = (uint32_t)bj_str_hash (r->key.len > 0 ? r->key : r->path);
+  c->cohort = cohort_of (k, r);
   g_hash_table_insert (k->calls, &c->id, c);
   set_deadline (k, c, now + BJ_DEADLINE_MS);
   return c;
 }
 
+// A call made for a guard call is part of its action.
+static uint32_t
+cohort_of (BjKernel *k, const BjRequest *r)
+{
+  const BjCall *parent = NULL;
+
+  if (r->has_cohort)
+    return r->cohort;
+  if (r->parent != 0)
+    parent = g_hash_table_lookup (k->calls, &r->parent);
+  if (parent != NULL)
+    return parent->cohort;
+  return r->key.len > 0 ? (uint32_t)bj_str_hash (r->key) : g_rand_int (k->rand);
+}
+
 static void
 end_call (BjKernel *k, BjCall *c)
 {
@@ -651,6 +678,8 @@
                   bj_status_name (a.code),
                   bj_outcome_name (a.outcome),
                   a.retry_after_ms);
+  if (c->service != NULL)
+    a.level = bj_level_told (k, now, c);
   bj_count_answer (k, c, a.code, a.outcome);
   k->host->ops->answer (k->host, c, &a);
   end_call (k, c);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -72,6 +72,15 @@
   uint64_t codes[BJ_CODES_MAX]; // the layer's own answers
 } BjCounts;
 
+typedef struct
+{
+  double own;          // ranks shed, by what this guard refused
+  int n_offered;       // calls in this window
+  int n_refused;       // of them, for load
+  BjTime window_from;
+  GHashTable *learned; // by route, from the answers of others
+} BjLevel;
+
 struct BjKernel
 {
   BjHost *host;
@@ -85,6 +94,7 @@
   BjGuard guard;
   BjQuarantine *quarantine;
   BjCounts counts;
+  BjLevel level;
   uint64_t next_id;
   BjDecision ring[BJ_RING_SIZE];
   guint ring_next;
@@ -110,6 +120,14 @@
 void bj_allowance_hand (BjCall *c);                        // To the daemon that c is sent to
 void bj_allowance_answered (BjCall *c, const BjAnswer *a); // Takes back what was not used
 
+// Level
+void bj_level_init (BjLevel *l);
+void bj_level_clear (BjLevel *l);
+void bj_level_offered (BjKernel *k, BjTime now, bool refused); // Guard: a call came, or was refused for load
+int bj_level_told (BjKernel *k, BjTime now, const BjCall *c);  // Guard: level for the answer to c
+void bj_level_learn (BjKernel *k, BjTime now, const BjCall *c, int level); // Front: an answer to c told it
+bool bj_level_sheds (BjKernel *k, BjTime now, const BjCall *c); // Front: c is to be refused before a hop
+
 // Guard
 void bj_guard_configure (BjKernel *k, BjTime now); // After an announcement or a configuration
 void bj_guard_admit (BjKernel *k, BjTime now, BjCall *c);         // Run, queue or refuse
--- a/src/link.c
+++ b/src/link.c
@@ -39,6 +39,7 @@
 static void notify_peer (BjPeer *p, void *data);
 static bool is_signed (const BjConn *c, const BjFrame *f);
 static bool handle_hello (BjConn *c, const BjFrame *f);
+static void close_older (BjConn *c);
 static void handle_config_ask (BjConn *c, const BjFrame *f);
 
 static BjCounter n_unmatched
@@ -312,6 +313,8 @@
     return true;
   if (!is_open)
     return now - c->heard < BJ_IDLE_MS;
+  if (c->n_pings > 0 && now - c->pinged < BJ_PING_MS)
+    return true;
   if (c->n_pings >= PINGS_MAX)
     {
       n_silent.value++;
@@ -322,6 +325,7 @@
       return false;
     }
   c->n_pings++;
+  c->pinged = now;
   bj_conn_send (c, &ping);
   return true;
 }
@@ -590,12 +594,31 @@
   if (!c->is_dialled)
     {
       c->peer = bj_str_dup (f->name);
+      close_older (c);
       send_hello (c);
     }
   send_suspects (c);
   return true;
 }
 
+// A daemon dials one connection at a time, so the ones before it are dead to it: what they still carry
+// must not begin a call that was sent again here.
+static void
+close_older (BjConn *c)
+{
+  GList *all = g_hash_table_get_keys (c->links->conns);
+
+  for (GList *i = all; i != NULL; i = i->next)
+    {
+      BjConn *other = i->data;
+
+      if (other != c && !other->is_dialled && other->peer_incarnation == c->peer_incarnation
+          && bj_str_equal (other->peer, c->peer))
+        close_conn (other, BJ_E_LOST);
+    }
+  g_list_free (all);
+}
+
 static void
 handle_config_ask (BjConn *c, const BjFrame *f)
 {
--- a/src/outgoing.c
+++ b/src/outgoing.c
@@ -116,6 +116,7 @@
   f.request.deadline_ms = MAX (1, call->deadline - bj_clock_now () - BJ_HOP_MS);
   f.request.attempts_left = call->attempts_handed;
   f.request.depth = call->request.depth + 1;
+  f.request.cohort = call->cohort;
   bj_conn_send (c, &f);
 }
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -121,6 +121,7 @@
 
   self->limit = k->guard.limiter != NULL ? bj_guard_limit (k, now) : 0;
   self->in_flight = k->guard.in_flight;
+  self->level = (int)k->level.own;
   self->queued = k->guard.queue != NULL ? k->guard.queue->ops->length (k->guard.queue) : 0;
   self->draining = k->guard.draining;
   self->config_number = k->config != NULL ? k->config->number : 0;
