--- a/src/boraged/main.c
+++ b/src/boraged/main.c
@@ -48,6 +48,7 @@
   if (bj_settings_read (path, &s) != BJ_OK)
     {
       fprintf (stderr, "boraged: %s\n", bj_last_message ());
+      arg_freetable (table, G_N_ELEMENTS (table));
       return EXIT_SETTINGS;
     }
   code = check->count > 0 ? 0 : run (&s);
