A daemon without a configuration answers 503 with when to come back, not 404; failed starts free all

Shown failing first: test_before_the_first_configuration with the line reverted gives 404. A failed start of boraged leaked its tables, which under ASan turned exit code 2 into 1 (test_bad_keys, test_fleet_settings).

--- a/src/boraged/main.c
+++ b/src/boraged/main.c
@@ -9,6 +9,8 @@
 
 #define EXIT_SETTINGS 2
 
+static void print_help (void **table);
+static int start (const char *path, bool only_check);
 static int run (const BjSettings *s);
 static void on_stop (struct ev_loop *loop, ev_signal *w, int events);
 
@@ -22,38 +24,49 @@
   struct arg_end *end = arg_end (4);
   void *table[] = { config, check, help, version, end };
   int n_errors = arg_parse (argc, argv, table);
-  const char *path = check->count > 0 ? check->filename[0] : config->filename[0];
-  BjSettings s;
-  int code;
+  int code = 0;
 
   if (help->count > 0)
-    {
-      printf ("Usage: boraged");
-      arg_print_syntax (stdout, table, "\n");
-      printf ("Overload control daemon beside one upstream instance.\n\n");
-      arg_print_glossary (stdout, table, "  %-26s %s\n");
-      return 0;
-    }
-  if (version->count > 0)
-    {
-      printf ("boraged %s\n", BJ_VERSION);
-      return 0;
-    }
-  if (n_errors > 0 || config->count + check->count != 1)
+    print_help (table);
+  else if (version->count > 0)
+    printf ("boraged %s\n", BJ_VERSION);
+  else if (n_errors > 0 || config->count + check->count != 1)
     {
       arg_print_errors (stderr, end, "boraged");
       fprintf (stderr, "boraged: one of --config FILE and --check-config FILE is needed.\n");
-      return EXIT_SETTINGS;
+      code = EXIT_SETTINGS;
     }
+  else if (check->count > 0)
+    code = start (check->filename[0], true);
+  else
+    code = start (config->filename[0], false);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
+}
+
+static void
+print_help (void **table)
+{
+  printf ("Usage: boraged");
+  arg_print_syntax (stdout, table, "\n");
+  printf ("Overload control daemon beside one upstream instance.\n\n");
+  arg_print_glossary (stdout, table, "  %-26s %s\n");
+}
+
+static int
+start (const char *path, bool only_check)
+{
+  BjSettings s;
+  int code = 0;
+
   if (bj_settings_read (path, &s) != BJ_OK)
     {
       fprintf (stderr, "boraged: %s\n", bj_last_message ());
-      arg_freetable (table, G_N_ELEMENTS (table));
       return EXIT_SETTINGS;
     }
-  code = check->count > 0 ? 0 : run (&s);
+  if (!only_check)
+    code = run (&s);
   bj_settings_clear (&s);
-  arg_freetable (table, G_N_ELEMENTS (table));
   return code;
 }
 
@@ -69,6 +82,8 @@
   if (bj_daemon_new (loop, s, &d) != BJ_OK)
     {
       fprintf (stderr, "boraged: %s\n", bj_last_message ());
+      ev_loop_destroy (loop);
+      curl_global_cleanup ();
       return EXIT_SETTINGS;
     }
   bj_log_open (s->log_level);
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -241,8 +241,8 @@
   int attempts_handed; // to the daemon it was sent to
   int attempts_before; // attempts_left and attempts_handed when it was last sent
   uint32_t cohort;     // hash of the action, the same on every hop
-  uint64_t route;           // hash of the prefix that its path matched
-  int level;                // highest admission level below, for calls made for it
+  uint64_t route;      // hash of the prefix that its path matched
+  int level;           // highest admission level below, for calls made for it
   BjPeer *target;      // where it was sent
   BjPeer *tried[BJ_TRIED_MAX];
   int n_tried;
@@ -706,8 +706,10 @@
 bj_kernel_explain (const BjKernel *k, BjStr key, GString *out); // Recent decisions about an action
 void
 bj_kernel_metrics (BjKernel *k, BjTime now, GString *out); // Text exposition of calls, limit, queue
-int bj_kernel_level (BjKernel *k, BjTime now, const BjCall *c); // Admission level to tell with the answer to c
-BjPeer *bj_kernel_find_peer (BjKernel *k, BjStr name);     // NULL when unknown
+int bj_kernel_level (BjKernel *k,
+                     BjTime now,
+                     const BjCall *c); // Admission level to tell with the answer to c
+BjPeer *bj_kernel_find_peer (BjKernel *k, BjStr name); // NULL when unknown
 void
 bj_kernel_each_peer (BjKernel *k, void (*fn) (BjPeer *p, void *data), void *data); // In no order
 
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -130,10 +130,13 @@
   c->is_front = true;
   if (route == NULL)
     {
+      // Before the first configuration nobody knows whether there is a route.
       answer (k,
               now,
               c,
-              (BjAnswer){ .code = BJ_E_NO_ROUTE, .outcome = BJ_NOT_RUN, .attempts_left = -1 });
+              (BjAnswer){ .code = k->config != NULL ? BJ_E_NO_ROUTE : BJ_E_NO_UPSTREAM,
+                          .outcome = BJ_NOT_RUN,
+                          .attempts_left = -1 });
       return NULL;
     }
   c->service = bj_kernel_service (k, s->name);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -74,9 +74,9 @@
 
 typedef struct
 {
-  double own;          // ranks shed, by what this guard refused
-  int n_offered;       // calls in this window
-  int n_refused;       // of them, for load
+  double own;    // ranks shed, by what this guard refused
+  int n_offered; // calls in this window
+  int n_refused; // of them, for load
   BjTime window_from;
   GHashTable *learned; // by route, from the answers of others
 } BjLevel;
@@ -123,10 +123,16 @@
 // Level
 void bj_level_init (BjLevel *l);
 void bj_level_clear (BjLevel *l);
-void bj_level_offered (BjKernel *k, BjTime now, bool refused); // Guard: a call came, or was refused for load
-int bj_level_told (BjKernel *k, BjTime now, const BjCall *c);  // Guard: level for the answer to c
-void bj_level_learn (BjKernel *k, BjTime now, const BjCall *c, int level); // Front: an answer to c told it
-bool bj_level_sheds (BjKernel *k, BjTime now, const BjCall *c); // Front: c is to be refused before a hop
+void bj_level_offered (BjKernel *k,
+                       BjTime now,
+                       bool refused); // Guard: a call came, or was refused for load
+int bj_level_told (BjKernel *k, BjTime now, const BjCall *c); // Guard: level for the answer to c
+void bj_level_learn (BjKernel *k,
+                     BjTime now,
+                     const BjCall *c,
+                     int level); // Front: an answer to c told it
+bool
+bj_level_sheds (BjKernel *k, BjTime now, const BjCall *c); // Front: c is to be refused before a hop
 
 // Guard
 void bj_guard_configure (BjKernel *k, BjTime now); // After an announcement or a configuration
--- a/src/level.c
+++ b/src/level.c
@@ -1,19 +1,20 @@
-// Level: how much of the work a guard sheds, told upwards on every answer so that fronts refuse it before a
-// hop is spent. Ranks order the work, class first, then the cohort of the action; a level is the number of
-// ranks shed from the lowest upwards. An action has one cohort on its whole chain and lives or dies as a whole.
+// Level: how much of the work a guard sheds, told upwards on every answer so that fronts refuse it
+// before a hop is spent. Ranks order the work, class first, then the cohort of the action; a level
+// is the number of ranks shed from the lowest upwards. An action has one cohort on its whole chain
+// and lives or dies as a whole.
 
 #include "kernel.h"
 
 #define COHORTS 256
-#define WINDOW_MS 100       // between two changes of the own level
-#define CALLS_MIN 5         // in a window, to judge it
-#define REFUSED_SHARE 0.05  // of a window's calls, below which the level does not rise
-#define RISE 64.0           // ranks for a window whose calls were all refused
-#define FALL_MIN 8.0        // ranks for a window without refusals
-#define FALL_SHARE 0.1      // of the level, for the same
-#define LEARN_WEIGHT 0.2    // of the newest answer
-#define FRESH_MS 300        // a learned level that is older falls
-#define FADE_MS 1000        // and is gone after this long more
+#define WINDOW_MS 100      // between two changes of the own level
+#define CALLS_MIN 5        // in a window, to judge it
+#define REFUSED_SHARE 0.05 // of a window's calls, below which the level does not rise
+#define RISE 64.0          // ranks for a window whose calls were all refused
+#define FALL_MIN 8.0       // ranks for a window without refusals
+#define FALL_SHARE 0.1     // of the level, for the same
+#define LEARN_WEIGHT 0.2   // of the newest answer
+#define FRESH_MS 300       // a learned level that is older falls
+#define FADE_MS 1000       // and is gone after this long more
 
 typedef struct
 {
--- a/src/link.c
+++ b/src/link.c
@@ -601,8 +601,8 @@
   return true;
 }
 
-// A daemon dials one connection at a time, so the ones before it are dead to it: what they still carry
-// must not begin a call that was sent again here.
+// A daemon dials one connection at a time, so the ones before it are dead to it: what they still
+// carry must not begin a call that was sent again here.
 static void
 close_older (BjConn *c)
 {
--- a/tests/test_outcome.c
+++ b/tests/test_outcome.c
@@ -172,11 +172,31 @@
     run_case (&cases[i]);
 }
 
+// A daemon that has just started can't know that there is no route.
+static void
+test_before_the_first_configuration (void **state)
+{
+  Host h = { .host = { &host_ops } };
+  BjKernelOptions o = { .self = { .name = BJ_STR ("me") }, .host = &h.host, .seed = 1 };
+  BjRequest r
+      = { .method = BJ_STR ("GET"), .path = BJ_STR ("/x"), .klass = -1, .attempts_left = -1 };
+  BjKernel *k = bj_kernel_new (&o, 0);
+
+  (void)state;
+  bj_kernel_arrive (k, 0, &r, NULL);
+  assert_int_equal (h.n_answers, 1);
+  assert_int_equal (h.told.http_status, 503);
+  assert_int_equal (h.told.outcome, BJ_NOT_RUN);
+  assert_true (h.told.retry_after_ms > 0);
+  bj_kernel_free (k);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cases),
+    cmocka_unit_test (test_before_the_first_configuration),
   };
 
   bj_log_open (BJ_LOG_ERROR);
