--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -11,8 +11,9 @@
 // id, executions. POST /control/<what>?value=N sets service_us, slots, announced_slots, mute (no
 // announcements), shed (refuse everything), cold_ms (ten times the service time for so long from
 // now), load_lag_ms (announced load is so old), load_claim (percent announced instead of the load,
-// -1 for the truth), retries (of a deeper call that failed; where its answer says how many attempts
-// are left, no more than these). With --record a line "key id" is appended to FILE before each run,
+// -1 for the truth), status (of every answer, 0 for 200), retries (of a deeper call that failed;
+// where its answer says how many attempts are left, no more than these). With --record a line "key
+// id" is appended to FILE before each run,
 // "-" for no key, so that what ran is known after the process was killed.
 
 #include <argtable2.h>
@@ -70,7 +71,7 @@
 static const char *service, *admin_address, *front_address, *next_path;
 static int port, announced_port, in_flight;
 static gint64 service_us, slots = 16, announced_slots, mute, draining, shed, cold_ms, cold_from_ms,
-                          n_shed, n_run, load_lag_ms, load_claim = -1, retries;
+                          n_shed, n_run, load_lag_ms, load_claim = -1, retries, fail_status;
 static double loads[LOADS_MAX]; // ring of the loads at past announcements
 static guint n_loads;
 
@@ -284,7 +285,8 @@
               { "draining", &draining },
               { "load_lag_ms", &load_lag_ms },
               { "load_claim", &load_claim },
-              { "retries", &retries } };
+              { "retries", &retries },
+              { "status", &fail_status } };
   const char *value = MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, "value");
   char text[128];
 
@@ -338,6 +340,8 @@
   r->is_started = true;
   r->arrived_ms = now_ms ();
   r->wanted_status = status != NULL ? (int)g_ascii_strtoll (status, NULL, 10) : 200;
+  if (fail_status > 0)
+    r->wanted_status = (int)fail_status;
   g_snprintf (r->id, sizeof r->id, "%s ", id != NULL ? id : "none");
   r->size = bytes != NULL ? g_ascii_strtoull (bytes, NULL, 10) : 64;
   if (shed)
