--- /dev/null
+++ b/src/call.c
@@ -0,0 +1,95 @@
+// Call: the record of a call from its arrival to its end, its deadline and its cohort.
+
+#include "kernel.h"
+
+static uint32_t cohort_of (BjKernel *k, const BjRequest *r);
+static gint by_deadline (gconstpointer a, gconstpointer b, gpointer data);
+static void copy_request (BjRequest *to, const BjRequest *from);
+static void clear_request (BjRequest *r);
+
+BjCall *
+bj_call_new (BjKernel *k, BjTime now, const BjRequest *r, void *data)
+{
+  BjCall *c = g_new0 (BjCall, 1);
+
+  c->id = ++k->next_id;
+  c->state = BJ_CALL_NEW;
+  c->arrived = now;
+  c->data = data;
+  copy_request (&c->request, r);
+  c->cohort = cohort_of (k, r);
+  g_hash_table_insert (k->calls, &c->id, c);
+  bj_call_set_deadline (k, c, now + BJ_DEADLINE_MS);
+  return c;
+}
+
+void
+bj_call_end (BjKernel *k, BjCall *c)
+{
+  c->state = BJ_CALL_ENDED;
+  g_sequence_remove (c->deadline_at);
+  g_hash_table_remove (k->calls, &c->id);
+  bj_allowance_return (k, c);
+  k->host->ops->freed (k->host, c);
+  clear_request (&c->request);
+  g_free (c);
+}
+
+void
+bj_call_set_deadline (BjKernel *k, BjCall *c, BjTime deadline)
+{
+  if (c->deadline_at != NULL)
+    g_sequence_remove (c->deadline_at);
+  c->deadline = deadline;
+  c->deadline_at = g_sequence_insert_sorted (k->deadlines, c, by_deadline, NULL);
+}
+
+// A call made for a guard call is part of its action.
+static uint32_t
+cohort_of (BjKernel *k, const BjRequest *r)
+{
+  const BjCall *parent = NULL;
+
+  if (r->has_cohort)
+    return r->cohort;
+  if (r->parent != 0)
+    parent = g_hash_table_lookup (k->calls, &r->parent);
+  if (parent != NULL)
+    return parent->cohort;
+  return r->key.len > 0 ? (uint32_t)bj_str_hash (r->key) : g_rand_int (k->rand);
+}
+
+static gint
+by_deadline (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const BjCall *x = a;
+  const BjCall *y = b;
+
+  (void)data;
+  if (x->deadline != y->deadline)
+    return x->deadline < y->deadline ? -1 : 1;
+  return x->id < y->id ? -1 : x->id > y->id;
+}
+
+static void
+copy_request (BjRequest *to, const BjRequest *from)
+{
+  *to = *from;
+  to->method = bj_str_dup (from->method);
+  to->path = bj_str_dup (from->path);
+  to->key = bj_str_dup (from->key);
+  to->content_type = bj_str_dup (from->content_type);
+  to->headers = bj_str_dup (from->headers);
+  to->body = bj_str_dup (from->body);
+}
+
+static void
+clear_request (BjRequest *r)
+{
+  bj_str_free (&r->method);
+  bj_str_free (&r->path);
+  bj_str_free (&r->key);
+  bj_str_free (&r->content_type);
+  bj_str_free (&r->headers);
+  bj_str_free (&r->body);
+}
--- a/src/guard.c
+++ b/src/guard.c
@@ -20,6 +20,61 @@
 static void learn_end_interval (BjGuard *g, BjTime now);
 static double time_to_return (BjKernel *k, BjTime now, int klass);
 
+void
+bj_kernel_announce (BjKernel *k, BjTime now, BjStr service, int slots)
+{
+  if (!bj_str_equal (k->guard.service, service))
+    {
+      if (k->self->service != NULL)
+        g_ptr_array_remove (k->self->service->peers, k->self);
+      bj_str_set (&k->guard.service, service);
+      bj_str_set (&k->self->report.service, service);
+      k->self->service = bj_kernel_service (k, service);
+      g_ptr_array_add (k->self->service->peers, k->self);
+      bj_log (BJ_LOG_INFO,
+              "MEMBER",
+              "The own upstream serves %.*s with %d slots.",
+              BJ_STR_ARG (service),
+              slots);
+    }
+  k->guard.slots = slots;
+  bj_guard_configure (k, now);
+}
+
+void
+bj_kernel_upstream_gone (BjKernel *k, BjTime now)
+{
+  (void)now;
+  if (k->self->service == NULL)
+    return;
+  bj_log (BJ_LOG_WARNING, "MEMBER", "The own upstream is gone.");
+  g_ptr_array_remove (k->self->service->peers, k->self);
+  k->self->service = NULL;
+  bj_str_set (&k->guard.service, BJ_STR_NULL);
+  bj_str_set (&k->self->report.service, BJ_STR_NULL);
+  if (k->guard.limiter != NULL)
+    k->guard.limiter->ops->destroy (k->guard.limiter);
+  k->guard.limiter = NULL;
+  k->guard.slots = 0;
+}
+
+void
+bj_kernel_drain (BjKernel *k, BjTime now, BjDrainReason r, bool drain)
+{
+  int reasons = drain ? k->guard.drain_reasons | (int)r : k->guard.drain_reasons & ~(int)r;
+
+  (void)now;
+  k->guard.drain_reasons = reasons;
+  drain = reasons != 0;
+  if (k->guard.draining == drain)
+    return;
+  k->guard.draining = drain;
+  k->self->report.draining = drain;
+  bj_log (BJ_LOG_INFO,
+          "MEMBER",
+          drain ? "Draining, no new work is taken." : "Drain ended, new work is taken.");
+}
+
 void
 bj_guard_configure (BjKernel *k, BjTime now)
 {
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -1,18 +1,10 @@
 // Kernel: the life of a call from arrival to its answer. Makes every decision and does no I/O.
 
 #include "kernel.h"
-#include <stdarg.h>
-#include <stdio.h>
-#include <string.h>
-
-#define DETACHED_MAX_MS                                                                            \
-  60000 // an irreversible call may run on this long after its caller was answered
-
-static BjCall *new_call (BjKernel *k, BjTime now, const BjRequest *r, void *data);
-static uint32_t cohort_of (BjKernel *k, const BjRequest *r);
-static void end_call (BjKernel *k, BjCall *c);
-static void set_deadline (BjKernel *k, BjCall *c, BjTime deadline);
-static gint by_deadline (gconstpointer a, gconstpointer b, gpointer data);
+
+// An irreversible call may run on this long after its caller was answered.
+#define DETACHED_MAX_MS 60000
+
 static void dispatch (BjKernel *k, BjTime now, BjCall *c);
 static void send_to (BjKernel *k, BjTime now, BjCall *c, BjPeer *p, int n_candidates);
 static void leave_state (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
@@ -24,8 +16,6 @@
 static void expire (BjKernel *k, BjTime now, BjCall *c);
 static void detach (BjKernel *k, BjTime now, BjCall *c);
 static bool cancel_work (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
-static void copy_request (BjRequest *to, const BjRequest *from);
-static void clear_request (BjRequest *r);
 static int http_status_of (BjStatus s);
 
 BjKernel *
@@ -61,7 +51,7 @@
 
       if (c->state == BJ_CALL_QUEUED)
         bj_guard_leave (k, c);
-      end_call (k, c);
+      bj_call_end (k, c);
     }
   g_list_free (open);
   if (k->guard.limiter != NULL)
@@ -69,11 +59,7 @@
   if (k->guard.queue != NULL)
     k->guard.queue->ops->destroy (k->guard.queue);
   bj_str_free (&k->guard.service);
-  for (guint i = 0; i < BJ_RING_SIZE; i++)
-    {
-      bj_str_free (&k->ring[i].key);
-      g_free (k->ring[i].text);
-    }
+  bj_explain_clear (k);
   bj_level_clear (&k->level);
   g_hash_table_destroy (k->calls);
   g_hash_table_destroy (k->services);
@@ -121,7 +107,7 @@
 BjCall *
 bj_kernel_arrive (BjKernel *k, BjTime now, const BjRequest *r, void *data)
 {
-  BjCall *c = new_call (k, now, r, data);
+  BjCall *c = bj_call_new (k, now, r, data);
   uint64_t id = c->id;
   const BjServiceConfig *s = NULL;
   const BjRoute *route = bj_config_route (k->config, c->request.path, &s);
@@ -146,7 +132,7 @@
       = r->attempts_left >= 0 ? MIN (r->attempts_left, route->attempts) : route->attempts;
   bj_allowance_draw (k, c);
   deadline_ms = r->deadline_ms > 0 ? MIN (r->deadline_ms, route->deadline_ms) : route->deadline_ms;
-  set_deadline (k, c, now + deadline_ms);
+  bj_call_set_deadline (k, c, now + deadline_ms);
   if (c->irreversible && c->request.key.len == 0)
     {
       answer (
@@ -175,13 +161,13 @@
 BjCall *
 bj_kernel_arrive_peer (BjKernel *k, BjTime now, const BjRequest *r, BjStr service, void *data)
 {
-  BjCall *c = new_call (k, now, r, data);
+  BjCall *c = bj_call_new (k, now, r, data);
   uint64_t id = c->id;
 
   c->klass = CLAMP (r->klass, 0, BJ_CLASSES - 1);
   c->irreversible = r->irreversible;
   c->attempts_left = r->attempts_left;
-  set_deadline (k, c, now + r->deadline_ms);
+  bj_call_set_deadline (k, c, now + r->deadline_ms);
   if (!bj_str_equal (service, k->guard.service))
     {
       answer (k,
@@ -239,7 +225,7 @@
 {
   bj_count_answer (k, c, whole ? BJ_OK : BJ_E_BROKEN, whole ? BJ_DONE : BJ_UNKNOWN);
   leave_state (k, now, c, whole ? BJ_OK : BJ_E_BROKEN);
-  end_call (k, c);
+  bj_call_end (k, c);
 }
 
 void
@@ -282,66 +268,11 @@
 {
   bj_kernel_note (k, now, c, "CALL", "Cancelled by its caller");
   if (cancel_work (k, now, c, BJ_E_CANCELLED))
-    end_call (k, c);
+    bj_call_end (k, c);
   else
     detach (k, now, c);
 }
 
-void
-bj_kernel_announce (BjKernel *k, BjTime now, BjStr service, int slots)
-{
-  if (!bj_str_equal (k->guard.service, service))
-    {
-      if (k->self->service != NULL)
-        g_ptr_array_remove (k->self->service->peers, k->self);
-      bj_str_set (&k->guard.service, service);
-      bj_str_set (&k->self->report.service, service);
-      k->self->service = bj_kernel_service (k, service);
-      g_ptr_array_add (k->self->service->peers, k->self);
-      bj_log (BJ_LOG_INFO,
-              "MEMBER",
-              "The own upstream serves %.*s with %d slots.",
-              BJ_STR_ARG (service),
-              slots);
-    }
-  k->guard.slots = slots;
-  bj_guard_configure (k, now);
-}
-
-void
-bj_kernel_upstream_gone (BjKernel *k, BjTime now)
-{
-  (void)now;
-  if (k->self->service == NULL)
-    return;
-  bj_log (BJ_LOG_WARNING, "MEMBER", "The own upstream is gone.");
-  g_ptr_array_remove (k->self->service->peers, k->self);
-  k->self->service = NULL;
-  bj_str_set (&k->guard.service, BJ_STR_NULL);
-  bj_str_set (&k->self->report.service, BJ_STR_NULL);
-  if (k->guard.limiter != NULL)
-    k->guard.limiter->ops->destroy (k->guard.limiter);
-  k->guard.limiter = NULL;
-  k->guard.slots = 0;
-}
-
-void
-bj_kernel_drain (BjKernel *k, BjTime now, BjDrainReason r, bool drain)
-{
-  int reasons = drain ? k->guard.drain_reasons | (int)r : k->guard.drain_reasons & ~(int)r;
-
-  (void)now;
-  k->guard.drain_reasons = reasons;
-  drain = reasons != 0;
-  if (k->guard.draining == drain)
-    return;
-  k->guard.draining = drain;
-  k->self->report.draining = drain;
-  bj_log (BJ_LOG_INFO,
-          "MEMBER",
-          drain ? "Draining, no new work is taken." : "Drain ended, new work is taken.");
-}
-
 void
 bj_kernel_tick (BjKernel *k, BjTime now)
 {
@@ -376,41 +307,6 @@
   return (int)g_hash_table_size (k->calls);
 }
 
-void
-bj_kernel_explain (const BjKernel *k, BjStr key, GString *out)
-{
-  for (guint i = 0; i < BJ_RING_SIZE; i++)
-    {
-      const BjDecision *d = &k->ring[(k->ring_next + i) % BJ_RING_SIZE];
-
-      if (d->text != NULL && bj_str_equal (d->key, key))
-        g_string_append_printf (out, "%.3f %s\n", d->at, d->text);
-    }
-}
-
-void
-bj_kernel_note (
-    BjKernel *k, BjTime now, const BjCall *c, const char *prefix, const char *format, ...)
-{
-  BjDecision *d;
-  va_list args;
-  char text[256];
-
-  if (c->request.key.len == 0 && !bj_log_enabled (BJ_LOG_DEBUG))
-    return;
-  va_start (args, format);
-  vsnprintf (text, sizeof text, format, args);
-  va_end (args);
-  bj_log (BJ_LOG_DEBUG, prefix, "%s, call %" G_GUINT64_FORMAT ".", text, c->id);
-  if (c->request.key.len == 0)
-    return;
-  d = &k->ring[k->ring_next++ % BJ_RING_SIZE];
-  d->at = now;
-  bj_str_set (&d->key, c->request.key);
-  g_free (d->text);
-  d->text = g_strdup_printf ("%s: %s.", prefix, text);
-}
-
 void
 bj_call_refuse (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
 {
@@ -450,70 +346,6 @@
   k->host->ops->start_upstream (k->host, c);
 }
 
-static BjCall *
-new_call (BjKernel *k, BjTime now, const BjRequest *r, void *data)
-{
-  BjCall *c = g_new0 (BjCall, 1);
-
-  c->id = ++k->next_id;
-  c->state = BJ_CALL_NEW;
-  c->arrived = now;
-  c->data = data;
-  copy_request (&c->request, r);
-  c->cohort = cohort_of (k, r);
-  g_hash_table_insert (k->calls, &c->id, c);
-  set_deadline (k, c, now + BJ_DEADLINE_MS);
-  return c;
-}
-
-// A call made for a guard call is part of its action.
-static uint32_t
-cohort_of (BjKernel *k, const BjRequest *r)
-{
-  const BjCall *parent = NULL;
-
-  if (r->has_cohort)
-    return r->cohort;
-  if (r->parent != 0)
-    parent = g_hash_table_lookup (k->calls, &r->parent);
-  if (parent != NULL)
-    return parent->cohort;
-  return r->key.len > 0 ? (uint32_t)bj_str_hash (r->key) : g_rand_int (k->rand);
-}
-
-static void
-end_call (BjKernel *k, BjCall *c)
-{
-  c->state = BJ_CALL_ENDED;
-  g_sequence_remove (c->deadline_at);
-  g_hash_table_remove (k->calls, &c->id);
-  bj_allowance_return (k, c);
-  k->host->ops->freed (k->host, c);
-  clear_request (&c->request);
-  g_free (c);
-}
-
-static void
-set_deadline (BjKernel *k, BjCall *c, BjTime deadline)
-{
-  if (c->deadline_at != NULL)
-    g_sequence_remove (c->deadline_at);
-  c->deadline = deadline;
-  c->deadline_at = g_sequence_insert_sorted (k->deadlines, c, by_deadline, NULL);
-}
-
-static gint
-by_deadline (gconstpointer a, gconstpointer b, gpointer data)
-{
-  const BjCall *x = a;
-  const BjCall *y = b;
-
-  (void)data;
-  if (x->deadline != y->deadline)
-    return x->deadline < y->deadline ? -1 : 1;
-  return x->id < y->id ? -1 : x->id > y->id;
-}
-
 static void
 dispatch (BjKernel *k, BjTime now, BjCall *c)
 {
@@ -600,7 +432,7 @@
 {
   if (c->detached)
     {
-      end_call (k, c);
+      bj_call_end (k, c);
       return;
     }
   if (c->is_front && may_try_again (k, now, c, a))
@@ -685,7 +517,7 @@
     a.level = bj_level_told (k, now, c);
   bj_count_answer (k, c, a.code, a.outcome);
   k->host->ops->answer (k->host, c, &a);
-  end_call (k, c);
+  bj_call_end (k, c);
 }
 
 static void
@@ -705,7 +537,7 @@
     }
   if (ended)
     {
-      end_call (k, c);
+      bj_call_end (k, c);
       return;
     }
   if (!c->answer_begun)
@@ -719,7 +551,7 @@
 {
   c->answer_begun = true;
   c->detached = true;
-  set_deadline (k, c, now + DETACHED_MAX_MS);
+  bj_call_set_deadline (k, c, now + DETACHED_MAX_MS);
 }
 
 // Stops the work of a call. False when it is irreversible and has been started.
@@ -739,29 +571,6 @@
   return true;
 }
 
-static void
-copy_request (BjRequest *to, const BjRequest *from)
-{
-  *to = *from;
-  to->method = bj_str_dup (from->method);
-  to->path = bj_str_dup (from->path);
-  to->key = bj_str_dup (from->key);
-  to->content_type = bj_str_dup (from->content_type);
-  to->headers = bj_str_dup (from->headers);
-  to->body = bj_str_dup (from->body);
-}
-
-static void
-clear_request (BjRequest *r)
-{
-  bj_str_free (&r->method);
-  bj_str_free (&r->path);
-  bj_str_free (&r->key);
-  bj_str_free (&r->content_type);
-  bj_str_free (&r->headers);
-  bj_str_free (&r->body);
-}
-
 static int
 http_status_of (BjStatus s)
 {
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -101,6 +101,9 @@
 };
 
 // Calls
+BjCall *bj_call_new (BjKernel *k, BjTime now, const BjRequest *r, void *data); // Copies r
+void bj_call_end (BjKernel *k, BjCall *c);                                     // Frees c
+void bj_call_set_deadline (BjKernel *k, BjCall *c, BjTime deadline);
 void bj_call_refuse (BjKernel *k,
                      BjTime now,
                      BjCall *c,
@@ -134,6 +137,8 @@
 bool
 bj_level_sheds (BjKernel *k, BjTime now, const BjCall *c); // Front: c is to be refused before a hop
 
+void bj_explain_clear (BjKernel *k); // Frees the ring of decisions
+
 // Guard
 void bj_guard_configure (BjKernel *k, BjTime now); // After an announcement or a configuration
 void bj_guard_admit (BjKernel *k, BjTime now, BjCall *c);         // Run, queue or refuse
