--- a/src/bjbench/bjbench.h
+++ b/src/bjbench/bjbench.h
@@ -157,6 +157,26 @@
   int (*run) (int argc, char **argv); // of the scenario's own arguments
 } Scenario;
 
+#define PLOT_LINES_MAX 4
+#define PLOT_BINS_MAX 200
+
+typedef struct
+{
+  char title[64];
+  const char *lines[PLOT_LINES_MAX]; // their names
+  int n_lines;
+  int n_bins;
+  double bin_ms;
+  double top; // of the axis, 0 for the highest value
+  double values[PLOT_BINS_MAX][PLOT_LINES_MAX];
+} PlotPanel;
+
+bool plot_write (const char *path,
+                 const char *title,
+                 const PlotPanel *panels,
+                 int columns,
+                 int rows); // By row; false when it can't be written
+
 int scenario_load (int argc, char **argv);
 int scenario_overhead (int argc, char **argv);
 int scenario_decisions (int argc, char **argv);
--- a/src/bjbench/guard.c
+++ b/src/bjbench/guard.c
@@ -24,10 +24,12 @@
 #define IDLE_SHARE 0.7  // of capacity, before and after the surge
 #define SURGE_SHARE 5.0 // of capacity
 #define SURGE_MS 60000.0
-#define AFTER_MS 20000.0  // observed after the surge
-#define BIN_MS 250.0      // of observation after the surge
-#define BINS 80           // AFTER_MS / BIN_MS
-#define FULL_GOODPUT 0.95 // of the actions of one bin, whole
+#define AFTER_MS 20000.0     // observed after the surge
+#define BIN_MS 250.0         // of observation after the surge
+#define BINS 80              // AFTER_MS / BIN_MS
+#define SERIES_BIN_MS 1000.0 // of the picture
+#define SERIES_BINS 100      // warm-up, idle, surge and after
+#define FULL_GOODPUT 0.95    // of the actions of one bin, whole
 
 static const double class_shares[CLASSES] = { 0.1, 0.4, 0.5 };
 static const char *const class_names[CLASSES] = { "acceptance", "preview", "lookup" };
@@ -85,6 +87,8 @@
   uint64_t bin_actions[BINS];
   uint64_t bin_whole[BINS];
   BjHist bin_latency[BINS];
+  uint64_t series_whole[SERIES_BINS][CLASSES];
+  BjHist series_latency[SERIES_BINS][CLASSES];
 } Sim;
 
 typedef struct
@@ -106,11 +110,14 @@
   const char *prefer;
   struct json_object *json;
   uint32_t seed;
+  const char *plot;    // file, NULL for none
+  PlotPanel panels[4]; // goodput and latency of both policies
 } Report;
 
 static int run_scenario (int argc, char **argv, const char *name, void (*run) (Report *r));
 static void run_overload (Report *r);
 static void run_recovery (Report *r);
+static void fill_panels (Report *r, const Sim *s);
 static Sim *simulate (const Report *r, const Load *load);
 static void free_sim (Sim *s);
 static void print_value (Report *r, double value, const char *format, ...) G_GNUC_PRINTF (3, 4);
@@ -154,17 +161,21 @@
   struct arg_str *policy = arg_str0 (NULL, "policy", "borage|baseline|both", "plug-ins, both");
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "of every random choice, 1");
   struct arg_str *prefer = arg_str0 (NULL, "prefer", "recovery|goodput", "of borage, recovery");
+  struct arg_file *plot
+      = arg_file0 (NULL, "plot", "FILE", "gets a picture as SVG, of recovery with both policies");
   struct arg_file *json = arg_file0 (NULL, "json", "FILE", "gets the figures as one JSON object");
   struct arg_lit *inside = arg_lit0 (NULL, "in-process", "one kernel, no sockets; the only way");
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
   struct arg_end *end = arg_end (4);
-  void *table[] = { policy, seed, prefer, json, inside, help, end };
+  void *table[] = { policy, seed, prefer, plot, json, inside, help, end };
   int n_errors = arg_parse (argc, argv, table);
   const char *which = policy->count > 0 ? policy->sval[0] : "both";
   bool is_both = strcmp (which, "both") == 0;
-  Report r = { .seed = seed->count > 0 ? (uint32_t)seed->ival[0] : 1 };
+  static Report r;
   int code = 0;
 
+  r = (Report){ .seed = seed->count > 0 ? (uint32_t)seed->ival[0] : 1 };
+
   if (help->count > 0)
     {
       printf ("Usage: bjbench %s", name);
@@ -185,6 +196,7 @@
     {
       bj_log_open (BJ_LOG_ERROR);
       r.prefer = prefer->count > 0 ? prefer->sval[0] : "recovery";
+      r.plot = plot->count > 0 ? plot->filename[0] : NULL;
       r.json = json_object_new_object ();
       for (int i = 0; i < 2; i++)
         {
@@ -192,6 +204,13 @@
           if (is_both || strcmp (which, r.policy) == 0)
             run (&r);
         }
+      if (r.plot != NULL
+          && !plot_write (
+              r.plot, "60 s at five times the capacity, then 0.7 of it", r.panels, 2, 2))
+        {
+          fprintf (stderr, "%s: %s can't be written.\n", name, r.plot);
+          code = 1;
+        }
       if (json->count > 0 && json_object_to_file (json->filename[0], r.json) != 0)
         {
           fprintf (stderr, "%s: %s can't be written.\n", name, json->filename[0]);
@@ -272,6 +291,7 @@
         p99_back = (b + 1) * BIN_MS;
       worst = MAX (worst, p99);
     }
+  fill_panels (r, s);
   print_value (r, bj_hist_quantile (&idle, 0.99), "idle_p99_ms");
   print_value (r, goodput_back, "goodput_back_ms");
   print_value (r, p99_back, "p99_back_ms");
@@ -280,6 +300,29 @@
   free_sim (s);
 }
 
+static void
+fill_panels (Report *r, const Sim *s)
+{
+  int column = strcmp (r->policy, "borage") == 0 ? 0 : 1;
+  PlotPanel *goodput = &r->panels[column];
+  PlotPanel *latency = &r->panels[2 + column];
+
+  goodput->n_lines = latency->n_lines = CLASSES;
+  goodput->n_bins = latency->n_bins = SERIES_BINS;
+  goodput->bin_ms = latency->bin_ms = SERIES_BIN_MS;
+  g_snprintf (goodput->title, sizeof goodput->title, "%s: whole answers a second", r->policy);
+  g_snprintf (latency->title, sizeof latency->title, "%s: p99 of whole answers, ms", r->policy);
+  for (int c = 0; c < CLASSES; c++)
+    {
+      goodput->lines[c] = latency->lines[c] = class_names[c];
+      for (int b = 0; b < SERIES_BINS; b++)
+        {
+          goodput->values[b][c] = (double)s->series_whole[b][c] * 1000 / SERIES_BIN_MS;
+          latency->values[b][c] = bj_hist_quantile (&s->series_latency[b][c], 0.99);
+        }
+    }
+}
+
 static Sim *
 simulate (const Report *r, const Load *load)
 {
@@ -495,7 +538,13 @@
 count_whole (Sim *s, Action *a)
 {
   int b = bin_of (s, a);
+  int second = (int)(s->now / SERIES_BIN_MS);
 
+  if (second < SERIES_BINS)
+    {
+      s->series_whole[second][a->klass]++;
+      bj_hist_add (&s->series_latency[second][a->klass], s->now - a->first);
+    }
   if (is_measured (s))
     {
       s->stats[a->klass].whole++;
