field: one reader of msgpack fields for frames and datagrams, with ranges

Cause: frame.c and datagram.c each read fields in their own way, and frames had no ranges: an ANSWER with outcome 7 indexed the counts of answers out of bounds, a NaN went into times. Found by reading the whole change once more. Change: field.c holds the reader and the bounds check, both use it; every field of a frame has its range. Shown failing first: test_decode test_ranges on the commit before, 'outcome' is accepted. After: 7 of 7 refused; test_member, test_outcome, test_quarantine, test_fleet_path pass.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -85,6 +85,8 @@
   BJ_E_PENDING = 38,     // a ticket is or may be filed, and not decided yet
 } BjStatus;
 
+#define BJ_CODES_MAX 64 // result codes are below this
+
 const char *bj_status_name (BjStatus s); // "BJ_E_OVERLOAD"
 BjStatus bj_fail (BjStatus s, const char *format, ...)
     G_GNUC_PRINTF (2, 3);           // Sets the last message, returns s
--- a/src/datagram.c
+++ b/src/datagram.c
@@ -12,24 +12,15 @@
 #define ARRAY_BYTES 3       // of the head of an array, at most
 #define STR_BYTES 2         // of the head of a string
 
-typedef struct
-{
-  const msgpack_object *at;
-  uint32_t left;
-  bool failed;
-} Fields;
-
 static void pack_update (msgpack_packer *p, const BjUpdate *u);
 static void pack_full (msgpack_packer *p, const BjUpdate *u);
 static void pack_str (msgpack_packer *p, BjStr s);
-static bool open_array (const msgpack_object *o, uint32_t n, Fields *in);
+static bool open_array (const msgpack_object *o, uint32_t n, BjFields *in);
 static void read_update (const msgpack_object *o, BjUpdate *u, bool *failed);
-static void read_full (Fields *in, BjUpdate *u);
-static void read_load (Fields *in, BjPeerReport *r);
-static const msgpack_object *next (Fields *in, msgpack_object_type type);
-static uint64_t read_uint (Fields *in, uint64_t max);
-static BjStr read_str (Fields *in, size_t min);
-static BjStr read_ip (Fields *in);
+static void read_full (BjFields *in, BjUpdate *u);
+static void read_load (BjFields *in, BjPeerReport *r);
+static BjStr read_str (BjFields *in, size_t min);
+static BjStr read_ip (BjFields *in);
 static size_t uint_size (uint64_t n);
 
 void
@@ -62,8 +53,8 @@
 bj_datagram_decode (BjStr bytes, msgpack_unpacked *keep, BjDatagram *d)
 {
   size_t at = 0;
-  Fields in;
-  Fields buckets;
+  BjFields in;
+  BjFields buckets;
   const msgpack_object *o;
   bool failed = false;
 
@@ -71,28 +62,28 @@
       || msgpack_unpack_next (keep, bytes.data, bytes.len, &at) != MSGPACK_UNPACK_SUCCESS
       || at != bytes.len || !open_array (&keep->data, FIELDS, &in))
     return bj_fail (BJ_E_FORMAT, "A datagram is not an array of %d fields.", FIELDS);
-  if (read_uint (&in, UINT64_MAX) != BJ_PROTOCOL_VERSION || in.failed)
+  if (bj_field_uint (&in, UINT64_MAX) != BJ_PROTOCOL_VERSION || in.failed)
     return bj_fail (BJ_E_FORMAT, "A datagram is not of protocol version %d.", BJ_PROTOCOL_VERSION);
-  d->kind = (BjDatagramKind)read_uint (&in, BJ_DATAGRAM_KINDS - 1);
-  d->sequence = read_uint (&in, UINT64_MAX);
+  d->kind = (BjDatagramKind)bj_field_uint (&in, BJ_DATAGRAM_KINDS - 1);
+  d->sequence = bj_field_uint (&in, UINT64_MAX);
   d->to_host = read_ip (&in);
-  d->to_port = (int)read_uint (&in, PORT_MAX);
-  d->answers = read_uint (&in, UINT64_MAX);
+  d->to_port = (int)bj_field_uint (&in, PORT_MAX);
+  d->answers = bj_field_uint (&in, UINT64_MAX);
   d->target = read_str (&in, 0);
-  d->digest = read_uint (&in, UINT64_MAX);
-  d->wanted = read_uint (&in, UINT64_MAX);
-  o = next (&in, MSGPACK_OBJECT_ARRAY);
+  d->digest = bj_field_uint (&in, UINT64_MAX);
+  d->wanted = bj_field_uint (&in, UINT64_MAX);
+  o = bj_field_next (&in, MSGPACK_OBJECT_ARRAY);
   if (o != NULL && o->via.array.size > 0)
     {
       in.failed = in.failed || !open_array (o, BJ_DIGEST_BUCKETS, &buckets);
       for (int i = 0; i < BJ_DIGEST_BUCKETS && !in.failed; i++)
         {
-          d->buckets[i] = read_uint (&buckets, UINT64_MAX);
+          d->buckets[i] = bj_field_uint (&buckets, UINT64_MAX);
           in.failed = buckets.failed;
         }
     }
   in.failed = in.failed || (o->via.array.size > 0) != (d->kind == BJ_DATAGRAM_DIGEST);
-  o = next (&in, MSGPACK_OBJECT_ARRAY);
+  o = bj_field_next (&in, MSGPACK_OBJECT_ARRAY);
   if (in.failed || d->kind == 0 || o->via.array.size == 0 || o->via.array.size > BJ_UPDATES_MAX + 1)
     return bj_fail (BJ_E_FORMAT, "A datagram has a field of the wrong type or range.");
   read_update (&o->via.array.ptr[0], &d->self, &failed);
@@ -191,11 +182,11 @@
 }
 
 static bool
-open_array (const msgpack_object *o, uint32_t n, Fields *in)
+open_array (const msgpack_object *o, uint32_t n, BjFields *in)
 {
   if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != n)
     return false;
-  *in = (Fields){ .at = o->via.array.ptr, .left = n };
+  *in = (BjFields){ .at = o->via.array.ptr, .left = n };
   return true;
 }
 
@@ -205,26 +196,26 @@
   static const uint32_t counts[BJ_UPDATE_KINDS] = {
     [BJ_UPDATE_FULL] = FULL_FIELDS, [BJ_UPDATE_STATE] = STATE_FIELDS, [BJ_UPDATE_LOAD] = LOAD_FIELDS
   };
-  Fields in = { .failed = true };
+  BjFields in = { .failed = true };
 
   *u = (BjUpdate){ 0 };
   if (o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size > 0)
     open_array (o, o->via.array.size, &in);
-  u->kind = (BjUpdateKind)read_uint (&in, BJ_UPDATE_KINDS - 1);
+  u->kind = (BjUpdateKind)bj_field_uint (&in, BJ_UPDATE_KINDS - 1);
   if (in.failed || u->kind == 0 || o->via.array.size != counts[u->kind])
     {
       *failed = true;
       return;
     }
   u->report.name = read_str (&in, 1);
-  u->report.incarnation = read_uint (&in, INT64_MAX);
+  u->report.incarnation = bj_field_uint (&in, INT64_MAX);
   if (u->kind == BJ_UPDATE_LOAD)
     read_load (&in, &u->report);
   else
     {
-      u->instance = (uint32_t)read_uint (&in, UINT32_MAX);
-      u->report.version = read_uint (&in, INT64_MAX);
-      u->state = (BjMemberState)read_uint (&in, BJ_MEMBER_STATES - 1);
+      u->instance = (uint32_t)bj_field_uint (&in, UINT32_MAX);
+      u->report.version = bj_field_uint (&in, INT64_MAX);
+      u->state = (BjMemberState)bj_field_uint (&in, BJ_MEMBER_STATES - 1);
     }
   if (u->kind == BJ_UPDATE_FULL)
     read_full (&in, u);
@@ -232,7 +223,7 @@
 }
 
 static void
-read_full (Fields *in, BjUpdate *u)
+read_full (BjFields *in, BjUpdate *u)
 {
   BjPeerReport *r = &u->report;
   const msgpack_object *o;
@@ -241,57 +232,34 @@
   r->region = read_str (in, 1);
   r->service = read_str (in, 0);
   r->host = read_ip (in);
-  r->link_port = (int)read_uint (in, PORT_MAX);
+  r->link_port = (int)bj_field_uint (in, PORT_MAX);
   r->gossip_host = read_ip (in);
-  r->gossip_port = (int)read_uint (in, PORT_MAX);
-  r->config_number = (int64_t)read_uint (in, INT64_MAX);
-  o = next (in, MSGPACK_OBJECT_BOOLEAN);
+  r->gossip_port = (int)bj_field_uint (in, PORT_MAX);
+  r->config_number = (int64_t)bj_field_uint (in, INT64_MAX);
+  o = bj_field_next (in, MSGPACK_OBJECT_BOOLEAN);
   r->draining = o != NULL && o->via.boolean;
   read_load (in, r);
   in->failed = in->failed || r->link_port == 0 || r->gossip_port == 0;
 }
 
 static void
-read_load (Fields *in, BjPeerReport *r)
-{
-  r->load_version = read_uint (in, INT64_MAX);
-  r->limit = (int)read_uint (in, LOAD_MAX);
-  r->in_flight = (int)read_uint (in, LOAD_MAX);
-  r->queued = (int)read_uint (in, LOAD_MAX);
-  r->level = (int)read_uint (in, LOAD_MAX);
-}
-
-static const msgpack_object *
-next (Fields *in, msgpack_object_type type)
-{
-  if (in->failed || in->left == 0 || in->at->type != type)
-    {
-      in->failed = true;
-      return NULL;
-    }
-  in->left--;
-  return in->at++;
-}
-
-static uint64_t
-read_uint (Fields *in, uint64_t max)
+read_load (BjFields *in, BjPeerReport *r)
 {
-  const msgpack_object *o = next (in, MSGPACK_OBJECT_POSITIVE_INTEGER);
-
-  in->failed = in->failed || o->via.u64 > max;
-  return in->failed ? 0 : o->via.u64;
+  r->load_version = bj_field_uint (in, INT64_MAX);
+  r->limit = (int)bj_field_uint (in, LOAD_MAX);
+  r->in_flight = (int)bj_field_uint (in, LOAD_MAX);
+  r->queued = (int)bj_field_uint (in, LOAD_MAX);
+  r->level = (int)bj_field_uint (in, LOAD_MAX);
 }
 
 // Texts reach log lines and JSON, so control characters are refused.
 static BjStr
-read_str (Fields *in, size_t min)
+read_str (BjFields *in, size_t min)
 {
-  const msgpack_object *o = next (in, MSGPACK_OBJECT_BIN);
-  BjStr s;
+  BjStr s = bj_field_bytes (in);
 
-  if (o == NULL)
+  if (in->failed)
     return BJ_STR_NULL;
-  s = (BjStr){ o->via.bin.ptr, o->via.bin.size };
   in->failed = s.len < min || s.len > BJ_MEMBER_NAME_MAX
                || (s.len > 0 && !g_utf8_validate (s.data, (gssize)s.len, NULL));
   for (size_t i = 0; i < s.len && !in->failed; i++)
@@ -300,7 +268,7 @@
 }
 
 static BjStr
-read_ip (Fields *in)
+read_ip (BjFields *in)
 {
   BjStr s = read_str (in, 1);
   char text[BJ_MEMBER_NAME_MAX + 1];
--- a/src/frame.c
+++ b/src/frame.c
@@ -2,34 +2,20 @@
 
 #include "internal.h"
 #include <arpa/inet.h>
+#include <limits.h>
 #include <string.h>
 
 #define LENGTH_BYTES 4
 
-typedef struct
-{
-  const msgpack_object *at;
-  uint32_t left;
-  bool failed;
-} Fields;
-
-static bool skip_value (BjStr *rest, int depth);
-static uint64_t read_big_endian (BjStr s, size_t at, size_t n);
 static void pack_fields (msgpack_packer *p, const BjFrame *f);
 static void pack_call (msgpack_packer *p, const BjFrame *f);
 static void pack_answer (msgpack_packer *p, const BjFrame *f);
 static void pack_str (msgpack_packer *p, BjStr s);
 static int field_count (BjFrameKind k);
-static void read_fields (Fields *in, BjFrame *f);
-static void read_call (Fields *in, BjFrame *f);
-static void read_answer (Fields *in, BjFrame *f);
-static BjSuspicion read_suspicion (Fields *in);
-static uint64_t read_uint (Fields *in);
-static int64_t read_int (Fields *in);
-static double read_double (Fields *in);
-static bool read_bool (Fields *in);
-static BjStr read_str (Fields *in);
-static const msgpack_object *next (Fields *in, msgpack_object_type type);
+static void read_fields (BjFields *in, BjFrame *f);
+static void read_call (BjFields *in, BjFrame *f);
+static void read_answer (BjFields *in, BjFrame *f);
+static BjSuspicion read_suspicion (BjFields *in);
 
 void
 bj_frame_encode (msgpack_sbuffer *out, const BjFrame *f)
@@ -52,7 +38,7 @@
 bj_frame_decode (BjStr bytes, msgpack_unpacked *keep, BjFrame *f)
 {
   size_t at = 0;
-  Fields in = { 0 };
+  BjFields in = { 0 };
   const msgpack_object *o;
 
   memset (f, 0, sizeof *f);
@@ -68,8 +54,8 @@
     return bj_fail (BJ_E_FORMAT, "A frame is not an array of at least two fields.");
   in.at = o->via.array.ptr;
   in.left = o->via.array.size;
-  f->kind = (BjFrameKind)read_uint (&in);
-  f->id = read_uint (&in);
+  f->kind = (BjFrameKind)bj_field_uint (&in, UINT64_MAX);
+  f->id = bj_field_uint (&in, UINT64_MAX);
   if (in.failed || f->kind < BJ_FRAME_HELLO || f->kind >= BJ_FRAME_KINDS)
     return bj_fail (BJ_E_FORMAT, "A frame has an unknown kind.");
   read_fields (&in, f);
@@ -78,68 +64,6 @@
   return BJ_OK;
 }
 
-bool
-bj_msgpack_is_bounded (BjStr bytes)
-{
-  while (bytes.len > 0)
-    if (!skip_value (&bytes, 0))
-      return false;
-  return true;
-}
-
-// msgpack-c reserves memory for as many elements as an array claims, before it has seen them.
-static bool
-skip_value (BjStr *rest, int depth)
-{
-  static const uint8_t scalar_bytes[]
-      = { [0xca - 0xc0] = 4, [0xcb - 0xc0] = 8, [0xcc - 0xc0] = 1, [0xcd - 0xc0] = 2,
-          [0xce - 0xc0] = 4, [0xcf - 0xc0] = 8, [0xd0 - 0xc0] = 1, [0xd1 - 0xc0] = 2,
-          [0xd2 - 0xc0] = 4, [0xd3 - 0xc0] = 8 };
-  uint8_t b = rest->len > 0 ? (uint8_t)rest->data[0] : 0xc1;
-  uint64_t skip = 1; // bytes of the value without its elements
-  uint64_t elements = 0;
-  size_t width;
-
-  if (b >= 0x80 && b <= 0x8f)
-    elements = 2 * (uint64_t)(b & 0x0f);
-  else if (b >= 0x90 && b <= 0x9f)
-    elements = b & 0x0f;
-  else if (b >= 0xa0 && b <= 0xbf)
-    skip = 1 + (uint64_t)(b & 0x1f);
-  else if (b >= 0xc4 && b <= 0xc6)
-    skip = 1 + ((size_t)1 << (b - 0xc4)) + read_big_endian (*rest, 1, (size_t)1 << (b - 0xc4));
-  else if (b >= 0xd9 && b <= 0xdb)
-    skip = 1 + ((size_t)1 << (b - 0xd9)) + read_big_endian (*rest, 1, (size_t)1 << (b - 0xd9));
-  else if (b >= 0xdc && b <= 0xdf)
-    {
-      width = b % 2 == 0 ? 2 : 4;
-      skip = 1 + width;
-      elements = read_big_endian (*rest, 1, width) * (b >= 0xde ? 2 : 1);
-    }
-  else if (b >= 0xca && b <= 0xd3)
-    skip = 1 + (uint64_t)scalar_bytes[b - 0xc0];
-  else if (b == 0xc1 || (b >= 0xc7 && b <= 0xc9) || (b >= 0xd4 && b <= 0xd8))
-    return false; // unused, and extensions that no message of ours has
-  if (skip > rest->len || elements > rest->len - skip
-      || (elements > 0 && depth >= BJ_MSGPACK_DEPTH_MAX))
-    return false;
-  *rest = (BjStr){ rest->data + skip, rest->len - skip };
-  for (uint64_t i = 0; i < elements; i++)
-    if (!skip_value (rest, depth + 1))
-      return false;
-  return true;
-}
-
-static uint64_t
-read_big_endian (BjStr s, size_t at, size_t n)
-{
-  uint64_t value = 0;
-
-  for (size_t i = at; i < at + n && i < s.len; i++)
-    value = value << 8 | (uint8_t)s.data[i];
-  return value;
-}
-
 static void
 pack_fields (msgpack_packer *p, const BjFrame *f)
 {
@@ -234,14 +158,14 @@
 }
 
 static void
-read_fields (Fields *in, BjFrame *f)
+read_fields (BjFields *in, BjFrame *f)
 {
   switch (f->kind)
     {
     case BJ_FRAME_HELLO:
-      f->protocol = (int)read_int (in);
-      f->name = read_str (in);
-      f->data = read_str (in);
+      f->protocol = (int)bj_field_int (in, 0, INT_MAX);
+      f->name = bj_field_bytes (in);
+      f->data = bj_field_bytes (in);
       break;
     case BJ_FRAME_CALL:
       read_call (in, f);
@@ -251,20 +175,20 @@
       break;
     case BJ_FRAME_DATA:
     case BJ_FRAME_CONFIG:
-      f->data = read_str (in);
+      f->data = bj_field_bytes (in);
       break;
     case BJ_FRAME_END:
-      f->whole = read_bool (in);
-      f->length = read_uint (in);
-      f->hash = read_uint (in);
+      f->whole = bj_field_bool (in);
+      f->length = bj_field_uint (in, UINT64_MAX);
+      f->hash = bj_field_uint (in, UINT64_MAX);
       break;
     case BJ_FRAME_WINDOW:
-      f->length = read_uint (in);
+      f->length = bj_field_uint (in, UINT64_MAX);
       break;
     case BJ_FRAME_NOTICE:
-      f->notice.fingerprint = read_uint (in);
+      f->notice.fingerprint = bj_field_uint (in, UINT64_MAX);
       f->notice.state = read_suspicion (in);
-      f->notice.lifetime_ms = read_double (in);
+      f->notice.lifetime_ms = bj_field_double (in);
       break;
     default:
       break;
@@ -272,99 +196,47 @@
 }
 
 static void
-read_call (Fields *in, BjFrame *f)
+read_call (BjFields *in, BjFrame *f)
 {
   BjRequest *r = &f->request;
 
-  f->name = read_str (in);
-  f->expected = read_uint (in);
-  r->method = read_str (in);
-  r->path = read_str (in);
-  r->key = read_str (in);
-  r->content_type = read_str (in);
-  r->headers = read_str (in);
-  r->body = read_str (in);
-  r->klass = (int)read_int (in);
-  r->deadline_ms = read_double (in);
-  r->attempts_left = (int)read_int (in);
-  r->depth = (int)read_int (in);
-  r->cohort = (uint32_t)read_uint (in);
+  f->name = bj_field_bytes (in);
+  f->expected = bj_field_uint (in, UINT64_MAX);
+  r->method = bj_field_bytes (in);
+  r->path = bj_field_bytes (in);
+  r->key = bj_field_bytes (in);
+  r->content_type = bj_field_bytes (in);
+  r->headers = bj_field_bytes (in);
+  r->body = bj_field_bytes (in);
+  r->klass = (int)bj_field_int (in, -1, BJ_CLASSES - 1);
+  r->deadline_ms = bj_field_double (in);
+  r->attempts_left = (int)bj_field_int (in, -1, INT_MAX);
+  r->depth = (int)bj_field_int (in, 0, INT_MAX);
+  r->cohort = (uint32_t)bj_field_uint (in, UINT32_MAX);
   r->has_cohort = true;
-  r->irreversible = read_bool (in);
+  r->irreversible = bj_field_bool (in);
 }
 
 static void
-read_answer (Fields *in, BjFrame *f)
+read_answer (BjFields *in, BjFrame *f)
 {
   BjAnswer *a = &f->answer;
 
-  a->code = (BjStatus)read_int (in);
-  a->outcome = (BjOutcome)read_int (in);
-  a->http_status = (int)read_int (in);
-  a->retry_after_ms = read_double (in);
-  a->attempts_left = (int)read_int (in);
-  a->level = (int)read_int (in);
-  a->content_type = read_str (in);
-  a->headers = read_str (in);
-  a->length = read_int (in);
+  a->code = (BjStatus)bj_field_int (in, 0, BJ_CODES_MAX - 1);
+  a->outcome = (BjOutcome)bj_field_int (in, BJ_DONE, BJ_UNKNOWN);
+  a->http_status = (int)bj_field_int (in, 100, 599);
+  a->retry_after_ms = bj_field_double (in);
+  a->attempts_left = (int)bj_field_int (in, -1, INT_MAX);
+  a->level = (int)bj_field_int (in, 0, INT_MAX);
+  a->content_type = bj_field_bytes (in);
+  a->headers = bj_field_bytes (in);
+  a->length = bj_field_int (in, -1, INT64_MAX);
 }
 
 static BjSuspicion
-read_suspicion (Fields *in)
+read_suspicion (BjFields *in)
 {
-  int64_t value = read_int (in);
+  int64_t value = bj_field_int (in, INT64_MIN, INT64_MAX);
 
   return (BjSuspicion)CLAMP (value, BJ_CLEAR, BJ_QUARANTINED);
 }
-
-static uint64_t
-read_uint (Fields *in)
-{
-  const msgpack_object *o = next (in, MSGPACK_OBJECT_POSITIVE_INTEGER);
-
-  return o != NULL ? o->via.u64 : 0;
-}
-
-static int64_t
-read_int (Fields *in)
-{
-  if (in->left > 0 && in->at->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-    return next (in, MSGPACK_OBJECT_NEGATIVE_INTEGER)->via.i64;
-  return (int64_t)read_uint (in);
-}
-
-static double
-read_double (Fields *in)
-{
-  const msgpack_object *o = next (in, MSGPACK_OBJECT_FLOAT64);
-
-  return o != NULL ? o->via.f64 : 0;
-}
-
-static bool
-read_bool (Fields *in)
-{
-  const msgpack_object *o = next (in, MSGPACK_OBJECT_BOOLEAN);
-
-  return o != NULL && o->via.boolean;
-}
-
-static BjStr
-read_str (Fields *in)
-{
-  const msgpack_object *o = next (in, MSGPACK_OBJECT_BIN);
-
-  return o != NULL ? (BjStr){ o->via.bin.ptr, o->via.bin.size } : BJ_STR_NULL;
-}
-
-static const msgpack_object *
-next (Fields *in, msgpack_object_type type)
-{
-  if (in->left == 0 || in->at->type != type)
-    {
-      in->failed = true;
-      return NULL;
-    }
-  in->left--;
-  return in->at++;
-}
--- a/src/internal.h
+++ b/src/internal.h
@@ -167,6 +167,26 @@
 void bj_exchange_drained (BjExchange *x, size_t n);             // Sink: passed n bytes on
 void bj_exchange_gone (BjExchange *x); // Sink: its reader went away; x is freed
 
+// ---------------------------------------------------------------------------------------------
+// Field: the fields of a msgpack array, read one after the other with type and range
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  const msgpack_object *at;
+  uint32_t left;
+  bool failed; // a field was missing, of another type or out of range; every later one is empty
+} BjFields;
+
+const msgpack_object *bj_field_next (BjFields *in, msgpack_object_type type); // NULL when it fails
+uint64_t bj_field_uint (BjFields *in, uint64_t max);
+int64_t bj_field_int (BjFields *in, int64_t min, int64_t max);
+double bj_field_double (BjFields *in);
+bool bj_field_bool (BjFields *in);
+BjStr bj_field_bytes (BjFields *in); // View of a bin
+bool bj_msgpack_is_bounded (
+    BjStr bytes); // No value claims more elements than bytes, or is nested too deep
+
 // ---------------------------------------------------------------------------------------------
 // Frame: messages between daemons, length-prefixed msgpack arrays
 // ---------------------------------------------------------------------------------------------
@@ -209,9 +229,6 @@
                           msgpack_unpacked *keep,
                           BjFrame *f); // Without the length; strings live in bytes and keep
 
-bool bj_msgpack_is_bounded (
-    BjStr bytes); // No value claims more elements than bytes, or is nested too deep
-
 // ---------------------------------------------------------------------------------------------
 // Link: TCP connections to other daemons
 // ---------------------------------------------------------------------------------------------
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -64,7 +64,6 @@
 
 #define BJ_ROLES 2 // guard, front
 #define BJ_OUTCOMES 3
-#define BJ_CODES_MAX 64 // result codes are below this
 
 typedef struct
 {
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -4,6 +4,7 @@
 
 #include "fleet.h"
 #include <ev.h>
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -376,10 +377,52 @@
   return 0;
 }
 
+typedef struct
+{
+  const char *name;
+  BjFrame frame;
+} RangeCase;
+
+// Fields of the right type and out of range; some of them are indexes.
+static const RangeCase range_cases[] = {
+  { "outcome",
+    { .kind = BJ_FRAME_ANSWER, .answer = { .http_status = 200, .outcome = (BjOutcome)7 } } },
+  { "result code",
+    { .kind = BJ_FRAME_ANSWER, .answer = { .http_status = 200, .code = (BjStatus)9999 } } },
+  { "HTTP status", { .kind = BJ_FRAME_ANSWER, .answer = { .http_status = 7 } } },
+  { "length", { .kind = BJ_FRAME_ANSWER, .answer = { .http_status = 200, .length = -9 } } },
+  { "time to come back",
+    { .kind = BJ_FRAME_ANSWER, .answer = { .http_status = 200, .retry_after_ms = NAN } } },
+  { "class", { .kind = BJ_FRAME_CALL, .request = { .klass = 99, .deadline_ms = 1 } } },
+  { "deadline", { .kind = BJ_FRAME_CALL, .request = { .klass = 1, .deadline_ms = INFINITY } } },
+};
+
+static void
+test_ranges (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (range_cases); i++)
+    {
+      msgpack_sbuffer out;
+      msgpack_unpacked keep;
+      BjFrame f;
+
+      msgpack_sbuffer_init (&out);
+      msgpack_unpacked_init (&keep);
+      bj_frame_encode (&out, &range_cases[i].frame);
+      print_message ("  %s\n", range_cases[i].name);
+      assert_int_equal (bj_frame_decode ((BjStr){ out.data + 4, out.size - 4 }, &keep, &f),
+                        BJ_E_FORMAT);
+      msgpack_unpacked_destroy (&keep);
+      msgpack_sbuffer_destroy (&out);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_ranges),
     cmocka_unit_test (test_mutated_frames),
     cmocka_unit_test (test_mutated_texts),
     cmocka_unit_test (test_bad_tickets),
