--- a/src/datagram.c
+++ b/src/datagram.c
@@ -82,7 +82,7 @@
           in.failed = buckets.failed;
         }
     }
-  in.failed = in.failed || (o->via.array.size > 0) != (d->kind == BJ_DATAGRAM_DIGEST);
+  in.failed = in.failed || o == NULL || (o->via.array.size > 0) != (d->kind == BJ_DATAGRAM_DIGEST);
   o = bj_field_next (&in, MSGPACK_OBJECT_ARRAY);
   if (in.failed || d->kind == 0 || o->via.array.size == 0 || o->via.array.size > BJ_UPDATES_MAX + 1)
     return bj_fail (BJ_E_FORMAT, "A datagram has a field of the wrong type or range.");
--- a/tests/test_fleet_chain.c
+++ b/tests/test_fleet_chain.c
@@ -43,17 +43,50 @@
   { "the deepest daemon is cut off", { "link-c" }, "cut", false, 0 },
 };
 
-#define NODE(n, d, s, next_path)                                                                   \
-  {                                                                                                \
-    .name = n, .domain = d, .region = "n", .service = s, .slots = 16, .service_ms = 2,             \
-    .next = next_path                                                                              \
-  }
-
 // Two upstreams a service: a call that fails at one may be tried at the other.
 static const FleetNode nodes[] = {
-  NODE ("one-1", "a", "s1", "/s2/x"), NODE ("one-2", "a", "s1", "/s2/x"),
-  NODE ("two-1", "b", "s2", "/s3/x"), NODE ("two-2", "b", "s2", "/s3/x"),
-  NODE ("three-1", "c", "s3", ""),    NODE ("three-2", "c", "s3", ""),
+  { .name = "one-1",
+    .domain = "a",
+    .region = "n",
+    .service = "s1",
+    .slots = 16,
+    .service_ms = 2,
+    .next = "/s2/x" },
+  { .name = "one-2",
+    .domain = "a",
+    .region = "n",
+    .service = "s1",
+    .slots = 16,
+    .service_ms = 2,
+    .next = "/s2/x" },
+  { .name = "two-1",
+    .domain = "b",
+    .region = "n",
+    .service = "s2",
+    .slots = 16,
+    .service_ms = 2,
+    .next = "/s3/x" },
+  { .name = "two-2",
+    .domain = "b",
+    .region = "n",
+    .service = "s2",
+    .slots = 16,
+    .service_ms = 2,
+    .next = "/s3/x" },
+  { .name = "three-1",
+    .domain = "c",
+    .region = "n",
+    .service = "s3",
+    .slots = 16,
+    .service_ms = 2,
+    .next = "" },
+  { .name = "three-2",
+    .domain = "c",
+    .region = "n",
+    .service = "s3",
+    .slots = 16,
+    .service_ms = 2,
+    .next = "" },
 };
 
 static Fleet fleet;
