Read once more: one reader of a stand-in's executions, one name for the level told

test_fleet_chain read /control/executions as fleet_executions does; both now call fleet_executions_at. bj_kernel_level only called bj_level_told; one function remains.

--- a/src/kernel.c
+++ b/src/kernel.c
@@ -514,7 +514,7 @@
                   bj_outcome_name (a.outcome),
                   a.retry_after_ms);
   if (c->service != NULL)
-    a.level = bj_level_told (k, now, c);
+    a.level = bj_kernel_level (k, now, c);
   bj_count_answer (k, c, a.code, a.outcome);
   k->host->ops->answer (k->host, c, &a);
   bj_call_end (k, c);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -128,7 +128,6 @@
 void bj_level_offered (BjKernel *k,
                        BjTime now,
                        bool refused); // Guard: a call came, or was refused for load
-int bj_level_told (BjKernel *k, BjTime now, const BjCall *c); // Guard: level for the answer to c
 void bj_level_learn (BjKernel *k,
                      BjTime now,
                      const BjCall *c,
--- a/src/level.c
+++ b/src/level.c
@@ -53,7 +53,7 @@
 }
 
 int
-bj_level_told (BjKernel *k, BjTime now, const BjCall *c)
+bj_kernel_level (BjKernel *k, BjTime now, const BjCall *c)
 {
   BjLevel *l = &k->level;
 
@@ -62,12 +62,6 @@
   return MAX ((int)l->own, c->level);
 }
 
-int
-bj_kernel_level (BjKernel *k, BjTime now, const BjCall *c)
-{
-  return bj_level_told (k, now, c);
-}
-
 void
 bj_level_learn (BjKernel *k, BjTime now, const BjCall *c, int level)
 {
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -383,28 +383,34 @@
 int
 fleet_executions (Fleet *f, const char *key)
 {
-  GString *out = g_string_new (NULL);
   int total = 0;
 
   for (int i = 0; i < f->n; i++)
     {
-      char **lines;
+      int n = f->members[i].upstream != 0 ? fleet_executions_at (f, i, key) : 0;
 
-      g_string_truncate (out, 0);
-      if (f->members[i].upstream == 0
-          || fleet_http ("GET", f->members[i].upstream_port, "/control/executions", NULL, NULL, out)
-                 != 200)
-        continue;
-      lines = g_strsplit (out->str, "\n", -1);
-      for (int j = 0; lines[j] != NULL; j++)
-        if (g_str_has_prefix (lines[j], key) && lines[j][strlen (key)] == ' ')
-          total += atoi (lines[j] + strlen (key) + 1);
-      g_strfreev (lines);
+      total += MAX (0, n);
     }
-  g_string_free (out, TRUE);
   return total;
 }
 
+int
+fleet_executions_at (Fleet *f, int i, const char *key)
+{
+  GString *out = g_string_new (NULL);
+  int status
+      = fleet_http ("GET", f->members[i].upstream_port, "/control/executions", NULL, NULL, out);
+  char **lines = g_strsplit (out->str, "\n", -1);
+  int n = status == 200 ? 0 : -1;
+
+  for (int j = 0; status == 200 && lines[j] != NULL; j++)
+    if (g_str_has_prefix (lines[j], key) && lines[j][strlen (key)] == ' ')
+      n += atoi (lines[j] + strlen (key) + 1);
+  g_strfreev (lines);
+  g_string_free (out, TRUE);
+  return n;
+}
+
 // Finds a run of free ports; two fleets started at once begin their search at different places.
 static int
 take_ports (int n)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -95,3 +95,6 @@
                 const char *to,
                 const char *mode);                // Rule for one domain's traffic to another
 int fleet_executions (Fleet *f, const char *key); // Over all running upstreams
+int fleet_executions_at (Fleet *f,
+                         int i,
+                         const char *key); // At one upstream, -1 when it does not answer
--- a/tests/test_fleet_chain.c
+++ b/tests/test_fleet_chain.c
@@ -140,20 +140,9 @@
 static int
 runs_at (int member, const char *key)
 {
-  GString *out = g_string_new (NULL);
-  char **lines;
-  int n = 0;
-
-  assert_int_equal (
-      fleet_http (
-          "GET", fleet.members[member].upstream_port, "/control/executions", NULL, NULL, out),
-      200);
-  lines = g_strsplit (out->str, "\n", -1);
-  for (int i = 0; lines[i] != NULL; i++)
-    if (g_str_has_prefix (lines[i], key) && lines[i][strlen (key)] == ' ')
-      n += atoi (lines[i] + strlen (key) + 1);
-  g_strfreev (lines);
-  g_string_free (out, TRUE);
+  int n = fleet_executions_at (&fleet, member, key);
+
+  assert_true (n >= 0);
   return n;
 }
 
