--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 PACKAGES = gcc cmake make pkg-config libev-dev libmsgpack-dev libmicrohttpd-dev libcurl4-gnutls-dev \
-  libargtable2-dev libjson-c-dev libglib2.0-dev libcmocka-dev libxxhash-dev libgnutls28-dev
+  libargtable2-dev libjson-c-dev libglib2.0-dev libcmocka-dev libxxhash-dev libgnutls28-dev libhttp-parser-dev
 LINT_PACKAGES = clang-format-14 clang-tidy-14
 SOURCES = $(shell git ls-files '*.c' '*.h')
 
--- a/src/admin.c
+++ b/src/admin.c
@@ -30,6 +30,9 @@
 
 static int post_announce (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int announced_slots (struct json_object *o);
+static int get_ready (BjDaemon *d, BjStr path, BjStr body, GString *out);
+static int
+take_announcement (BjDaemon *d, BjStr method, BjStr path, BjStr body, GString *out);
 static int get_status (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int get_members (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int get_metrics (BjDaemon *d, BjStr path, BjStr body, GString *out);
@@ -46,25 +49,64 @@
   { "POST", "/v1/announce", post_announce }, { "GET", "/v1/status", get_status },
   { "GET", "/v1/members", get_members },     { "GET", "/metrics", get_metrics },
   { "GET", "/v1/config", get_config },       { "GET", "/v1/explain/", get_explain },
+  { "GET", "/ready", get_ready },
 };
 
 int
 bj_admin_handle (BjDaemon *d, BjStr method, BjStr path, BjStr body, GString *out)
 {
+  int status;
+
   for (size_t i = 0; i < G_N_ELEMENTS (entries); i++)
     if (bj_str_starts (path, bj_str (entries[i].prefix))
         && bj_str_equal (method, bj_str (entries[i].method)))
       return entries[i].handle (d, path, body, out);
+  status = take_announcement (d, method, path, body, out);
+  if (status != 0)
+    return status;
   bj_fail (BJ_E_NOT_FOUND, "There is no %.*s %.*s here.", BJ_STR_ARG (method), BJ_STR_ARG (path));
   return fail (out, 404);
 }
 
+// In the words of the dialect; 0 when it is no announcement.
+static int
+take_announcement (BjDaemon *d, BjStr method, BjStr path, BjStr body, GString *out)
+{
+  BjAnnouncement a = { 0 };
+  BjStatus s = d->dialect->read_announcement (method, path, body, &a);
+
+  if (s == BJ_E_NOT_FOUND)
+    return 0;
+  if (s == BJ_OK)
+    s = bj_daemon_announce (d, &a);
+  bj_str_free (&a.id);
+  bj_str_free (&a.service);
+  bj_str_free (&a.address.host);
+  if (s != BJ_OK)
+    {
+      bj_log (BJ_LOG_WARNING, "UPSTREAM", "An announcement was refused: %s", bj_last_message ());
+      return fail (out, s == BJ_E_CONFLICT ? 409 : 400);
+    }
+  g_string_append (out, "{}\n");
+  return 200;
+}
+
+// Whether the platform may send callers here.
+static int
+get_ready (BjDaemon *d, BjStr path, BjStr body, GString *out)
+{
+  (void)path;
+  (void)body;
+  g_string_append (out, "{}\n");
+  return !d->stopping && bj_kernel_config (d->kernel) != NULL ? 200 : 503;
+}
+
 static int
 post_announce (BjDaemon *d, BjStr path, BjStr body, GString *out)
 {
   struct json_object *o;
   BjStatus s = bj_json_read ("announcement", body, BJ_E_FORMAT, &o);
-  BjAddress a;
+  BjAnnouncement a = { 0 };
 
   (void)path;
   if (s == BJ_OK)
@@ -79,10 +121,11 @@
       json_object_put (o);
       return fail (out, 400);
     }
-  a.host = bj_json_str (o, "host");
-  a.port = (int)bj_json_number (o, "port", 0);
-  bj_daemon_announce (
-      d, bj_json_str (o, "service"), a, announced_slots (o), bj_json_bool (o, "draining", false));
+  a.service = bj_json_str (o, "service");
+  a.address = (BjAddress){ bj_json_str (o, "host"), (int)bj_json_number (o, "port", 0) };
+  a.slots = announced_slots (o);
+  a.draining = bj_json_bool (o, "draining", false);
+  bj_daemon_announce (d, &a);
   json_object_put (o);
   g_string_append (out, "{}\n");
   return 200;
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -150,6 +150,7 @@
   BJ_PLUGIN_ROUTER,
   BJ_PLUGIN_RETRY,
   BJ_PLUGIN_PLATFORM,
+  BJ_PLUGIN_DIALECT,
   BJ_PLUGIN_KINDS,
 } BjPluginKind;
 
@@ -181,6 +182,8 @@
 {
   BjStr method;       // "GET"
   BjStr path;         // with query
+  BjStr host;         // authority the caller asked for, without the port, empty if none
+  BjStr id;           // the caller's name for this attempt, empty if none
   BjStr key;          // Idempotency-Key, empty if none
   BjStr content_type; // of the body
   BjStr headers;      // others to relay, "Name: value" lines, each ended by a line feed
@@ -190,7 +193,8 @@
   int attempts_left;  // for the whole chain, -1 if none
   int depth;          // hops so far
   uint64_t parent;    // guard call this one was made for, 0 if none
-  bool irreversible;  // set by the daemon that routes it
+  bool irreversible; // set by the daemon that routes it
+  double objective_ms; // of what is left, an answer within it is worth most; set by the same
   bool has_cohort;    // cohort is set: by the front that the action came to
   uint32_t cohort;    // hash of the action, the same on the whole chain
   bool is_spilled;    // came from a daemon of another failure domain, set by the receiver
@@ -201,6 +205,7 @@
   BjStatus code; // why the layer answers itself, BJ_OK for an upstream's answer
   BjOutcome outcome;
   int http_status;
+  bool failed;           // it ran, and the upstream says that it failed
   double retry_after_ms; // when to come back, 0 if it makes no sense
   int attempts_left;     // of the chain's allowance, -1 if not known
   int level;             // admission level of the guard that answered, 0 admits all
@@ -231,6 +236,7 @@
   bool is_front; // arrived from a caller; otherwise from a peer
   bool irreversible;
   bool answer_begun;    // nothing can be retried any more
+  bool needs_claim;     // irreversible under the caller's key, not only within this attempt
   bool may_have_run;    // an attempt ended without telling
   uint64_t fingerprint; // of the request, for the quarantine
   bool detached;        // runs on without a caller
@@ -239,6 +245,7 @@
   int klass; // 0 is the most important
   BjTime arrived;
   BjTime deadline;
+  double objective_ms;  // from its arrival, within which an answer is worth most
   int attempts_left;   // of the chain's allowance, what was handed down not included
   int attempts_handed; // to the daemon it was sent to
   int attempts_before; // attempts_left and attempts_handed when it was last sent
@@ -410,11 +417,22 @@
 
 typedef struct
 {
+  BjStr service; // name
+  int weight;    // relative to the others of the route
+} BjShare;
+
+typedef struct
+{
+  BjStr host;   // that callers ask for, empty for any
   BjStr prefix; // of the path
   int klass;
   bool irreversible;
+  bool needs_claim; // irreversible for all attempts under one key, not only within one attempt
   double deadline_ms;
-  int attempts; // further attempts of one user action, whole chain
+  double objective_ms; // an answer within it is worth most
+  int attempts;        // further attempts of one user action, whole chain
+  BjShare *shares;     // services that share its calls, none when its own service takes all
+  int n_shares;
 } BjRoute;
 
 typedef enum
@@ -447,6 +465,20 @@
   int max_slots; // 0 for what it announces
 } BjUpstreamConfig;
 
+typedef struct
+{
+  size_t header_bytes;      // of a request head
+  size_t body_bytes;        // of a request body
+  double header_timeout_ms; // from a request's first byte to the end of its head
+  double idle_timeout_ms;   // of a connection without a request
+} BjCallerLimits;
+
+#define BJ_CALLER_LIMITS_DEFAULT                                                                   \
+  {                                                                                                \
+    .header_bytes = BJ_HEADER_MAX, .body_bytes = BJ_REQUEST_BODY_MAX,                              \
+    .header_timeout_ms = BJ_HEADER_TIMEOUT_MS, .idle_timeout_ms = BJ_CALLER_IDLE_MS                \
+  }
+
 typedef struct
 {
   int64_t number; // last ticket merged
@@ -454,8 +486,10 @@
   int n_services;
   BjUpstreamConfig *upstreams;
   int n_upstreams;
-  GPtrArray *classes; // char*, index is the class
-  BjStr text;         // canonical JSON of the whole
+  GPtrArray *classes;     // char*, index is the class
+  GHashTable *hosts;      // BjStr* in BjRoute to GArray of routes, longest prefix first
+  BjCallerLimits callers; // of connections and requests
+  BjStr text;             // canonical JSON of the whole
 } BjConfig;
 
 BjStatus bj_config_parse (BjStr text,
@@ -466,6 +500,10 @@
 const BjRoute *bj_config_route (const BjConfig *c,
                                 BjStr path,
                                 const BjServiceConfig **s); // Longest prefix, NULL if none
+const BjRoute *bj_config_route_of (const BjConfig *c,
+                                   BjStr host,
+                                   BjStr path,
+                                   const BjServiceConfig **s); // Of the host or of any host
 BjStatus bj_ticket_check (BjStr text,
                           int64_t *number); // Whole check without the store; BJ_E_TICKET
 BjStatus bj_ticket_merge (BjStr current,
@@ -736,13 +774,20 @@
   BjAddress gossip;            // other daemons, UDP
   BjAddress advertised_link;   // where other daemons reach the link address
   BjAddress advertised_gossip; // where other daemons reach the gossip address
+  BjAddress ready;             // GET /ready and /metrics alone, port 0 for none
+  BjAddress upstream;          // where the own upstream must be, port 0 for anywhere
+  BjStr service;               // of the own upstream, empty until it announces itself
+  BjStr dialect;               // plug-in that reads and writes HTTP headers and announcements
+  BjStr *domains;              // all failure domains of the deployment, where they are known
+  int n_domains;
   BjAddress *seeds;            // gossip addresses to begin with
   int n_seeds;
   BjStr platform_name; // plug-in
   BjStr platform_url;
   BjStr key_file; // deployment key, empty for none
   BjLogLevel log_level;
-  double drain_ms; // longest time a stop waits for open calls
+  double drain_ms;     // longest time a stop waits for open calls
+  double heartbeat_ms; // between two announcements of the own upstream
 } BjSettings;
 
 BjStatus
--- a/src/call.c
+++ b/src/call.c
@@ -77,6 +77,8 @@
   *to = *from;
   to->method = bj_str_dup (from->method);
   to->path = bj_str_dup (from->path);
+  to->host = bj_str_dup (from->host);
+  to->id = bj_str_dup (from->id);
   to->key = bj_str_dup (from->key);
   to->content_type = bj_str_dup (from->content_type);
   to->headers = bj_str_dup (from->headers);
@@ -88,6 +90,8 @@
 {
   bj_str_free (&r->method);
   bj_str_free (&r->path);
+  bj_str_free (&r->host);
+  bj_str_free (&r->id);
   bj_str_free (&r->key);
   bj_str_free (&r->content_type);
   bj_str_free (&r->headers);
--- a/src/config.h
+++ b/src/config.h
@@ -14,7 +14,7 @@
 #define BJ_FRAME_DATA_MAX 65536                    // bytes of answer body in one frame
 #define BJ_WINDOW_BYTES (256 * 1024)               // answer body in flight for one call
 #define BJ_HEADER_MAX 16384                        // bytes of one caller's request head
-#define BJ_TICKET_MAX (512 * 1024)                 // bytes of one ticket
+#define BJ_TICKET_MAX (1024 * 1024)                // bytes of one ticket
 #define BJ_TICKET_DEPTH_MAX 16                     // nested values in a ticket or in settings
 #define BJ_OBJECT_NAME_MAX 64                      // bytes of an object's name in the store
 #define BJ_DECISIONS_MAX 32                        // latest decisions kept in config/current
@@ -24,12 +24,15 @@
 #define BJ_LOG_BUFFER (1024 * 1024)                // bytes of log lines not yet written
 
 // Times, in milliseconds
+#define BJ_HEADER_TIMEOUT_MS 10000   // for the head of a caller's request
+#define BJ_CALLER_IDLE_MS 120000     // of a caller's connection without a request
 #define BJ_DEADLINE_MS 2000          // of a call whose route and caller give none
 #define BJ_HOP_MS 2                  // taken off the deadline at each hop
 #define BJ_CONNECT_TIMEOUT_MS 1000   // for TCP and HTTP connections
 #define BJ_PING_MS 250               // silence on a link with open calls before a ping
 #define BJ_IDLE_MS 30000             // a link without calls is closed after this long
-#define BJ_ANNOUNCE_LIFETIME_MS 3000 // an upstream that stays silent longer is gone
+#define BJ_HEARTBEAT_MS 1000         // between two announcements of an upstream
+#define BJ_ANNOUNCE_MISSES 3         // announcements that may be missed before an upstream is gone
 #define BJ_SWIM_TICK_MS 100          // between two looks of the membership at the clock
 #define BJ_PROBE_MS 500              // between two probes of other members
 #define BJ_PROBE_TIMEOUT_MS 200      // for an answer before others are asked to probe
@@ -64,7 +67,7 @@
 #define BJ_READERS 2                   // daemons of a domain that watch the store
 #define BJ_READER_TICK_MS 100          // between two looks at who reads and who holds a newer one
 #define BJ_READER_JOIN_MS 1000         // a new daemon hears its peers before it reads the store
-#define BJ_READER_BACKOFF_MAX_MS 10000 // longest pause of a reader while the store fails
+#define BJ_READER_BACKOFF_MAX_MS 2000 // longest pause of a reader while the store fails
 #define BJ_FETCH_AGAIN_MS 300          // an unanswered peer fetch goes to another peer after this
 #define BJ_FETCH_FAR_MS 500 // wait for a holder in the own domain before asking elsewhere
 
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -50,7 +50,9 @@
   o = (BjKernelOptions){ .self = own_report (d), .host = &d->host, .seed = g_random_int () };
   d->kernel = bj_kernel_new (&o, now);
   d->http = bj_http_new (loop);
-  d->upstream_http = bj_http_new (loop);
+  d->pool = bj_pool_new (loop);
+  d->lost_runs = g_ptr_array_new ();
+  d->dialect = bj_plugin_find (BJ_PLUGIN_DIALECT, s->dialect);
   d->watchers = g_new0 (struct BjDaemonWatchers, 1);
   ev_prepare_init (&d->watchers->prepare, on_prepare);
   ev_timer_init (&d->watchers->tick, on_tick, 0, 0);
@@ -82,7 +84,7 @@
   bj_log (BJ_LOG_INFO, "DRAIN", "Stopping, %d calls open.", bj_kernel_open_calls (d->kernel));
   bj_daemon_drain (d, true);
   bj_members_tell (d->members);
-  bj_front_close (d->front);
+  bj_server_close (bj_front_server (d->front));
 }
 
 void
@@ -100,13 +102,16 @@
   d->kernel = NULL;
   bj_links_free (d->links);
   bj_front_free (d->front);
-  bj_front_free (d->admin);
+  bj_console_free (d->admin);
+  bj_console_free (d->ready);
   if (d->platform != NULL)
     d->platform->ops->destroy (d->platform);
   bj_http_free (d->http);
-  bj_http_free (d->upstream_http);
+  bj_pool_free (d->pool);
+  g_ptr_array_free (d->lost_runs, TRUE);
   bj_auth_free (d->auth);
   bj_str_free (&d->upstream.host);
+  bj_str_free (&d->upstream_id);
   g_free (d->watchers);
   g_free (d);
 }
@@ -122,6 +127,8 @@
       return;
     }
   bj_kernel_set_config (d->kernel, bj_clock_now (), c);
+  if (d->front != NULL)
+    bj_server_limit (bj_front_server (d->front), &bj_kernel_config (d->kernel)->callers);
 }
 
 BjExchange *
@@ -150,14 +157,72 @@
   return x;
 }
 
+// An announcement may come from elsewhere, or name a service that nobody configured.
+static bool
+is_own_upstream (const BjDaemon *d, const BjAnnouncement *a)
+{
+  const BjAddress *own = &d->settings.upstream;
+  const BjConfig *c = bj_kernel_config (d->kernel);
+
+  if (own->port != 0
+      && (a->address.port != own->port || !bj_str_equal (a->address.host, own->host)))
+    bj_fail (BJ_E_ARGUMENT,
+             "%.*s:%d is not the address of the own upstream.",
+             BJ_STR_ARG (a->address.host),
+             a->address.port);
+  else if (d->settings.service.len > 0 && c != NULL && bj_config_service (c, a->service) == NULL)
+    bj_fail (BJ_E_ARGUMENT, "Service %.*s is not configured.", BJ_STR_ARG (a->service));
+  else
+    return true;
+  return false;
+}
+
+BjStatus
+bj_daemon_announce (BjDaemon *d, const BjAnnouncement *a)
+{
+  bool is_same = bj_str_equal (d->upstream_id, a->id) && d->upstream_born_ms == a->born_ms;
+  BjTime now = bj_clock_now ();
+
+  if (a->born_ms < d->upstream_born_ms || (is_same && a->sequence < d->upstream_sequence))
+    return bj_fail (BJ_E_CONFLICT,
+                    "An announcement of %.*s is out of date, sequence %" G_GINT64_FORMAT ".",
+                    BJ_STR_ARG (a->id),
+                    a->sequence);
+  if (!a->gone && !is_own_upstream (d, a))
+    return BJ_E_ARGUMENT;
+  if (a->gone)
+    {
+      if (!is_same)
+        return bj_fail (BJ_E_CONFLICT, "%.*s is not the upstream here.", BJ_STR_ARG (a->id));
+      d->upstream_sequence = INT64_MAX;
+      bj_kernel_drain (d->kernel, now, BJ_DRAIN_UPSTREAM, true);
+      bj_members_tell (d->members);
+      return BJ_OK;
+    }
+  if (!is_same)
+    bj_pool_drop (d->pool);
+  bj_str_set (&d->upstream_id, a->id);
+  d->upstream_born_ms = a->born_ms;
+  d->upstream_sequence = a->sequence;
+  bj_str_set (&d->upstream.host, a->address.host);
+  d->upstream.port = a->address.port;
+  d->announced = now;
+  bj_kernel_announce (d->kernel, now, a->service, a->slots);
+  bj_kernel_drain (d->kernel, now, BJ_DRAIN_UPSTREAM, a->draining);
+  if (a->draining)
+    bj_members_tell (d->members);
+  return BJ_OK;
+}
+
 void
-bj_daemon_announce (BjDaemon *d, BjStr service, BjAddress a, int slots, bool draining)
+bj_daemon_upstream_down (BjDaemon *d)
 {
-  bj_str_set (&d->upstream.host, a.host);
-  d->upstream.port = a.port;
-  d->announced = bj_clock_now ();
-  bj_kernel_announce (d->kernel, d->announced, service, slots);
-  bj_kernel_drain (d->kernel, d->announced, BJ_DRAIN_UPSTREAM, draining);
+  if (d->upstream.port == 0)
+    return;
+  bj_log (BJ_LOG_WARNING, "UPSTREAM", "The own upstream refuses connections.");
+  d->upstream.port = 0;
+  bj_pool_drop (d->pool);
+  bj_kernel_upstream_gone (d->kernel, bj_clock_now ());
 }
 
 void
@@ -246,9 +311,11 @@
   BjStatus s = bj_links_new (d, &d->links);
 
   if (s == BJ_OK)
-    s = bj_front_new (d, d->settings.front, false, &d->front);
+    s = bj_front_new (d, &d->front);
   if (s == BJ_OK)
-    s = bj_front_new (d, d->settings.admin, true, &d->admin);
+    s = bj_console_new (d, "admin", d->settings.admin, &d->admin);
+  if (s == BJ_OK && d->settings.ready.port > 0)
+    s = bj_console_new (d, "ready", d->settings.ready, &d->ready);
   if (s == BJ_OK)
     s = bj_members_new (d, &d->members);
   if (s != BJ_OK)
@@ -288,9 +355,11 @@
   bj_links_notify (d->links);
   for (int i = 0; i < TURNS_MAX && busy; i++)
     {
-      busy = bj_front_turn (d->front);
-      busy = bj_front_turn (d->admin) || busy;
+      busy = bj_console_turn (d->admin);
+      busy = bj_console_turn (d->ready) || busy;
+      bj_pool_flush (d->pool);
       bj_links_flush (d->links);
+      bj_server_flush (bj_front_server (d->front));
     }
   if (busy)
     ev_idle_start (loop, &d->watchers->idle);
@@ -330,7 +399,7 @@
 static void
 check_announcement (BjDaemon *d, BjTime now)
 {
-  if (d->upstream.port == 0 || now - d->announced < BJ_ANNOUNCE_LIFETIME_MS)
+  if (d->upstream.port == 0 || now - d->announced < BJ_ANNOUNCE_MISSES * d->settings.heartbeat_ms)
     return;
   d->upstream.port = 0;
   bj_kernel_upstream_gone (d->kernel, now);
@@ -339,7 +408,7 @@
 static bool
 is_busy (const BjDaemon *d)
 {
-  return bj_kernel_open_calls (d->kernel) > 0 || bj_front_open (d->front) > 0
+  return bj_kernel_open_calls (d->kernel) > 0 || bj_server_open (bj_front_server (d->front)) > 0
          || !bj_links_is_written (d->links);
 }
 
@@ -351,7 +420,7 @@
   if (!d->is_quiesced)
     {
       d->is_quiesced = true;
-      bj_front_quiesce (d->front);
+      bj_server_quiesce (bj_front_server (d->front));
     }
   if (is_busy (d) && now < d->stop_by)
     return;
--- /dev/null
+++ b/src/dialect.c
@@ -0,0 +1,140 @@
+// Dialect: the product's own HTTP headers, plug-in "borage".
+
+#include "internal.h"
+
+// Of the layer itself, or carried in fields of their own.
+static const char *const own_headers[] = { "Date", "Idempotency-Key", "Retry-After" };
+
+static void read_request (const BjSettings *s, const BjHead *h, BjRequest *r, GString *relayed);
+static void write_answer (BjAnswer *a, GString *lines);
+static void write_run (const BjCall *c, BjStr upstream_id, double left_ms, GString *lines);
+static BjStatus read_run (const BjCall *c, const BjHead *h, BjAnswer *a, GString *relayed);
+static BjStatus read_announcement (BjStr method, BjStr path, BjStr body, BjAnnouncement *a);
+static bool is_own (BjStr name);
+static double number (BjStr value, double absent);
+static BjOutcome outcome_of (BjStr name);
+
+static const BjDialectOps borage_ops
+    = { read_request, write_answer, write_run, read_run, read_announcement };
+
+static void
+read_request (const BjSettings *s, const BjHead *h, BjRequest *r, GString *relayed)
+{
+  BjStr block = h->headers;
+  BjStr name;
+  BjStr value;
+
+  (void)s;
+  while (bj_header_next (&block, &name, &value))
+    {
+      if (bj_header_is (name, "Idempotency-Key"))
+        r->key = value;
+      else if (bj_header_is (name, "Content-Type"))
+        r->content_type = value;
+      else if (bj_header_is (name, "Bj-Class"))
+        r->klass = (int)number (value, -1);
+      else if (bj_header_is (name, "Bj-Deadline-Ms"))
+        r->deadline_ms = number (value, 0);
+      else if (bj_header_is (name, "Bj-Attempts-Left"))
+        r->attempts_left = (int)number (value, -1);
+      else if (bj_header_is (name, "Bj-Path"))
+        r->depth = (int)number (value, 0);
+      else if (bj_header_is (name, "Bj-Call"))
+        r->parent = (uint64_t)number (value, 0);
+      else if (!is_own (name))
+        bj_header_add (relayed, name, value);
+    }
+}
+
+static void
+write_answer (BjAnswer *a, GString *lines)
+{
+  g_string_append_printf (lines, "Bj-Outcome: %s\r\n", bj_outcome_name (a->outcome));
+  if (a->code != BJ_OK)
+    g_string_append_printf (lines, "Bj-Code: %s\r\n", bj_status_name (a->code));
+  if (a->retry_after_ms > 0)
+    g_string_append_printf (lines,
+                            "Bj-Retry-After-Ms: %.0f\r\nRetry-After: %d\r\n",
+                            a->retry_after_ms,
+                            (int)(a->retry_after_ms / 1000) + 1);
+  if (a->attempts_left >= 0)
+    g_string_append_printf (lines, "Bj-Attempts-Left: %d\r\n", a->attempts_left);
+}
+
+static void
+write_run (const BjCall *c, BjStr upstream_id, double left_ms, GString *lines)
+{
+  (void)upstream_id;
+  g_string_append_printf (lines,
+                          "Bj-Deadline-Ms: %.0f\r\nBj-Attempts-Left: %d\r\nBj-Path: %d\r\n"
+                          "Bj-Class: %d\r\nBj-Call: %" G_GUINT64_FORMAT "\r\n",
+                          left_ms,
+                          c->attempts_left,
+                          c->request.depth,
+                          c->klass,
+                          c->id);
+  if (c->request.key.len > 0)
+    g_string_append_printf (lines, "Idempotency-Key: %.*s\r\n", BJ_STR_ARG (c->request.key));
+}
+
+static BjStatus
+read_run (const BjCall *c, const BjHead *h, BjAnswer *a, GString *relayed)
+{
+  BjStr block = h->headers;
+  BjStr name;
+  BjStr value;
+
+  (void)c;
+  while (bj_header_next (&block, &name, &value))
+    {
+      if (bj_header_is (name, "Bj-Outcome"))
+        a->outcome = outcome_of (value);
+      else if (bj_header_is (name, "Bj-Retry-After-Ms"))
+        a->retry_after_ms = number (value, 0);
+      else if (bj_header_is (name, "Bj-Attempts-Left"))
+        a->attempts_left = (int)number (value, -1);
+      else if (!is_own (name))
+        bj_header_add (relayed, name, value);
+    }
+  return BJ_OK;
+}
+
+// Upstreams announce themselves at the admin address, see admin.c.
+static BjStatus
+read_announcement (BjStr method, BjStr path, BjStr body, BjAnnouncement *a)
+{
+  (void)method;
+  (void)path;
+  (void)body;
+  (void)a;
+  return BJ_E_NOT_FOUND;
+}
+
+static bool
+is_own (BjStr name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (own_headers); i++)
+    if (bj_header_is (name, own_headers[i]))
+      return true;
+  return bj_str_starts (name, BJ_STR ("Bj-")) || bj_str_starts (name, BJ_STR ("bj-"));
+}
+
+static double
+number (BjStr value, double absent)
+{
+  int64_t n;
+
+  return bj_str_int (value, &n) && n >= 0 ? (double)n : absent;
+}
+
+static BjOutcome
+outcome_of (BjStr name)
+{
+  if (bj_str_equal (name, BJ_STR ("not-run")))
+    return BJ_NOT_RUN;
+  if (bj_str_equal (name, BJ_STR ("unknown")))
+    return BJ_UNKNOWN;
+  return BJ_DONE;
+}
+
+BJ_PLUGIN (BJ_PLUGIN_DIALECT, "borage", borage_ops)
--- a/src/frame.c
+++ b/src/frame.c
@@ -111,6 +111,8 @@
   msgpack_pack_uint64 (p, f->expected);
   pack_str (p, r->method);
   pack_str (p, r->path);
+  pack_str (p, r->host);
+  pack_str (p, r->id);
   pack_str (p, r->key);
   pack_str (p, r->content_type);
   pack_str (p, r->headers);
@@ -121,6 +123,7 @@
   msgpack_pack_int (p, r->depth);
   msgpack_pack_uint64 (p, r->cohort);
   r->irreversible ? msgpack_pack_true (p) : msgpack_pack_false (p);
+  msgpack_pack_double (p, r->objective_ms);
 }
 
 static void
@@ -131,6 +134,7 @@
   msgpack_pack_int (p, a->code);
   msgpack_pack_int (p, a->outcome);
   msgpack_pack_int (p, a->http_status);
+  a->failed ? msgpack_pack_true (p) : msgpack_pack_false (p);
   msgpack_pack_double (p, a->retry_after_ms);
   msgpack_pack_int (p, a->attempts_left);
   msgpack_pack_int (p, a->level);
@@ -150,7 +154,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 14,  [BJ_FRAME_ANSWER] = 9, [BJ_FRAME_DATA] = 1,
+    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 17,  [BJ_FRAME_ANSWER] = 10, [BJ_FRAME_DATA] = 1,
     [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_NOTICE] = 3, [BJ_FRAME_CONFIG] = 1,
   };
 
@@ -204,6 +208,8 @@
   f->expected = bj_field_uint (in, UINT64_MAX);
   r->method = bj_field_bytes (in);
   r->path = bj_field_bytes (in);
+  r->host = bj_field_bytes (in);
+  r->id = bj_field_bytes (in);
   r->key = bj_field_bytes (in);
   r->content_type = bj_field_bytes (in);
   r->headers = bj_field_bytes (in);
@@ -215,6 +221,7 @@
   r->cohort = (uint32_t)bj_field_uint (in, UINT32_MAX);
   r->has_cohort = true;
   r->irreversible = bj_field_bool (in);
+  r->objective_ms = bj_field_double (in);
 }
 
 static void
@@ -225,6 +232,7 @@
   a->code = (BjStatus)bj_field_int (in, 0, BJ_CODES_MAX - 1);
   a->outcome = (BjOutcome)bj_field_int (in, BJ_DONE, BJ_UNKNOWN);
   a->http_status = (int)bj_field_int (in, 100, 599);
+  a->failed = bj_field_bool (in);
   a->retry_after_ms = bj_field_double (in);
   a->attempts_left = (int)bj_field_int (in, -1, INT_MAX);
   a->level = (int)bj_field_int (in, 0, INT_MAX);
--- a/src/guard.c
+++ b/src/guard.c
@@ -10,6 +10,7 @@
 #define HEADROOM_LIMIT_MIN 4  // smaller limits keep nothing free
 
 static void configure_queue (BjKernel *k, BjTime now, const BjServiceConfig *s);
+static void refuse_queued (BjKernel *k, BjTime now);
 static void refuse_all (BjKernel *k, BjTime now, BjCall *list);
 static void start_next (BjKernel *k, BjTime now);
 static bool has_slot (BjKernel *k, BjTime now, int klass);
@@ -44,7 +45,6 @@
 void
 bj_kernel_upstream_gone (BjKernel *k, BjTime now)
 {
-  (void)now;
   if (k->self->service == NULL)
     return;
   bj_log (BJ_LOG_WARNING, "MEMBER", "The own upstream is gone.");
@@ -56,6 +56,7 @@
     k->guard.limiter->ops->destroy (k->guard.limiter);
   k->guard.limiter = NULL;
   k->guard.slots = 0;
+  refuse_queued (k, now);
 }
 
 void
@@ -228,6 +229,22 @@
     old->ops->destroy (old);
 }
 
+// Calls that wait for an upstream that is gone.
+static void
+refuse_queued (BjKernel *k, BjTime now)
+{
+  BjQueue *q = k->guard.queue;
+  BjCall *c;
+
+  while (q != NULL && (c = q->ops->take (q, now)) != NULL)
+    {
+      BjAnswer a = bj_guard_refusal (k, now, BJ_E_NO_UPSTREAM, c->klass);
+
+      c->state = BJ_CALL_NEW;
+      bj_call_refuse (k, now, c, &a);
+    }
+}
+
 // list goes by queue_next.
 static void
 refuse_all (BjKernel *k, BjTime now, BjCall *list)
--- a/src/header.c
+++ b/src/header.c
@@ -5,13 +5,12 @@
 #include <string.h>
 #include <strings.h>
 
-// RFC 9110 section 7.6.1, and what libcurl, libmicrohttpd or the frames carry themselves.
+// RFC 9110 section 7.6.1, and what frames and HTTP connections carry themselves.
 static const char *const not_relayed[] = {
-  "Connection", "Content-Length",    "Content-Type", "Date",        "Expect",
-  "Host",       "Idempotency-Key",   "Keep-Alive",   "Retry-After", "TE",
-  "Trailer",    "Transfer-Encoding", "Upgrade",
+  "Connection", "Content-Length", "Content-Type", "Expect",  "Host",
+  "Keep-Alive", "TE",             "Trailer",      "Upgrade", "Transfer-Encoding",
 };
-static const char *const not_relayed_prefixes[] = { "Bj-", "Proxy-" };
+static const char *const not_relayed_prefixes[] = { "Proxy-" };
 
 static bool is_relayed (BjStr name);
 static bool is_token (BjStr name);
@@ -45,6 +44,24 @@
   return true;
 }
 
+bool
+bj_header_is (BjStr name, const char *other)
+{
+  return name.len == strlen (other) && strncasecmp (name.data, other, name.len) == 0;
+}
+
+BjStr
+bj_header_find (BjStr block, const char *name)
+{
+  BjStr n;
+  BjStr value;
+
+  while (bj_header_next (&block, &n, &value))
+    if (bj_header_is (n, name))
+      return value;
+  return BJ_STR_NULL;
+}
+
 bool
 bj_header_is_sound (BjStr block)
 {
@@ -61,8 +78,7 @@
 is_relayed (BjStr name)
 {
   for (size_t i = 0; i < G_N_ELEMENTS (not_relayed); i++)
-    if (name.len == strlen (not_relayed[i])
-        && strncasecmp (name.data, not_relayed[i], name.len) == 0)
+    if (bj_header_is (name, not_relayed[i]))
       return false;
   for (size_t i = 0; i < G_N_ELEMENTS (not_relayed_prefixes); i++)
     {
--- a/src/incoming.c
+++ b/src/incoming.c
@@ -288,7 +288,7 @@
 static bool
 is_sound (const BjRequest *r)
 {
-  BjStr texts[] = { r->method, r->path, r->key, r->content_type };
+  BjStr texts[] = { r->method, r->path, r->host, r->id, r->key, r->content_type };
 
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
     for (size_t j = 0; j < texts[i].len; j++)
--- a/src/internal.h
+++ b/src/internal.h
@@ -72,8 +72,145 @@
 bool bj_header_next (BjStr *block,
                      BjStr *name,
                      BjStr *value);    // Takes the first line off; false at the end
+bool bj_header_is (BjStr name, const char *other); // The same, without regard to case
+BjStr bj_header_find (BjStr block, const char *name); // Value of the first one, empty if none
 bool bj_header_is_sound (BjStr block); // Every line is a name, a colon and printable text
 
+// ---------------------------------------------------------------------------------------------
+// Message: one HTTP/1.1 message as http-parser reads it
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  int status;     // of an answer, 0 of a request
+  BjStr method;   // of a request
+  BjStr path;     // of a request, with query
+  BjStr headers;  // all of them, "Name: value" lines, each ended by a line feed
+  int64_t length; // of the body, -1 when not known
+} BjHead;
+
+typedef struct
+{
+  GString *path;
+  GString *headers;
+  bool in_value; // the last piece belonged to a header's value
+} BjMessage;
+
+void bj_message_init (BjMessage *m);
+void bj_message_clear (BjMessage *m); // Frees the strings
+void bj_message_reset (BjMessage *m); // Before the next message
+void bj_message_field (BjMessage *m, const char *data, size_t n);
+void bj_message_value (BjMessage *m, const char *data, size_t n);
+BjStr bj_message_headers (BjMessage *m); // The whole block, once the head has ended
+
+// ---------------------------------------------------------------------------------------------
+// Server: HTTP/1.1 connections of callers
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjServer BjServer;
+typedef struct BjServerConn BjServerConn;
+
+typedef struct
+{
+  void (*request) (void *data, BjServerConn *c, const BjHead *h, BjStr body); // A whole one came
+  void (*left) (void *call);              // The caller closed before the end of its answer
+  void (*drained) (void *call, size_t n); // n bytes of the answer's body were written
+} BjServerOps;
+
+BjStatus bj_server_new (struct ev_loop *loop,
+                        const char *name, // of the setting, for messages
+                        BjAddress a,
+                        const BjServerOps *ops,
+                        void *data,
+                        BjServer **s); // BJ_E_IO when the port is busy
+void bj_server_free (BjServer *s);
+void bj_server_limit (BjServer *s, const BjCallerLimits *l); // From now on
+void bj_server_close (BjServer *s);   // Every answer from now on ends its connection
+void bj_server_quiesce (BjServer *s); // Takes no new connection from now on
+int bj_server_open (const BjServer *s); // Requests not yet answered whole
+void bj_server_flush (BjServer *s);     // Writes what was queued in this turn
+void bj_server_answer_for (BjServerConn *c, void *call); // Whom left and drained are told
+void bj_server_begin (BjServerConn *c,
+                      int status,
+                      BjStr lines, // "Name: value" lines, each ended by CR LF
+                      int64_t length);                   // -1 sends it in chunks
+size_t bj_server_held (const BjServerConn *c);           // Bytes not yet written
+void bj_server_data (BjServerConn *c, BjStr part);
+void bj_server_end (BjServerConn *c, bool whole); // Not whole: the connection is reset
+
+// ---------------------------------------------------------------------------------------------
+// Pool: HTTP/1.1 connections to the own upstream, one call on each at a time
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjPool BjPool;
+typedef struct BjPoolRun BjPoolRun;
+
+typedef struct
+{
+  BjAddress address;
+  BjStr head;     // request line and headers with the empty line, copied
+  BjStr body;     // borrowed until done or cancelled
+  bool is_head;   // the answer has no body
+  bool only_warm; // a connection that was idle for long is not reused
+  bool is_probe;  // only opens a connection
+  BjStatus (*on_head) (void *data, const BjHead *h); // Else than BJ_OK ends it as lost
+  size_t (*on_body) (void *data, BjStr part);        // Bytes taken: all or 0, which pauses
+  void (*on_done) (
+      void *data,
+      BjStatus s,
+      bool sent); // BJ_OK, BJ_E_LOST, BJ_E_NO_UPSTREAM when the connection was refused,
+                  // BJ_E_BROKEN after a head; sent: bytes may have arrived
+  void *data;
+} BjPoolOptions;
+
+BjPool *bj_pool_new (struct ev_loop *loop);
+void bj_pool_free (BjPool *p); // Ends open runs without telling them
+BjPoolRun *bj_pool_start (BjPool *p, const BjPoolOptions *o); // on_done is called later, never now
+void bj_pool_resume (BjPoolRun *r);                           // After a pause
+void bj_pool_cancel (BjPoolRun *r); // Closes the connection; on_done is not called
+void bj_pool_drop (BjPool *p);      // Closes the idle connections
+void bj_pool_flush (BjPool *p);     // Writes what was queued in this turn
+
+// ---------------------------------------------------------------------------------------------
+// Dialect: how HTTP headers and announcements speak (plug-in)
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  BjStr id;      // of this start of the upstream, empty if it names none
+  BjStr service; // empty when it is gone
+  BjAddress address;
+  int slots;
+  bool draining;
+  bool gone;         // it takes leave
+  double cold_ms;    // for which it is still slow
+  int64_t sequence;  // grows with each announcement of one start, 0 if not counted
+  double born_ms;    // wall time of its start, 0 if not known
+} BjAnnouncement;
+
+typedef struct
+{
+  void (*read_request) (const BjSettings *s,
+                        const BjHead *h,
+                        BjRequest *r,
+                        GString *relayed); // From a caller; strings live in h and relayed
+  void (*write_answer) (BjAnswer *a,
+                        GString *lines); // To a caller: sets a's HTTP status, adds CR LF lines
+  void (*write_run) (const BjCall *c,
+                     BjStr upstream_id,
+                     double left_ms,
+                     GString *lines); // To the own upstream
+  BjStatus (*read_run) (const BjCall *c,
+                        const BjHead *h,
+                        BjAnswer *a,
+                        GString *relayed); // From it; BJ_E_FORMAT when it answers another request
+  BjStatus (*read_announcement) (BjStr method,
+                                 BjStr path,
+                                 BjStr body,
+                                 BjAnnouncement *a); // BJ_E_NOT_FOUND when it is no announcement,
+                                                     // BJ_E_FORMAT when it can't be used
+} BjDialectOps;
+
 // ---------------------------------------------------------------------------------------------
 // Http: requests through libcurl multi on the loop
 // ---------------------------------------------------------------------------------------------
@@ -246,20 +383,27 @@
 bool bj_links_is_written (const BjLinks *l); // Nothing queued is left
 
 // ---------------------------------------------------------------------------------------------
-// Front: HTTP from callers and operators through libmicrohttpd
+// Front: calls from callers
 // ---------------------------------------------------------------------------------------------
 
 typedef struct BjFront BjFront;
 
-BjStatus bj_front_new (BjDaemon *d,
-                       BjAddress a,
-                       bool is_admin,
-                       BjFront **f); // BJ_E_IO when the port is busy
+BjStatus bj_front_new (BjDaemon *d, BjFront **f); // BJ_E_IO when the port is busy
 void bj_front_free (BjFront *f);
-bool bj_front_turn (BjFront *f);      // Runs what is ready; true if it did anything
-void bj_front_close (BjFront *f);     // Answers end their connections from now on
-void bj_front_quiesce (BjFront *f);   // Takes no new connection from now on
-int bj_front_open (const BjFront *f); // Requests not yet answered whole
+BjServer *bj_front_server (BjFront *f);
+
+// ---------------------------------------------------------------------------------------------
+// Console: HTTP of operators and of the own upstream through libmicrohttpd
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjConsole BjConsole;
+
+BjStatus bj_console_new (BjDaemon *d,
+                         const char *name,
+                         BjAddress a,
+                         BjConsole **c); // BJ_E_IO when the port is busy; name of the setting
+void bj_console_free (BjConsole *c);     // NULL does nothing
+bool bj_console_turn (BjConsole *c);     // Runs what is ready; true if it did anything
 
 // ---------------------------------------------------------------------------------------------
 // Admin: operators' and upstreams' requests to one daemon
@@ -477,9 +621,15 @@
                  const char *name,
                  BjStr version,
                  BjPlatformDone done,
-                 void *data); // Replies when newer; BJ_E_NOT_FOUND after BJ_WATCH_MS without change
+                 void *data); // Replies when newer; BJ_E_NOT_FOUND when it waited without change,
+                            // with a version to go on from if there is one. Without a version it
+                            // replies at once, where configurations are not filed by tickets
   void (*forget) (BjPlatform *p,
                   void *data); // Drops the open calls of data; a write may still take effect
+  const char *config_name;     // of the object with the operator's configuration
+  BjStatus (*read_config) (
+      struct json_object *spec,
+      GString *text); // Of that object, into the product's form; NULL when tickets are filed
 } BjPlatformOps;
 
 struct BjPlatform
@@ -668,20 +818,24 @@
   BjSettings settings;
   uint64_t incarnation;
   BjKernel *kernel;
-  BjHttp *http;          // to the platform
-  BjHttp *upstream_http; // to the own upstream
+  const BjDialectOps *dialect;
+  BjHttp *http; // to the platform
+  BjPool *pool; // to the own upstream
   BjLinks *links;
   BjFront *front;
-  BjFront *admin;
+  BjConsole *admin;
+  BjConsole *ready; // NULL when the settings name no address
   BjMembers *members;
   struct BjAuth *auth;
   BjPlatform *platform;
   BjReader *reader;
   BjOutcomes *outcomes;
-  BjStr upstream_service;
   BjAddress upstream; // of the own upstream, port 0 before it announces
-  int upstream_slots;
+  BjStr upstream_id;  // of its start, empty if it names none
+  double upstream_born_ms;
+  int64_t upstream_sequence;
   BjTime announced;
+  GPtrArray *lost_runs; // runs whose connections were lost, until a probe tells why
   bool draining;
   bool stopping;
   BjTime stop_by;
@@ -696,6 +850,8 @@
                               const BjRequest *r,
                               BjSink *sink); // From a caller; NULL when already answered
 BjExchange *bj_daemon_arrive_peer (BjDaemon *d, const BjRequest *r, BjStr service, BjSink *sink);
-void bj_daemon_announce (BjDaemon *d, BjStr service, BjAddress a, int slots, bool draining);
+BjStatus bj_daemon_announce (BjDaemon *d,
+                             const BjAnnouncement *a); // BJ_E_CONFLICT when it is out of date
+void bj_daemon_upstream_down (BjDaemon *d); // It refuses connections: no call until it announces
 void bj_daemon_drain (BjDaemon *d, bool drain);
 void bj_upstream_start (BjDaemon *d, BjExchange *x); // Runs the call on the own upstream
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -9,6 +9,7 @@
 static void send_to (BjKernel *k, BjTime now, BjCall *c, BjPeer *p, int n_candidates);
 static void leave_state (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
 static void failed (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
+static void retry (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static bool may_try_again (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static void learn_suspicion (BjKernel *k, BjTime now, const BjCall *c, BjStatus s);
 static bool refuse_quarantined (BjKernel *k, BjTime now, BjCall *c);
@@ -31,6 +32,7 @@
   k->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   k->quarantine = bj_quarantine_new ();
   bj_level_init (&k->level);
+  bj_share_init (k);
   k->guard.admitted_klass = BJ_CLASSES;
   k->self = g_new0 (BjPeer, 1);
   k->self->is_self = true;
@@ -62,6 +64,7 @@
   bj_explain_clear (k);
   bj_level_clear (&k->level);
   g_hash_table_destroy (k->calls);
+  g_hash_table_destroy (k->splits);
   g_hash_table_destroy (k->services);
   g_hash_table_destroy (k->peers);
   g_sequence_free (k->deadlines);
@@ -85,6 +88,7 @@
       return;
     }
   k->config = c;
+  bj_share_clear (k);
   for (int n = 0; n < c->n_services; n++)
     bj_kernel_service (k, c->services[n].name);
   g_hash_table_iter_init (&i, k->services);
@@ -110,7 +114,7 @@
   BjCall *c = bj_call_new (k, now, r, data);
   uint64_t id = c->id;
   const BjServiceConfig *s = NULL;
-  const BjRoute *route = bj_config_route (k->config, c->request.path, &s);
+  const BjRoute *route = bj_config_route_of (k->config, c->request.host, c->request.path, &s);
   double deadline_ms;
 
   c->is_front = true;
@@ -125,7 +129,7 @@
                           .attempts_left = -1 });
       return NULL;
     }
-  c->service = bj_kernel_service (k, s->name);
+  c->service = bj_kernel_service (k, route->n_shares > 0 ? bj_share_pick (k, route) : s->name);
   c->klass = MAX (route->klass, MIN (r->klass, BJ_CLASSES - 1));
   c->irreversible = route->irreversible;
   c->attempts_left
@@ -133,13 +137,15 @@
   bj_allowance_draw (k, c);
   deadline_ms = r->deadline_ms > 0 ? MIN (r->deadline_ms, route->deadline_ms) : route->deadline_ms;
   bj_call_set_deadline (k, c, now + deadline_ms);
-  if (c->irreversible && c->request.key.len == 0)
+  c->objective_ms = route->objective_ms;
+  c->needs_claim = c->irreversible && route->needs_claim;
+  if (c->needs_claim && c->request.key.len == 0)
     {
       answer (
           k, now, c, (BjAnswer){ .code = BJ_E_KEY, .outcome = BJ_NOT_RUN, .attempts_left = -1 });
       return NULL;
     }
-  c->fingerprint = bj_quarantine_fingerprint (s->name, &c->request);
+  c->fingerprint = bj_quarantine_fingerprint (c->service->name, &c->request);
   if (refuse_quarantined (k, now, c))
     return NULL;
   c->route = bj_str_hash (route->prefix);
@@ -151,7 +157,7 @@
     }
   c->service->retry->ops->fresh (c->service->retry, now);
   c->state = BJ_CALL_CLAIMING;
-  if (c->irreversible)
+  if (c->needs_claim)
     k->host->ops->claim (k->host, c);
   else
     bj_kernel_claimed (k, now, c, NULL);
@@ -208,6 +214,13 @@
   if (a->outcome != BJ_NOT_RUN)
     c->may_have_run = true;
   learn_suspicion (k, now, c, a->code);
+  if (a->outcome == BJ_DONE && a->failed && c->is_front && !c->irreversible
+      && may_try_again (k, now, c, a))
+    {
+      leave_state (k, now, c, BJ_E_BROKEN);
+      retry (k, now, c, a);
+      return BJ_ABSORB;
+    }
   if (a->outcome == BJ_DONE)
     {
       c->answer_begun = true;
@@ -237,10 +250,8 @@
   bj_allowance_answered (c, &a);
   if (o != BJ_NOT_RUN)
     c->may_have_run = true;
-  // The upstream stands on this instance: no network between it and here loses connections.
-  if (c->state == BJ_CALL_RUNNING && s == BJ_E_LOST && o == BJ_UNKNOWN)
+  if (c->state == BJ_CALL_RUNNING && s == BJ_E_CRASHED)
     {
-      a.code = BJ_E_CRASHED;
       if (bj_quarantine_crashed (k->quarantine, now, c->fingerprint, c->started) == BJ_QUARANTINED)
         a.code = BJ_E_QUARANTINED;
     }
@@ -437,19 +448,25 @@
     }
   if (c->is_front && may_try_again (k, now, c, a))
     {
-      bj_kernel_note (k,
-                      now,
-                      c,
-                      "RETRY",
-                      "After %s, %d attempts left",
-                      bj_status_name (a->code),
-                      c->attempts_left);
-      dispatch (k, now, c);
+      retry (k, now, c, a);
       return;
     }
   answer (k, now, c, *a);
 }
 
+static void
+retry (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
+{
+  bj_kernel_note (k,
+                  now,
+                  c,
+                  "RETRY",
+                  "After %s, %d attempts left",
+                  a->failed ? "a failed run" : bj_status_name (a->code),
+                  c->attempts_left);
+  dispatch (k, now, c);
+}
+
 static bool
 may_try_again (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
 {
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -90,6 +90,7 @@
   GHashTable *services; // BjStr* in BjService to BjService*
   GSequence *deadlines; // BjCall*, earliest first
   GHashTable *calls;    // call id to open BjCall*
+  GHashTable *splits;   // BjRoute* to how its shares stand
   BjGuard guard;
   BjQuarantine *quarantine;
   BjCounts counts;
@@ -112,6 +113,11 @@
     BjKernel *k, BjTime now, const BjCall *c, const char *prefix, const char *format, ...)
     G_GNUC_PRINTF (5, 6); // Decision line, logged and kept for explain
 
+// Share
+void bj_share_init (BjKernel *k);
+void bj_share_clear (BjKernel *k);                      // The routes are about to be freed
+BjStr bj_share_pick (BjKernel *k, const BjRoute *r);    // Service for the next call of the route
+
 // Count
 void
 bj_count_answer (BjKernel *k, const BjCall *c, BjStatus code, BjOutcome o); // A call got its answer
--- a/src/platform.c
+++ b/src/platform.c
@@ -51,7 +51,8 @@
 static BjStatus status_of (int http_status);
 static void read_object (struct json_object *o, BjPlatformReply *r);
 
-static const BjPlatformOps http_ops = { create, destroy, get, put, watch, forget };
+static const BjPlatformOps http_ops
+    = { create, destroy, get, put, watch, forget, "config/current", NULL };
 
 static BjPlatform *
 create (struct ev_loop *loop, BjHttp *http, BjStr url)
--- a/src/reader.c
+++ b/src/reader.c
@@ -8,7 +8,6 @@
 #include <ev.h>
 #include <xxhash.h>
 
-#define CONFIG_NAME "config/current"
 #define BACKOFF_MIN_MS 100
 #define READER_TRIES 3 // failed calls of one reading before the pause grows
 
@@ -57,6 +56,7 @@
 static void read_store (BjReader *r);
 static void on_filed (void *data, const BjFiling *f);
 static void on_watched (void *data, const BjPlatformReply *reply);
+static void store_text (BjReader *r, struct json_object *spec);
 static void adopt_stored (BjReader *r);
 static void back_off (BjReader *r);
 static void succeed (BjReader *r);
@@ -228,6 +228,7 @@
 {
   const BjConfig *c = bj_kernel_config (r->daemon->kernel);
   BjPlatform *p = r->daemon->platform;
+  const char *name = p->ops->config_name;
   BjFilingOptions o = BJ_FILING_OPTIONS_DEFAULT;
   BjFiling *f;
 
@@ -235,7 +236,14 @@
     {
       n_watches.value++;
       r->watching = true;
-      p->ops->watch (p, CONFIG_NAME, r->version, on_watched, r);
+      p->ops->watch (p, name, r->version, on_watched, r);
+      return;
+    }
+  if (p->ops->read_config != NULL)
+    {
+      n_readings.value++;
+      r->watching = true;
+      p->ops->watch (p, name, BJ_STR_NULL, on_watched, r);
       return;
     }
   o.held = c != NULL ? c->text : BJ_STR_NULL;
@@ -284,18 +292,46 @@
   if (reply->code == BJ_OK)
     {
       bj_str_set (&r->version, reply->version);
-      bj_str_set (&r->stored,
-                  bj_str (json_object_to_json_string_ext (spec, JSON_C_TO_STRING_PLAIN)));
-      r->must_read = bj_json_int (spec, "number") < own_number (r);
+      store_text (r, spec);
       succeed (r);
       adopt_stored (r);
       return;
     }
+  if (reply->code == BJ_E_NOT_FOUND && reply->version.len > 0)
+    {
+      bj_str_set (&r->version, reply->version);
+      r->must_read = false;
+      succeed (r);
+      return;
+    }
   r->must_read = true;
   if (reply->code != BJ_E_GONE && reply->code != BJ_E_NOT_FOUND)
     back_off (r);
 }
 
+// Keeps what the store holds, in the product's form.
+static void
+store_text (BjReader *r, struct json_object *spec)
+{
+  const BjPlatformOps *ops = r->daemon->platform->ops;
+  GString *text;
+
+  if (ops->read_config == NULL)
+    {
+      bj_str_set (&r->stored,
+                  bj_str (json_object_to_json_string_ext (spec, JSON_C_TO_STRING_PLAIN)));
+      r->must_read = bj_json_int (spec, "number") < own_number (r);
+      return;
+    }
+  r->must_read = false;
+  text = g_string_new (NULL);
+  if (ops->read_config (spec, text) == BJ_OK)
+    bj_str_set (&r->stored, (BjStr){ text->str, text->len });
+  else
+    bj_log (BJ_LOG_WARNING, "TICKET", "The store's object was refused: %s", bj_last_message ());
+  g_string_free (text, TRUE);
+}
+
 // A daemon that has no configuration yet waits for a peer's while a live peer reports a newer one.
 static void
 adopt_stored (BjReader *r)
@@ -313,7 +349,8 @@
     }
   number = bj_json_int (o, "number");
   json_object_put (o);
-  if (number > own_number (r) && number < find_holders (r).highest)
+  if (r->daemon->platform->ops->read_config == NULL && number > own_number (r)
+      && number < find_holders (r).highest)
     return;
   if (number > own_number (r))
     bj_daemon_config (r->daemon, r->stored);
--- a/src/seeds.c
+++ b/src/seeds.c
@@ -9,11 +9,13 @@
 #define KEEPERS 2          // members of a domain that keep its object
 #define LISTED_NEAR 8      // members of the domain in the object
 #define LISTED_FAR 8       // members of other domains in the object
-#define LOOK_MS 2000       // between two looks at the members
-#define READ_ALONE_MS 2000 // between two reads while nobody else is known, doubles
+#define LOOK_MS 250        // between two looks at the members
+#define READ_ALONE_MS 1000 // between two reads while nobody else is known, doubles
 #define READ_MAX_MS 16000  // longest time between two reads while nobody else is known
 #define CHECK_MS 60000     // between two reads of a keeper
-#define WRITE_MS 10000     // between two writes of a keeper
+#define WRITE_MS 3000      // between two writes of a keeper
+#define CONFLICT_MS 500    // longest pause after a lost race or a failed call
+#define FAR_MS 1000        // between two reads of the object of a domain without known members
 #define DOCUMENT_MAX 64    // members read from an object at most
 
 struct BjSeeds
@@ -29,6 +31,8 @@
   BjTime next_read;
   BjTime next_write;
   double alone_ms; // wait before the next read while alone
+  BjTime next_far;
+  int far;         // domain of the settings that is read next
 };
 
 typedef struct
@@ -38,6 +42,9 @@
 } Ranked;
 
 static void on_look (struct ev_loop *loop, ev_timer *w, int events);
+static bool read_far (BjSeeds *s, BjTime now);
+static void on_far_read (void *data, const BjPlatformReply *r);
+static bool knows_domain (const BjSeeds *s, BjStr domain);
 static void read_object (BjSeeds *s);
 static void on_read (void *data, const BjPlatformReply *r);
 static void take_list (BjSeeds *s, struct json_object *list);
@@ -88,7 +95,7 @@
 {
   BjSeeds *s = w->data;
   BjTime now = bj_clock_now ();
-  bool is_alone = bj_swim_count (s->swim) < 2;
+  bool is_alone = !knows_domain (s, s->daemon->settings.domain);
   char *text;
 
   (void)loop;
@@ -102,7 +109,8 @@
       read_object (s);
       return;
     }
-  if (now < s->next_write || (s->known == NULL && !s->is_absent) || !is_keeper (s))
+  if (read_far (s, now) || now < s->next_write || (s->known == NULL && !s->is_absent)
+      || !is_keeper (s))
     return;
   text = list_text (s);
   if (s->known == NULL || strcmp (text, s->known) != 0)
@@ -111,6 +119,55 @@
     g_free (text);
 }
 
+// A domain nobody of which is known may be found through its own object.
+static bool
+read_far (BjSeeds *s, BjTime now)
+{
+  const BjSettings *settings = &s->daemon->settings;
+  char *name;
+
+  if (now < s->next_far || settings->n_domains == 0 || !is_keeper (s))
+    return false;
+  s->next_far = now + FAR_MS;
+  for (int i = 0; i < settings->n_domains; i++)
+    {
+      BjStr domain = settings->domains[s->far++ % settings->n_domains];
+
+      if (bj_str_equal (domain, settings->domain) || knows_domain (s, domain))
+        continue;
+      name = g_strdup_printf ("members/%.*s", BJ_STR_ARG (domain));
+      n_reads.value++;
+      s->is_asking = true;
+      s->daemon->platform->ops->get (s->daemon->platform, name, on_far_read, s);
+      g_free (name);
+      return true;
+    }
+  return false;
+}
+
+static void
+on_far_read (void *data, const BjPlatformReply *r)
+{
+  BjSeeds *s = data;
+  struct json_object *list;
+
+  s->is_asking = false;
+  if (r->code == BJ_OK && json_object_object_get_ex (r->spec, "gossip", &list)
+      && json_object_is_type (list, json_type_array))
+    take_list (s, list);
+}
+
+static bool
+knows_domain (const BjSeeds *s, BjStr domain)
+{
+  const BjMember *m;
+
+  for (guint i = 0; (m = bj_swim_member (s->swim, i)) != NULL; i++)
+    if (!m->is_self && m->state <= BJ_MEMBER_SUSPECT && bj_str_equal (m->report.domain, domain))
+      return true;
+  return false;
+}
+
 static void
 read_object (BjSeeds *s)
 {
@@ -188,7 +245,8 @@
     }
   g_free (s->known);
   s->known = NULL;
-  s->next_read = bj_clock_now () + WRITE_MS;
+  s->next_read = bj_clock_now () + g_random_double_range (0, CONFLICT_MS);
+  s->next_write = s->next_read + g_random_double_range (0, CONFLICT_MS);
 }
 
 static bool
--- a/src/settings.c
+++ b/src/settings.c
@@ -9,6 +9,7 @@
 #define NAME_MAX_BYTES 64
 #define PORT_MAX 65535
 #define SEEDS_MAX 64
+#define DOMAINS_MAX 256
 
 static const BjJsonKey setting_keys[] = {
   { "name", BJ_JSON_STR, true, 1, NAME_MAX_BYTES },
@@ -24,6 +25,12 @@
   { "advertise", BJ_JSON_OBJECT, false, 0, 0 },
   { "log_level", BJ_JSON_STR, false, 0, 0 },
   { "drain_ms", BJ_JSON_NUMBER, false, 0, 600000 },
+  { "ready", BJ_JSON_STR, false, 0, 0 },
+  { "domains", BJ_JSON_ARRAY, false, 0, DOMAINS_MAX },
+  { "heartbeat_ms", BJ_JSON_NUMBER, false, 10, 600000 },
+  { "service", BJ_JSON_STR, false, 0, NAME_MAX_BYTES },
+  { "upstream", BJ_JSON_STR, false, 0, 0 },
+  { "dialect", BJ_JSON_STR, false, 0, 0 },
 };
 static const BjJsonKey advertise_keys[] = {
   { "link", BJ_JSON_STR, false, 0, 0 },
@@ -47,6 +54,9 @@
 static BjStatus read_seeds (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus check_new_seed (const char *name, BjSettings *s);
 static BjStatus read_platform (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus read_domains (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus read_dialect (const char *name, struct json_object *o, BjSettings *s);
+static BjStatus read_plugin_name (const char *name, const char *key, BjPluginKind kind, BjStr given, const char *absent, BjStr *found);
 static BjStatus read_log_level (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus check_distinct (const char *name, const BjSettings *s);
 
@@ -121,6 +131,13 @@
   for (int i = 0; i < s->n_seeds; i++)
     bj_str_free (&s->seeds[i].host);
   g_free (s->seeds);
+  for (int i = 0; i < s->n_domains; i++)
+    bj_str_free (&s->domains[i]);
+  g_free (s->domains);
+  bj_str_free (&s->ready.host);
+  bj_str_free (&s->upstream.host);
+  bj_str_free (&s->service);
+  bj_str_free (&s->dialect);
   bj_str_free (&s->platform_name);
   bj_str_free (&s->platform_url);
   bj_str_free (&s->key_file);
@@ -137,6 +154,8 @@
   s->region = bj_str_dup (bj_json_str (o, "region"));
   s->key_file = bj_str_dup (bj_json_str (o, "key_file"));
   s->drain_ms = bj_json_number (o, "drain_ms", BJ_DRAIN_MS);
+  s->heartbeat_ms = bj_json_number (o, "heartbeat_ms", BJ_HEARTBEAT_MS);
+  s->service = bj_str_dup (bj_json_str (o, "service"));
   status = read_addresses (name, o, s);
   if (status == BJ_OK)
     status = read_advertised (name, o, s);
@@ -144,6 +163,14 @@
     status = read_seeds (name, o, s);
   if (status == BJ_OK)
     status = read_platform (name, o, s);
+  if (status == BJ_OK)
+    status = read_domains (name, o, s);
+  if (status == BJ_OK)
+    status = read_dialect (name, o, s);
+  if (status == BJ_OK && bj_json_str (o, "upstream").len > 0)
+    status = read_address (name, "upstream", bj_json_str (o, "upstream"), &s->upstream);
+  if (status == BJ_OK && bj_json_str (o, "ready").len > 0)
+    status = read_address (name, "ready", bj_json_str (o, "ready"), &s->ready);
   if (status == BJ_OK)
     status = read_log_level (name, o, s);
   if (status == BJ_OK)
@@ -284,7 +311,6 @@
 read_platform (const char *name, struct json_object *o, BjSettings *s)
 {
   struct json_object *p;
-  GString *names;
   BjStatus status;
 
   json_object_object_get_ex (o, "platform", &p);
@@ -293,16 +319,65 @@
   if (status != BJ_OK)
     return status;
   s->platform_url = bj_str_dup (bj_json_str (p, "url"));
-  s->platform_name = bj_str_dup (bj_json_str (p, "plugin").len > 0 ? bj_json_str (p, "plugin")
-                                                                   : BJ_STR ("http"));
-  if (bj_plugin_find (BJ_PLUGIN_PLATFORM, s->platform_name) != NULL)
+  return read_plugin_name (name,
+                           "platform.plugin",
+                           BJ_PLUGIN_PLATFORM,
+                           bj_json_str (p, "plugin"),
+                           "http",
+                           &s->platform_name);
+}
+
+static BjStatus
+read_domains (const char *name, struct json_object *o, BjSettings *s)
+{
+  struct json_object *all;
+
+  if (!json_object_object_get_ex (o, "domains", &all))
+    return BJ_OK;
+  s->domains = g_new0 (BjStr, json_object_array_length (all));
+  for (size_t i = 0; i < json_object_array_length (all); i++)
+    {
+      struct json_object *v = json_object_array_get_idx (all, i);
+
+      if (!json_object_is_type (v, json_type_string))
+        return bj_fail (BJ_E_SETTINGS,
+                        "%s: settings.domains[%zu]: %.60s is not the name of a failure domain.",
+                        name,
+                        i,
+                        json_object_to_json_string (v));
+      s->domains[s->n_domains++] = bj_str_dup (bj_str (json_object_get_string (v)));
+    }
+  return BJ_OK;
+}
+
+static BjStatus
+read_dialect (const char *name, struct json_object *o, BjSettings *s)
+{
+  return read_plugin_name (
+      name, "dialect", BJ_PLUGIN_DIALECT, bj_json_str (o, "dialect"), "borage", &s->dialect);
+}
+
+static BjStatus
+read_plugin_name (const char *name,
+                  const char *key,
+                  BjPluginKind kind,
+                  BjStr given,
+                  const char *absent,
+                  BjStr *found)
+{
+  GString *names;
+  BjStatus status;
+
+  *found = bj_str_dup (given.len > 0 ? given : bj_str (absent));
+  if (bj_plugin_find (kind, *found) != NULL)
     return BJ_OK;
   names = g_string_new (NULL);
-  bj_plugin_names (BJ_PLUGIN_PLATFORM, names);
+  bj_plugin_names (kind, names);
   status = bj_fail (BJ_E_SETTINGS,
-                    "%s: settings.platform.plugin: \"%s\" is unknown, allowed: %s.",
+                    "%s: settings.%s: \"%s\" is unknown, allowed: %s.",
                     name,
-                    s->platform_name.data,
+                    key,
+                    found->data,
                     names->str);
   g_string_free (names, TRUE);
   return status;
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -2,12 +2,16 @@
 // the priorities that it touches; the merged state of all tickets has the same form.
 
 #include "internal.h"
+#include "kernel.h"
 #include <string.h>
 
 #define NAME_MAX_BYTES 64
-#define ROUTES_MAX 256
+#define ROUTES_MAX 4096
+#define SHARES_MAX 16
+#define WEIGHT_MAX 1000000
 #define NUMBER_MAX 9007199254740991.0
 #define MINUTE_MS 60000
+#define BODY_BYTES_MAX 1073741824.0
 
 static const BjJsonKey ticket_keys[] = {
   { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
@@ -24,6 +28,17 @@
   { "services", BJ_JSON_OBJECT, false, 0, 0 },
   { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
   { "priorities", BJ_JSON_ARRAY, false, 1, BJ_CLASSES },
+  { "callers", BJ_JSON_OBJECT, false, 0, 0 },
+};
+static const BjJsonKey callers_keys[] = {
+  { "header_bytes", BJ_JSON_INT, false, 256, 1048576 },
+  { "body_bytes", BJ_JSON_INT, false, 0, BODY_BYTES_MAX },
+  { "header_timeout_ms", BJ_JSON_NUMBER, false, 1, 10 * MINUTE_MS },
+  { "idle_timeout_ms", BJ_JSON_NUMBER, false, 1, 60 * MINUTE_MS },
+};
+static const BjJsonKey share_keys[] = {
+  { "service", BJ_JSON_STR, true, 1, NAME_MAX_BYTES },
+  { "weight", BJ_JSON_INT, true, 0, WEIGHT_MAX },
 };
 static const BjJsonKey service_keys[] = {
   { "number", BJ_JSON_INT, false, 1, NUMBER_MAX }, { "routes", BJ_JSON_ARRAY, true, 1, ROUTES_MAX },
@@ -36,6 +51,10 @@
   { "class", BJ_JSON_STR, true, 1, NAME_MAX_BYTES },
   { "irreversible", BJ_JSON_BOOL, false, 0, 0 },
   { "deadline_ms", BJ_JSON_NUMBER, false, 1, 10 * MINUTE_MS },
+  { "host", BJ_JSON_STR, false, 1, 256 },
+  { "objective_ms", BJ_JSON_NUMBER, false, 1, 10 * MINUTE_MS },
+  { "claim", BJ_JSON_BOOL, false, 0, 0 },
+  { "shares", BJ_JSON_ARRAY, false, 1, SHARES_MAX },
   { "attempts", BJ_JSON_INT, false, 0, 10 },
 };
 static const BjJsonKey limiter_keys[] = {
@@ -66,6 +85,7 @@
   { "ticket", ticket_keys, G_N_ELEMENTS (ticket_keys) },
   { "services.NAME", service_keys, G_N_ELEMENTS (service_keys) },
   { "services.NAME.routes[]", route_keys, G_N_ELEMENTS (route_keys) },
+  { "services.NAME.routes[].shares[]", share_keys, G_N_ELEMENTS (share_keys) },
   { "services.NAME.limiter", limiter_keys, G_N_ELEMENTS (limiter_keys) },
   { "services.NAME.queue", queue_keys, G_N_ELEMENTS (queue_keys) },
   { "services.NAME.router", router_keys, G_N_ELEMENTS (router_keys) },
@@ -73,6 +93,13 @@
   { "upstreams.NAME", upstream_keys, G_N_ELEMENTS (upstream_keys) },
 };
 
+typedef struct
+{
+  const BjRoute *route;
+  const BjServiceConfig *service;
+} Indexed;
+
+static void free_route (BjRoute *r);
 static BjStatus read_config (struct json_object *o, BjConfig *c);
 static BjStatus check_name (const char *section, const char *name);
 static BjStatus check_prefixes (const BjConfig *c);
@@ -81,6 +108,11 @@
 static BjStatus
 read_service (const char *name, struct json_object *o, BjConfig *c, BjServiceConfig *s);
 static BjStatus read_route (const char *path, struct json_object *o, BjConfig *c, BjRoute *r);
+static BjStatus read_shares (const char *path, struct json_object *o, BjRoute *r);
+static BjStatus read_callers (struct json_object *o, BjCallerLimits *l);
+static void index_hosts (BjConfig *c);
+static gint by_prefix_length (gconstpointer a, gconstpointer b);
+static const Indexed *find_route (const BjConfig *c, BjStr host, BjStr path);
 static BjStatus read_plugins (const char *path, struct json_object *o, BjServiceConfig *s);
 static BjStatus read_plugin (const char *path,
                              struct json_object *o,
@@ -123,7 +155,7 @@
   for (int i = 0; i < c->n_services; i++)
     {
       for (int j = 0; j < c->services[i].n_routes; j++)
-        bj_str_free (&c->services[i].routes[j].prefix);
+        free_route (&c->services[i].routes[j]);
       g_free (c->services[i].routes);
       bj_str_free (&c->services[i].name);
     }
@@ -133,6 +165,8 @@
   g_free (c->upstreams);
   if (c->classes != NULL)
     g_ptr_array_free (c->classes, TRUE);
+  if (c->hosts != NULL)
+    g_hash_table_destroy (c->hosts);
   bj_str_free (&c->text);
   g_free (c);
 }
@@ -158,19 +192,20 @@
 const BjRoute *
 bj_config_route (const BjConfig *c, BjStr path, const BjServiceConfig **s)
 {
-  const BjRoute *best = NULL;
-
-  for (int i = 0; c != NULL && i < c->n_services; i++)
-    for (int j = 0; j < c->services[i].n_routes; j++)
-      {
-        const BjRoute *r = &c->services[i].routes[j];
+  return bj_config_route_of (c, BJ_STR_NULL, path, s);
+}
 
-        if (!bj_str_starts (path, r->prefix) || (best != NULL && best->prefix.len >= r->prefix.len))
-          continue;
-        best = r;
-        *s = &c->services[i];
-      }
-  return best;
+const BjRoute *
+bj_config_route_of (const BjConfig *c, BjStr host, BjStr path, const BjServiceConfig **s)
+{
+  const Indexed *found = host.len > 0 ? find_route (c, host, path) : NULL;
+
+  if (found == NULL)
+    found = find_route (c, BJ_STR_NULL, path);
+  if (found == NULL)
+    return NULL;
+  *s = found->service;
+  return found->route;
 }
 
 const BjJsonTable *
@@ -193,6 +228,10 @@
     s = read_services (o, c);
   if (s == BJ_OK)
     s = read_upstreams (o, c);
+  if (s == BJ_OK)
+    s = read_callers (o, &c->callers);
+  if (s == BJ_OK)
+    index_hosts (c);
   return s;
 }
 
@@ -261,15 +300,16 @@
 static BjStatus
 check_prefixes (const BjConfig *c)
 {
-  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTable *seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   BjStatus status = BJ_OK;
 
   for (int i = 0; i < c->n_services && status == BJ_OK; i++)
     for (int j = 0; j < c->services[i].n_routes && status == BJ_OK; j++)
       {
-        const char *prefix = c->services[i].routes[j].prefix.data;
+        const BjRoute *r = &c->services[i].routes[j];
+        const char *prefix = r->prefix.data;
 
-        if (!g_hash_table_add (seen, (gpointer)prefix))
+        if (!g_hash_table_add (seen, g_strdup_printf ("%.*s%s", BJ_STR_ARG (r->host), prefix)))
           status = bj_fail (BJ_E_TICKET,
                             "services.%s: prefix \"%s\" stands twice, one service may have it.",
                             c->services[i].name.data,
@@ -318,9 +358,12 @@
     return s;
   klass = bj_json_str (o, "class");
   r->prefix = bj_str_dup (bj_json_str (o, "prefix"));
+  r->host = bj_str_dup (bj_json_str (o, "host"));
+  r->needs_claim = bj_json_bool (o, "claim", true);
   r->klass = class_of (c, klass);
   r->irreversible = bj_json_bool (o, "irreversible", false);
   r->deadline_ms = bj_json_number (o, "deadline_ms", BJ_DEADLINE_MS);
+  r->objective_ms = bj_json_number (o, "objective_ms", r->deadline_ms);
   r->attempts = (int)bj_json_number (o, "attempts", BJ_ATTEMPTS);
   if (r->klass < 0)
     return bj_fail (
@@ -328,9 +371,108 @@
   if (r->prefix.data[0] != '/')
     return bj_fail (
         BJ_E_TICKET, "%s: prefix \"%s\" must begin with a slash.", path, r->prefix.data);
+  return read_shares (path, o, r);
+}
+
+static BjStatus
+read_shares (const char *path, struct json_object *o, BjRoute *r)
+{
+  struct json_object *all;
+  size_t n;
+
+  if (!json_object_object_get_ex (o, "shares", &all))
+    return BJ_OK;
+  n = json_object_array_length (all);
+  r->shares = g_new0 (BjShare, n);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct json_object *v = json_object_array_get_idx (all, i);
+      BjStatus s
+          = bj_json_check ("ticket", path, v, BJ_E_TICKET, share_keys, G_N_ELEMENTS (share_keys));
+
+      if (s != BJ_OK)
+        return s;
+      r->shares[r->n_shares++] = (BjShare){ bj_str_dup (bj_json_str (v, "service")),
+                                            (int)bj_json_int (v, "weight") };
+    }
   return BJ_OK;
 }
 
+static BjStatus
+read_callers (struct json_object *o, BjCallerLimits *l)
+{
+  struct json_object *callers = NULL;
+  BjStatus s = BJ_OK;
+
+  *l = (BjCallerLimits)BJ_CALLER_LIMITS_DEFAULT;
+  if (json_object_object_get_ex (o, "callers", &callers))
+    s = bj_json_check (
+        "ticket", "callers", callers, BJ_E_TICKET, callers_keys, G_N_ELEMENTS (callers_keys));
+  if (s != BJ_OK)
+    return s;
+  l->header_bytes = (size_t)bj_json_number (callers, "header_bytes", (double)l->header_bytes);
+  l->body_bytes = (size_t)bj_json_number (callers, "body_bytes", (double)l->body_bytes);
+  l->header_timeout_ms = bj_json_number (callers, "header_timeout_ms", l->header_timeout_ms);
+  l->idle_timeout_ms = bj_json_number (callers, "idle_timeout_ms", l->idle_timeout_ms);
+  return BJ_OK;
+}
+
+static void
+index_hosts (BjConfig *c)
+{
+  GHashTableIter i;
+  gpointer all;
+
+  c->hosts = g_hash_table_new_full (
+      bj_str_key_hash, bj_str_key_equal, NULL, (GDestroyNotify)g_array_unref);
+  for (int s = 0; s < c->n_services; s++)
+    for (int r = 0; r < c->services[s].n_routes; r++)
+      {
+        Indexed entry = { &c->services[s].routes[r], &c->services[s] };
+        GArray *routes = g_hash_table_lookup (c->hosts, &entry.route->host);
+
+        if (routes == NULL)
+          {
+            routes = g_array_new (FALSE, FALSE, sizeof entry);
+            g_hash_table_insert (c->hosts, (gpointer)&entry.route->host, routes);
+          }
+        g_array_append_val (routes, entry);
+      }
+  g_hash_table_iter_init (&i, c->hosts);
+  while (g_hash_table_iter_next (&i, NULL, &all))
+    g_array_sort (all, by_prefix_length);
+}
+
+static gint
+by_prefix_length (gconstpointer a, gconstpointer b)
+{
+  size_t x = ((const Indexed *)a)->route->prefix.len;
+  size_t y = ((const Indexed *)b)->route->prefix.len;
+
+  return x > y ? -1 : x < y;
+}
+
+static const Indexed *
+find_route (const BjConfig *c, BjStr host, BjStr path)
+{
+  GArray *routes = c != NULL ? g_hash_table_lookup (c->hosts, &host) : NULL;
+
+  for (guint i = 0; routes != NULL && i < routes->len; i++)
+    if (bj_str_starts (path, g_array_index (routes, Indexed, i).route->prefix))
+      return &g_array_index (routes, Indexed, i);
+  return NULL;
+}
+
+static void
+free_route (BjRoute *r)
+{
+  for (int i = 0; i < r->n_shares; i++)
+    bj_str_free (&r->shares[i].service);
+  g_free (r->shares);
+  bj_str_free (&r->host);
+  bj_str_free (&r->prefix);
+}
+
 static BjStatus
 read_plugins (const char *path, struct json_object *o, BjServiceConfig *s)
 {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -1,4 +1,4 @@
-// Upstream: runs calls on the own upstream over HTTP. One call a connection at a time.
+// Upstream: runs calls on the own upstream over HTTP, in the words of the dialect.
 
 #include "internal.h"
 
@@ -6,83 +6,93 @@
 {
   BjSource source; // first
   BjExchange *x;
-  BjHttpCall *http;
+  BjPoolRun *run; // NULL once it has ended
+  GString *relayed;
 } Run;
 
-static GPtrArray *write_headers (const BjCall *c);
+typedef struct
+{
+  BjSource source; // first
+  BjExchange *x;   // NULL once its call has ended
+} Lost;
+
+static void write_head (const BjDaemon *d, const BjCall *c, GString *head);
 static void on_drained (BjSource *s, size_t n);
 static void on_cancel (BjSource *s);
-static void on_head (void *data, const BjHttpHead *h);
+static BjStatus on_head (void *data, const BjHead *h);
 static size_t on_body (void *data, BjStr part);
 static void on_done (void *data, BjStatus s, bool sent);
-static BjOutcome read_outcome (BjStr name);
+static void free_run (Run *r);
+
+static void wait_for_probe (BjExchange *x);
+static void on_probed (void *data, BjStatus s, bool sent);
+static void on_lost_drained (BjSource *s, size_t n);
+static void on_lost_cancel (BjSource *s);
 
 static const BjSourceOps run_ops = { on_drained, on_cancel };
+static const BjSourceOps lost_ops = { on_lost_drained, on_lost_cancel };
 
 void
 bj_upstream_start (BjDaemon *d, BjExchange *x)
 {
   Run *r = g_new0 (Run, 1);
   const BjCall *c = x->call;
-  char *url = g_strdup_printf (
-      "http://%s:%d%s", d->upstream.host.data, d->upstream.port, c->request.path.data);
-  GPtrArray *headers = write_headers (c);
+  GString *head = g_string_sized_new (1024);
 
+  write_head (d, c, head);
   r->source.ops = &run_ops;
   r->x = x;
+  r->relayed = g_string_new (NULL);
   x->source = &r->source;
-  r->http = bj_http_start (d->upstream_http,
-                           &(BjHttpOptions){
-                               .method = c->request.method.data,
-                               .url = url,
-                               .headers = (const char *const *)headers->pdata,
-                               .body = c->request.body,
-                               // libcurl sends a request again when a reused connection
-                               // closes without an answer, though it may have run.
-                               .fresh_connection = c->irreversible,
-                               .head = on_head,
-                               .body_part = on_body,
-                               .done = on_done,
-                               .data = r,
-                           });
-  g_ptr_array_free (headers, TRUE);
-  g_free (url);
+  r->run = bj_pool_start (d->pool,
+                          &(BjPoolOptions){
+                              .address = d->upstream,
+                              .head = { head->str, head->len },
+                              .body = c->request.body,
+                              .is_head = bj_str_equal (c->request.method, BJ_STR ("HEAD")),
+                              .only_warm = c->irreversible,
+                              .on_head = on_head,
+                              .on_body = on_body,
+                              .on_done = on_done,
+                              .data = r,
+                          });
+  g_string_free (head, TRUE);
 }
 
-static GPtrArray *
-write_headers (const BjCall *c)
+static void
+write_head (const BjDaemon *d, const BjCall *c, GString *head)
 {
-  GPtrArray *lines = g_ptr_array_new_with_free_func (g_free);
-  BjTime left = MAX (1, c->deadline - bj_clock_now () - BJ_HOP_MS);
-  BjStr block = c->request.headers;
+  const BjRequest *r = &c->request;
+  double left = MAX (1, c->deadline - bj_clock_now () - BJ_HOP_MS);
+  BjStr block = r->headers;
   BjStr name;
   BjStr value;
 
-  g_ptr_array_add (lines, g_strdup_printf ("Bj-Deadline-Ms: %.0f", left));
-  g_ptr_array_add (lines, g_strdup_printf ("Bj-Attempts-Left: %d", c->attempts_left));
-  g_ptr_array_add (lines, g_strdup_printf ("Bj-Path: %d", c->request.depth));
-  g_ptr_array_add (lines, g_strdup_printf ("Bj-Class: %d", c->klass));
-  g_ptr_array_add (lines, g_strdup_printf ("Bj-Call: %" G_GUINT64_FORMAT, c->id));
-  if (c->request.key.len > 0)
-    g_ptr_array_add (lines, g_strdup_printf ("Idempotency-Key: %.*s", BJ_STR_ARG (c->request.key)));
-  if (c->request.content_type.len > 0)
-    g_ptr_array_add (lines,
-                     g_strdup_printf ("Content-Type: %.*s", BJ_STR_ARG (c->request.content_type)));
-  // libcurl sends a header without a value when its line ends in a semicolon.
+  g_string_append_printf (
+      head, "%.*s %.*s HTTP/1.1\r\n", BJ_STR_ARG (r->method), BJ_STR_ARG (r->path));
+  if (r->host.len > 0)
+    g_string_append_printf (head, "Host: %.*s\r\n", BJ_STR_ARG (r->host));
+  else
+    g_string_append_printf (head, "Host: %s:%d\r\n", d->upstream.host.data, d->upstream.port);
+  if (r->content_type.len > 0)
+    g_string_append_printf (head, "Content-Type: %.*s\r\n", BJ_STR_ARG (r->content_type));
+  if (r->body.len > 0 || !(bj_str_equal (r->method, BJ_STR ("GET"))
+                           || bj_str_equal (r->method, BJ_STR ("HEAD"))))
+    g_string_append_printf (head, "Content-Length: %zu\r\n", r->body.len);
+  d->dialect->write_run (c, d->upstream_id, left, head);
   while (bj_header_next (&block, &name, &value))
-    g_ptr_array_add (lines,
-                     value.len > 0
-                         ? g_strdup_printf ("%.*s: %.*s", BJ_STR_ARG (name), BJ_STR_ARG (value))
-                         : g_strdup_printf ("%.*s;", BJ_STR_ARG (name)));
-  g_ptr_array_add (lines, NULL);
-  return lines;
+    g_string_append_printf (head, "%.*s: %.*s\r\n", BJ_STR_ARG (name), BJ_STR_ARG (value));
+  g_string_append (head, "\r\n");
 }
 
 static void
 on_drained (BjSource *s, size_t n)
 {
+  Run *r = (Run *)s;
+
   (void)n;
-  bj_http_resume (((Run *)s)->http);
+  if (r->run != NULL)
+    bj_pool_resume (r->run);
 }
 
 static void
@@ -90,25 +100,29 @@
 {
   Run *r = (Run *)s;
 
-  bj_http_cancel (r->http);
-  g_free (r);
+  if (r->run != NULL)
+    bj_pool_cancel (r->run);
+  free_run (r);
 }
 
-static void
-on_head (void *data, const BjHttpHead *h)
+static BjStatus
+on_head (void *data, const BjHead *h)
 {
   Run *r = data;
-  BjAnswer a = {
-    .outcome = read_outcome (h->outcome),
-    .http_status = h->status,
-    .retry_after_ms = h->retry_after_ms,
-    .attempts_left = h->attempts_left,
-    .content_type = h->content_type,
-    .headers = h->headers,
-    .length = h->length,
-  };
-
+  BjDaemon *d = r->x->daemon;
+  BjAnswer a = { .http_status = h->status, .attempts_left = -1, .length = h->length };
+  BjStatus s;
+
+  a.content_type = bj_header_find (h->headers, "Content-Type");
+  s = d->dialect->read_run (r->x->call, h, &a, r->relayed);
+  if (s != BJ_OK)
+    {
+      bj_log (BJ_LOG_WARNING, "UPSTREAM", "%s", bj_last_message ());
+      return s;
+    }
+  a.headers = (BjStr){ r->relayed->str, r->relayed->len };
   bj_exchange_begin (r->x, &a);
+  return BJ_OK;
 }
 
 static size_t
@@ -129,19 +143,83 @@
   BjExchange *x = r->x;
   bool begun = x->call->answer_begun && !x->call->detached;
 
-  g_free (r);
+  free_run (r);
+  x->source = NULL;
   if (s == BJ_OK || s == BJ_E_BROKEN || begun)
     bj_exchange_end (x, s == BJ_OK);
+  else if (s == BJ_E_LOST && sent)
+    wait_for_probe (x);
   else
-    bj_exchange_lost (x, s, sent ? BJ_UNKNOWN : BJ_NOT_RUN);
+    {
+      if (s == BJ_E_NO_UPSTREAM)
+        bj_daemon_upstream_down (x->daemon);
+      bj_exchange_lost (x, s, sent ? BJ_UNKNOWN : BJ_NOT_RUN);
+    }
+}
+
+// A lost connection may be the upstream's crash: one that crashed refuses new connections.
+static void
+wait_for_probe (BjExchange *x)
+{
+  BjDaemon *d = x->daemon;
+  Lost *l = g_new0 (Lost, 1);
+
+  l->source.ops = &lost_ops;
+  l->x = x;
+  x->source = &l->source;
+  g_ptr_array_add (d->lost_runs, l);
+  if (d->lost_runs->len > 1)
+    return;
+  bj_pool_start (d->pool,
+                 &(BjPoolOptions){
+                     .address = d->upstream,
+                     .is_probe = true,
+                     .on_done = on_probed,
+                     .data = d,
+                 });
+}
+
+static void
+on_probed (void *data, BjStatus s, bool sent)
+{
+  BjDaemon *d = data;
+  GPtrArray *all = d->lost_runs;
+
+  (void)sent;
+  d->lost_runs = g_ptr_array_new ();
+  if (s == BJ_E_NO_UPSTREAM)
+    bj_daemon_upstream_down (d);
+  for (guint i = 0; i < all->len; i++)
+    {
+      Lost *l = all->pdata[i];
+      BjExchange *x = l->x;
+
+      g_free (l);
+      // Its call ended meanwhile.
+      if (x == NULL)
+        continue;
+      x->source = NULL;
+      bj_exchange_lost (x, s == BJ_E_NO_UPSTREAM ? BJ_E_CRASHED : BJ_E_LOST, BJ_UNKNOWN);
+    }
+  g_ptr_array_free (all, TRUE);
+}
+
+static void
+on_lost_drained (BjSource *s, size_t n)
+{
+  (void)s;
+  (void)n;
+}
+
+static void
+on_lost_cancel (BjSource *s)
+{
+  ((Lost *)s)->x = NULL;
 }
 
-static BjOutcome
-read_outcome (BjStr name)
+static void
+free_run (Run *r)
 {
-  if (bj_str_equal (name, BJ_STR ("not-run")))
-    return BJ_NOT_RUN;
-  if (bj_str_equal (name, BJ_STR ("unknown")))
-    return BJ_UNKNOWN;
-  return BJ_DONE;
+  g_string_free (r->relayed, TRUE);
+  g_free (r);
 }
