--- a/src/boraged/main.c
+++ b/src/boraged/main.c
@@ -8,11 +8,21 @@
 #include <stdio.h>
 
 #define EXIT_SETTINGS 2
+#define SETTINGS_LOOK_S 1.0 // between two looks whether the settings file changed
+
+typedef struct
+{
+  const char *path;
+  BjDaemon *daemon;
+} Reload;
 
 static void print_help (void **table);
 static int start (const char *path, bool only_check);
-static int run (const BjSettings *s);
+static int run (const char *path, BjSettings *s);
 static void on_stop (struct ev_loop *loop, ev_signal *w, int events);
+static void on_hangup (struct ev_loop *loop, ev_signal *w, int events);
+static void on_file (struct ev_loop *loop, ev_stat *w, int events);
+static void reload_settings (const Reload *r);
 
 int
 main (int argc, char **argv)
@@ -65,18 +75,21 @@
       return EXIT_SETTINGS;
     }
   if (!only_check)
-    code = run (&s);
+    code = run (path, &s);
   bj_settings_clear (&s);
   return code;
 }
 
 static int
-run (const BjSettings *s)
+run (const char *path, BjSettings *s)
 {
+  Reload reload = { .path = path };
   struct ev_loop *loop = ev_default_loop (0);
   BjDaemon *d;
   ev_signal term;
   ev_signal interrupt;
+  ev_signal hup;
+  ev_stat file;
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   if (bj_daemon_new (loop, s, &d) != BJ_OK)
@@ -93,6 +106,13 @@
   interrupt.data = d;
   ev_signal_start (loop, &term);
   ev_signal_start (loop, &interrupt);
+  reload.daemon = d;
+  ev_signal_init (&hup, on_hangup, SIGHUP);
+  ev_stat_init (&file, on_file, path, SETTINGS_LOOK_S);
+  hup.data = &reload;
+  file.data = &reload;
+  ev_signal_start (loop, &hup);
+  ev_stat_start (loop, &file);
   bj_log (BJ_LOG_INFO,
           "MEMBER",
           "%s runs in %s, callers at %s:%d.",
@@ -115,3 +135,34 @@
   (void)events;
   bj_daemon_stop (w->data);
 }
+
+static void
+on_hangup (struct ev_loop *loop, ev_signal *w, int events)
+{
+  (void)loop;
+  (void)events;
+  reload_settings (w->data);
+}
+
+static void
+on_file (struct ev_loop *loop, ev_stat *w, int events)
+{
+  (void)loop;
+  (void)events;
+  if (w->attr.st_nlink > 0)
+    reload_settings (w->data);
+}
+
+static void
+reload_settings (const Reload *r)
+{
+  BjSettings s;
+
+  if (bj_settings_read (r->path, &s) != BJ_OK)
+    {
+      bj_log (BJ_LOG_WARNING, "SETTINGS", "Kept as they were: %s", bj_last_message ());
+      return;
+    }
+  bj_daemon_reload (r->daemon, &s);
+  bj_settings_clear (&s);
+}
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -808,5 +808,7 @@
 BjStatus bj_daemon_new (struct ev_loop *loop,
                         const BjSettings *s,
                         BjDaemon **d); // BJ_E_IO when a port is busy
-void bj_daemon_stop (BjDaemon *d);     // Drains, then breaks the loop
+void bj_daemon_reload (BjDaemon *d,
+                       const BjSettings *s); // Takes over what may change while it runs; logs the rest
+void bj_daemon_stop (BjDaemon *d);           // Drains, then breaks the loop
 void bj_daemon_free (BjDaemon *d);
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -46,6 +46,9 @@
   d->host.ops = &host_ops;
   d->loop = loop;
   d->settings = *s;
+  // These two may change while it runs.
+  d->settings.service = bj_str_dup (s->service);
+  d->settings.upstream.host = bj_str_dup (s->upstream.host);
   d->incarnation = (uint64_t)bj_clock_wall ();
   o = (BjKernelOptions){ .self = own_report (d), .host = &d->host, .seed = g_random_int () };
   d->kernel = bj_kernel_new (&o, now);
@@ -73,6 +76,21 @@
   return BJ_OK;
 }
 
+void
+bj_daemon_reload (BjDaemon *d, const BjSettings *s)
+{
+  BjSettings *own = &d->settings;
+
+  bj_str_set (&own->service, s->service);
+  bj_str_set (&own->upstream.host, s->upstream.host);
+  own->upstream.port = s->upstream.port;
+  own->drain_ms = s->drain_ms;
+  own->heartbeat_ms = s->heartbeat_ms;
+  own->log_level = s->log_level;
+  bj_log_open (s->log_level);
+  bj_log (BJ_LOG_INFO, "SETTINGS", "Read again; addresses and names need a restart to change.");
+}
+
 void
 bj_daemon_stop (BjDaemon *d)
 {
@@ -110,6 +128,8 @@
   bj_pool_free (d->pool);
   g_ptr_array_free (d->lost_runs, TRUE);
   bj_auth_free (d->auth);
+  bj_str_free (&d->settings.service);
+  bj_str_free (&d->settings.upstream.host);
   bj_str_free (&d->upstream.host);
   bj_str_free (&d->upstream_id);
   g_free (d->watchers);
@@ -194,11 +214,15 @@
     {
       if (!is_same)
         return bj_fail (BJ_E_CONFLICT, "%.*s is not the upstream here.", BJ_STR_ARG (a->id));
-      d->upstream_sequence = INT64_MAX;
+      d->upstream_has_left = true;
       bj_kernel_drain (d->kernel, now, BJ_DRAIN_UPSTREAM, true);
       bj_members_tell (d->members);
       return BJ_OK;
     }
+  // It goes on announcing itself until it ends.
+  if (is_same && d->upstream_has_left)
+    return BJ_OK;
+  d->upstream_has_left = false;
   if (!is_same)
     bj_pool_drop (d->pool);
   bj_str_set (&d->upstream_id, a->id);
--- a/src/internal.h
+++ b/src/internal.h
@@ -834,6 +834,7 @@
   BjStr upstream_id;  // of its start, empty if it names none
   double upstream_born_ms;
   int64_t upstream_sequence;
+  bool upstream_has_left; // it said so
   BjTime announced;
   GPtrArray *lost_runs; // runs whose connections were lost, until a probe tells why
   bool draining;
