Refuse early by waits below, place over the region, limit by slots

Ruled out: processor time (0.01 cores a daemon), the links. Change: limiter "slots"; router "least-wait" over the region, with loads told on every answer; parents found by the deadline they handed down, dependencies learned from them, the level of what a route calls told with its answers, levels that rise with the wait; callers that come back when told are shed last; retries of calls that make calls cost three tokens; plug-ins of services from the settings; a structured line a decision.

--- a/examples/router/router.c
+++ b/examples/router/router.c
@@ -10,7 +10,7 @@
 static void result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s);
 static bool is_better (const BjPeer *a, const BjPeer *b, const BjRouterAsk *ask);
 
-static const BjRouterOps fewest_ops = { create, destroy, pick, result };
+static const BjRouterOps fewest_ops = { create, destroy, pick, result, false };
 
 int
 main (void)
--- a/src/boraged/main.c
+++ b/src/boraged/main.c
@@ -122,7 +122,7 @@
           s->front.port);
   ev_run (loop, 0);
   bj_daemon_free (d);
-  bj_log_flush ();
+  bj_log_close ();
   ev_loop_destroy (loop);
   curl_global_cleanup ();
   return 0;
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -104,12 +104,14 @@
   BJ_LOG_DEBUG, // decision lines of every call
 } BjLogLevel;
 
-void bj_log_open (BjLogLevel level);    // Routes GLib's log to a bounded buffer for stderr
+void bj_log_open (BjLogLevel level);    // Routes GLib's log to a bounded buffer for stdout
 bool bj_log_enabled (BjLogLevel level); // Lines of this level are kept
 void bj_log (BjLogLevel level, const char *prefix, const char *format, ...)
     G_GNUC_PRINTF (3, 4);       // "PREFIX: sentence."
-void bj_log_flush (void);       // Writes what stderr takes without blocking
-uint64_t bj_log_dropped (void); // Lines lost because stderr did not keep up
+bool bj_log_has_room (BjTime now); // One more line of a call in this second; counts it
+void bj_log_flush (void);          // Writes what stdout takes without blocking, now and then
+void bj_log_close (void);          // The same, now
+uint64_t bj_log_dropped (void); // Lines lost because stdout did not keep up, or over the bound
 
 // ---------------------------------------------------------------------------------------------
 // Metric: counters, gauges and log-bucket histograms
@@ -198,8 +200,16 @@
   bool has_cohort;    // cohort is set: by the front that the action came to
   uint32_t cohort;    // hash of the action, the same on the whole chain
   bool is_spilled;    // came from a daemon of another failure domain, set by the receiver
+  bool is_far;        // came from a daemon of another region, set by the receiver
 } BjRequest;
 
+typedef struct
+{
+  int limit;     // calls in flight that a guard takes, 0 when it tells no load
+  int in_flight; // on its upstream
+  int queued;    // waiting there
+} BjLoad;
+
 typedef struct
 {
   BjStatus code; // why the layer answers itself, BJ_OK for an upstream's answer
@@ -209,6 +219,8 @@
   double retry_after_ms; // when to come back, 0 if it makes no sense
   int attempts_left;     // of the chain's allowance, -1 if not known
   int level;             // admission level of the guard that answered, 0 admits all
+  BjLoad load;           // of that guard, as it answered
+  bool makes_calls;      // runs of this route call other services
   BjStr content_type;
   BjStr headers;  // others to relay, "Name: value" lines, each ended by a line feed
   int64_t length; // of the body, -1 if not known
@@ -236,6 +248,7 @@
   bool is_front; // arrived from a caller; otherwise from a peer
   bool irreversible;
   bool answer_begun;    // nothing can be retried any more
+  int status;           // HTTP status of that answer
   bool needs_claim;     // irreversible under the caller's key, not only within this attempt
   bool may_have_run;    // an attempt ended without telling
   uint64_t fingerprint; // of the request, for the quarantine
@@ -248,13 +261,17 @@
   double objective_ms;  // from its arrival, within which an answer is worth most
   int attempts_left;   // of the chain's allowance, what was handed down not included
   int attempts_handed; // to the daemon it was sent to
+  double retry_cost;   // tokens of a further attempt, more for calls that make others
   int attempts_before; // attempts_left and attempts_handed when it was last sent
   uint32_t cohort;     // hash of the action, the same on every hop
-  uint64_t route;      // hash of the prefix that its path matched
+  uint64_t route;      // hash of the prefix that its path matched, 0 if not known
+  BjTime handed_until; // deadline that the upstream was told, by this clock
+  bool is_return;      // its caller was refused before and came back when told
   int level;           // highest admission level below, for calls made for it
   BjPeer *target;      // where it was sent
   BjPeer *tried[BJ_TRIED_MAX];
   int n_tried;
+  BjTime sent;          // to a peer
   BjTime started;       // on the own upstream
   uint64_t start_order; // among all calls started there, from 1
   int start_in_flight;  // there when it started, itself included
@@ -374,6 +391,7 @@
                   BjTime now,
                   BjPeer *p,
                   BjStatus s); // A call sent to p ended: BJ_OK, or why it was refused or failed
+  bool pools_region;           // the failure domains of a region share their upstreams
 } BjRouterOps;
 
 struct BjRouter
@@ -494,6 +512,10 @@
 
 BjStatus bj_config_parse (BjStr text,
                           BjConfig **config); // Merged state; BJ_E_TICKET, BJ_E_TOO_LARGE
+BjStatus bj_config_parse_with (
+    BjStr text,
+    BjStr defaults,
+    BjConfig **config); // The same; defaults: JSON object of a service's keys, for those not given
 void bj_config_free (BjConfig *c);            // NULL does nothing
 const BjServiceConfig *bj_config_service (const BjConfig *c, BjStr name);   // NULL when unknown
 const BjUpstreamConfig *bj_config_upstream (const BjConfig *c, BjStr name); // NULL when unknown
@@ -604,12 +626,15 @@
   BjPeerReport report; // owned strings
   bool is_self;
   BjService *service;
-  BjTime reported;         // when the report came
+  BjTime reported;         // when the load in it was told
+  BjTime told_load;        // the same, of a load told with an answer
   BjTime skip_until;       // after a failure
   double skip_ms;          // of the last failure, 0 after a success
   int n_failures;          // sheds and timeouts in a row
   BjTime spill_skip_until; // after it refused a call of another domain
   int own_in_flight;       // calls this daemon has there
+  int sent_since;          // of them, sent after the load was told
+  double service_ms;       // smoothed time to an answer, 0 before the first
   bool is_gone;            // takes no new call, kept while calls are open there
   void *link;              // the host's
 };
@@ -749,6 +774,8 @@
 int bj_kernel_level (BjKernel *k,
                      BjTime now,
                      const BjCall *c); // Admission level to tell with the answer to c
+bool bj_kernel_makes_calls (BjKernel *k, const BjCall *c); // Runs of its route call other services
+BjLoad bj_kernel_load (BjKernel *k, BjTime now);           // Of this daemon's guard, to tell with an answer
 BjPeer *bj_kernel_find_peer (BjKernel *k, BjStr name); // NULL when unknown
 void
 bj_kernel_each_peer (BjKernel *k, void (*fn) (BjPeer *p, void *data), void *data); // In no order
@@ -777,6 +804,7 @@
   BjAddress ready;             // GET /ready and /metrics alone, port 0 for none
   BjAddress upstream;          // where the own upstream must be, port 0 for anywhere
   BjStr service;               // of the own upstream, empty until it announces itself
+  BjStr service_defaults;      // JSON object: of services whose configuration does not say, empty for none
   BjStr dialect;               // plug-in that reads and writes HTTP headers and announcements
   BjStr *domains;              // all failure domains of the deployment, where they are known
   int n_domains;
--- a/src/call.c
+++ b/src/call.c
@@ -3,7 +3,7 @@
 #include "kernel.h"
 
 static uint32_t cohort_of (BjKernel *k, const BjRequest *r);
-static gint by_deadline (gconstpointer a, gconstpointer b, gpointer data);
+
 static void copy_request (BjRequest *to, const BjRequest *from);
 static void clear_request (BjRequest *r);
 
@@ -15,6 +15,7 @@
   c->id = ++k->next_id;
   c->state = BJ_CALL_NEW;
   c->arrived = now;
+  c->retry_cost = 1;
   c->data = data;
   copy_request (&c->request, r);
   c->cohort = cohort_of (k, r);
@@ -41,7 +42,7 @@
   if (c->deadline_at != NULL)
     g_sequence_remove (c->deadline_at);
   c->deadline = deadline;
-  c->deadline_at = g_sequence_insert_sorted (k->deadlines, c, by_deadline, NULL);
+  c->deadline_at = g_sequence_insert_sorted (k->deadlines, c, bj_call_by_deadline, NULL);
 }
 
 // A call made for a guard call is part of its action.
@@ -59,8 +60,8 @@
   return r->key.len > 0 ? (uint32_t)bj_str_hash (r->key) : g_rand_int (k->rand);
 }
 
-static gint
-by_deadline (gconstpointer a, gconstpointer b, gpointer data)
+gint
+bj_call_by_deadline (gconstpointer a, gconstpointer b, gpointer data)
 {
   const BjCall *x = a;
   const BjCall *y = b;
--- a/src/config.h
+++ b/src/config.h
@@ -52,6 +52,7 @@
 // Policy defaults
 #define BJ_ATTEMPTS 3                // further attempts of one user action, whole chain
 #define BJ_RETRY_RATIO 0.1           // retries per fresh call
+#define BJ_RETRY_COST_CALLS 3        // tokens of a retry that repeats calls to other services
 #define BJ_RETRY_BURST 10            // retry tokens at rest
 #define BJ_QUEUE_MAX_WAIT_MS 100     // estimated wait above which a call is refused
 #define BJ_QUEUE_GOODPUT_WAIT_MS 300 // the same when goodput is preferred
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -141,7 +141,7 @@
 {
   BjConfig *c;
 
-  if (bj_config_parse (text, &c) != BJ_OK)
+  if (bj_config_parse_with (text, d->settings.service_defaults, &c) != BJ_OK)
     {
       bj_log (BJ_LOG_WARNING, "TICKET", "A configuration was refused: %s", bj_last_message ());
       return;
@@ -274,6 +274,8 @@
   bj_outcomes_begin (x, a);
   relayed.attempts_left = x->call->attempts_left;
   relayed.level = bj_kernel_level (x->daemon->kernel, bj_clock_now (), x->call);
+  relayed.makes_calls = bj_kernel_makes_calls (x->daemon->kernel, x->call);
+  relayed.load = bj_kernel_load (x->daemon->kernel, bj_clock_now ());
   if (x->sink != NULL)
     x->sink->ops->begin (x->sink, &relayed);
 }
--- a/src/explain.c
+++ b/src/explain.c
@@ -10,21 +10,28 @@
 {
   BjDecision *d;
   va_list args;
-  char text[256];
+  char text[512];
 
-  if (c->request.key.len == 0 && !bj_log_enabled (BJ_LOG_DEBUG))
+  if (c->request.key.len == 0 && (!bj_log_enabled (BJ_LOG_INFO) || !bj_log_has_room (now)))
     return;
   va_start (args, format);
   vsnprintf (text, sizeof text, format, args);
   va_end (args);
-  bj_log (BJ_LOG_DEBUG, prefix, "%s, call %" G_GUINT64_FORMAT ".", text, c->id);
+  bj_log (BJ_LOG_INFO,
+          prefix,
+          "req=%.*s call=%" G_GUINT64_FORMAT " class=%d %s",
+          c->request.id.len > 0 ? (int)c->request.id.len : 1,
+          c->request.id.len > 0 ? c->request.id.data : "-",
+          c->id,
+          c->klass,
+          text);
   if (c->request.key.len == 0)
     return;
   d = &k->ring[k->ring_next++ % BJ_RING_SIZE];
   d->at = now;
   bj_str_set (&d->key, c->request.key);
   g_free (d->text);
-  d->text = g_strdup_printf ("%s: %s.", prefix, text);
+  d->text = g_strdup_printf ("%s: %s", prefix, text);
 }
 
 void
--- a/src/frame.c
+++ b/src/frame.c
@@ -138,6 +138,10 @@
   msgpack_pack_double (p, a->retry_after_ms);
   msgpack_pack_int (p, a->attempts_left);
   msgpack_pack_int (p, a->level);
+  msgpack_pack_int (p, a->load.limit);
+  msgpack_pack_int (p, a->load.in_flight);
+  msgpack_pack_int (p, a->load.queued);
+  a->makes_calls ? msgpack_pack_true (p) : msgpack_pack_false (p);
   pack_str (p, a->content_type);
   pack_str (p, a->headers);
   msgpack_pack_int64 (p, a->length);
@@ -154,7 +158,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 17,  [BJ_FRAME_ANSWER] = 10, [BJ_FRAME_DATA] = 1,
+    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 17,  [BJ_FRAME_ANSWER] = 14, [BJ_FRAME_DATA] = 1,
     [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_NOTICE] = 3, [BJ_FRAME_CONFIG] = 1,
   };
 
@@ -236,6 +240,10 @@
   a->retry_after_ms = bj_field_double (in);
   a->attempts_left = (int)bj_field_int (in, -1, INT_MAX);
   a->level = (int)bj_field_int (in, 0, INT_MAX);
+  a->load.limit = (int)bj_field_int (in, 0, INT_MAX);
+  a->load.in_flight = (int)bj_field_int (in, 0, INT_MAX);
+  a->load.queued = (int)bj_field_int (in, 0, INT_MAX);
+  a->makes_calls = bj_field_bool (in);
   a->content_type = bj_field_bytes (in);
   a->headers = bj_field_bytes (in);
   a->length = bj_field_int (in, -1, INT64_MAX);
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -33,6 +33,8 @@
   k->quarantine = bj_quarantine_new ();
   bj_level_init (&k->level);
   bj_share_init (k);
+  bj_parent_init (k);
+  bj_comeback_init (k);
   k->guard.admitted_klass = BJ_CLASSES;
   k->self = g_new0 (BjPeer, 1);
   k->self->is_self = true;
@@ -65,6 +67,8 @@
   bj_level_clear (&k->level);
   g_hash_table_destroy (k->calls);
   g_hash_table_destroy (k->splits);
+  bj_parent_clear (k);
+  bj_comeback_clear (k);
   g_hash_table_destroy (k->services);
   g_hash_table_destroy (k->peers);
   g_sequence_free (k->deadlines);
@@ -148,10 +152,12 @@
   c->fingerprint = bj_quarantine_fingerprint (c->service->name, &c->request);
   if (refuse_quarantined (k, now, c))
     return NULL;
-  c->route = bj_str_hash (route->prefix);
+  c->route = bj_config_route_hash (route);
+  bj_parent_find (k, now, c);
+  c->is_return = bj_comeback_take (k, now, c);
   if (bj_level_sheds (k, now, c))
     {
-      bj_kernel_note (k, now, c, "ROUTE", "Shed early, its upstreams refuse work of its rank");
+      bj_kernel_note (k, now, c, "ROUTE", "shed_early service=%.*s level=%d returning=%d", BJ_STR_ARG (c->service->name), bj_level_of (k, now, c), c->is_return);
       answer (k, now, c, bj_guard_refusal (k, now, BJ_E_OVERLOAD, c->klass));
       return NULL;
     }
@@ -168,6 +174,7 @@
 bj_kernel_arrive_peer (BjKernel *k, BjTime now, const BjRequest *r, BjStr service, void *data)
 {
   BjCall *c = bj_call_new (k, now, r, data);
+  const BjServiceConfig *s;
   uint64_t id = c->id;
 
   c->klass = CLAMP (r->klass, 0, BJ_CLASSES - 1);
@@ -183,6 +190,10 @@
       return NULL;
     }
   c->service = bj_kernel_service (k, service);
+  if (c->service->router != NULL && c->service->router->ops->pools_region)
+    c->request.is_spilled = r->is_far;
+  c->route = bj_config_route_hash (bj_config_route_of (k->config, r->host, r->path, &s));
+  c->objective_ms = r->objective_ms;
   c->fingerprint = bj_quarantine_fingerprint (service, &c->request);
   bj_guard_admit (k, now, c);
   return g_hash_table_lookup (k->calls, &id);
@@ -210,11 +221,17 @@
 
   bj_allowance_answered (c, a);
   if (c->state == BJ_CALL_SENT)
-    bj_level_learn (k, now, c, a->level);
+    {
+      bj_peer_told_load (c->target, now, &a->load);
+      if (a->outcome == BJ_DONE)
+        bj_peer_answered (c->target, now - c->sent);
+      bj_level_learn (k, now, c, a->level);
+      bj_level_learn_calls (k, c, a->makes_calls);
+    }
   if (a->outcome != BJ_NOT_RUN)
     c->may_have_run = true;
   learn_suspicion (k, now, c, a->code);
-  if (a->outcome == BJ_DONE && a->failed && c->is_front && !c->irreversible
+  if (a->outcome == BJ_DONE && a->failed && c->is_front && !c->irreversible && !a->makes_calls
       && may_try_again (k, now, c, a))
     {
       leave_state (k, now, c, BJ_E_BROKEN);
@@ -224,6 +241,7 @@
   if (a->outcome == BJ_DONE)
     {
       c->answer_begun = true;
+      c->status = a->http_status;
       return BJ_RELAY;
     }
   if (c->state == BJ_CALL_RUNNING && copy.code == BJ_OK)
@@ -237,6 +255,8 @@
 bj_kernel_answer_end (BjKernel *k, BjTime now, BjCall *c, bool whole)
 {
   bj_count_answer (k, c, whole ? BJ_OK : BJ_E_BROKEN, whole ? BJ_DONE : BJ_UNKNOWN);
+  bj_kernel_note (
+      k, now, c, "CALL", "relayed status=%d whole=%d after_ms=%.0f level=%d", c->status, whole, now - c->arrived, c->is_front ? bj_level_of (k, now, c) : bj_kernel_level (k, now, c));
   leave_state (k, now, c, whole ? BJ_OK : BJ_E_BROKEN);
   bj_call_end (k, c);
 }
@@ -277,7 +297,7 @@
 void
 bj_kernel_cancel (BjKernel *k, BjTime now, BjCall *c)
 {
-  bj_kernel_note (k, now, c, "CALL", "Cancelled by its caller");
+  bj_kernel_note (k, now, c, "CALL", "cancelled state=%d after_ms=%.0f", (int)c->state, now - c->arrived);
   if (cancel_work (k, now, c, BJ_E_CANCELLED))
     bj_call_end (k, c);
   else
@@ -312,6 +332,12 @@
   return ((BjCall *)g_sequence_get (first))->deadline;
 }
 
+bool
+bj_kernel_makes_calls (BjKernel *k, const BjCall *c)
+{
+  return bj_parent_makes_calls (k, c->route);
+}
+
 int
 bj_kernel_open_calls (const BjKernel *k)
 {
@@ -321,14 +347,18 @@
 void
 bj_call_refuse (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
 {
+  BjLoad load = bj_kernel_load (k, now);
+
   bj_kernel_note (k,
                   now,
                   c,
                   "LIMIT",
-                  "Refused, %s, %d of %d in flight",
+                  "refused=%s in_flight=%d limit=%d queued=%d come_back_ms=%.0f",
                   bj_status_name (a->code),
-                  k->guard.in_flight,
-                  k->guard.limiter != NULL ? bj_guard_limit (k, now) : 0);
+                  load.in_flight,
+                  load.limit,
+                  load.queued,
+                  a->retry_after_ms);
   failed (k, now, c, a);
 }
 
@@ -347,13 +377,23 @@
       bj_call_refuse (k, now, c, &a);
       return;
     }
+  bj_level_started (k, c->queued > 0 ? now - c->queued : 0);
   c->state = BJ_CALL_RUNNING;
   c->started = now;
   bj_spill_changed (k, now, c, 1);
   c->start_order = ++k->guard.n_started;
   c->start_in_flight = ++k->guard.in_flight;
+  bj_parent_ran (k, c);
   bj_guard_started (k, now, c);
-  bj_kernel_note (k, now, c, "LIMIT", "Started, %d in flight", k->guard.in_flight);
+  bj_kernel_note (k,
+                  now,
+                  c,
+                  "LIMIT",
+                  "started in_flight=%d limit=%d waited_ms=%.1f left_ms=%.0f",
+                  k->guard.in_flight,
+                  bj_guard_limit (k, now),
+                  c->queued > 0 ? now - c->queued : 0,
+                  c->deadline - now);
   k->host->ops->start_upstream (k->host, c);
 }
 
@@ -385,7 +425,14 @@
       return;
     }
   bj_kernel_note (
-      k, now, c, "ROUTE", "No upstream of %.*s can take it", BJ_STR_ARG (c->service->name));
+      k,
+      now,
+      c,
+      "ROUTE",
+      "no_upstream service=%.*s known=%d tried=%d",
+      BJ_STR_ARG (c->service->name),
+      ask.n,
+      c->n_tried);
   a = bj_guard_refusal (k, now, BJ_E_NO_UPSTREAM, c->klass);
   answer (k, now, c, a);
 }
@@ -400,13 +447,18 @@
                   now,
                   c,
                   "ROUTE",
-                  "%.*s to %.*s at %.*s, %d of %d in flight, %d candidates",
+                  "service=%.*s to=%.*s own=%d in_flight=%d queued=%d limit=%d load_age_ms=%.0f "
+                  "candidates=%d left_ms=%.0f config=%" G_GINT64_FORMAT,
                   BJ_STR_ARG (c->service->name),
                   BJ_STR_ARG (p->report.name),
-                  BJ_STR_ARG (p->report.domain),
                   p->own_in_flight,
+                  p->report.in_flight,
+                  p->report.queued,
                   p->report.limit,
-                  n_candidates);
+                  now - p->reported,
+                  n_candidates,
+                  c->deadline - now,
+                  k->config != NULL ? k->config->number : 0);
   c->attempts_before = c->attempts_left;
   if (p->is_self)
     {
@@ -415,7 +467,9 @@
     }
   bj_allowance_hand (c);
   c->state = BJ_CALL_SENT;
+  c->sent = now;
   p->own_in_flight++;
+  p->sent_since++;
   k->host->ops->send_peer (k->host, c, p);
 }
 
@@ -461,8 +515,10 @@
                   now,
                   c,
                   "RETRY",
-                  "After %s, %d attempts left",
-                  a->failed ? "a failed run" : bj_status_name (a->code),
+                  "after=%s from=%.*s attempts_left=%d",
+                  a->failed ? "failed_run" : bj_status_name (a->code),
+                  c->target != NULL ? (int)c->target->report.name.len : 0,
+                  c->target != NULL ? c->target->report.name.data : "",
                   c->attempts_left);
   dispatch (k, now, c);
 }
@@ -478,6 +534,7 @@
     return false;
   if (a->code == BJ_E_DRAINING || (a->code == BJ_E_OVERLOAD && bj_spill_may_return (k, c)))
     return true;
+  c->retry_cost = bj_level_makes_calls (k, c) ? BJ_RETRY_COST_CALLS : 1;
   // What was retried below is not retried above it.
   if (a->outcome == BJ_NOT_RUN && c->attempts_left < c->attempts_before)
     return false;
@@ -526,12 +583,18 @@
                   now,
                   c,
                   "CALL",
-                  "Answered %s, %s, come back in %.0f ms",
+                  "answered=%s outcome=%s after_ms=%.0f tried=%d come_back_ms=%.0f",
                   bj_status_name (a.code),
                   bj_outcome_name (a.outcome),
+                  now - c->arrived,
+                  c->n_tried,
                   a.retry_after_ms);
   if (c->service != NULL)
     a.level = bj_kernel_level (k, now, c);
+  a.load = bj_kernel_load (k, now);
+  a.makes_calls = !c->is_front && bj_parent_makes_calls (k, c->route);
+  if (c->is_front && a.outcome == BJ_NOT_RUN && a.retry_after_ms > 0)
+    bj_comeback_told (k, now + a.retry_after_ms, c);
   bj_count_answer (k, c, a.code, a.outcome);
   k->host->ops->answer (k->host, c, &a);
   bj_call_end (k, c);
--- a/src/level.c
+++ b/src/level.c
@@ -1,7 +1,8 @@
 // Level: how much of the work a guard sheds, told upwards on every answer so that fronts refuse it
 // before a hop is spent. Ranks order the work, class first, then the cohort of the action; a level
 // is the number of ranks shed from the lowest upwards. An action has one cohort on its whole chain
-// and lives or dies as a whole.
+// and lives or dies as a whole. A level rises with the wait for the upstream, before calls are
+// refused there, and passes up the graph: an answer tells the highest of all that its route calls.
 
 #include "kernel.h"
 
@@ -12,6 +13,9 @@
 #define RISE 64.0          // ranks for a window whose calls were all refused
 #define FALL_MIN 8.0       // ranks for a window without refusals
 #define FALL_SHARE 0.1     // of the level, for the same
+#define WAIT_TARGET_MS 15  // mean wait of started calls, above which the level rises
+#define WAIT_RISE 0.25     // of RISE, at twice that wait and above
+#define BUSY_SHARE 0.9     // of the limit in use, above which the level does not fall
 #define LEARN_WEIGHT 0.2   // of the newest answer
 #define FRESH_MS 300       // a learned level that is older falls
 #define FADE_MS 1000       // and is gone after this long more
@@ -21,11 +25,21 @@
   int64_t route; // hash of the route's prefix
   double level;
   BjTime at;
+  bool makes_calls; // its runs call other services
 } Learned;
 
-static void change (BjLevel *l, BjTime now, double top);
+typedef struct
+{
+  BjKernel *kernel;
+  BjTime now;
+  double level;
+} Below;
+
+static void change (BjKernel *k, BjTime now);
+static bool is_busy (BjKernel *k, BjTime now);
 static double highest (const BjKernel *k);
-static Learned *find (BjKernel *k, const BjCall *c);
+static void look_below (uint64_t called, void *below);
+static Learned *find (BjKernel *k, uint64_t route);
 static double faded (const Learned *l, BjTime now);
 static BjCall *parent_of (BjKernel *k, const BjCall *c);
 
@@ -47,25 +61,52 @@
   BjLevel *l = &k->level;
 
   if (now - l->window_from >= WINDOW_MS)
-    change (l, now, highest (k));
+    change (k, now);
   l->n_offered += !refused;
   l->n_refused += refused;
 }
 
+void
+bj_level_started (BjKernel *k, double wait_ms)
+{
+  k->level.n_started++;
+  k->level.wait_ms += wait_ms;
+}
+
 int
 bj_kernel_level (BjKernel *k, BjTime now, const BjCall *c)
 {
-  BjLevel *l = &k->level;
+  Below below = { k, now, 0 };
 
-  if (now - l->window_from >= WINDOW_MS)
-    change (l, now, highest (k));
-  return MAX ((int)l->own, c->level);
+  if (now - k->level.window_from >= WINDOW_MS)
+    change (k, now);
+  if (!c->is_front)
+    bj_parent_each_called (k, c->route, look_below, &below);
+  return (int)MAX (MAX (k->level.own, c->level), below.level);
+}
+
+int
+bj_level_of (BjKernel *k, BjTime now, const BjCall *c)
+{
+  return (int)faded (find (k, c->route), now);
+}
+
+void
+bj_level_learn_calls (BjKernel *k, const BjCall *c, bool makes_calls)
+{
+  find (k, c->route)->makes_calls = makes_calls;
+}
+
+bool
+bj_level_makes_calls (BjKernel *k, const BjCall *c)
+{
+  return find (k, c->route)->makes_calls;
 }
 
 void
 bj_level_learn (BjKernel *k, BjTime now, const BjCall *c, int level)
 {
-  Learned *l = find (k, c);
+  Learned *l = find (k, c->route);
   BjCall *parent = parent_of (k, c);
   double old = faded (l, now);
 
@@ -78,34 +119,63 @@
 bool
 bj_level_sheds (BjKernel *k, BjTime now, const BjCall *c)
 {
-  double level = faded (find (k, c), now);
-  double rank = c->klass * COHORTS + c->cohort % COHORTS;
+  double level = faded (find (k, c->route), now);
+  double rank = c->klass * COHORTS + (c->is_return ? 0 : c->cohort % COHORTS);
   BjCall *parent = parent_of (k, c);
   int n = k->config->classes != NULL ? (int)k->config->classes->len : 1;
 
   if (c->irreversible || rank < n * COHORTS - level)
     return false;
+  // What its action has cost so far would be lost.
+  if (c->request.parent == 0 && bj_parent_is_called (k, c->route))
+    return false;
   if (parent != NULL)
     parent->level = MAX (parent->level, (int)level);
   return true;
 }
 
 static void
-change (BjLevel *l, BjTime now, double top)
+change (BjKernel *k, BjTime now)
 {
+  BjLevel *l = &k->level;
+  const BjQueue *q = k->guard.queue;
   int n = l->n_offered;
   double share = n > 0 ? (double)l->n_refused / n : 0;
   double windows = l->window_from > 0 ? (now - l->window_from) / WINDOW_MS : 1;
+  double wait = l->n_started > 0 ? l->wait_ms / l->n_started : 0;
+  double rise = 0;
 
   if (n >= CALLS_MIN && share > REFUSED_SHARE)
-    l->own = MIN (top, l->own + share * RISE);
-  else if (l->n_refused == 0)
+    rise = share * RISE;
+  if (n >= CALLS_MIN && wait > WAIT_TARGET_MS && q != NULL && q->ops->length (q) > 0)
+    rise = MAX (rise, WAIT_RISE * RISE * MIN (1, wait / WAIT_TARGET_MS - 1));
+  if (rise > 0)
+    l->own = MIN (highest (k), l->own + rise);
+  else if (l->n_refused == 0 && !is_busy (k, now))
     l->own = MAX (0, l->own - windows * MAX (FALL_MIN, l->own * FALL_SHARE));
   l->n_offered = 0;
   l->n_refused = 0;
+  l->n_started = 0;
+  l->wait_ms = 0;
   l->window_from = now;
 }
 
+static bool
+is_busy (BjKernel *k, BjTime now)
+{
+  BjLoad load = bj_kernel_load (k, now);
+
+  return load.limit > 1 && load.in_flight + load.queued >= BUSY_SHARE * load.limit;
+}
+
+static void
+look_below (uint64_t called, void *data)
+{
+  Below *b = data;
+
+  b->level = MAX (b->level, faded (find (b->kernel, called), b->now));
+}
+
 // The first class is never shed early.
 static double
 highest (const BjKernel *k)
@@ -116,9 +186,9 @@
 }
 
 static Learned *
-find (BjKernel *k, const BjCall *c)
+find (BjKernel *k, uint64_t route)
 {
-  int64_t key = (int64_t)c->route;
+  int64_t key = (int64_t)route;
   Learned *l = g_hash_table_lookup (k->level.learned, &key);
 
   if (l != NULL)
--- a/src/limit.c
+++ b/src/limit.c
@@ -1,6 +1,9 @@
-// Limit: how many calls may run on the own upstream. Plug-ins "none", "fixed" and "adaptive".
+// Limit: how many calls may run on the own upstream. Plug-ins "none", "fixed", "slots" and
+// "adaptive". Service times say little where runs wait for calls that they make themselves; there
+// "slots" trusts the announced slots, but for what the upstream refuses when they are full.
 
 #include "boragejunction.h"
+#include <math.h>
 
 #define CALLS_PER_LIMIT 4   // samples of one window for each call of the limit
 #define WINDOW_MIN 10       // samples
@@ -21,6 +24,11 @@
 #define FUTILE_SHARE 0.5    // limit left of a run of falls when its effect is judged
 #define FUTILE_EFFECT 0.8   // a ratio that fell less than to this share shows no effect
 #define RAMP_START 0.1      // share of the slots at the start of a ramp
+#define NEAR_FULL_SHARE 0.94 // of the slots; many upstreams slow down above
+#define FULL_SHARE 0.8       // of the limit in flight, above which a shed is for load
+#define SLOTS_FALL 0.95      // of the limit, after such a shed
+#define SLOTS_MIN_SHARE 0.5  // of the slots, the lowest limit
+#define SLOTS_RISE 0.02      // calls, after each call that was served
 
 typedef struct
 {
@@ -67,6 +75,9 @@
 static int none_limit (BjLimiter *l, BjTime now);
 static int fixed_limit (BjLimiter *l, BjTime now);
 static int adaptive_limit (BjLimiter *l, BjTime now);
+static BjLimiter *slots_create (const BjLimiterOptions *o, BjTime now);
+static int slots_limit (BjLimiter *l, BjTime now);
+static void slots_sample (BjLimiter *l, BjTime now, const BjLimiterSample *s);
 static void ignore_sample (BjLimiter *l, BjTime now, const BjLimiterSample *s);
 static void adaptive_sample (BjLimiter *l, BjTime now, const BjLimiterSample *s);
 static void configure (BjLimiter *l, BjTime now, const BjLimiterOptions *o);
@@ -84,6 +95,8 @@
 static const BjLimiterOps none_ops = { none_create, destroy, none_limit, ignore_sample, configure };
 static const BjLimiterOps fixed_ops
     = { fixed_create, destroy, fixed_limit, ignore_sample, configure };
+static const BjLimiterOps slots_ops
+    = { slots_create, destroy, slots_limit, slots_sample, configure };
 static const BjLimiterOps adaptive_ops
     = { adaptive_create, destroy, adaptive_limit, adaptive_sample, configure };
 
@@ -151,6 +164,37 @@
   return MAX (BJ_LIMIT_MIN, (int)n);
 }
 
+static BjLimiter *
+slots_create (const BjLimiterOptions *o, BjTime now)
+{
+  return new_limiter (&slots_ops, o, now);
+}
+
+static int
+slots_limit (BjLimiter *base, BjTime now)
+{
+  Limiter *l = (Limiter *)base;
+  double most = MAX (BJ_LIMIT_MIN, l->o.slots * NEAR_FULL_SHARE);
+
+  (void)now;
+  return MAX (BJ_LIMIT_MIN, (int)lround (MIN (l->limit, most)));
+}
+
+// An upstream that refuses calls with slots free is ill, not full.
+static void
+slots_sample (BjLimiter *base, BjTime now, const BjLimiterSample *s)
+{
+  Limiter *l = (Limiter *)base;
+
+  if (s->code == BJ_OK)
+    l->limit = MIN (l->o.slots, l->limit + SLOTS_RISE);
+  if (s->code != BJ_E_SHED || s->in_flight < FULL_SHARE * l->limit
+      || now - l->fell_at < FALL_PAUSE_MS)
+    return;
+  l->fell_at = now;
+  l->limit = MAX (l->o.slots * SLOTS_MIN_SHARE, l->limit * SLOTS_FALL);
+}
+
 static void
 ignore_sample (BjLimiter *l, BjTime now, const BjLimiterSample *s)
 {
@@ -337,4 +381,5 @@
 
 BJ_PLUGIN (BJ_PLUGIN_LIMITER, "none", none_ops)
 BJ_PLUGIN (BJ_PLUGIN_LIMITER, "fixed", fixed_ops)
+BJ_PLUGIN (BJ_PLUGIN_LIMITER, "slots", slots_ops)
 BJ_PLUGIN (BJ_PLUGIN_LIMITER, "adaptive", adaptive_ops)
--- a/src/peer.c
+++ b/src/peer.c
@@ -2,6 +2,9 @@
 
 #include "kernel.h"
 
+#define SERVICE_WEIGHT 0.05 // of the newest time to an answer in the smoothed one
+#define TOLD_LOAD_MS 1000   // for which a load told with an answer is better than a gossiped one
+
 static void set_service (BjKernel *k, BjPeer *p);
 static bool is_newer (const BjPeerReport *a, const BjPeerReport *b);
 static void leave_service (BjPeer *p);
@@ -57,14 +60,23 @@
     {
       // The name is the key in the table and does not change.
       BjStr name = p->report.name;
+      BjLoad load = { p->report.limit, p->report.in_flight, p->report.queued };
+      bool keeps = !p->is_gone && p->report.incarnation == r->incarnation
+                   && now - p->told_load < TOLD_LOAD_MS;
 
       p->report.name = bj_str_dup (name);
       bj_peer_report_copy (&p->report, r);
       bj_str_free (&p->report.name);
       p->report.name = name;
+      if (keeps)
+        bj_peer_told_load (p, p->told_load, &load);
     }
   p->is_gone = false;
-  p->reported = now;
+  if (now - p->told_load >= TOLD_LOAD_MS)
+    {
+      p->reported = now;
+      p->sent_since = 0;
+    }
   set_service (k, p);
 }
 
@@ -114,15 +126,51 @@
   g_list_free (all);
 }
 
+BjLoad
+bj_kernel_load (BjKernel *k, BjTime now)
+{
+  const BjQueue *q = k->guard.queue;
+
+  return (BjLoad){
+    .limit = k->guard.limiter != NULL ? bj_guard_limit (k, now) : 0,
+    .in_flight = k->guard.in_flight,
+    .queued = q != NULL ? q->ops->length (q) : 0,
+  };
+}
+
+// An answer tells the load of its moment, gossip that of some time ago.
+void
+bj_peer_told_load (BjPeer *p, BjTime now, const BjLoad *l)
+{
+  if (l->limit <= 0)
+    return;
+  p->report.limit = l->limit;
+  p->report.in_flight = l->in_flight;
+  p->report.queued = l->queued;
+  p->reported = now;
+  p->told_load = now;
+  p->sent_since = 0;
+}
+
+void
+bj_peer_answered (BjPeer *p, double ms)
+{
+  if (p->service_ms <= 0)
+    p->service_ms = ms;
+  p->service_ms += (ms - p->service_ms) * SERVICE_WEIGHT;
+}
+
 void
 bj_kernel_self (BjKernel *k, BjTime now, BjPeerReport *r)
 {
   BjPeerReport *self = &k->self->report;
 
-  self->limit = k->guard.limiter != NULL ? bj_guard_limit (k, now) : 0;
-  self->in_flight = k->guard.in_flight;
+  BjLoad load = bj_kernel_load (k, now);
+
+  self->limit = load.limit;
+  self->in_flight = load.in_flight;
+  self->queued = load.queued;
   self->level = (int)k->level.own;
-  self->queued = k->guard.queue != NULL ? k->guard.queue->ops->length (k->guard.queue) : 0;
   self->draining = k->guard.draining;
   self->config_number = k->config != NULL ? k->config->number : 0;
   k->self->reported = now;
--- /dev/null
+++ b/src/place.c
@@ -0,0 +1,150 @@
+// Place: which upstream's daemon gets a call, plug-in "least-wait". The failure domains of a region
+// are one pool: the daemon gets the call where it is expected to wait least, a hop counted as wait.
+// Another region gets it when the own one would keep it waiting longer than the way there and back,
+// and only what it has free.
+//
+// Loads come with every answer, so that a busy caller's view of a guard is some milliseconds old.
+
+#include "boragejunction.h"
+
+#define HOP_REGION_MS 1.0    // extra wait that a sister domain counts as
+#define HOP_FAR_MS 70.0      // the same of another region
+#define BUSY_LOAD 0.92       // of the limit, from which a call may have to wait
+#define FAR_BUSY_LOAD 0.8    // of the limit, from which another region's daemon is left alone
+#define SERVICE_MS 50.0      // time of a call at an upstream that has not answered yet
+#define LOAD_MAX_AGE_MS 2000 // an older load counts for nothing but the own calls
+#define FAILURES_MAX 3       // in a row, before a daemon is skipped
+#define SKIP_MS 250          // first time without calls, doubled up to the next
+#define SKIP_MAX_MS 2000
+#define EXAMINED_MAX 32 // candidates looked at for one call; more are drawn at random
+
+typedef struct
+{
+  BjRouter base;
+} Place;
+
+static BjRouter *create (void);
+static void destroy (BjRouter *r);
+static BjPeer *pick (BjRouter *r, BjTime now, const BjRouterAsk *ask);
+static void result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s);
+static bool was_tried (const BjPeer *p, const BjCall *c);
+static double expected_wait (const BjPeer *p, BjTime now, const BjRouterAsk *ask);
+static double load_of (const BjPeer *p, BjTime now);
+
+static const BjRouterOps least_wait_ops = { create, destroy, pick, result, true };
+
+static BjRouter *
+create (void)
+{
+  Place *r = g_new0 (Place, 1);
+
+  r->base.ops = &least_wait_ops;
+  return &r->base;
+}
+
+static void
+destroy (BjRouter *r)
+{
+  g_free (r);
+}
+
+static BjPeer *
+pick (BjRouter *r, BjTime now, const BjRouterAsk *ask)
+{
+  BjPeer *best = NULL;
+  double best_ms = BJ_TIME_NEVER;
+  int n = MIN (ask->n, EXAMINED_MAX);
+  int first = ask->n > 0 ? g_rand_int_range (ask->rand, 0, ask->n) : 0;
+
+  (void)r;
+  *ask->n_candidates = 0;
+  for (int i = 0; i < n; i++)
+    {
+      BjPeer *p = ask->peers[(first + i) % ask->n];
+      double ms;
+
+      if (p->report.draining || p->report.service.len == 0 || was_tried (p, ask->call))
+        continue;
+      ms = expected_wait (p, now, ask);
+      (*ask->n_candidates)++;
+      if (ms >= best_ms)
+        continue;
+      best = p;
+      best_ms = ms;
+    }
+  return best;
+}
+
+static void
+result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s)
+{
+  (void)r;
+  switch (s)
+    {
+    case BJ_OK:
+      p->n_failures = 0;
+      p->skip_ms = 0;
+      p->skip_until = 0;
+      return;
+    case BJ_E_NO_UPSTREAM:
+    case BJ_E_DRAINING:
+      p->n_failures = FAILURES_MAX;
+      break;
+    case BJ_E_LOST:
+    case BJ_E_CRASHED:
+      p->n_failures++;
+      break;
+    default:
+      return;
+    }
+  if (p->n_failures < FAILURES_MAX || now < p->skip_until)
+    return;
+  p->skip_ms = CLAMP (p->skip_ms * 2, SKIP_MS, SKIP_MAX_MS);
+  p->skip_until = now + p->skip_ms;
+  bj_log (BJ_LOG_INFO,
+          "ROUTE",
+          "skipped=%.*s reason=%s for_ms=%.0f",
+          BJ_STR_ARG (p->report.name),
+          bj_status_name (s),
+          p->skip_ms);
+}
+
+static bool
+was_tried (const BjPeer *p, const BjCall *c)
+{
+  for (int i = 0; i < c->n_tried; i++)
+    if (c->tried[i] == p)
+      return true;
+  return false;
+}
+
+// One that is skipped is still better than none.
+static double
+expected_wait (const BjPeer *p, BjTime now, const BjRouterAsk *ask)
+{
+  bool near = bj_str_equal (p->report.region, ask->region);
+  double service = p->service_ms > 0 ? p->service_ms : SERVICE_MS;
+  double load = load_of (p, now);
+  double ms = 0;
+
+  if (!bj_str_equal (p->report.domain, ask->domain))
+    ms = near ? HOP_REGION_MS : HOP_FAR_MS;
+  if (!near && load > FAR_BUSY_LOAD)
+    ms += service;
+  // Among idle ones the less loaded, by less than a hop.
+  ms += MAX (0, load - BUSY_LOAD) * service + MIN (load, 1) * HOP_REGION_MS / 2;
+  if (now < p->skip_until)
+    ms += SKIP_MAX_MS;
+  return ms;
+}
+
+static double
+load_of (const BjPeer *p, BjTime now)
+{
+  bool is_old = now - p->reported > LOAD_MAX_AGE_MS && !p->is_self;
+  double told = is_old ? 0 : p->report.in_flight + p->report.queued + p->sent_since;
+
+  return (MAX (told, p->own_in_flight) + 1) / MAX (1, p->report.limit);
+}
+
+BJ_PLUGIN (BJ_PLUGIN_ROUTER, "least-wait", least_wait_ops)
--- a/src/retry.c
+++ b/src/retry.c
@@ -80,9 +80,9 @@
   Retry *r = (Retry *)base;
 
   (void)now;
-  if (c->attempts_left <= 0 || r->tokens < 1)
+  if (c->attempts_left <= 0 || r->tokens < c->retry_cost)
     return false;
-  r->tokens -= 1;
+  r->tokens -= c->retry_cost;
   c->attempts_left--;
   return true;
 }
--- a/src/route.c
+++ b/src/route.c
@@ -52,8 +52,8 @@
 static double freshness (const BjPeer *p, BjTime now);
 
 static const BjRouterOps round_robin_ops
-    = { round_robin_create, destroy, round_robin_pick, round_robin_result };
-static const BjRouterOps p2c_ops = { p2c_create, destroy, p2c_pick, p2c_result };
+    = { round_robin_create, destroy, round_robin_pick, round_robin_result, false };
+static const BjRouterOps p2c_ops = { p2c_create, destroy, p2c_pick, p2c_result, false };
 
 static BjRouter *
 new_router (const BjRouterOps *ops)
--- a/src/settings.c
+++ b/src/settings.c
@@ -31,6 +31,7 @@
   { "service", BJ_JSON_STR, false, 0, NAME_MAX_BYTES },
   { "upstream", BJ_JSON_STR, false, 0, 0 },
   { "dialect", BJ_JSON_STR, false, 0, 0 },
+  { "service_defaults", BJ_JSON_OBJECT, false, 0, 0 },
 };
 static const BjJsonKey advertise_keys[] = {
   { "link", BJ_JSON_STR, false, 0, 0 },
@@ -138,6 +139,7 @@
   bj_str_free (&s->upstream.host);
   bj_str_free (&s->service);
   bj_str_free (&s->dialect);
+  bj_str_free (&s->service_defaults);
   bj_str_free (&s->platform_name);
   bj_str_free (&s->platform_url);
   bj_str_free (&s->key_file);
@@ -147,6 +149,7 @@
 static BjStatus
 read_all (const char *name, struct json_object *o, BjSettings *s)
 {
+  struct json_object *defaults;
   BjStatus status;
 
   s->name = bj_str_dup (bj_json_str (o, "name"));
@@ -155,6 +158,8 @@
   s->key_file = bj_str_dup (bj_json_str (o, "key_file"));
   s->drain_ms = bj_json_number (o, "drain_ms", BJ_DRAIN_MS);
   s->heartbeat_ms = bj_json_number (o, "heartbeat_ms", BJ_HEARTBEAT_MS);
+  if (json_object_object_get_ex (o, "service_defaults", &defaults))
+    s->service_defaults = bj_str_dup (bj_str (json_object_to_json_string (defaults)));
   s->service = bj_str_dup (bj_json_str (o, "service"));
   status = read_addresses (name, o, s);
   if (status == BJ_OK)
--- a/src/spill.c
+++ b/src/spill.c
@@ -29,7 +29,8 @@
 bj_spill_may_return (const BjKernel *k, const BjCall *c)
 {
   return c->n_tried <= RETURNS_MAX && c->target != NULL
-         && !bj_str_equal (c->target->report.domain, k->self->report.domain);
+         && (c->service->router->ops->pools_region
+             || !bj_str_equal (c->target->report.domain, k->self->report.domain));
 }
 
 void
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -99,6 +99,7 @@
   const BjServiceConfig *service;
 } Indexed;
 
+static BjStatus add_defaults (struct json_object *config, BjStr defaults);
 static void free_route (BjRoute *r);
 static BjStatus read_config (struct json_object *o, BjConfig *c);
 static BjStatus check_name (const char *section, const char *name);
@@ -129,6 +130,12 @@
 
 BjStatus
 bj_config_parse (BjStr text, BjConfig **config)
+{
+  return bj_config_parse_with (text, BJ_STR_NULL, config);
+}
+
+BjStatus
+bj_config_parse_with (BjStr text, BjStr defaults, BjConfig **config)
 {
   struct json_object *o;
   BjStatus s;
@@ -138,7 +145,9 @@
   if (s != BJ_OK)
     return s;
   *config = g_new0 (BjConfig, 1);
-  s = read_config (o, *config);
+  s = add_defaults (o, defaults);
+  if (s == BJ_OK)
+    s = read_config (o, *config);
   if (s == BJ_OK)
     (*config)->text = bj_str_dup (text);
   json_object_put (o);
@@ -147,6 +156,31 @@
   return s;
 }
 
+static BjStatus
+add_defaults (struct json_object *config, BjStr defaults)
+{
+  struct json_object *from;
+  struct json_object *services;
+  BjStatus s;
+
+  if (defaults.len == 0 || !json_object_object_get_ex (config, "services", &services))
+    return BJ_OK;
+  s = bj_json_read ("service_defaults", defaults, BJ_E_SETTINGS, &from);
+  if (s != BJ_OK)
+    return s;
+  json_object_object_foreach (services, name, service)
+  {
+    (void)name;
+    json_object_object_foreach (from, key, value)
+    {
+      if (!json_object_object_get_ex (service, key, NULL))
+        json_object_object_add (service, key, json_object_get (value));
+    }
+  }
+  json_object_put (from);
+  return BJ_OK;
+}
+
 void
 bj_config_free (BjConfig *c)
 {
@@ -208,6 +242,12 @@
   return found->route;
 }
 
+uint64_t
+bj_config_route_hash (const BjRoute *r)
+{
+  return r != NULL ? bj_str_hash (r->prefix) ^ (bj_str_hash (r->host) << 1) : 0;
+}
+
 const BjJsonTable *
 bj_ticket_tables (int *n)
 {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -1,6 +1,7 @@
 // Upstream: runs calls on the own upstream over HTTP, in the words of the dialect.
 
 #include "internal.h"
+#include <math.h>
 
 typedef struct
 {
@@ -16,7 +17,7 @@
   BjExchange *x;   // NULL once its call has ended
 } Lost;
 
-static void write_head (const BjDaemon *d, const BjCall *c, GString *head);
+static void write_head (const BjDaemon *d, BjCall *c, GString *head);
 static void on_drained (BjSource *s, size_t n);
 static void on_cancel (BjSource *s);
 static BjStatus on_head (void *data, const BjHead *h);
@@ -36,7 +37,7 @@
 bj_upstream_start (BjDaemon *d, BjExchange *x)
 {
   Run *r = g_new0 (Run, 1);
-  const BjCall *c = x->call;
+  BjCall *c = x->call;
   GString *head = g_string_sized_new (1024);
 
   write_head (d, c, head);
@@ -60,14 +61,16 @@
 }
 
 static void
-write_head (const BjDaemon *d, const BjCall *c, GString *head)
+write_head (const BjDaemon *d, BjCall *c, GString *head)
 {
   const BjRequest *r = &c->request;
-  double left = MAX (1, c->deadline - bj_clock_now () - BJ_HOP_MS);
+  BjTime now = bj_clock_now ();
+  double left = MAX (1, floor (c->deadline - now - BJ_HOP_MS));
   BjStr block = r->headers;
   BjStr name;
   BjStr value;
 
+  c->handed_until = now + left;
   g_string_append_printf (
       head, "%.*s %.*s HTTP/1.1\r\n", BJ_STR_ARG (r->method), BJ_STR_ARG (r->path));
   if (r->host.len > 0)
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -450,9 +450,8 @@
   pid_t pid = 0;
 
   posix_spawn_file_actions_init (&actions);
-  if (log != NULL)
-    posix_spawn_file_actions_addopen (
-        &actions, STDERR_FILENO, log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+  for (int fd = STDOUT_FILENO; log != NULL && fd <= STDERR_FILENO; fd++)
+    posix_spawn_file_actions_addopen (&actions, fd, log, O_WRONLY | O_CREAT | O_APPEND, 0644);
   if (posix_spawn (&pid, argv[0], &actions, NULL, argv, environ) != 0)
     abort ();
   posix_spawn_file_actions_destroy (&actions);
