Queues go by class and the time an answer is due

Cause: by deadline alone, calls with short deadlines overtook previews for 250 ms, whose objective is sooner; other regions' guards were tried though full and cost 60 ms each. Ruled out: loop stalls (no turn over 10 ms).

--- a/src/place.c
+++ b/src/place.c
@@ -11,6 +11,7 @@
 #define HOP_FAR_MS 70.0      // the same of another region
 #define BUSY_LOAD 0.92       // of the limit, from which a call may have to wait
 #define FAR_BUSY_LOAD 0.8    // of the limit, from which another region's daemon is left alone
+#define FAR_BUSY_MS 500.0    // extra wait that it then counts as
 #define SERVICE_MS 50.0      // time of a call at an upstream that has not answered yet
 #define LOAD_MAX_AGE_MS 2000 // an older load counts for nothing but the own calls
 #define FAILURES_MAX 3       // in a row, before a daemon is skipped
@@ -130,7 +131,7 @@
   if (!bj_str_equal (p->report.domain, ask->domain))
     ms = near ? HOP_REGION_MS : HOP_FAR_MS;
   if (!near && load > FAR_BUSY_LOAD)
-    ms += service;
+    ms += FAR_BUSY_MS;
   // Among idle ones the less loaded, by less than a hop.
   ms += MAX (0, load - BUSY_LOAD) * service + MIN (load, 1) * HOP_REGION_MS / 2;
   if (now < p->skip_until)
--- a/src/queue.c
+++ b/src/queue.c
@@ -40,7 +40,8 @@
 static void leave (Queue *q, BjCall *c, GSequenceIter *at);
 static void note_drain (Queue *q, BjTime now, int klass);
 static double interval_ms (const Queue *q, BjTime now, int klass);
-static gint by_class_and_deadline (gconstpointer a, gconstpointer b, gpointer data);
+static gint by_class_and_due (gconstpointer a, gconstpointer b, gpointer data);
+static BjTime due_at (const BjCall *c);
 static BjCall *lowest (const Queue *q);
 static double wait_of (const Queue *q, BjTime now, BjCall *c);
 
@@ -122,7 +123,7 @@
       last->queue_next = NULL;
       *evicted = last;
     }
-  insert (q, now, c, g_sequence_insert_sorted (q->calls, c, by_class_and_deadline, NULL));
+  insert (q, now, c, g_sequence_insert_sorted (q->calls, c, by_class_and_due, NULL));
   return BJ_OK;
 }
 
@@ -236,7 +237,7 @@
 }
 
 static gint
-by_class_and_deadline (gconstpointer a, gconstpointer b, gpointer data)
+by_class_and_due (gconstpointer a, gconstpointer b, gpointer data)
 {
   const BjCall *x = a;
   const BjCall *y = b;
@@ -244,11 +245,18 @@
   (void)data;
   if (x->klass != y->klass)
     return x->klass - y->klass;
-  if (x->deadline != y->deadline)
-    return x->deadline < y->deadline ? -1 : 1;
+  if (due_at (x) != due_at (y))
+    return due_at (x) < due_at (y) ? -1 : 1;
   return x->id < y->id ? -1 : 1;
 }
 
+// When its answer is worth most, if it has such a time.
+static BjTime
+due_at (const BjCall *c)
+{
+  return c->objective_ms > 0 ? MIN (c->arrived + c->objective_ms, c->deadline) : c->deadline;
+}
+
 static BjCall *
 lowest (const Queue *q)
 {
@@ -264,7 +272,7 @@
 static double
 wait_of (const Queue *q, BjTime now, BjCall *c)
 {
-  GSequenceIter *at = g_sequence_search (q->calls, c, by_class_and_deadline, NULL);
+  GSequenceIter *at = g_sequence_search (q->calls, c, by_class_and_due, NULL);
   int ahead = g_sequence_iter_get_position (at);
   int ahead_own = ahead;
 
