--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -266,6 +266,7 @@
   uint32_t cohort;     // hash of the action, the same on every hop
   uint64_t route;      // hash of the prefix that its path matched, 0 if not known
   BjTime handed_until; // deadline that the upstream was told, by this clock
+  bool is_inner;       // the own upstream made it for a call that runs there
   bool is_return;      // its caller was refused before and came back when told
   int level;           // highest admission level below, for calls made for it
   BjPeer *target;      // where it was sent
@@ -406,6 +407,7 @@
 typedef struct
 {
   double ratio; // tokens earned per fresh call
+  int reserve;  // tokens that a class leaves to more important ones, at most one a class
   double burst; // most tokens kept
 } BjRetryOptions;
 
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -447,9 +447,10 @@
                   now,
                   c,
                   "ROUTE",
-                  "service=%.*s to=%.*s own=%d in_flight=%d queued=%d limit=%d load_age_ms=%.0f "
+                  "service=%.*s inner=%d to=%.*s own=%d in_flight=%d queued=%d limit=%d load_age_ms=%.0f "
                   "candidates=%d left_ms=%.0f config=%" G_GINT64_FORMAT,
                   BJ_STR_ARG (c->service->name),
+                  c->is_inner,
                   BJ_STR_ARG (p->report.name),
                   p->own_in_flight,
                   p->report.in_flight,
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -93,6 +93,7 @@
   GSequence *deadlines; // BjCall*, earliest first
   GHashTable *calls;    // call id to open BjCall*
   GHashTable *parents;   // hash of a route to what its runs call
+  GHashTable *ages;      // hash of a route to how old the parents of its calls are at their deadline
   GHashTable *comebacks; // fingerprint of a refused call to when it was told to return
   GHashTable *splits;   // BjRoute* to how its shares stand
   BjGuard guard;
--- a/src/level.c
+++ b/src/level.c
@@ -127,7 +127,7 @@
   if (c->irreversible || rank < n * COHORTS - level)
     return false;
   // What its action has cost so far would be lost.
-  if (c->request.parent == 0 && bj_parent_is_called (k, c->route))
+  if (c->is_inner || (c->request.parent == 0 && bj_parent_is_called (k, c->route)))
     return false;
   if (parent != NULL)
     parent->level = MAX (parent->level, (int)level);
--- a/src/retry.c
+++ b/src/retry.c
@@ -80,7 +80,8 @@
   Retry *r = (Retry *)base;
 
   (void)now;
-  if (c->attempts_left <= 0 || r->tokens < c->retry_cost)
+  // What more important classes may need is left to them.
+  if (c->attempts_left <= 0 || r->tokens < c->retry_cost + MIN (c->klass, r->o.reserve))
     return false;
   r->tokens -= c->retry_cost;
   c->attempts_left--;
