A leave is known by its id alone

Cause: DELETE carries neither born nor sequence and was refused as out of date, so leaving upstreams that say only that had no acknowledgement and went on getting calls until their pings said so.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -197,28 +197,36 @@
   return false;
 }
 
+static void
+leave (BjDaemon *d, BjTime now)
+{
+  d->upstream_has_left = true;
+  bj_log (BJ_LOG_INFO, "UPSTREAM", "id=%.*s leaves", BJ_STR_ARG (d->upstream_id));
+  bj_kernel_drain (d->kernel, now, BJ_DRAIN_UPSTREAM, true);
+  bj_members_tell (d->members);
+}
+
 BjStatus
 bj_daemon_announce (BjDaemon *d, const BjAnnouncement *a)
 {
   bool is_same = bj_str_equal (d->upstream_id, a->id) && d->upstream_born_ms == a->born_ms;
   BjTime now = bj_clock_now ();
 
+  // A leave tells neither start nor sequence.
+  if (a->gone && !bj_str_equal (d->upstream_id, a->id))
+    return bj_fail (BJ_E_CONFLICT, "%.*s is not the upstream here.", BJ_STR_ARG (a->id));
+  if (a->gone)
+    {
+      leave (d, now);
+      return BJ_OK;
+    }
   if (a->born_ms < d->upstream_born_ms || (is_same && a->sequence < d->upstream_sequence))
     return bj_fail (BJ_E_CONFLICT,
                     "An announcement of %.*s is out of date, sequence %" G_GINT64_FORMAT ".",
                     BJ_STR_ARG (a->id),
                     a->sequence);
-  if (!a->gone && !is_own_upstream (d, a))
+  if (!is_own_upstream (d, a))
     return BJ_E_ARGUMENT;
-  if (a->gone)
-    {
-      if (!is_same)
-        return bj_fail (BJ_E_CONFLICT, "%.*s is not the upstream here.", BJ_STR_ARG (a->id));
-      d->upstream_has_left = true;
-      bj_kernel_drain (d->kernel, now, BJ_DRAIN_UPSTREAM, true);
-      bj_members_tell (d->members);
-      return BJ_OK;
-    }
   // It goes on announcing itself until it ends.
   if (is_same && d->upstream_has_left)
     return BJ_OK;
