--- a/src/internal.h
+++ b/src/internal.h
@@ -585,7 +585,7 @@
 
 BjStatus bj_members_new (BjDaemon *d, BjMembers **m); // BJ_E_IO when the port is busy
 void bj_members_free (BjMembers *m);
-void bj_members_tell (BjMembers *m);  // Tells peers at once what changed here
+void bj_members_tell (BjMembers *m);  // Tells peers at once what changed here; NULL does nothing
 void bj_members_leave (BjMembers *m); // Tells peers that this daemon is gone
 
 // ---------------------------------------------------------------------------------------------
--- a/src/member.c
+++ b/src/member.c
@@ -112,6 +112,8 @@
 void
 bj_members_tell (BjMembers *m)
 {
+  if (m == NULL)
+    return;
   bj_swim_tick (m->swim, bj_clock_now ());
 }
 
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -41,7 +41,7 @@
   { "weight", BJ_JSON_INT, true, 0, WEIGHT_MAX },
 };
 static const BjJsonKey service_keys[] = {
-  { "number", BJ_JSON_INT, false, 1, NUMBER_MAX }, { "routes", BJ_JSON_ARRAY, true, 1, ROUTES_MAX },
+  { "number", BJ_JSON_INT, false, 1, NUMBER_MAX }, { "routes", BJ_JSON_ARRAY, true, 0, ROUTES_MAX },
   { "limiter", BJ_JSON_OBJECT, false, 0, 0 },      { "queue", BJ_JSON_OBJECT, false, 0, 0 },
   { "router", BJ_JSON_OBJECT, false, 0, 0 },       { "retry", BJ_JSON_OBJECT, false, 0, 0 },
   { "prefer", BJ_JSON_STR, false, 0, 0 },
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,487 @@
+// The platform's adapter: its manifest, headers and announcements in tables, and the store's calls
+// against a stand-in of the store on the same loop.
+
+#include "../platform/platform.h"
+#include "kernel.h"
+#include <curl/curl.h>
+#include <ev.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define STORE_PORT 38471
+#define WAIT_MS 3000
+
+#define COLUMNS                                                                                    \
+  "\"columns\":[\"name\",\"host\",\"pathPrefix\",\"kind\",\"timeoutS\",\"objectiveS\",\"priority\"," \
+  "\"service\",\"maxAttempts\",\"weightedServices\"]"
+#define MANIFEST(version, rows)                                                                    \
+  "{\"version\":\"" version "\",\"routes\":{" COLUMNS ",\"rows\":[" rows "]},\"services\":{"         \
+  "\"columns\":[\"name\"],\"rows\":[[\"orders\"],[\"plans\"]]},\"limits\":{\"maxHeaderBytes\":16384," \
+  "\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,\"idleTimeoutS\":1.5}}"
+#define ACCEPT "[\"r-1\",\"a.example\",\"/accept/\",\"non_idempotent\",0.8,1.5,0,\"orders\",2,null]"
+#define SHARED                                                                                     \
+  "[\"r-2\",\"a.example\",\"/p/\",\"idempotent\",1,0.25,2,null,3,[{\"service\":\"plans\",\"weight\":9}," \
+  "{\"service\":\"orders\",\"weight\":1}]]"
+
+typedef struct
+{
+  const char *name;
+  const char *manifest;
+  BjStatus status;
+  const char *host;
+  const char *path; // NULL when only the status counts
+  const char *service;
+  int klass;
+  bool irreversible;
+  double deadline_ms;
+  double objective_ms;
+  int attempts; // further ones
+  int n_shares;
+} ManifestCase;
+
+static const ManifestCase manifest_cases[] = {
+  { "work once an attempt", MANIFEST ("r12", ACCEPT), BJ_OK, "a.example", "/accept/x", "orders", 0,
+    true, 800, 1500, 1, 0 },
+  { "shared route", MANIFEST ("r12", ACCEPT "," SHARED), BJ_OK, "a.example", "/p/1?x=2", "plans", 2,
+    false, 1000, 250, 2, 2 },
+  { "another host has no route", MANIFEST ("r12", ACCEPT), BJ_OK, "b.example", "/accept/x", NULL, 0,
+    false, 0, 0, 0, 0 },
+  { "no version", "{\"routes\":{}}", BJ_E_TICKET, NULL, NULL, NULL, 0, false, 0, 0, 0, 0 },
+  { "no routes", "{\"version\":\"r1\"}", BJ_E_TICKET, NULL, NULL, NULL, 0, false, 0, 0, 0, 0 },
+  { "a row without a service", MANIFEST ("r1", "[\"r-3\",\"h\",\"/\",\"idempotent\",1,1,0,null,1,null]"),
+    BJ_E_TICKET, NULL, NULL, NULL, 0, false, 0, 0, 0, 0 },
+};
+
+static void
+test_manifest (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (manifest_cases); i++)
+    {
+      const ManifestCase *c = &manifest_cases[i];
+      struct json_object *spec = json_tokener_parse (c->manifest);
+      GString *text = g_string_new (NULL);
+      const BjServiceConfig *s = NULL;
+      const BjRoute *r;
+      BjConfig *config;
+
+      print_message ("  %s\n", c->name);
+      assert_int_equal (platform_read_config (spec, text), c->status);
+      json_object_put (spec);
+      if (c->path != NULL)
+        {
+          if (bj_config_parse ((BjStr){ text->str, text->len }, &config) != BJ_OK)
+            fail_msg ("%s", bj_last_message ());
+          assert_int_equal (config->number, 12);
+          assert_true (config->callers.idle_timeout_ms == 1500);
+          r = bj_config_route_of (config, bj_str (c->host), bj_str (c->path), &s);
+          assert_true ((r == NULL) == (c->service == NULL));
+          if (r != NULL)
+            {
+              assert_string_equal (s->name.data, c->service);
+              assert_int_equal (r->klass, c->klass);
+              assert_true (r->irreversible == c->irreversible && !r->needs_claim);
+              assert_true (r->deadline_ms == c->deadline_ms && r->objective_ms == c->objective_ms);
+              assert_int_equal (r->attempts, c->attempts);
+              assert_int_equal (r->n_shares, c->n_shares);
+            }
+          bj_config_free (config);
+        }
+      g_string_free (text, TRUE);
+    }
+}
+
+typedef struct
+{
+  const char *name;
+  int status;
+  const char *headers; // of the upstream's answer
+  BjStatus result;
+  BjOutcome outcome;
+  bool failed;
+} AnswerCase;
+
+static const AnswerCase answer_cases[] = {
+  { "a success", 200, "X-Request-Id: 7\nX-Response-Seal: s\n", BJ_OK, BJ_DONE, false },
+  { "another request's", 200, "X-Request-Id: 8\nX-Response-Seal: s\n", BJ_E_FORMAT, BJ_DONE, false },
+  { "nobody's", 200, "X-Response-Seal: s\n", BJ_E_FORMAT, BJ_DONE, false },
+  { "without its seal", 200, "X-Request-Id: 7\n", BJ_E_FORMAT, BJ_DONE, false },
+  { "a failure that ran", 500, "X-Request-Id: 7\n", BJ_OK, BJ_DONE, true },
+  { "not run", 503, "X-Request-Id: 7\nX-Not-Executed: 1\n", BJ_OK, BJ_NOT_RUN, false },
+  { "not run, without an id", 503, "X-Not-Executed: 1\n", BJ_OK, BJ_NOT_RUN, false },
+  { "another instance", 421, "X-Request-Id: 7\nX-Instance-Id: i\n", BJ_OK, BJ_NOT_RUN, false },
+};
+
+static void
+test_answers (void **state)
+{
+  const BjDialectOps *d = bj_plugin_find (BJ_PLUGIN_DIALECT, BJ_STR ("platform"));
+  BjCall call = { .request = { .id = BJ_STR ("7") } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (answer_cases); i++)
+    {
+      const AnswerCase *c = &answer_cases[i];
+      BjHead h = { .status = c->status, .headers = bj_str (c->headers) };
+      BjAnswer a = { .http_status = c->status };
+      GString *relayed = g_string_new (NULL);
+
+      print_message ("  %s\n", c->name);
+      assert_int_equal (d->read_run (&call, &h, &a, relayed), c->result);
+      if (c->result == BJ_OK)
+        {
+          assert_int_equal (a.outcome, c->outcome);
+          assert_true (a.failed == c->failed);
+        }
+      g_string_free (relayed, TRUE);
+    }
+}
+
+typedef struct
+{
+  const char *name;
+  BjStatus code;
+  BjOutcome outcome;
+  int status;
+  bool has_time; // to come back
+} RefusalCase;
+
+// Only what has not run is told so.
+static const RefusalCase refusal_cases[] = {
+  { "for load", BJ_E_OVERLOAD, BJ_NOT_RUN, 503, true },
+  { "nobody there", BJ_E_NO_UPSTREAM, BJ_NOT_RUN, 503, true },
+  { "its deadline passed in a queue", BJ_E_DEADLINE, BJ_NOT_RUN, 503, true },
+  { "its deadline passed while it ran", BJ_E_DEADLINE, BJ_UNKNOWN, 504, false },
+  { "lost", BJ_E_LOST, BJ_UNKNOWN, 502, false },
+  { "in quarantine, may have run", BJ_E_QUARANTINED, BJ_UNKNOWN, 502, false },
+  { "no route", BJ_E_NO_ROUTE, BJ_NOT_RUN, 404, false },
+};
+
+static void
+test_refusals (void **state)
+{
+  const BjDialectOps *d = bj_plugin_find (BJ_PLUGIN_DIALECT, BJ_STR ("platform"));
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (refusal_cases); i++)
+    {
+      const RefusalCase *c = &refusal_cases[i];
+      BjAnswer a = { .code = c->code, .outcome = c->outcome, .retry_after_ms = 250 };
+      GString *lines = g_string_new (NULL);
+
+      print_message ("  %s\n", c->name);
+      d->write_answer (&a, lines);
+      assert_int_equal (a.http_status, c->status);
+      assert_true ((strstr (lines->str, "Retry-After: 0.250\r\n") != NULL) == c->has_time);
+      g_string_free (lines, TRUE);
+    }
+}
+
+static void
+test_request (void **state)
+{
+  const BjDialectOps *d = bj_plugin_find (BJ_PLUGIN_DIALECT, BJ_STR ("platform"));
+  BjSettings s = { .service = BJ_STR ("orders") };
+  BjHead h = { .headers = BJ_STR ("Host: a.example\nX-Request-Id: 7\nX-Deadline-Ms: 1500\n"
+                                  "X-Caller-Service: liar\nX-Expect-Instance: i\nConnection: close\n"
+                                  "Accept: x\nCookie: y\n") };
+  BjRequest r = { 0 };
+  GString *relayed = g_string_new (NULL);
+
+  (void)state;
+  d->read_request (&s, &h, &r, relayed);
+  assert_true (bj_str_equal (r.host, BJ_STR ("a.example")) && bj_str_equal (r.id, BJ_STR ("7")));
+  assert_true (r.deadline_ms == 1500);
+  assert_string_equal (relayed->str, "Accept: x\nCookie: y\nX-Caller-Service: orders\n");
+  g_string_free (relayed, TRUE);
+}
+
+typedef struct
+{
+  const char *name;
+  const char *method;
+  const char *path;
+  const char *body;
+  int status;
+  bool draining;
+  int limit;
+} AnnounceCase;
+
+#define BEAT(service, address, state, sequence, born)                                              \
+  "{\"service\":\"" service "\",\"address\":\"" address "\",\"zone\":\"z\",\"version\":\"v\",\"slots\":100," \
+  "\"state\":\"" state "\",\"coldS_time\":0,\"sequence\":" sequence ",\"born\":" born "}"
+
+// Announced one after another to one daemon.
+static const AnnounceCase announce_cases[] = {
+  { "not JSON", "PUT", "/instances/i-1", "{{{", 400, false, 0 },
+  { "a field missing", "PUT", "/instances/i-1", "{\"service\":\"orders\"}", 400, false, 0 },
+  { "first", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "ready", "3", "1000"), 200, false, 94 },
+  { "at another address", "PUT", "/instances/i-9", BEAT ("orders", "10.0.0.9:80", "ready", "1", "2000"), 400, false, 94 },
+  { "of an unknown service", "PUT", "/instances/i-9", BEAT ("nobody", "10.0.0.1:80", "ready", "1", "2000"), 400, false, 94 },
+  { "of an unknown state", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "lost", "4", "1000"), 400, false, 94 },
+  { "late", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "draining", "2", "1000"), 409, false, 94 },
+  { "leaves by draining", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "draining", "5", "1000"), 200, true, 94 },
+  { "a new start under the same id", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "ready", "1", "3000"), 200, false, 94 },
+  { "late, of the start before", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "ready", "9", "1000"), 409, false, 94 },
+  { "somebody else leaves", "DELETE", "/instances/i-2", "", 409, false, 94 },
+  { "leaves without a word before", "DELETE", "/instances/i-1", "", 200, true, 94 },
+  { "goes on announcing itself", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "ready", "2", "3000"), 200, true, 94 },
+  { "the next one", "PUT", "/instances/i-3", BEAT ("orders", "10.0.0.1:80", "ready", "1", "4000"), 200, false, 94 },
+};
+
+static void
+test_announcements (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon d = { .loop = loop };
+  BjKernelOptions o = { .self = { .name = BJ_STR ("one") }, .host = &d.host, .seed = 1 };
+  GString *text = g_string_new (NULL);
+  struct json_object *spec = json_tokener_parse (MANIFEST ("r1", ACCEPT));
+  BjConfig *config;
+
+  (void)state;
+  d.dialect = bj_plugin_find (BJ_PLUGIN_DIALECT, BJ_STR ("platform"));
+  d.settings.service = BJ_STR ("orders");
+  d.settings.upstream = (BjAddress){ BJ_STR ("10.0.0.1"), 80 };
+  d.pool = bj_pool_new (loop);
+  d.kernel = bj_kernel_new (&o, 0);
+  platform_read_config (spec, text);
+  json_object_put (spec);
+  assert_int_equal (bj_config_parse_with ((BjStr){ text->str, text->len },
+                                          BJ_STR ("{\"limiter\":{\"plugin\":\"slots\"}}"),
+                                          &config),
+                    BJ_OK);
+  bj_kernel_set_config (d.kernel, 0, config);
+  for (size_t i = 0; i < G_N_ELEMENTS (announce_cases); i++)
+    {
+      const AnnounceCase *c = &announce_cases[i];
+      GString *out = g_string_new (NULL);
+      int status
+          = bj_admin_handle (&d, bj_str (c->method), bj_str (c->path), bj_str (c->body), out);
+      BjPeerReport self;
+
+      bj_kernel_self (d.kernel, 0, &self);
+      if (status != c->status || self.draining != c->draining || self.limit != c->limit)
+        fail_msg ("%s: status %d, draining %d, limit %d", c->name, status, self.draining, self.limit);
+      g_string_free (out, TRUE);
+    }
+  bj_kernel_free (d.kernel);
+  bj_pool_free (d.pool);
+  bj_str_free (&d.upstream.host);
+  bj_str_free (&d.upstream_id);
+  g_string_free (text, TRUE);
+  ev_loop_destroy (loop);
+}
+
+// ---------------------------------------------------------------------------------------------
+// The store
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  int status;
+  const char *body; // NULL: no answer at all
+} Scripted;
+
+typedef struct
+{
+  BjServer *server;
+  Scripted next;
+  char method[16];
+  char path[128];
+  char body[512];
+  BjServerConn *waiting;
+} Store;
+
+typedef struct
+{
+  struct ev_loop *loop;
+  bool is_done;
+  BjStatus code;
+  char version[32];
+  char spec[128];
+} Reply;
+
+static void
+store_request (void *data, BjServerConn *c, const BjHead *h, BjStr body)
+{
+  Store *s = data;
+
+  g_snprintf (s->method, sizeof s->method, "%.*s", BJ_STR_ARG (h->method));
+  g_snprintf (s->path, sizeof s->path, "%.*s", BJ_STR_ARG (h->path));
+  g_snprintf (s->body, sizeof s->body, "%.*s", BJ_STR_ARG (body));
+  if (s->next.body == NULL)
+    {
+      bj_server_end (c, false);
+      return;
+    }
+  bj_server_begin (c, s->next.status, BJ_STR_NULL, (int64_t)strlen (s->next.body));
+  bj_server_data (c, bj_str (s->next.body));
+  bj_server_end (c, true);
+}
+
+static void
+ignore_left (void *call)
+{
+  (void)call;
+}
+
+static void
+ignore_drained (void *call, size_t n)
+{
+  (void)call;
+  (void)n;
+}
+
+static const BjServerOps store_ops = { store_request, ignore_left, ignore_drained };
+
+static void
+on_reply (void *data, const BjPlatformReply *r)
+{
+  Reply *reply = data;
+
+  reply->is_done = true;
+  reply->code = r->code;
+  g_snprintf (reply->version, sizeof reply->version, "%.*s", BJ_STR_ARG (r->version));
+  g_snprintf (reply->spec,
+              sizeof reply->spec,
+              "%s",
+              r->spec != NULL ? json_object_to_json_string_ext (r->spec, JSON_C_TO_STRING_PLAIN) : "");
+  ev_break (reply->loop, EVBREAK_ALL);
+}
+
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *w, int events)
+{
+  (void)loop;
+  (void)events;
+  bj_server_flush (((Store *)w->data)->server);
+}
+
+typedef enum
+{
+  GET,
+  CREATE,
+  UPDATE,
+  LIST,
+  WATCH,
+} StoreCall;
+
+typedef struct
+{
+  const char *name;
+  StoreCall call;
+  Scripted answer;
+  const char *method; // that reached the store
+  const char *path;
+  const char *body; // must stand in it
+  BjStatus code;
+  const char *version;
+  const char *spec;
+} StoreCase;
+
+#define OBJECT(revision) "{\"metadata\":{\"name\":\"main\",\"revision\":" revision "},\"spec\":{\"a\":1}}"
+
+static const StoreCase store_cases[] = {
+  { "get", GET, { 200, OBJECT ("7") }, "GET", "/objects/config/main", "", BJ_OK, "7", "{\"a\":1}" },
+  { "get of nothing", GET, { 404, "{}" }, "GET", "/objects/config/main", "", BJ_E_NOT_FOUND, "", "" },
+  { "create", CREATE, { 201, OBJECT ("8") }, "POST", "/objects/config", "\"name\":\"main\"", BJ_OK, "8", "{\"a\":1}" },
+  { "create loses a race", CREATE, { 409, OBJECT ("9") }, "POST", "/objects/config", "", BJ_E_CONFLICT, "9", "{\"a\":1}" },
+  { "update", UPDATE, { 200, OBJECT ("10") }, "PUT", "/objects/config/main", "\"revision\":5", BJ_OK, "10", "{\"a\":1}" },
+  { "update loses a race", UPDATE, { 409, OBJECT ("11") }, "PUT", "/objects/config/main", "", BJ_E_CONFLICT, "11", "{\"a\":1}" },
+  { "list", LIST, { 200, "{\"items\":[{\"metadata\":{\"name\":\"other\"},\"spec\":{}}," OBJECT ("3") "],\"hasMore\":false,\"storeRevision\":12}" },
+    "GET", "/objects/config", "", BJ_OK, "12", "{\"a\":1}" },
+  { "list without it", LIST, { 200, "{\"items\":[],\"hasMore\":false,\"storeRevision\":13}" }, "GET", "/objects/config", "", BJ_E_NOT_FOUND, "13", "" },
+  { "watch with news", WATCH, { 200, "{\"events\":[{\"deleted\":false,\"object\":" OBJECT ("14") "}],\"storeRevision\":14}" },
+    "GET", "/objects/config?watch=5&waitMs=30000", "", BJ_OK, "14", "{\"a\":1}" },
+  { "watch without news", WATCH, { 200, "{\"events\":[],\"storeRevision\":15}" }, "GET", "/objects/config?watch=5&waitMs=30000", "", BJ_E_NOT_FOUND, "15", "" },
+  { "history gone", WATCH, { 410, "{}" }, "GET", "/objects/config?watch=5&waitMs=30000", "", BJ_E_GONE, "", "" },
+  { "over the rate", GET, { 429, "{}" }, "GET", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
+  { "down", GET, { 503, "{}" }, "GET", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
+  { "answer lost", UPDATE, { 0, NULL }, "PUT", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
+  { "not JSON", GET, { 200, "{{" }, "GET", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
+  { "JSON of another form", GET, { 200, "[1]" }, "GET", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
+};
+
+static void
+make_call (BjPlatform *p, StoreCall call, Reply *r)
+{
+  struct json_object *spec = json_tokener_parse ("{\"a\":1}");
+
+  if (call == GET)
+    p->ops->get (p, "config/main", on_reply, r);
+  else if (call == CREATE || call == UPDATE)
+    p->ops->put (
+        p, "config/main", spec, call == CREATE ? BJ_STR_NULL : BJ_STR ("5"), on_reply, r);
+  else
+    p->ops->watch (p, "config/main", call == LIST ? BJ_STR_NULL : BJ_STR ("5"), on_reply, r);
+  json_object_put (spec);
+}
+
+static void
+test_store (void **state)
+{
+  const BjPlatformOps *ops = bj_plugin_find (BJ_PLUGIN_PLATFORM, BJ_STR ("objects"));
+  struct ev_loop *loop = ev_loop_new (0);
+  BjHttp *http = bj_http_new (loop);
+  char url[64];
+  Store store = { 0 };
+  ev_prepare prepare;
+  BjPlatform *p;
+
+  (void)state;
+  assert_int_equal (bj_server_new (loop,
+                                   "store",
+                                   (BjAddress){ BJ_STR ("127.0.0.1"), STORE_PORT },
+                                   &store_ops,
+                                   &store,
+                                   &store.server),
+                    BJ_OK);
+  ev_prepare_init (&prepare, on_prepare);
+  prepare.data = &store;
+  ev_prepare_start (loop, &prepare);
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d", STORE_PORT);
+  p = ops->create (loop, http, bj_str (url));
+  for (size_t i = 0; i < G_N_ELEMENTS (store_cases); i++)
+    {
+      const StoreCase *c = &store_cases[i];
+      Reply r = { .loop = loop };
+      BjTime until = bj_clock_now () + WAIT_MS;
+
+      print_message ("  %s\n", c->name);
+      store.next = c->answer;
+      make_call (p, c->call, &r);
+      while (!r.is_done && bj_clock_now () < until)
+        ev_run (loop, EVRUN_ONCE);
+      assert_true (r.is_done);
+      assert_string_equal (store.method, c->method);
+      assert_string_equal (store.path, c->path);
+      assert_non_null (strstr (store.body, c->body));
+      assert_int_equal (r.code, c->code);
+      assert_string_equal (r.version, c->version);
+      assert_string_equal (r.spec, c->spec);
+    }
+  ops->destroy (p);
+  bj_http_free (http);
+  ev_prepare_stop (loop, &prepare);
+  bj_server_free (store.server);
+  ev_loop_destroy (loop);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_manifest),      cmocka_unit_test (test_answers),
+    cmocka_unit_test (test_refusals),      cmocka_unit_test (test_request),
+    cmocka_unit_test (test_announcements), cmocka_unit_test (test_store),
+  };
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  bj_log_open (BJ_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
