A probe after a lost connection must stay open for a moment; restarted daemons are read once they have a ticket

test_fleet_faults, poison: 4 crashes where 2 are allowed. Cause: bj-fault accepts what the crashed upstream refuses, so the probe took the crash for a lost connection.

--- a/src/pool.c
+++ b/src/pool.c
@@ -21,6 +21,7 @@
 #define PROBE_IDLE_S 1       // of a silent connection before it is probed
 #define PROBE_INTERVAL_S 1   // between two probes
 #define PROBES 2             // unanswered, before it is lost
+#define PROOF_MS 20          // that the connection of a probe must stay open
 #define HEADER_MAX 65536     // bytes of an answer's head
 #define SUSPECT_MS 500       // without an answer while others come, idle connections are doubted
 
@@ -40,6 +41,7 @@
   int fd;
   ev_io read;
   ev_io write;
+  ev_timer proof; // of a probe: it stays open for so long
   PoolState state;
   http_parser parser;
   BjMessage message;
@@ -72,6 +74,7 @@
 static void set_options (int fd);
 static void on_read (struct ev_loop *loop, ev_io *w, int events);
 static void on_write (struct ev_loop *loop, ev_io *w, int events);
+static void on_proof (struct ev_loop *loop, ev_timer *w, int events);
 static void on_sweep (struct ev_loop *loop, ev_timer *w, int events);
 static void look_at (BjPoolRun *r, BjTime now);
 static void doubt (BjPoolRun *r, BjTime now);
@@ -223,8 +226,10 @@
   bj_message_init (&r->message);
   ev_io_init (&r->read, on_read, r->fd, EV_READ);
   ev_io_init (&r->write, on_write, r->fd, EV_WRITE);
+  ev_timer_init (&r->proof, on_proof, PROOF_MS / 1000.0, 0);
   r->read.data = r;
   r->write.data = r;
+  r->proof.data = r;
   g_hash_table_add (p->runs, r);
   set_options (r->fd);
   inet_pton (AF_INET, a->host.data, &addr.sin_addr);
@@ -292,7 +297,9 @@
       close_run (r);
       return;
     }
-  if (n <= 0)
+  if (r->o.is_probe)
+    lose (r, BJ_E_NO_UPSTREAM);
+  else if (n <= 0)
     on_end_of_stream (r, n < 0);
   else
     parse (r, buffer, (size_t)n);
@@ -318,13 +325,24 @@
       r->state = SENDING;
       if (r->o.is_probe)
         {
-          complete (r, false);
+          // What stands between may accept a connection that the upstream refuses, and reset it.
+          r->since = bj_clock_now ();
+          ev_io_start (loop, &r->read);
+          ev_timer_start (loop, &r->proof);
           return;
         }
     }
   send_request (r);
 }
 
+static void
+on_proof (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)loop;
+  (void)events;
+  complete (w->data, false);
+}
+
 static void
 on_sweep (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -617,6 +635,7 @@
   r->is_closed = true;
   ev_io_stop (p->loop, &r->read);
   ev_io_stop (p->loop, &r->write);
+  ev_timer_stop (p->loop, &r->proof);
   if (r->fd >= 0)
     close (r->fd);
   if (r->state == IDLE)
--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -22,6 +22,7 @@
 #define ANSWER_BYTES 64
 #define BACK_MAX_MS 300 // longest time a caller waits before it comes back
 #define OUTAGE_LOAD_MS 1500
+#define RESTART_MS 10000 // for a daemon to have the configuration again
 #define SLOW_US 600000       // above the daemon's longest pause between two looks at the clock
 #define DRAIN_TARGET_MS 3000 // no new work later than this after a drain was announced
 #define STORE_ROOT "/apis/boragejunction/v1/claims/"
@@ -295,6 +296,8 @@
 
   g_snprintf (path, sizeof path, "%s/" FLEET_RECORD, fleet.dir);
   assert_true (checker_runs (checker, path));
+  // A daemon that has just been started again has none in force until it has read one.
+  assert_true (fleet_wait_ticket (&fleet, 1, RESTART_MS));
   check_tickets ();
   check_store ();
   total = checker_finish (checker, NULL, out);
