--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,13 @@
 	tests/overhead.sh $(BUILD)
 	tests/bench.sh $(BUILD)
 
+# One soak: make soak SEED=7 SECONDS=30 NODES=6; SEED=0 draws a fresh one.
+SEED ?= 0
+SECONDS ?= 30
+NODES ?= 6
+soak: build
+	$(BUILD)/test_soak $(SEED) $(SECONDS) $(NODES)
+
 lint-deps:
 	@dpkg -s $(LINT_PACKAGES) >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq $(LINT_PACKAGES); }
 
@@ -56,4 +63,4 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all deps build demo check sanitize bench lint-deps format lint man install clean
+.PHONY: all deps build demo check sanitize bench soak lint-deps format lint man install clean
--- a/src/admin.c
+++ b/src/admin.c
@@ -31,8 +31,7 @@
 static int post_announce (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int announced_slots (struct json_object *o);
 static int get_ready (BjDaemon *d, BjStr path, BjStr body, GString *out);
-static int
-take_announcement (BjDaemon *d, BjStr method, BjStr path, BjStr body, GString *out);
+static int take_announcement (BjDaemon *d, BjStr method, BjStr path, BjStr body, GString *out);
 static int get_status (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int get_members (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int get_metrics (BjDaemon *d, BjStr path, BjStr body, GString *out);
@@ -46,9 +45,12 @@
 static void add_int (struct json_object *o, const char *key, int64_t value);
 
 static const Entry entries[] = {
-  { "POST", "/v1/announce", post_announce }, { "GET", "/v1/status", get_status },
-  { "GET", "/v1/members", get_members },     { "GET", "/metrics", get_metrics },
-  { "GET", "/v1/config", get_config },       { "GET", "/v1/explain/", get_explain },
+  { "POST", "/v1/announce", post_announce },
+  { "GET", "/v1/status", get_status },
+  { "GET", "/v1/members", get_members },
+  { "GET", "/metrics", get_metrics },
+  { "GET", "/v1/config", get_config },
+  { "GET", "/v1/explain/", get_explain },
   { "GET", "/ready", get_ready },
 };
 
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -107,11 +107,11 @@
 void bj_log_open (BjLogLevel level);    // Routes GLib's log to a bounded buffer for stdout
 bool bj_log_enabled (BjLogLevel level); // Lines of this level are kept
 void bj_log (BjLogLevel level, const char *prefix, const char *format, ...)
-    G_GNUC_PRINTF (3, 4);       // "PREFIX: sentence."
+    G_GNUC_PRINTF (3, 4);          // "PREFIX: sentence."
 bool bj_log_has_room (BjTime now); // One more line of a call in this second; counts it
 void bj_log_flush (void);          // Writes what stdout takes without blocking, now and then
 void bj_log_close (void);          // The same, now
-uint64_t bj_log_dropped (void); // Lines lost because stdout did not keep up, or over the bound
+uint64_t bj_log_dropped (void);    // Lines lost because stdout did not keep up, or over the bound
 
 // ---------------------------------------------------------------------------------------------
 // Metric: counters, gauges and log-bucket histograms
@@ -182,25 +182,25 @@
 
 typedef struct
 {
-  BjStr method;       // "GET"
-  BjStr path;         // with query
-  BjStr host;         // authority the caller asked for, without the port, empty if none
-  BjStr id;           // the caller's name for this attempt, empty if none
-  BjStr key;          // Idempotency-Key, empty if none
-  BjStr content_type; // of the body
-  BjStr headers;      // others to relay, "Name: value" lines, each ended by a line feed
-  BjStr body;         // whole
-  int klass;          // asked for by the caller, -1 if none; may only lower the route's
-  double deadline_ms; // remaining, 0 if none
-  int attempts_left;  // for the whole chain, -1 if none
-  int depth;          // hops so far
-  uint64_t parent;    // guard call this one was made for, 0 if none
-  bool irreversible; // set by the daemon that routes it
+  BjStr method;        // "GET"
+  BjStr path;          // with query
+  BjStr host;          // authority the caller asked for, without the port, empty if none
+  BjStr id;            // the caller's name for this attempt, empty if none
+  BjStr key;           // Idempotency-Key, empty if none
+  BjStr content_type;  // of the body
+  BjStr headers;       // others to relay, "Name: value" lines, each ended by a line feed
+  BjStr body;          // whole
+  int klass;           // asked for by the caller, -1 if none; may only lower the route's
+  double deadline_ms;  // remaining, 0 if none
+  int attempts_left;   // for the whole chain, -1 if none
+  int depth;           // hops so far
+  uint64_t parent;     // guard call this one was made for, 0 if none
+  bool irreversible;   // set by the daemon that routes it
   double objective_ms; // of what is left, an answer within it is worth most; set by the same
-  bool has_cohort;    // cohort is set: by the front that the action came to
-  uint32_t cohort;    // hash of the action, the same on the whole chain
-  bool is_spilled;    // came from a daemon of another failure domain, set by the receiver
-  bool is_far;        // came from a daemon of another region, set by the receiver
+  bool has_cohort;     // cohort is set: by the front that the action came to
+  uint32_t cohort;     // hash of the action, the same on the whole chain
+  bool is_spilled;     // came from a daemon of another failure domain, set by the receiver
+  bool is_far;         // came from a daemon of another region, set by the receiver
 } BjRequest;
 
 typedef struct
@@ -258,7 +258,7 @@
   int klass; // 0 is the most important
   BjTime arrived;
   BjTime deadline;
-  double objective_ms;  // from its arrival, within which an answer is worth most
+  double objective_ms; // from its arrival, within which an answer is worth most
   int attempts_left;   // of the chain's allowance, what was handed down not included
   int attempts_handed; // to the daemon it was sent to
   double retry_cost;   // tokens of a further attempt, more for calls that make others
@@ -509,6 +509,7 @@
   GPtrArray *classes;     // char*, index is the class
   GHashTable *hosts;      // BjStr* in BjRoute to GArray of routes, longest prefix first
   BjCallerLimits callers; // of connections and requests
+  bool allows_bare;       // services without routes, which tickets must not have
   BjStr text;             // canonical JSON of the whole
 } BjConfig;
 
@@ -518,7 +519,7 @@
     BjStr text,
     BjStr defaults,
     BjConfig **config); // The same; defaults: JSON object of a service's keys, for those not given
-void bj_config_free (BjConfig *c);            // NULL does nothing
+void bj_config_free (BjConfig *c);                                          // NULL does nothing
 const BjServiceConfig *bj_config_service (const BjConfig *c, BjStr name);   // NULL when unknown
 const BjUpstreamConfig *bj_config_upstream (const BjConfig *c, BjStr name); // NULL when unknown
 const BjRoute *bj_config_route (const BjConfig *c,
@@ -777,7 +778,7 @@
                      BjTime now,
                      const BjCall *c); // Admission level to tell with the answer to c
 bool bj_kernel_makes_calls (BjKernel *k, const BjCall *c); // Runs of its route call other services
-BjLoad bj_kernel_load (BjKernel *k, BjTime now);           // Of this daemon's guard, to tell with an answer
+BjLoad bj_kernel_load (BjKernel *k, BjTime now); // Of this daemon's guard, to tell with an answer
 BjPeer *bj_kernel_find_peer (BjKernel *k, BjStr name); // NULL when unknown
 void
 bj_kernel_each_peer (BjKernel *k, void (*fn) (BjPeer *p, void *data), void *data); // In no order
@@ -806,11 +807,12 @@
   BjAddress ready;             // GET /ready and /metrics alone, port 0 for none
   BjAddress upstream;          // where the own upstream must be, port 0 for anywhere
   BjStr service;               // of the own upstream, empty until it announces itself
-  BjStr service_defaults;      // JSON object: of services whose configuration does not say, empty for none
-  BjStr dialect;               // plug-in that reads and writes HTTP headers and announcements
-  BjStr *domains;              // all failure domains of the deployment, where they are known
+  BjStr
+      service_defaults; // JSON object: of services whose configuration does not say, empty for none
+  BjStr dialect;        // plug-in that reads and writes HTTP headers and announcements
+  BjStr *domains;       // all failure domains of the deployment, where they are known
   int n_domains;
-  BjAddress *seeds;            // gossip addresses to begin with
+  BjAddress *seeds; // gossip addresses to begin with
   int n_seeds;
   BjStr platform_name; // plug-in
   BjStr platform_url;
@@ -838,7 +840,8 @@
 BjStatus bj_daemon_new (struct ev_loop *loop,
                         const BjSettings *s,
                         BjDaemon **d); // BJ_E_IO when a port is busy
-void bj_daemon_reload (BjDaemon *d,
-                       const BjSettings *s); // Takes over what may change while it runs; logs the rest
-void bj_daemon_stop (BjDaemon *d);           // Drains, then breaks the loop
+void
+bj_daemon_reload (BjDaemon *d,
+                  const BjSettings *s); // Takes over what may change while it runs; logs the rest
+void bj_daemon_stop (BjDaemon *d);      // Drains, then breaks the loop
 void bj_daemon_free (BjDaemon *d);
--- a/src/comeback.c
+++ b/src/comeback.c
@@ -28,8 +28,7 @@
 
   if (g_hash_table_size (k->comebacks) >= REMEMBERED_MAX)
     g_hash_table_remove_all (k->comebacks);
-  g_hash_table_replace (
-      k->comebacks, g_memdup2 (&key, sizeof key), g_memdup2 (&at, sizeof at));
+  g_hash_table_replace (k->comebacks, g_memdup2 (&key, sizeof key), g_memdup2 (&at, sizeof at));
 }
 
 bool
@@ -47,8 +46,9 @@
 static int64_t
 fingerprint_of (const BjCall *c)
 {
-  uint64_t parts[]
-      = { bj_str_hash (c->request.method), bj_str_hash (c->request.host), bj_str_hash (c->request.path) };
+  uint64_t parts[] = { bj_str_hash (c->request.method),
+                       bj_str_hash (c->request.host),
+                       bj_str_hash (c->request.path) };
 
   return (int64_t)bj_str_hash ((BjStr){ (const char *)parts, sizeof parts });
 }
--- a/src/config.h
+++ b/src/config.h
@@ -24,30 +24,30 @@
 #define BJ_LOG_BUFFER (1024 * 1024)                // bytes of log lines not yet written
 
 // Times, in milliseconds
-#define BJ_HEADER_TIMEOUT_MS 10000   // for the head of a caller's request
-#define BJ_CALLER_IDLE_MS 120000     // of a caller's connection without a request
-#define BJ_DEADLINE_MS 2000          // of a call whose route and caller give none
-#define BJ_HOP_MS 2                  // taken off the deadline at each hop
-#define BJ_CONNECT_TIMEOUT_MS 1000   // for TCP and HTTP connections
-#define BJ_PING_MS 250               // silence on a link with open calls before a ping
-#define BJ_IDLE_MS 30000             // a link without calls is closed after this long
-#define BJ_HEARTBEAT_MS 1000         // between two announcements of an upstream
-#define BJ_ANNOUNCE_MISSES 3         // announcements that may be missed before an upstream is gone
-#define BJ_SWIM_TICK_MS 100          // between two looks of the membership at the clock
-#define BJ_PROBE_MS 500              // between two probes of other members
-#define BJ_PROBE_TIMEOUT_MS 200      // for an answer before others are asked to probe
-#define BJ_PROBE_LOST_MS 700         // for an answer, others included, before suspicion
-#define BJ_SUSPECT_MS 1000           // for a refutation, times log10 of the members
-#define BJ_SUSPECT_MIN_MS 2000       // for a refutation at least
-#define BJ_SWIM_PAUSE_MS 1000        // a later tick means that this process was paused
-#define BJ_SKIP_MS 500               // a failed peer gets no call for this long
-#define BJ_WATCH_MS 10000            // one long poll at the platform
-#define BJ_DRAIN_MS 30000            // longest wait of a stop for open calls
-#define BJ_DRAIN_TELL_MS 2000        // from a stop until no caller or peer sends new work
-#define BJ_PLATFORM_TIMEOUT_MS 2000  // of one platform call that is not a watch
-#define BJ_RETRY_AFTER_MIN_MS 100    // shortest time to come back
-#define BJ_RETRY_AFTER_MAX_MS 10000  // longest time to come back, preferring goodput
-#define BJ_RETRY_AFTER_SOON_MS 250   // longest time to come back, preferring recovery
+#define BJ_HEADER_TIMEOUT_MS 10000  // for the head of a caller's request
+#define BJ_CALLER_IDLE_MS 120000    // of a caller's connection without a request
+#define BJ_DEADLINE_MS 2000         // of a call whose route and caller give none
+#define BJ_HOP_MS 2                 // taken off the deadline at each hop
+#define BJ_CONNECT_TIMEOUT_MS 1000  // for TCP and HTTP connections
+#define BJ_PING_MS 250              // silence on a link with open calls before a ping
+#define BJ_IDLE_MS 30000            // a link without calls is closed after this long
+#define BJ_HEARTBEAT_MS 1000        // between two announcements of an upstream
+#define BJ_ANNOUNCE_MISSES 3        // announcements that may be missed before an upstream is gone
+#define BJ_SWIM_TICK_MS 100         // between two looks of the membership at the clock
+#define BJ_PROBE_MS 500             // between two probes of other members
+#define BJ_PROBE_TIMEOUT_MS 200     // for an answer before others are asked to probe
+#define BJ_PROBE_LOST_MS 700        // for an answer, others included, before suspicion
+#define BJ_SUSPECT_MS 1000          // for a refutation, times log10 of the members
+#define BJ_SUSPECT_MIN_MS 2000      // for a refutation at least
+#define BJ_SWIM_PAUSE_MS 1000       // a later tick means that this process was paused
+#define BJ_SKIP_MS 500              // a failed peer gets no call for this long
+#define BJ_WATCH_MS 10000           // one long poll at the platform
+#define BJ_DRAIN_MS 30000           // longest wait of a stop for open calls
+#define BJ_DRAIN_TELL_MS 2000       // from a stop until no caller or peer sends new work
+#define BJ_PLATFORM_TIMEOUT_MS 2000 // of one platform call that is not a watch
+#define BJ_RETRY_AFTER_MIN_MS 100   // shortest time to come back
+#define BJ_RETRY_AFTER_MAX_MS 10000 // longest time to come back, preferring goodput
+#define BJ_RETRY_AFTER_SOON_MS 250  // longest time to come back, preferring recovery
 
 // Policy defaults
 #define BJ_ATTEMPTS 3                // further attempts of one user action, whole chain
@@ -62,15 +62,15 @@
 #define BJ_LIMIT_MIN 1               // in flight, whatever happens
 
 // Configuration
-#define BJ_FILING_TRIES 12             // failed store calls before a filing ends
-#define BJ_FILING_PAUSE_MIN_MS 20      // first pause after a failed store call
-#define BJ_FILING_PAUSE_MAX_MS 2000    // longest pause after a failed store call
-#define BJ_READERS 2                   // daemons of a domain that watch the store
-#define BJ_READER_TICK_MS 100          // between two looks at who reads and who holds a newer one
-#define BJ_READER_JOIN_MS 1000         // a new daemon hears its peers before it reads the store
+#define BJ_FILING_TRIES 12            // failed store calls before a filing ends
+#define BJ_FILING_PAUSE_MIN_MS 20     // first pause after a failed store call
+#define BJ_FILING_PAUSE_MAX_MS 2000   // longest pause after a failed store call
+#define BJ_READERS 2                  // daemons of a domain that watch the store
+#define BJ_READER_TICK_MS 100         // between two looks at who reads and who holds a newer one
+#define BJ_READER_JOIN_MS 1000        // a new daemon hears its peers before it reads the store
 #define BJ_READER_BACKOFF_MAX_MS 2000 // longest pause of a reader while the store fails
-#define BJ_FETCH_AGAIN_MS 300          // an unanswered peer fetch goes to another peer after this
-#define BJ_FETCH_FAR_MS 500 // wait for a holder in the own domain before asking elsewhere
+#define BJ_FETCH_AGAIN_MS 300         // an unanswered peer fetch goes to another peer after this
+#define BJ_FETCH_FAR_MS 500           // wait for a holder in the own domain before asking elsewhere
 
 // Claims of irreversible work
 #define BJ_CLAIM_SHARDS 64                    // objects in the platform's store
--- a/src/console.c
+++ b/src/console.c
@@ -1,5 +1,5 @@
-// Console: HTTP of operators and of the own upstream through libmicrohttpd, on the libev loop. Every
-// answer is here at once.
+// Console: HTTP of operators and of the own upstream through libmicrohttpd, on the libev loop.
+// Every answer is here at once.
 
 #include "internal.h"
 #include <arpa/inet.h>
@@ -240,11 +240,8 @@
   enum MHD_Result result;
 
   if (!r->is_too_large)
-    status = bj_admin_handle (c->daemon,
-                              bj_str (method),
-                              bj_str (r->path),
-                              (BjStr){ r->body->str, r->body->len },
-                              out);
+    status = bj_admin_handle (
+        c->daemon, bj_str (method), bj_str (r->path), (BjStr){ r->body->str, r->body->len }, out);
   response = MHD_create_response_from_buffer (out->len, out->str, MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header (response, "Content-Type", "application/json");
   result = MHD_queue_response (conn, (unsigned int)status, response);
--- a/src/count.c
+++ b/src/count.c
@@ -5,14 +5,16 @@
 static const char *const role_names[BJ_ROLES] = { "guard", "front" };
 
 static void print_answers (const BjKernel *k, GString *out);
+static void print_latency (const BjKernel *k, GString *out);
 static void print_codes (const BjKernel *k, GString *out);
 static void print_gauge (GString *out, const char *name, const char *help, double value);
 
 void
-bj_count_answer (BjKernel *k, const BjCall *c, BjStatus code, BjOutcome o)
+bj_count_answer (BjKernel *k, BjTime now, const BjCall *c, BjStatus code, BjOutcome o)
 {
   if (c->detached)
     return;
+  bj_hist_add (&k->counts.latency[c->is_front], now - c->arrived);
   k->counts.answers[c->is_front][CLAMP (c->klass, 0, BJ_CLASSES - 1)][o]++;
   if (code != BJ_OK && (int)code < BJ_CODES_MAX)
     k->counts.codes[code]++;
@@ -26,6 +28,7 @@
   bj_kernel_self (k, now, &self);
   print_answers (k, out);
   print_codes (k, out);
+  print_latency (k, out);
   print_gauge (out, "open_calls", "Calls not ended.", bj_kernel_open_calls (k));
   print_gauge (out, "in_flight", "Calls on the own upstream.", self.in_flight);
   print_gauge (out, "limit", "Calls that may run on the own upstream.", self.limit);
@@ -76,3 +79,27 @@
   g_string_append_printf (
       out, "# HELP bj_%s %s\n# TYPE bj_%s gauge\nbj_%s %.0f\n", name, help, name, name, value);
 }
+
+static void
+print_latency (const BjKernel *k, GString *out)
+{
+  static const double quantiles[] = { 0.5, 0.9, 0.99, 0.999 };
+
+  g_string_append (out, "# HELP bj_latency_ms From arrival to the end of the answer, by role.\n");
+  g_string_append (out, "# TYPE bj_latency_ms summary\n");
+  for (int role = 0; role < BJ_ROLES; role++)
+    {
+      const BjHist *h = &k->counts.latency[role];
+
+      for (size_t i = 0; i < G_N_ELEMENTS (quantiles); i++)
+        g_string_append_printf (out,
+                                "bj_latency_ms{role=\"%s\",quantile=\"%g\"} %.3f\n",
+                                role_names[role],
+                                quantiles[i],
+                                bj_hist_quantile (h, quantiles[i]));
+      g_string_append_printf (
+          out, "bj_latency_ms_sum{role=\"%s\"} %.3f\n", role_names[role], h->sum_ms);
+      g_string_append_printf (
+          out, "bj_latency_ms_count{role=\"%s\"} %" G_GUINT64_FORMAT "\n", role_names[role], h->n);
+    }
+}
--- a/src/frame.c
+++ b/src/frame.c
@@ -159,7 +159,7 @@
 {
   static const int counts[BJ_FRAME_KINDS] = {
     [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 17,  [BJ_FRAME_ANSWER] = 14, [BJ_FRAME_DATA] = 1,
-    [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_NOTICE] = 3, [BJ_FRAME_CONFIG] = 1,
+    [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_NOTICE] = 3,  [BJ_FRAME_CONFIG] = 1,
   };
 
   return counts[k];
--- a/src/header.c
+++ b/src/header.c
@@ -7,8 +7,8 @@
 
 // RFC 9110 section 7.6.1, and what frames and HTTP connections carry themselves.
 static const char *const not_relayed[] = {
-  "Connection", "Content-Length", "Content-Type", "Expect",  "Host",
-  "Keep-Alive", "TE",             "Trailer",      "Upgrade", "Transfer-Encoding",
+  "Connection", "Content-Length", "Content-Type",      "Expect", "Host", "Keep-Alive", "TE",
+  "Trailer",    "Upgrade",        "Transfer-Encoding",
 };
 static const char *const not_relayed_prefixes[] = { "Proxy-" };
 
--- a/src/internal.h
+++ b/src/internal.h
@@ -71,8 +71,8 @@
                     BjStr value); // Unless it belongs to one hop or is our own
 bool bj_header_next (BjStr *block,
                      BjStr *name,
-                     BjStr *value);    // Takes the first line off; false at the end
-bool bj_header_is (BjStr name, const char *other); // The same, without regard to case
+                     BjStr *value);                   // Takes the first line off; false at the end
+bool bj_header_is (BjStr name, const char *other);    // The same, without regard to case
 BjStr bj_header_find (BjStr block, const char *name); // Value of the first one, empty if none
 bool bj_header_is_sound (BjStr block); // Every line is a name, a colon and printable text
 
@@ -125,16 +125,16 @@
                         BjServer **s); // BJ_E_IO when the port is busy
 void bj_server_free (BjServer *s);
 void bj_server_limit (BjServer *s, const BjCallerLimits *l); // From now on
-void bj_server_close (BjServer *s);   // Every answer from now on ends its connection
-void bj_server_quiesce (BjServer *s); // Takes no new connection from now on
+void bj_server_close (BjServer *s);     // Every answer from now on ends its connection
+void bj_server_quiesce (BjServer *s);   // Takes no new connection from now on
 int bj_server_open (const BjServer *s); // Requests not yet answered whole
 void bj_server_flush (BjServer *s);     // Writes what was queued in this turn
 void bj_server_answer_for (BjServerConn *c, void *call); // Whom left and drained are told
 void bj_server_begin (BjServerConn *c,
                       int status,
-                      BjStr lines, // "Name: value" lines, each ended by CR LF
-                      int64_t length);                   // -1 sends it in chunks
-size_t bj_server_held (const BjServerConn *c);           // Bytes not yet written
+                      BjStr lines,             // "Name: value" lines, each ended by CR LF
+                      int64_t length);         // -1 sends it in chunks
+size_t bj_server_held (const BjServerConn *c); // Bytes not yet written
 void bj_server_data (BjServerConn *c, BjStr part);
 void bj_server_end (BjServerConn *c, bool whole); // Not whole: the connection is reset
 
@@ -155,16 +155,15 @@
   bool is_probe;  // only opens a connection
   BjStatus (*on_head) (void *data, const BjHead *h); // Else than BJ_OK ends it as lost
   size_t (*on_body) (void *data, BjStr part);        // Bytes taken: all or 0, which pauses
-  void (*on_done) (
-      void *data,
-      BjStatus s,
-      bool sent); // BJ_OK, BJ_E_LOST, BJ_E_NO_UPSTREAM when the connection was refused,
-                  // BJ_E_BROKEN after a head; sent: bytes may have arrived
+  void (*on_done) (void *data,
+                   BjStatus s,
+                   bool sent); // BJ_OK, BJ_E_LOST, BJ_E_NO_UPSTREAM when the connection was
+                               // refused, BJ_E_BROKEN after a head; sent: bytes may have arrived
   void *data;
 } BjPoolOptions;
 
 BjPool *bj_pool_new (struct ev_loop *loop);
-void bj_pool_free (BjPool *p); // Ends open runs without telling them
+void bj_pool_free (BjPool *p);                                // Ends open runs without telling them
 BjPoolRun *bj_pool_start (BjPool *p, const BjPoolOptions *o); // on_done is called later, never now
 void bj_pool_resume (BjPoolRun *r);                           // After a pause
 void bj_pool_cancel (BjPoolRun *r); // Closes the connection; on_done is not called
@@ -182,10 +181,10 @@
   BjAddress address;
   int slots;
   bool draining;
-  bool gone;         // it takes leave
-  double cold_ms;    // for which it is still slow
-  int64_t sequence;  // grows with each announcement of one start, 0 if not counted
-  double born_ms;    // wall time of its start, 0 if not known
+  bool gone;        // it takes leave
+  double cold_ms;   // for which it is still slow
+  int64_t sequence; // grows with each announcement of one start, 0 if not counted
+  double born_ms;   // wall time of its start, 0 if not known
 } BjAnnouncement;
 
 typedef struct
@@ -622,8 +621,8 @@
                  BjStr version,
                  BjPlatformDone done,
                  void *data); // Replies when newer; BJ_E_NOT_FOUND when it waited without change,
-                            // with a version to go on from if there is one. Without a version it
-                            // replies at once, where configurations are not filed by tickets
+                              // with a version to go on from if there is one. Without a version it
+                              // replies at once, where configurations are not filed by tickets
   void (*forget) (BjPlatform *p,
                   void *data); // Drops the open calls of data; a write may still take effect
   const char *config_name;     // of the object with the operator's configuration
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -157,7 +157,14 @@
   c->is_return = bj_comeback_take (k, now, c);
   if (bj_level_sheds (k, now, c))
     {
-      bj_kernel_note (k, now, c, "ROUTE", "shed_early service=%.*s level=%d returning=%d", BJ_STR_ARG (c->service->name), bj_level_of (k, now, c), c->is_return);
+      bj_kernel_note (k,
+                      now,
+                      c,
+                      "ROUTE",
+                      "shed_early service=%.*s level=%d returning=%d",
+                      BJ_STR_ARG (c->service->name),
+                      bj_level_of (k, now, c),
+                      c->is_return);
       answer (k, now, c, bj_guard_refusal (k, now, BJ_E_OVERLOAD, c->klass));
       return NULL;
     }
@@ -254,9 +261,16 @@
 void
 bj_kernel_answer_end (BjKernel *k, BjTime now, BjCall *c, bool whole)
 {
-  bj_count_answer (k, c, whole ? BJ_OK : BJ_E_BROKEN, whole ? BJ_DONE : BJ_UNKNOWN);
-  bj_kernel_note (
-      k, now, c, "CALL", "relayed status=%d whole=%d after_ms=%.0f level=%d", c->status, whole, now - c->arrived, c->is_front ? bj_level_of (k, now, c) : bj_kernel_level (k, now, c));
+  bj_count_answer (k, now, c, whole ? BJ_OK : BJ_E_BROKEN, whole ? BJ_DONE : BJ_UNKNOWN);
+  bj_kernel_note (k,
+                  now,
+                  c,
+                  "CALL",
+                  "relayed status=%d whole=%d after_ms=%.0f level=%d",
+                  c->status,
+                  whole,
+                  now - c->arrived,
+                  c->is_front ? bj_level_of (k, now, c) : bj_kernel_level (k, now, c));
   leave_state (k, now, c, whole ? BJ_OK : BJ_E_BROKEN);
   bj_call_end (k, c);
 }
@@ -297,7 +311,8 @@
 void
 bj_kernel_cancel (BjKernel *k, BjTime now, BjCall *c)
 {
-  bj_kernel_note (k, now, c, "CALL", "cancelled state=%d after_ms=%.0f", (int)c->state, now - c->arrived);
+  bj_kernel_note (
+      k, now, c, "CALL", "cancelled state=%d after_ms=%.0f", (int)c->state, now - c->arrived);
   if (cancel_work (k, now, c, BJ_E_CANCELLED))
     bj_call_end (k, c);
   else
@@ -424,15 +439,14 @@
       send_to (k, now, c, p, n_candidates);
       return;
     }
-  bj_kernel_note (
-      k,
-      now,
-      c,
-      "ROUTE",
-      "no_upstream service=%.*s known=%d tried=%d",
-      BJ_STR_ARG (c->service->name),
-      ask.n,
-      c->n_tried);
+  bj_kernel_note (k,
+                  now,
+                  c,
+                  "ROUTE",
+                  "no_upstream service=%.*s known=%d tried=%d",
+                  BJ_STR_ARG (c->service->name),
+                  ask.n,
+                  c->n_tried);
   a = bj_guard_refusal (k, now, BJ_E_NO_UPSTREAM, c->klass);
   answer (k, now, c, a);
 }
@@ -443,23 +457,24 @@
   c->target = p;
   if (c->n_tried < BJ_TRIED_MAX)
     c->tried[c->n_tried++] = p;
-  bj_kernel_note (k,
-                  now,
-                  c,
-                  "ROUTE",
-                  "service=%.*s inner=%d to=%.*s own=%d in_flight=%d queued=%d limit=%d load_age_ms=%.0f "
-                  "candidates=%d left_ms=%.0f config=%" G_GINT64_FORMAT,
-                  BJ_STR_ARG (c->service->name),
-                  c->is_inner,
-                  BJ_STR_ARG (p->report.name),
-                  p->own_in_flight,
-                  p->report.in_flight,
-                  p->report.queued,
-                  p->report.limit,
-                  now - p->reported,
-                  n_candidates,
-                  c->deadline - now,
-                  k->config != NULL ? k->config->number : 0);
+  bj_kernel_note (
+      k,
+      now,
+      c,
+      "ROUTE",
+      "service=%.*s inner=%d to=%.*s own=%d in_flight=%d queued=%d limit=%d load_age_ms=%.0f "
+      "candidates=%d left_ms=%.0f config=%" G_GINT64_FORMAT,
+      BJ_STR_ARG (c->service->name),
+      c->is_inner,
+      BJ_STR_ARG (p->report.name),
+      p->own_in_flight,
+      p->report.in_flight,
+      p->report.queued,
+      p->report.limit,
+      now - p->reported,
+      n_candidates,
+      c->deadline - now,
+      k->config != NULL ? k->config->number : 0);
   c->attempts_before = c->attempts_left;
   if (p->is_self)
     {
@@ -596,7 +611,7 @@
   a.makes_calls = !c->is_front && bj_parent_makes_calls (k, c->route);
   if (c->is_front && a.outcome == BJ_NOT_RUN && a.retry_after_ms > 0)
     bj_comeback_told (k, now + a.retry_after_ms, c);
-  bj_count_answer (k, c, a.code, a.outcome);
+  bj_count_answer (k, now, c, a.code, a.outcome);
   k->host->ops->answer (k->host, c, &a);
   bj_call_end (k, c);
 }
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -69,13 +69,14 @@
 {
   uint64_t answers[BJ_ROLES][BJ_CLASSES][BJ_OUTCOMES];
   uint64_t codes[BJ_CODES_MAX]; // the layer's own answers
+  BjHist latency[BJ_ROLES];     // from arrival to the end of an answer
 } BjCounts;
 
 typedef struct
 {
-  double own;    // ranks shed, by what this guard refused
-  int n_offered; // calls in this window
-  int n_refused; // of them, for load
+  double own;     // ranks shed, by what this guard refused
+  int n_offered;  // calls in this window
+  int n_refused;  // of them, for load
   int n_started;  // on the upstream in this window
   double wait_ms; // of them, summed
   BjTime window_from;
@@ -92,10 +93,10 @@
   GHashTable *services; // BjStr* in BjService to BjService*
   GSequence *deadlines; // BjCall*, earliest first
   GHashTable *calls;    // call id to open BjCall*
-  GHashTable *parents;   // hash of a route to what its runs call
-  GHashTable *ages;      // hash of a route to how old the parents of its calls are at their deadline
+  GHashTable *parents;  // hash of a route to what its runs call
+  GHashTable *ages;     // hash of a route to how old the parents of its calls are at their deadline
   GHashTable *comebacks; // fingerprint of a refused call to when it was told to return
-  GHashTable *splits;   // BjRoute* to how its shares stand
+  GHashTable *splits;    // BjRoute* to how its shares stand
   BjGuard guard;
   BjQuarantine *quarantine;
   BjCounts counts;
@@ -107,7 +108,7 @@
 
 // Calls
 BjCall *bj_call_new (BjKernel *k, BjTime now, const BjRequest *r, void *data); // Copies r
-gint bj_call_by_deadline (gconstpointer a, gconstpointer b, gpointer data); // Earliest first
+gint bj_call_by_deadline (gconstpointer a, gconstpointer b, gpointer data);    // Earliest first
 void bj_call_end (BjKernel *k, BjCall *c);                                     // Frees c
 void bj_call_set_deadline (BjKernel *k, BjCall *c, BjTime deadline);
 void bj_call_refuse (BjKernel *k,
@@ -125,10 +126,12 @@
 // Parent: which running call the own upstream made a call for
 void bj_parent_init (BjKernel *k);
 void bj_parent_clear (BjKernel *k);
-void bj_parent_find (BjKernel *k, BjTime now, BjCall *c); // Front: sets the parent if it can be told
-void bj_parent_ran (BjKernel *k, const BjCall *c);        // Guard: c runs on the own upstream
+void
+bj_parent_find (BjKernel *k, BjTime now, BjCall *c); // Front: sets the parent if it can be told
+void bj_parent_ran (BjKernel *k, const BjCall *c);   // Guard: c runs on the own upstream
 bool bj_parent_makes_calls (BjKernel *k, uint64_t route); // Runs of this route call others
-bool bj_parent_is_called (BjKernel *k, uint64_t route);   // The own upstream makes calls of this route
+bool bj_parent_is_called (BjKernel *k,
+                          uint64_t route); // The own upstream makes calls of this route
 void bj_parent_each_called (BjKernel *k,
                             uint64_t route,
                             void (*fn) (uint64_t called, void *data),
@@ -141,12 +144,12 @@
 bool bj_comeback_take (BjKernel *k, BjTime now, const BjCall *c); // It was, and came in time
 
 void bj_share_init (BjKernel *k);
-void bj_share_clear (BjKernel *k);                      // The routes are about to be freed
-BjStr bj_share_pick (BjKernel *k, const BjRoute *r);    // Service for the next call of the route
+void bj_share_clear (BjKernel *k);                   // The routes are about to be freed
+BjStr bj_share_pick (BjKernel *k, const BjRoute *r); // Service for the next call of the route
 
 // Count
-void
-bj_count_answer (BjKernel *k, const BjCall *c, BjStatus code, BjOutcome o); // A call got its answer
+void bj_count_answer (
+    BjKernel *k, BjTime now, const BjCall *c, BjStatus code, BjOutcome o); // A call got its answer
 
 // Allowance
 void bj_allowance_draw (BjKernel *k, BjCall *c);           // From the guard call that c is made for
@@ -159,10 +162,11 @@
 void bj_level_clear (BjLevel *l);
 void bj_level_offered (BjKernel *k,
                        BjTime now,
-                       bool refused); // Guard: a call came, or was refused for load
+                       bool refused);                // Guard: a call came, or was refused for load
 void bj_level_started (BjKernel *k, double wait_ms); // Guard: a call starts after so long a wait
 int bj_level_of (BjKernel *k, BjTime now, const BjCall *c); // Front: learned for its route
-void bj_level_learn_calls (BjKernel *k, const BjCall *c, bool makes_calls); // Front: as an answer told
+void
+bj_level_learn_calls (BjKernel *k, const BjCall *c, bool makes_calls); // Front: as an answer told
 bool bj_level_makes_calls (BjKernel *k, const BjCall *c); // Front: runs of its route call others
 void bj_level_learn (BjKernel *k,
                      BjTime now,
@@ -198,9 +202,9 @@
                           const BjCall *c); // Refused by another domain: route it once more
 
 // Peers
-void bj_peer_answered (BjPeer *p, double ms); // After so long
+void bj_peer_answered (BjPeer *p, double ms);                    // After so long
 void bj_peer_told_load (BjPeer *p, BjTime now, const BjLoad *l); // With an answer
-guint bj_str_key_hash (gconstpointer s); // For tables keyed by BjStr*
+guint bj_str_key_hash (gconstpointer s);                         // For tables keyed by BjStr*
 gboolean bj_str_key_equal (gconstpointer a, gconstpointer b);
 BjService *bj_kernel_service (BjKernel *k, BjStr name); // Found or made
 void bj_service_configure (BjKernel *k, BjService *s);  // Router and retry from the configuration
--- a/src/limit.c
+++ b/src/limit.c
@@ -5,25 +5,25 @@
 #include "boragejunction.h"
 #include <math.h>
 
-#define CALLS_PER_LIMIT 4   // samples of one window for each call of the limit
-#define WINDOW_MIN 10       // samples
-#define WINDOW_MAX 200      // samples
-#define STRAGGLER_WINDOWS 5 // calls started this many windows later end one without the rest
-#define SLOW_MS 1.0         // a mean this little over the floor is noise
-#define SLOW_FALL 0.9       // of the limit, after a slow window
-#define SHED_FALL 0.7       // of the limit, after a shed or timed-out call
-#define FALL_PAUSE_MS 50    // between two falls for shed or timed-out calls
-#define RISE_SHARE 0.03     // of the limit, after a good window that used all of it
-#define RISE_MIN 0.5        // calls
-#define UNCROWDED_SHARE 0.5 // of the limit; service times below it teach the floor
-#define FLOOR_WEIGHT 0.01   // of the newest service time in the floor
-#define FLOOR_FALL 0.7      // a window below this share of the floor lowers the floor at once
-#define PROBE_MS 10000      // between two probes of the floor while the guard stays crowded
-#define PROBE_MAX_MS 500    // longest probe
-#define PROBE_SAMPLES 30    // of a whole probe
-#define FUTILE_SHARE 0.5    // limit left of a run of falls when its effect is judged
-#define FUTILE_EFFECT 0.8   // a ratio that fell less than to this share shows no effect
-#define RAMP_START 0.1      // share of the slots at the start of a ramp
+#define CALLS_PER_LIMIT 4    // samples of one window for each call of the limit
+#define WINDOW_MIN 10        // samples
+#define WINDOW_MAX 200       // samples
+#define STRAGGLER_WINDOWS 5  // calls started this many windows later end one without the rest
+#define SLOW_MS 1.0          // a mean this little over the floor is noise
+#define SLOW_FALL 0.9        // of the limit, after a slow window
+#define SHED_FALL 0.7        // of the limit, after a shed or timed-out call
+#define FALL_PAUSE_MS 50     // between two falls for shed or timed-out calls
+#define RISE_SHARE 0.03      // of the limit, after a good window that used all of it
+#define RISE_MIN 0.5         // calls
+#define UNCROWDED_SHARE 0.5  // of the limit; service times below it teach the floor
+#define FLOOR_WEIGHT 0.01    // of the newest service time in the floor
+#define FLOOR_FALL 0.7       // a window below this share of the floor lowers the floor at once
+#define PROBE_MS 10000       // between two probes of the floor while the guard stays crowded
+#define PROBE_MAX_MS 500     // longest probe
+#define PROBE_SAMPLES 30     // of a whole probe
+#define FUTILE_SHARE 0.5     // limit left of a run of falls when its effect is judged
+#define FUTILE_EFFECT 0.8    // a ratio that fell less than to this share shows no effect
+#define RAMP_START 0.1       // share of the slots at the start of a ramp
 #define NEAR_FULL_SHARE 0.94 // of the slots; many upstreams slow down above
 #define FULL_SHARE 0.8       // of the limit in flight, above which a shed is for load
 #define SLOTS_FALL 0.95      // of the limit, after such a shed
--- a/src/log.c
+++ b/src/log.c
@@ -1,5 +1,5 @@
-// Log: GLib's logging into a bounded buffer that never holds the loop. Lines of calls are bounded by
-// their number a second too, so that a surge does not bury the others.
+// Log: GLib's logging into a bounded buffer that never holds the loop. Lines of calls are bounded
+// by their number a second too, so that a surge does not bury the others.
 
 #include "boragejunction.h"
 #include <errno.h>
@@ -18,9 +18,9 @@
 static GString *pending;
 static uint64_t n_dropped;
 static BjTime flushed;
-static BjTime second_from;     // of the lines of calls
-static uint64_t n_call_lines;  // in this second
-static uint64_t n_left_out;    // of them, over the bound
+static BjTime second_from;    // of the lines of calls
+static uint64_t n_call_lines; // in this second
+static uint64_t n_left_out;   // of them, over the bound
 
 static GLogWriterOutput
 write_line (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data);
--- a/src/memory.c
+++ b/src/memory.c
@@ -62,7 +62,8 @@
 
 static GHashTable *stores; // URL to Store*
 
-static const BjPlatformOps memory_ops = { create, destroy, get, put, watch, forget, "config/current", NULL };
+static const BjPlatformOps memory_ops
+    = { create, destroy, get, put, watch, forget, "config/current", NULL };
 
 static BjPlatform *
 create (struct ev_loop *loop, BjHttp *http, BjStr url)
--- a/src/parent.c
+++ b/src/parent.c
@@ -8,17 +8,17 @@
 #include "kernel.h"
 #include <math.h>
 
-#define MATCH_MS 1.5         // between the deadline handed down and that of a call made for it
-#define CALLED_SHARE 0.1     // of a route's runs that are seen to call another, for a dependency
-#define BUSIEST_SHARE 0.2    // of the calls a run that the busiest caller of a route makes
-#define RUNS_MIN 20          // before the share counts
-#define RUNS_MAX 2000        // counts are halved here, so that old ones fade
-#define CALLED_MAX 16        // routes called by one
-#define AGES_MS 4096         // longest fixed time that is learned
-#define AGE_COUNT_MIN 40     // of the commonest age, before it is trusted
-#define AGE_PEAK 4           // times the mean that the commonest age must reach
-#define AGE_COUNT_MAX 4000   // counts are halved here, so that old ones fade
-#define AGE_MATCH_MS 2.0     // between an age and the commonest one
+#define MATCH_MS 1.5       // between the deadline handed down and that of a call made for it
+#define CALLED_SHARE 0.1   // of a route's runs that are seen to call another, for a dependency
+#define BUSIEST_SHARE 0.2  // of the calls a run that the busiest caller of a route makes
+#define RUNS_MIN 20        // before the share counts
+#define RUNS_MAX 2000      // counts are halved here, so that old ones fade
+#define CALLED_MAX 16      // routes called by one
+#define AGES_MS 4096       // longest fixed time that is learned
+#define AGE_COUNT_MIN 40   // of the commonest age, before it is trusted
+#define AGE_PEAK 4         // times the mean that the commonest age must reach
+#define AGE_COUNT_MAX 4000 // counts are halved here, so that old ones fade
+#define AGE_MATCH_MS 2.0   // between an age and the commonest one
 
 typedef struct
 {
--- a/src/pool.c
+++ b/src/pool.c
@@ -12,18 +12,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define READ_BLOCK 65536     // bytes read at once
-#define SWEEP_MS 200         // between two looks for connections past their time
-#define IDLE_MAX_MS 4000     // an idle connection is closed after this long, if not told sooner
-#define IDLE_MARGIN_MS 500   // before the end that the upstream told
-#define WARM_MS 500          // idle for longer, a connection may be lost unnoticed
-#define SILENCE_MS 1000      // bytes not acknowledged for this long mean a lost connection
-#define PROBE_IDLE_S 1       // of a silent connection before it is probed
-#define PROBE_INTERVAL_S 1   // between two probes
-#define PROBES 2             // unanswered, before it is lost
-#define PROOF_MS 20          // that the connection of a probe must stay open
-#define HEADER_MAX 65536     // bytes of an answer's head
-#define SUSPECT_MS 500       // without an answer while others come, idle connections are doubted
+#define READ_BLOCK 65536   // bytes read at once
+#define SWEEP_MS 200       // between two looks for connections past their time
+#define IDLE_MAX_MS 4000   // an idle connection is closed after this long, if not told sooner
+#define IDLE_MARGIN_MS 500 // before the end that the upstream told
+#define WARM_MS 500        // idle for longer, a connection may be lost unnoticed
+#define SILENCE_MS 1000    // bytes not acknowledged for this long mean a lost connection
+#define PROBE_IDLE_S 1     // of a silent connection before it is probed
+#define PROBE_INTERVAL_S 1 // between two probes
+#define PROBES 2           // unanswered, before it is lost
+#define PROOF_MS 20        // that the connection of a probe must stay open
+#define HEADER_MAX 65536   // bytes of an answer's head
+#define SUSPECT_MS 500     // without an answer while others come, idle connections are doubted
 
 typedef enum
 {
@@ -267,7 +267,8 @@
   BjPoolRun *r = g_queue_peek_head (&p->idle);
   BjTime now = bj_clock_now ();
 
-  if (p->is_doubted || r == NULL || now >= r->closes_at || (o->only_warm && now - r->since > WARM_MS))
+  if (p->is_doubted || r == NULL || now >= r->closes_at
+      || (o->only_warm && now - r->since > WARM_MS))
     return NULL;
   g_queue_pop_head (&p->idle);
   n_reused.value++;
@@ -420,7 +421,8 @@
       bool in_head = r->sent < r->head.len;
       const char *from = in_head ? r->head.data + r->sent : r->o.body.data + r->sent - r->head.len;
       size_t left = in_head ? r->head.len - r->sent : total - r->sent;
-      ssize_t n = send (r->fd, from, left, MSG_NOSIGNAL | (in_head && r->o.body.len > 0 ? MSG_MORE : 0));
+      ssize_t n
+          = send (r->fd, from, left, MSG_NOSIGNAL | (in_head && r->o.body.len > 0 ? MSG_MORE : 0));
 
       if (n < 0 && (errno == EAGAIN || errno == EINTR))
         {
@@ -593,8 +595,9 @@
   BjPoolOptions o = r->o;
   BjTime now = bj_clock_now ();
   bool is_sent = r->sent == r->head.len + r->o.body.len;
-  bool keeps = !has_more && is_sent && r->keep_ms > 0
-               && (o.is_probe || (r->parser.http_major == 1 && http_should_keep_alive (&r->parser)));
+  bool keeps
+      = !has_more && is_sent && r->keep_ms > 0
+        && (o.is_probe || (r->parser.http_major == 1 && http_should_keep_alive (&r->parser)));
 
   r->o.data = NULL;
   bj_str_free (&r->head);
--- a/src/seeds.c
+++ b/src/seeds.c
@@ -32,7 +32,7 @@
   BjTime next_write;
   double alone_ms; // wait before the next read while alone
   BjTime next_far;
-  int far;         // domain of the settings that is read next
+  int far; // domain of the settings that is read next
 };
 
 typedef struct
--- a/src/server.c
+++ b/src/server.c
@@ -13,12 +13,12 @@
 #include <unistd.h>
 
 #define BACKLOG 1024
-#define ACCEPTS_AT_ONCE 64    // connections taken before other events have their turn
-#define READ_BLOCK 65536      // bytes read at once
-#define AHEAD_MAX 65536       // bytes of later requests kept while one is answered
-#define SWEEP_MS 100          // between two looks for connections past their time
-#define LINGER_MS 1000        // for a caller to read an error before its connection is closed
-#define SILENCE_MS 10000      // of a caller that takes no byte of its answer
+#define ACCEPTS_AT_ONCE 64 // connections taken before other events have their turn
+#define READ_BLOCK 65536   // bytes read at once
+#define AHEAD_MAX 65536    // bytes of later requests kept while one is answered
+#define SWEEP_MS 100       // between two looks for connections past their time
+#define LINGER_MS 1000     // for a caller to read an error before its connection is closed
+#define SILENCE_MS 10000   // of a caller that takes no byte of its answer
 
 typedef enum
 {
@@ -37,10 +37,10 @@
   ev_io write;
   http_parser parser;
   ConnState state;
-  BjTime since;     // when the state began, or the last byte was written
+  BjTime since; // when the state began, or the last byte was written
   BjMessage head;
   GString *body;
-  GString *ahead;   // bytes behind the request that is answered
+  GString *ahead; // bytes behind the request that is answered
   GString *out;
   size_t out_at;    // written from out
   size_t body_out;  // of out, bytes of body not yet told as drained
@@ -48,9 +48,9 @@
   int error_status; // to be answered in place of a call, 0 for none
   bool keeps;       // the connection serves another request
   bool in_chunks;
-  bool no_body;     // of the answer to HEAD
+  bool no_body; // of the answer to HEAD
   bool is_dirty;
-  bool is_ended;    // the answer is complete in out
+  bool is_ended; // the answer is complete in out
   bool is_closed;
 };
 
@@ -231,10 +231,8 @@
   c->in_chunks = length < 0 && !c->no_body && c->parser.http_minor > 0;
   if (length < 0 && !c->in_chunks && !c->no_body)
     c->keeps = false;
-  g_string_append_printf (c->out,
-                          "HTTP/1.1 %d %s\r\n",
-                          status,
-                          http_status_str ((enum http_status)status));
+  g_string_append_printf (
+      c->out, "HTTP/1.1 %d %s\r\n", status, http_status_str ((enum http_status)status));
   if (lines.len > 0)
     g_string_append_len (c->out, lines.data, (gssize)lines.len);
   if (c->in_chunks)
--- a/src/settings.c
+++ b/src/settings.c
@@ -57,7 +57,12 @@
 static BjStatus read_platform (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_domains (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus read_dialect (const char *name, struct json_object *o, BjSettings *s);
-static BjStatus read_plugin_name (const char *name, const char *key, BjPluginKind kind, BjStr given, const char *absent, BjStr *found);
+static BjStatus read_plugin_name (const char *name,
+                                  const char *key,
+                                  BjPluginKind kind,
+                                  BjStr given,
+                                  const char *absent,
+                                  BjStr *found);
 static BjStatus read_log_level (const char *name, struct json_object *o, BjSettings *s);
 static BjStatus check_distinct (const char *name, const BjSettings *s);
 
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -41,9 +41,12 @@
   { "weight", BJ_JSON_INT, true, 0, WEIGHT_MAX },
 };
 static const BjJsonKey service_keys[] = {
-  { "number", BJ_JSON_INT, false, 1, NUMBER_MAX }, { "routes", BJ_JSON_ARRAY, true, 0, ROUTES_MAX },
-  { "limiter", BJ_JSON_OBJECT, false, 0, 0 },      { "queue", BJ_JSON_OBJECT, false, 0, 0 },
-  { "router", BJ_JSON_OBJECT, false, 0, 0 },       { "retry", BJ_JSON_OBJECT, false, 0, 0 },
+  { "number", BJ_JSON_INT, false, 1, NUMBER_MAX },
+  { "routes", BJ_JSON_ARRAY, false, 1, ROUTES_MAX },
+  { "limiter", BJ_JSON_OBJECT, false, 0, 0 },
+  { "queue", BJ_JSON_OBJECT, false, 0, 0 },
+  { "router", BJ_JSON_OBJECT, false, 0, 0 },
+  { "retry", BJ_JSON_OBJECT, false, 0, 0 },
   { "prefer", BJ_JSON_STR, false, 0, 0 },
 };
 static const BjJsonKey route_keys[] = {
@@ -100,6 +103,7 @@
   const BjServiceConfig *service;
 } Indexed;
 
+static BjStatus parse (BjStr text, BjStr defaults, bool allows_bare, BjConfig **config);
 static BjStatus add_defaults (struct json_object *config, BjStr defaults);
 static void free_route (BjRoute *r);
 static BjStatus read_config (struct json_object *o, BjConfig *c);
@@ -132,11 +136,17 @@
 BjStatus
 bj_config_parse (BjStr text, BjConfig **config)
 {
-  return bj_config_parse_with (text, BJ_STR_NULL, config);
+  return parse (text, BJ_STR_NULL, false, config);
 }
 
 BjStatus
 bj_config_parse_with (BjStr text, BjStr defaults, BjConfig **config)
+{
+  return parse (text, defaults, true, config);
+}
+
+static BjStatus
+parse (BjStr text, BjStr defaults, bool allows_bare, BjConfig **config)
 {
   struct json_object *o;
   BjStatus s;
@@ -146,6 +156,7 @@
   if (s != BJ_OK)
     return s;
   *config = g_new0 (BjConfig, 1);
+  (*config)->allows_bare = allows_bare;
   s = add_defaults (o, defaults);
   if (s == BJ_OK)
     s = read_config (o, *config);
@@ -364,8 +375,9 @@
 read_service (const char *name, struct json_object *o, BjConfig *c, BjServiceConfig *s)
 {
   char path[128];
-  struct json_object *routes;
+  struct json_object *routes = NULL;
   BjStatus status;
+  size_t n;
 
   g_snprintf (path, sizeof path, "services.%.64s", name);
   s->name = bj_str_dup (bj_str (name));
@@ -376,9 +388,11 @@
   if (status != BJ_OK)
     return status;
   s->number = bj_json_int (o, "number");
-  json_object_object_get_ex (o, "routes", &routes);
-  s->routes = g_new0 (BjRoute, json_object_array_length (routes));
-  for (size_t i = 0; i < json_object_array_length (routes) && status == BJ_OK; i++)
+  if (!json_object_object_get_ex (o, "routes", &routes) && !c->allows_bare)
+    return bj_fail (BJ_E_TICKET, "%s.routes: is missing, a service needs a route.", path);
+  n = routes != NULL ? json_object_array_length (routes) : 0;
+  s->routes = g_new0 (BjRoute, n);
+  for (size_t i = 0; i < n && status == BJ_OK; i++)
     {
       s->n_routes++;
       status = read_route (path, json_object_array_get_idx (routes, i), c, &s->routes[i]);
@@ -433,8 +447,8 @@
 
       if (s != BJ_OK)
         return s;
-      r->shares[r->n_shares++] = (BjShare){ bj_str_dup (bj_json_str (v, "service")),
-                                            (int)bj_json_int (v, "weight") };
+      r->shares[r->n_shares++]
+          = (BjShare){ bj_str_dup (bj_json_str (v, "service")), (int)bj_json_int (v, "weight") };
     }
   return BJ_OK;
 }
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -79,8 +79,8 @@
     g_string_append_printf (head, "Host: %s:%d\r\n", d->upstream.host.data, d->upstream.port);
   if (r->content_type.len > 0)
     g_string_append_printf (head, "Content-Type: %.*s\r\n", BJ_STR_ARG (r->content_type));
-  if (r->body.len > 0 || !(bj_str_equal (r->method, BJ_STR ("GET"))
-                           || bj_str_equal (r->method, BJ_STR ("HEAD"))))
+  if (r->body.len > 0
+      || !(bj_str_equal (r->method, BJ_STR ("GET")) || bj_str_equal (r->method, BJ_STR ("HEAD"))))
     g_string_append_printf (head, "Content-Length: %zu\r\n", r->body.len);
   d->dialect->write_run (c, d->upstream_id, left, head);
   while (bj_header_next (&block, &name, &value))
--- a/tests/test_fleet_faults.c
+++ b/tests/test_fleet_faults.c
@@ -1,9 +1,8 @@
 // Faults between real processes: callers keep sending irreversible work and resend it to every
-// domain while the fault lasts; afterwards the checker reads their records, the upstreams' runs and
-// the store.
+// domain while the fault lasts; afterwards the callers_record.checker reads their records, the
+// upstreams' runs and the store.
 
-#include "checker.h"
-#include "fleet.h"
+#include "callers.h"
 #include <curl/curl.h>
 #include <setjmp.h>
 #include <signal.h>
@@ -14,15 +13,11 @@
 #include <cmocka.h>
 
 #define DOMAINS 4
-#define CALLERS 8
-#define SENDS_MAX 4
 #define FAULTS_MAX 2
 #define LOAD_MS 700
 #define PAUSE_MS 3500 // above the time after which a silent daemon is gone
-#define ANSWER_BYTES 64
-#define BACK_MAX_MS 300 // longest time a caller waits before it comes back
 #define OUTAGE_LOAD_MS 1500
-#define RESTART_MS 10000 // for a daemon to have the configuration again
+#define RESTART_MS 10000     // for a daemon to have the configuration again
 #define SLOW_US 600000       // above the daemon's longest pause between two looks at the clock
 #define DRAIN_TARGET_MS 3000 // no new work later than this after a drain was announced
 #define STORE_ROOT "/apis/boragejunction/v1/claims/"
@@ -33,27 +28,8 @@
       "\"irreversible\":true,\"deadline_ms\":800},"
       "{\"prefix\":\"/orders/\",\"class\":\"lookup\",\"deadline_ms\":800}]}}}";
 
-typedef struct
-{
-  char key[64];
-  char id[32];
-  int sends;
-  int done; // times told done
-} Action;
-
-typedef struct
-{
-  int index;
-  int64_t n;
-  bool is_home_bound;
-} Caller;
-
 static Fleet fleet;
-static Checker *checker;
-static GMutex lock; // of checker and counts
-static gint stopping;
-static int n_done, n_not_run, n_unknown;
-static gint64 n_keys;
+static gint stopping; // of the threads of this file
 
 static int
 start (void **state)
@@ -89,162 +65,6 @@
   return 0;
 }
 
-// A UUID of version 7, unique in this process.
-static void
-make_key_at (char *key, size_t size, double wall_ms)
-{
-  uint64_t ms = (uint64_t)wall_ms;
-  gint64 n = g_atomic_pointer_add (&n_keys, 1);
-
-  g_snprintf (key,
-              size,
-              "%08x-%04x-7%03x-8%03x-%012" G_GINT64_MODIFIER "x",
-              (guint32)(ms >> 16),
-              (guint32)(ms & 0xffff),
-              (guint32)g_random_int_range (0, 0x1000),
-              (guint32)g_random_int_range (0, 0x1000),
-              n);
-}
-
-static void
-make_key (char *key, size_t size)
-{
-  make_key_at (key, size, bj_clock_wall ());
-}
-
-static bool
-mint (int member, char *key, size_t size)
-{
-  GString *out = g_string_new (NULL);
-  int status = fleet_http ("POST", fleet.members[member].front_port, "/v1/actions", NULL, "", out);
-  struct json_object *o = status == 201 ? json_tokener_parse (out->str) : NULL;
-
-  g_strlcpy (key, o != NULL ? bj_json_str (o, "id").data : "", size);
-  json_object_put (o);
-  g_string_free (out, TRUE);
-  return status == 201;
-}
-
-static BjOutcome
-read_outcome (int status, const GString *body)
-{
-  struct json_object *o;
-  BjOutcome result = BJ_UNKNOWN;
-
-  if (status == 200)
-    return BJ_DONE;
-  o = status > 0 ? json_tokener_parse (body->str) : NULL;
-  if (o != NULL && bj_str_equal (bj_json_str (o, "outcome"), BJ_STR ("done")))
-    result = BJ_DONE;
-  if (o != NULL && bj_str_equal (bj_json_str (o, "outcome"), BJ_STR ("not-run")))
-    result = BJ_NOT_RUN;
-  json_object_put (o);
-  return result;
-}
-
-static BjOutcome
-send_action (Action *a, int member, const char *path_prefix, int *status, double *retry_ms)
-{
-  char path[160];
-  char header[96];
-  const char *headers[] = { header, NULL };
-  GString *out = g_string_new (NULL);
-  CheckSend s = { .key = a->key, .id = a->id, .wanted = ANSWER_BYTES };
-
-  g_snprintf (path, sizeof path, "%s?id=%s&bytes=%d", path_prefix, a->id, ANSWER_BYTES);
-  g_snprintf (header, sizeof header, "Idempotency-Key: %s", a->key);
-  *status = fleet_http ("POST", fleet.members[member].front_port, path, headers, "", out);
-  s.outcome = read_outcome (*status, out);
-  s.is_answer = *status == 200;
-  s.is_complete = *status != 0;
-  s.body = (BjStr){ out->str, out->len };
-  *retry_ms = *status > 0 ? fleet_number (out->str, "retry_after_ms") : -1;
-  g_mutex_lock (&lock);
-  a->sends++;
-  a->done += s.outcome == BJ_DONE;
-  n_done += s.outcome == BJ_DONE;
-  n_not_run += s.outcome == BJ_NOT_RUN;
-  n_unknown += s.outcome == BJ_UNKNOWN;
-  if (checker != NULL)
-    checker_told (checker, &s);
-  g_mutex_unlock (&lock);
-  g_string_free (out, TRUE);
-  return s.outcome;
-}
-
-static gpointer
-call (gpointer data)
-{
-  Caller *c = data;
-  int home = c->index % DOMAINS;
-
-  while (!g_atomic_int_get (&stopping))
-    {
-      Action a = { 0 };
-      int member = home;
-      int status;
-      double retry_ms;
-
-      make_key (a.key, sizeof a.key);
-      if (c->is_home_bound && !mint (home, a.key, sizeof a.key))
-        continue;
-      g_snprintf (a.id, sizeof a.id, "c%d-%" G_GINT64_FORMAT, c->index, c->n++);
-      for (int i = 0; i < SENDS_MAX; i++)
-        {
-          BjOutcome o = send_action (&a, member, "/orders/accept", &status, &retry_ms);
-
-          // Now and then a caller that has its answer asks again elsewhere.
-          if (o == BJ_DONE && (i > 0 || c->n % 4 != 0))
-            break;
-          g_usleep ((gulong)CLAMP (retry_ms, 1, BACK_MAX_MS) * 1000);
-          if (!c->is_home_bound)
-            member = (member + 1) % DOMAINS;
-        }
-    }
-  return NULL;
-}
-
-static void
-load_begin (GThread **threads, Caller *callers, bool is_home_bound)
-{
-  g_atomic_int_set (&stopping, 0);
-  for (int i = 0; i < CALLERS; i++)
-    {
-      callers[i] = (Caller){ .index = i, .is_home_bound = is_home_bound };
-      threads[i] = g_thread_new ("caller", call, &callers[i]);
-    }
-}
-
-static void
-load_end (GThread **threads)
-{
-  g_atomic_int_set (&stopping, 1);
-  for (int i = 0; i < CALLERS; i++)
-    g_thread_join (threads[i]);
-}
-
-static bool
-is_serving (void *data)
-{
-  (void)data;
-  for (int i = 0; i < DOMAINS; i++)
-    {
-      Action a = { .id = "probe" };
-      Checker *kept = checker;
-      int status;
-      double retry_ms;
-      bool is_done;
-
-      checker = NULL;
-      make_key (a.key, sizeof a.key);
-      is_done = send_action (&a, i, "/orders/accept", &status, &retry_ms) == BJ_DONE;
-      checker = kept;
-      if (!is_done)
-        return false;
-    }
-  return true;
-}
-
 static void
 check_store (void)
 {
@@ -259,7 +79,7 @@
       if (fleet_http ("GET", fleet.platform_port, path, NULL, NULL, out) == 200)
         o = json_tokener_parse (out->str);
       if (json_object_object_get_ex (o, "spec", &spec))
-        checker_store (checker, spec);
+        checker_store (callers_record.checker, spec);
       json_object_put (o);
       g_string_free (out, TRUE);
     }
@@ -273,8 +93,9 @@
       GString *out = g_string_new (NULL);
 
       if (fleet_http ("GET", fleet.members[i].admin_port, "/v1/status", NULL, NULL, out) == 200)
-        checker_ticket (
-            checker, fleet.members[i].node.name, (int64_t)fleet_number (out->str, "ticket"));
+        checker_ticket (callers_record.checker,
+                        fleet.members[i].node.name,
+                        (int64_t)fleet_number (out->str, "ticket"));
       g_string_free (out, TRUE);
     }
 }
@@ -282,8 +103,8 @@
 static void
 check_begin (void)
 {
-  n_done = n_not_run = n_unknown = 0;
-  checker = checker_new ();
+  callers_record.n_done = callers_record.n_not_run = callers_record.n_unknown = 0;
+  callers_record.checker = checker_new ();
   check_tickets ();
 }
 
@@ -295,17 +116,21 @@
   int total;
 
   g_snprintf (path, sizeof path, "%s/" FLEET_RECORD, fleet.dir);
-  assert_true (checker_runs (checker, path));
+  assert_true (checker_runs (callers_record.checker, path));
   // A daemon that has just been started again has none in force until it has read one.
   assert_true (fleet_wait_ticket (&fleet, 1, RESTART_MS));
   check_tickets ();
   check_store ();
-  total = checker_finish (checker, NULL, out);
-  print_message ("  %s: %d done, %d not-run, %d unknown\n", name, n_done, n_not_run, n_unknown);
+  total = checker_finish (callers_record.checker, NULL, out);
+  print_message ("  %s: %d done, %d not-run, %d unknown\n",
+                 name,
+                 callers_record.n_done,
+                 callers_record.n_not_run,
+                 callers_record.n_unknown);
   if (total > 0)
     print_error ("%s: %d breaches\n%s", name, total, out->str);
-  checker_free (checker);
-  checker = NULL;
+  checker_free (callers_record.checker);
+  callers_record.checker = NULL;
   g_string_free (out, TRUE);
   assert_int_equal (total, 0);
 }
@@ -466,9 +291,9 @@
       GThread *threads[CALLERS];
       Caller callers[CALLERS];
 
-      assert_true (fleet_until (is_serving, NULL, 15000));
+      assert_true (fleet_until (callers_are_served, &fleet, 15000));
       check_begin ();
-      load_begin (threads, callers, false);
+      callers_begin (&fleet, threads, callers, false);
       g_usleep (LOAD_MS / 4 * 1000);
       for (int f = 0; f < FAULTS_MAX && c->faults[f] != NULL; f++)
         {
@@ -478,9 +303,9 @@
       for (int f = 0; f < FAULTS_MAX && c->faults[f] != NULL; f++)
         c->faults[f](false);
       g_usleep (LOAD_MS / 4 * 1000);
-      load_end (threads);
+      callers_end (threads);
       check_end (c->name);
-      assert_true (n_done > 0);
+      assert_true (callers_record.n_done > 0);
     }
 }
 
@@ -564,7 +389,7 @@
   int n_crashes = 0;
   int status = 0;
 
-  make_key (key, sizeof key);
+  callers_make_key (key, sizeof key);
   for (int i = 0; i < c->bystanders; i++)
     {
       bystanders[i].member = i % DOMAINS;
@@ -578,7 +403,7 @@
       if (!c->restarts)
         continue;
       n_crashes += restart_crashed ();
-      assert_true (fleet_until (is_serving, NULL, 15000));
+      assert_true (fleet_until (callers_are_served, &fleet, 15000));
     }
   n_crashes += restart_crashed ();
   for (int i = 0; i < c->bystanders; i++)
@@ -586,7 +411,7 @@
   print_message ("  %s: %d crashes, then status %d\n", c->name, n_crashes, status);
   assert_int_equal (status, c->final_status);
   assert_in_range (n_crashes, 1, c->crashes_max);
-  assert_true (fleet_until (is_serving, NULL, 15000));
+  assert_true (fleet_until (callers_are_served, &fleet, 15000));
   for (int i = 0; i < c->bystanders; i++)
     assert_true (fleet_until (is_answered, &bystanders[i], 5000));
 }
@@ -598,7 +423,7 @@
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (poison_cases); i++)
     {
-      assert_true (fleet_until (is_serving, NULL, 15000));
+      assert_true (fleet_until (callers_are_served, &fleet, 15000));
       if (poison_cases[i].bystanders > 0)
         set_service_us (300000);
       run_poison (&poison_cases[i]);
@@ -637,19 +462,19 @@
       double retry_ms;
       int status;
 
-      make_key_at (a.key, sizeof a.key, bj_clock_wall () + (double)c->ahead_ms);
+      callers_make_key_at (a.key, sizeof a.key, bj_clock_wall () + (double)c->ahead_ms);
       if (c->key != NULL)
         g_strlcpy (a.key, c->key, sizeof a.key);
       print_message ("  %s\n", c->name);
       for (int s = 0; s < 2 && c->id[s] != NULL; s++)
         {
           g_strlcpy (a.id, c->id[s], sizeof a.id);
-          send_action (&a, s, "/orders/accept", &status, &retry_ms);
+          callers_send (&fleet, &a, s, "/orders/accept", &status, &retry_ms);
           // Until its outcome is recorded, a resend is told to come back.
           for (int n = 0; s > 0 && status == 409 && n < 20; n++)
             {
               g_usleep ((gulong)MAX (retry_ms, 1) * 1000);
-              send_action (&a, s, "/orders/accept", &status, &retry_ms);
+              callers_send (&fleet, &a, s, "/orders/accept", &status, &retry_ms);
             }
           assert_int_equal (status, c->status[s]);
         }
@@ -710,23 +535,23 @@
       int status;
       BjTime until;
 
-      assert_true (fleet_until (is_serving, NULL, 15000));
+      assert_true (fleet_until (callers_are_served, &fleet, 15000));
       check_begin ();
       set_outage (c, c->mode);
       g_usleep (2 * BJ_PLATFORM_TIMEOUT_MS * 1000);
-      load_begin (threads, callers, true);
+      callers_begin (&fleet, threads, callers, true);
       until = bj_clock_now () + OUTAGE_LOAD_MS;
       while (bj_clock_now () < until)
         {
-          make_key (a.key, sizeof a.key);
-          assert_int_equal (send_action (&a, member, "/orders/accept", &status, &retry_ms),
+          callers_make_key (a.key, sizeof a.key);
+          assert_int_equal (callers_send (&fleet, &a, member, "/orders/accept", &status, &retry_ms),
                             BJ_NOT_RUN);
           assert_true (retry_ms > 0);
           g_usleep (BACK_MAX_MS * 1000);
         }
-      load_end (threads);
+      callers_end (threads);
       set_outage (c, "ok");
-      assert_true (n_done > 100);
+      assert_true (callers_record.n_done > 100);
       check_end (c->name);
     }
 }
@@ -802,7 +627,7 @@
   int n_cut = 0;
 
   (void)state;
-  assert_true (fleet_until (is_serving, NULL, 15000));
+  assert_true (fleet_until (callers_are_served, &fleet, 15000));
   check_begin ();
   set_service_us (SLOW_US);
   g_atomic_int_set (&stopping, 0);
@@ -817,7 +642,7 @@
   g_usleep (DRAIN_TARGET_MS * 1000);
   before = runs_of (DOMAINS - 1);
   g_usleep (1500 * 1000);
-  checker_after_drain (checker, "south-b-1", runs_of (DOMAINS - 1) - before);
+  checker_after_drain (callers_record.checker, "south-b-1", runs_of (DOMAINS - 1) - before);
   g_atomic_int_set (&stopping, 1);
   for (int i = 0; i < CALLERS; i++)
     {
@@ -839,7 +664,7 @@
       g_thread_join (threads[i]);
       n_cut += readers[i].n_cut;
     }
-  checker_stop (checker, "south-b-1", n_cut);
+  checker_stop (callers_record.checker, "south-b-1", n_cut);
   check_end ("drained by ticket, then stopped");
 }
 
--- a/tests/test_heavy.c
+++ b/tests/test_heavy.c
@@ -1,6 +1,6 @@
-// The heaviest days in small: two regions of two failure domains, four services, calls that go three
-// services deep and say nothing of their parents but their deadline. Kernels only, with a clock of
-// their own. Checks what callers get, against plain plug-ins under the same load.
+// The heaviest days in small: two regions of two failure domains, four services, calls that go
+// three services deep and say nothing of their parents but their deadline. Kernels only, with a
+// clock of their own. Checks what callers get, against plain plug-ins under the same load.
 
 #include "internal.h"
 #include "kernel.h"
@@ -42,7 +42,8 @@
 
 static const char *const service_names[] = { "catalogue", "orders", "plans", "estimator" };
 static const int slots_of[] = { 60, 60, 60, 25 };
-static const char *const class_paths[] = { "/orders/accept", "/estimator/preview", "/catalogue/list" };
+static const char *const class_paths[]
+    = { "/orders/accept", "/estimator/preview", "/catalogue/list" };
 static const double worth_of[] = { 3, 2, 1 };
 static const double share_of[] = { 0.22, 0.16, 0.62 };
 
@@ -68,14 +69,18 @@
 // Calls inside stand in the class that the operator gave their route, like previews.
 static const char config_format[]
     = "{\"number\":1,\"priorities\":[\"a\",\"b\",\"c\"],\"services\":{"
-      "\"catalogue\":{\"routes\":[{\"prefix\":\"/catalogue/list\",\"class\":\"c\",\"deadline_ms\":800,"
+      "\"catalogue\":{\"routes\":[{\"prefix\":\"/catalogue/"
+      "list\",\"class\":\"c\",\"deadline_ms\":800,"
       "\"objective_ms\":1200}]%1$s},"
       "\"orders\":{\"routes\":[{\"prefix\":\"/orders/accept\",\"class\":\"a\",\"deadline_ms\":1000,"
       "\"objective_ms\":1500,\"irreversible\":true,\"claim\":false},"
       "{\"prefix\":\"/orders/stock\",\"class\":\"b\",\"deadline_ms\":1000}]%1$s},"
-      "\"plans\":{\"routes\":[{\"prefix\":\"/plans/index\",\"class\":\"b\",\"deadline_ms\":800}]%1$s},"
-      "\"estimator\":{\"routes\":[{\"prefix\":\"/estimator/rate\",\"class\":\"b\",\"deadline_ms\":700,"
-      "\"objective_ms\":300},{\"prefix\":\"/estimator/preview\",\"class\":\"b\",\"deadline_ms\":1000,"
+      "\"plans\":{\"routes\":[{\"prefix\":\"/plans/"
+      "index\",\"class\":\"b\",\"deadline_ms\":800}]%1$s},"
+      "\"estimator\":{\"routes\":[{\"prefix\":\"/estimator/"
+      "rate\",\"class\":\"b\",\"deadline_ms\":700,"
+      "\"objective_ms\":300},{\"prefix\":\"/estimator/"
+      "preview\",\"class\":\"b\",\"deadline_ms\":1000,"
       "\"objective_ms\":250}]%1$s}}}";
 static const char policy_own[]
     = ",\"limiter\":{\"plugin\":\"slots\"},\"router\":{\"plugin\":\"least-wait\"},"
@@ -87,11 +92,11 @@
 typedef struct
 {
   const char *name;
-  double load;       // of what all estimators can carry
-  int lost;          // domains without an estimator
-  double ill;        // share of their runs that estimators refuse
+  double load;           // of what all estimators can carry
+  int lost;              // domains without an estimator
+  double ill;            // share of their runs that estimators refuse
   double least[CLASSES]; // share of callers served in time
-  double of_best;    // worth served, of the most that the estimators can carry; 0 if not known
+  double of_best;        // worth served, of the most that the estimators can carry; 0 if not known
 } HeavyCase;
 
 // Targets: nothing is lost below capacity; above it acceptances and previews go before lookups, at
@@ -239,7 +244,7 @@
 send_peer (BjHost *h, BjCall *c, BjPeer *p)
 {
   Node *from = (Node *)h;
-  Node *to = NULL;
+  Node *to = &w.nodes[0];
   Event *e;
 
   for (int i = 0; i < w.n; i++)
@@ -306,7 +311,8 @@
   (void)c;
 }
 
-static const BjHostOps host_ops = { send_peer, start_upstream, cancel, answer, do_nothing, do_nothing };
+static const BjHostOps host_ops
+    = { send_peer, start_upstream, cancel, answer, do_nothing, do_nothing };
 
 // An own answer of the layer or a whole one of an upstream.
 static void
@@ -347,7 +353,8 @@
     {
       e = add (ARRIVE, MAX (1, answer->retry_after_ms), from);
       e->asker = new_asker ();
-      *e->asker = (Asker){ .klass = a->klass, .came = a->came, .retries_left = a->retries_left - 1 };
+      *e->asker
+          = (Asker){ .klass = a->klass, .came = a->came, .retries_left = a->retries_left - 1 };
     }
 }
 
@@ -455,11 +462,8 @@
       caller_arrives (e->node, e->asker);
       break;
     case AT_PEER:
-      bj_kernel_arrive_peer (e->node->kernel,
-                             w.now,
-                             &e->request,
-                             bj_str (service_names[e->node->service]),
-                             e->asker);
+      bj_kernel_arrive_peer (
+          e->node->kernel, w.now, &e->request, bj_str (service_names[e->node->service]), e->asker);
       break;
     case BACK:
       answer_back (e);
@@ -517,19 +521,22 @@
 {
   // What the estimators carry: slots over the work of an average action there.
   double work = share_of[PREVIEW] * 36 + (share_of[ACCEPT] + share_of[LOOKUP]) * 4 * 22;
+  double t = 0;
   double per_ms = w.c->load * DOMAINS * slots_of[ESTIMATOR] / work;
 
-  for (double t = 0; t < RUN_MS - 1000; t -= log (1 - g_rand_double (w.rand)) / per_ms)
+  while (t < RUN_MS - 1000)
     {
       double pick = g_rand_double (w.rand);
-      Class c = pick < share_of[ACCEPT] ? ACCEPT
-                                        : (pick < share_of[ACCEPT] + share_of[PREVIEW] ? PREVIEW : LOOKUP);
+      Class c = pick < share_of[ACCEPT]
+                    ? ACCEPT
+                    : (pick < share_of[ACCEPT] + share_of[PREVIEW] ? PREVIEW : LOOKUP);
       Event *e = add (ARRIVE, t, &w.nodes[g_rand_int_range (w.rand, 0, w.n)]);
 
       e->asker = new_asker ();
       *e->asker = (Asker){ .klass = (int)c, .came = t, .retries_left = DEFAULT_RETRIES };
       if (t >= WARM_MS && t < RUN_MS - 2000)
         w.n_callers[c]++;
+      t -= log (1 - g_rand_double (w.rand)) / per_ms;
     }
 }
 
@@ -630,17 +637,18 @@
       double of_best = worth / asked_worth () / best_share (c);
       double plain_worth = play (c, policy_plain, plain);
 
-      print_message ("  %s: accept %.3f preview %.3f lookup %.3f, %.3f of the best; plain %.3f %.3f %.3f, "
-                     "worth over it %.2f\n",
-                     c->name,
-                     own[ACCEPT],
-                     own[PREVIEW],
-                     own[LOOKUP],
-                     of_best,
-                     plain[ACCEPT],
-                     plain[PREVIEW],
-                     plain[LOOKUP],
-                     worth / MAX (1, plain_worth));
+      print_message (
+          "  %s: accept %.3f preview %.3f lookup %.3f, %.3f of the best; plain %.3f %.3f %.3f, "
+          "worth over it %.2f\n",
+          c->name,
+          own[ACCEPT],
+          own[PREVIEW],
+          own[LOOKUP],
+          of_best,
+          plain[ACCEPT],
+          plain[PREVIEW],
+          plain[LOOKUP],
+          worth / MAX (1, plain_worth));
       for (int k = 0; k < CLASSES; k++)
         good = good && own[k] >= c->least[k];
       good = good && of_best >= c->of_best && worth >= plain_worth
--- a/tests/test_parent.c
+++ b/tests/test_parent.c
@@ -12,7 +12,8 @@
 
 static const char config[]
     = "{\"number\":1,\"priorities\":[\"a\",\"b\",\"c\"],\"services\":{"
-      "\"plans\":{\"routes\":[{\"prefix\":\"/index/\",\"class\":\"b\"},{\"prefix\":\"/file/\",\"class\":"
+      "\"plans\":{\"routes\":[{\"prefix\":\"/index/\",\"class\":\"b\"},{\"prefix\":\"/file/"
+      "\",\"class\":"
       "\"c\"}],\"limiter\":{\"plugin\":\"fixed\"}},"
       "\"estimator\":{\"routes\":[{\"prefix\":\"/rate/\",\"class\":\"b\"}]}}}";
 
@@ -73,9 +74,8 @@
 static BjKernel *
 new_kernel (Host *h)
 {
-  BjKernelOptions o = { .self = { .name = BJ_STR ("one"), .domain = BJ_STR ("a") },
-                        .host = &h->host,
-                        .seed = 3 };
+  BjKernelOptions o
+      = { .self = { .name = BJ_STR ("one"), .domain = BJ_STR ("a") }, .host = &h->host, .seed = 3 };
   BjPeerReport r = { .name = BJ_STR ("peer"),
                      .domain = BJ_STR ("a"),
                      .service = BJ_STR ("estimator"),
@@ -98,8 +98,12 @@
 static BjCall *
 run_parent (BjKernel *k, BjTime now, const char *path, int klass, double deadline_ms)
 {
-  BjRequest r = { .method = BJ_STR ("GET"), .path = bj_str (path), .klass = klass,
-                  .deadline_ms = deadline_ms, .has_cohort = true, .cohort = 77 };
+  BjRequest r = { .method = BJ_STR ("GET"),
+                  .path = bj_str (path),
+                  .klass = klass,
+                  .deadline_ms = deadline_ms,
+                  .has_cohort = true,
+                  .cohort = 77 };
 
   return bj_kernel_arrive_peer (k, now, &r, BJ_STR ("plans"), NULL);
 }
@@ -107,8 +111,11 @@
 static BjCall *
 make_call (BjKernel *k, Host *h, BjTime now, double deadline_ms)
 {
-  BjRequest r = { .method = BJ_STR ("GET"), .path = BJ_STR ("/rate/x"), .klass = -1,
-                  .attempts_left = -1, .deadline_ms = deadline_ms };
+  BjRequest r = { .method = BJ_STR ("GET"),
+                  .path = BJ_STR ("/rate/x"),
+                  .klass = -1,
+                  .attempts_left = -1,
+                  .deadline_ms = deadline_ms };
 
   h->sent = NULL;
   bj_kernel_arrive (k, now, &r, NULL);
@@ -144,10 +151,8 @@
       BjKernel *k = new_kernel (&h);
       BjTime now = teach (k, &h) + 3.1;
       BjCall *parent = run_parent (k, now, "/index/y", c->klass, 1500);
-      BjCall *child = make_call (k,
-                                 &h,
-                                 now + c->after_ms,
-                                 c->deadline_ms > 0 ? c->deadline_ms : AGE_MS - c->after_ms);
+      BjCall *child = make_call (
+          k, &h, now + c->after_ms, c->deadline_ms > 0 ? c->deadline_ms : AGE_MS - c->after_ms);
 
       print_message ("  %s\n", c->name);
       assert_non_null (parent);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -16,15 +16,18 @@
 #define WAIT_MS 3000
 
 #define COLUMNS                                                                                    \
-  "\"columns\":[\"name\",\"host\",\"pathPrefix\",\"kind\",\"timeoutS\",\"objectiveS\",\"priority\"," \
+  "\"columns\":[\"name\",\"host\",\"pathPrefix\",\"kind\",\"timeoutS\",\"objectiveS\","            \
+  "\"priority\","                                                                                  \
   "\"service\",\"maxAttempts\",\"weightedServices\"]"
 #define MANIFEST(version, rows)                                                                    \
-  "{\"version\":\"" version "\",\"routes\":{" COLUMNS ",\"rows\":[" rows "]},\"services\":{"         \
-  "\"columns\":[\"name\"],\"rows\":[[\"orders\"],[\"plans\"]]},\"limits\":{\"maxHeaderBytes\":16384," \
+  "{\"version\":\"" version "\",\"routes\":{" COLUMNS ",\"rows\":[" rows "]},\"services\":{"       \
+  "\"columns\":[\"name\"],\"rows\":[[\"orders\"],[\"plans\"]]},\"limits\":{\"maxHeaderBytes\":"    \
+  "16384,"                                                                                         \
   "\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,\"idleTimeoutS\":1.5}}"
 #define ACCEPT "[\"r-1\",\"a.example\",\"/accept/\",\"non_idempotent\",0.8,1.5,0,\"orders\",2,null]"
 #define SHARED                                                                                     \
-  "[\"r-2\",\"a.example\",\"/p/\",\"idempotent\",1,0.25,2,null,3,[{\"service\":\"plans\",\"weight\":9}," \
+  "[\"r-2\",\"a.example\",\"/p/"                                                                   \
+  "\",\"idempotent\",1,0.25,2,null,3,[{\"service\":\"plans\",\"weight\":9},"                       \
   "{\"service\":\"orders\",\"weight\":1}]]"
 
 typedef struct
@@ -44,16 +47,56 @@
 } ManifestCase;
 
 static const ManifestCase manifest_cases[] = {
-  { "work once an attempt", MANIFEST ("r12", ACCEPT), BJ_OK, "a.example", "/accept/x", "orders", 0,
-    true, 800, 1500, 1, 0 },
-  { "shared route", MANIFEST ("r12", ACCEPT "," SHARED), BJ_OK, "a.example", "/p/1?x=2", "plans", 2,
-    false, 1000, 250, 2, 2 },
-  { "another host has no route", MANIFEST ("r12", ACCEPT), BJ_OK, "b.example", "/accept/x", NULL, 0,
-    false, 0, 0, 0, 0 },
+  { "work once an attempt",
+    MANIFEST ("r12", ACCEPT),
+    BJ_OK,
+    "a.example",
+    "/accept/x",
+    "orders",
+    0,
+    true,
+    800,
+    1500,
+    1,
+    0 },
+  { "shared route",
+    MANIFEST ("r12", ACCEPT "," SHARED),
+    BJ_OK,
+    "a.example",
+    "/p/1?x=2",
+    "plans",
+    2,
+    false,
+    1000,
+    250,
+    2,
+    2 },
+  { "another host has no route",
+    MANIFEST ("r12", ACCEPT),
+    BJ_OK,
+    "b.example",
+    "/accept/x",
+    NULL,
+    0,
+    false,
+    0,
+    0,
+    0,
+    0 },
   { "no version", "{\"routes\":{}}", BJ_E_TICKET, NULL, NULL, NULL, 0, false, 0, 0, 0, 0 },
   { "no routes", "{\"version\":\"r1\"}", BJ_E_TICKET, NULL, NULL, NULL, 0, false, 0, 0, 0, 0 },
-  { "a row without a service", MANIFEST ("r1", "[\"r-3\",\"h\",\"/\",\"idempotent\",1,1,0,null,1,null]"),
-    BJ_E_TICKET, NULL, NULL, NULL, 0, false, 0, 0, 0, 0 },
+  { "a row without a service",
+    MANIFEST ("r1", "[\"r-3\",\"h\",\"/\",\"idempotent\",1,1,0,null,1,null]"),
+    BJ_E_TICKET,
+    NULL,
+    NULL,
+    NULL,
+    0,
+    false,
+    0,
+    0,
+    0,
+    0 },
 };
 
 static void
@@ -74,7 +117,7 @@
       json_object_put (spec);
       if (c->path != NULL)
         {
-          if (bj_config_parse ((BjStr){ text->str, text->len }, &config) != BJ_OK)
+          if (bj_config_parse_with ((BjStr){ text->str, text->len }, BJ_STR_NULL, &config) != BJ_OK)
             fail_msg ("%s", bj_last_message ());
           assert_int_equal (config->number, 12);
           assert_true (config->callers.idle_timeout_ms == 1500);
@@ -107,7 +150,12 @@
 
 static const AnswerCase answer_cases[] = {
   { "a success", 200, "X-Request-Id: 7\nX-Response-Seal: s\n", BJ_OK, BJ_DONE, false },
-  { "another request's", 200, "X-Request-Id: 8\nX-Response-Seal: s\n", BJ_E_FORMAT, BJ_DONE, false },
+  { "another request's",
+    200,
+    "X-Request-Id: 8\nX-Response-Seal: s\n",
+    BJ_E_FORMAT,
+    BJ_DONE,
+    false },
   { "nobody's", 200, "X-Response-Seal: s\n", BJ_E_FORMAT, BJ_DONE, false },
   { "without its seal", 200, "X-Request-Id: 7\n", BJ_E_FORMAT, BJ_DONE, false },
   { "a failure that ran", 500, "X-Request-Id: 7\n", BJ_OK, BJ_DONE, true },
@@ -186,9 +234,10 @@
 {
   const BjDialectOps *d = bj_plugin_find (BJ_PLUGIN_DIALECT, BJ_STR ("platform"));
   BjSettings s = { .service = BJ_STR ("orders") };
-  BjHead h = { .headers = BJ_STR ("Host: a.example\nX-Request-Id: 7\nX-Deadline-Ms: 1500\n"
-                                  "X-Caller-Service: liar\nX-Expect-Instance: i\nConnection: close\n"
-                                  "Accept: x\nCookie: y\n") };
+  BjHead h
+      = { .headers = BJ_STR ("Host: a.example\nX-Request-Id: 7\nX-Deadline-Ms: 1500\n"
+                             "X-Caller-Service: liar\nX-Expect-Instance: i\nConnection: close\n"
+                             "Accept: x\nCookie: y\n") };
   BjRequest r = { 0 };
   GString *relayed = g_string_new (NULL);
 
@@ -212,25 +261,86 @@
 } AnnounceCase;
 
 #define BEAT(service, address, state, sequence, born)                                              \
-  "{\"service\":\"" service "\",\"address\":\"" address "\",\"zone\":\"z\",\"version\":\"v\",\"slots\":100," \
+  "{\"service\":\"" service "\",\"address\":\"" address                                            \
+  "\",\"zone\":\"z\",\"version\":\"v\",\"slots\":100,"                                             \
   "\"state\":\"" state "\",\"coldS_time\":0,\"sequence\":" sequence ",\"born\":" born "}"
 
 // Announced one after another to one daemon.
 static const AnnounceCase announce_cases[] = {
   { "not JSON", "PUT", "/instances/i-1", "{{{", 400, false, 0 },
   { "a field missing", "PUT", "/instances/i-1", "{\"service\":\"orders\"}", 400, false, 0 },
-  { "first", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "ready", "3", "1000"), 200, false, 94 },
-  { "at another address", "PUT", "/instances/i-9", BEAT ("orders", "10.0.0.9:80", "ready", "1", "2000"), 400, false, 94 },
-  { "of an unknown service", "PUT", "/instances/i-9", BEAT ("nobody", "10.0.0.1:80", "ready", "1", "2000"), 400, false, 94 },
-  { "of an unknown state", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "lost", "4", "1000"), 400, false, 94 },
-  { "late", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "draining", "2", "1000"), 409, false, 94 },
-  { "leaves by draining", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "draining", "5", "1000"), 200, true, 94 },
-  { "a new start under the same id", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "ready", "1", "3000"), 200, false, 94 },
-  { "late, of the start before", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "ready", "9", "1000"), 409, false, 94 },
+  { "first",
+    "PUT",
+    "/instances/i-1",
+    BEAT ("orders", "10.0.0.1:80", "ready", "3", "1000"),
+    200,
+    false,
+    94 },
+  { "at another address",
+    "PUT",
+    "/instances/i-9",
+    BEAT ("orders", "10.0.0.9:80", "ready", "1", "2000"),
+    400,
+    false,
+    94 },
+  { "of an unknown service",
+    "PUT",
+    "/instances/i-9",
+    BEAT ("nobody", "10.0.0.1:80", "ready", "1", "2000"),
+    400,
+    false,
+    94 },
+  { "of an unknown state",
+    "PUT",
+    "/instances/i-1",
+    BEAT ("orders", "10.0.0.1:80", "lost", "4", "1000"),
+    400,
+    false,
+    94 },
+  { "late",
+    "PUT",
+    "/instances/i-1",
+    BEAT ("orders", "10.0.0.1:80", "draining", "2", "1000"),
+    409,
+    false,
+    94 },
+  { "leaves by draining",
+    "PUT",
+    "/instances/i-1",
+    BEAT ("orders", "10.0.0.1:80", "draining", "5", "1000"),
+    200,
+    true,
+    94 },
+  { "a new start under the same id",
+    "PUT",
+    "/instances/i-1",
+    BEAT ("orders", "10.0.0.1:80", "ready", "1", "3000"),
+    200,
+    false,
+    94 },
+  { "late, of the start before",
+    "PUT",
+    "/instances/i-1",
+    BEAT ("orders", "10.0.0.1:80", "ready", "9", "1000"),
+    409,
+    false,
+    94 },
   { "somebody else leaves", "DELETE", "/instances/i-2", "", 409, false, 94 },
   { "leaves without a word before", "DELETE", "/instances/i-1", "", 200, true, 94 },
-  { "goes on announcing itself", "PUT", "/instances/i-1", BEAT ("orders", "10.0.0.1:80", "ready", "2", "3000"), 200, true, 94 },
-  { "the next one", "PUT", "/instances/i-3", BEAT ("orders", "10.0.0.1:80", "ready", "1", "4000"), 200, false, 94 },
+  { "goes on announcing itself",
+    "PUT",
+    "/instances/i-1",
+    BEAT ("orders", "10.0.0.1:80", "ready", "2", "3000"),
+    200,
+    true,
+    94 },
+  { "the next one",
+    "PUT",
+    "/instances/i-3",
+    BEAT ("orders", "10.0.0.1:80", "ready", "1", "4000"),
+    200,
+    false,
+    94 },
 };
 
 static void
@@ -266,7 +376,8 @@
 
       bj_kernel_self (d.kernel, 0, &self);
       if (status != c->status || self.draining != c->draining || self.limit != c->limit)
-        fail_msg ("%s: status %d, draining %d, limit %d", c->name, status, self.draining, self.limit);
+        fail_msg (
+            "%s: status %d, draining %d, limit %d", c->name, status, self.draining, self.limit);
       g_string_free (out, TRUE);
     }
   bj_kernel_free (d.kernel);
@@ -350,7 +461,8 @@
   g_snprintf (reply->spec,
               sizeof reply->spec,
               "%s",
-              r->spec != NULL ? json_object_to_json_string_ext (r->spec, JSON_C_TO_STRING_PLAIN) : "");
+              r->spec != NULL ? json_object_to_json_string_ext (r->spec, JSON_C_TO_STRING_PLAIN)
+                              : "");
   ev_break (reply->loop, EVBREAK_ALL);
 }
 
@@ -384,27 +496,116 @@
   const char *spec;
 } StoreCase;
 
-#define OBJECT(revision) "{\"metadata\":{\"name\":\"main\",\"revision\":" revision "},\"spec\":{\"a\":1}}"
+#define OBJECT(revision)                                                                           \
+  "{\"metadata\":{\"name\":\"main\",\"revision\":" revision "},\"spec\":{\"a\":1}}"
 
 static const StoreCase store_cases[] = {
   { "get", GET, { 200, OBJECT ("7") }, "GET", "/objects/config/main", "", BJ_OK, "7", "{\"a\":1}" },
-  { "get of nothing", GET, { 404, "{}" }, "GET", "/objects/config/main", "", BJ_E_NOT_FOUND, "", "" },
-  { "create", CREATE, { 201, OBJECT ("8") }, "POST", "/objects/config", "\"name\":\"main\"", BJ_OK, "8", "{\"a\":1}" },
-  { "create loses a race", CREATE, { 409, OBJECT ("9") }, "POST", "/objects/config", "", BJ_E_CONFLICT, "9", "{\"a\":1}" },
-  { "update", UPDATE, { 200, OBJECT ("10") }, "PUT", "/objects/config/main", "\"revision\":5", BJ_OK, "10", "{\"a\":1}" },
-  { "update loses a race", UPDATE, { 409, OBJECT ("11") }, "PUT", "/objects/config/main", "", BJ_E_CONFLICT, "11", "{\"a\":1}" },
-  { "list", LIST, { 200, "{\"items\":[{\"metadata\":{\"name\":\"other\"},\"spec\":{}}," OBJECT ("3") "],\"hasMore\":false,\"storeRevision\":12}" },
-    "GET", "/objects/config", "", BJ_OK, "12", "{\"a\":1}" },
-  { "list without it", LIST, { 200, "{\"items\":[],\"hasMore\":false,\"storeRevision\":13}" }, "GET", "/objects/config", "", BJ_E_NOT_FOUND, "13", "" },
-  { "watch with news", WATCH, { 200, "{\"events\":[{\"deleted\":false,\"object\":" OBJECT ("14") "}],\"storeRevision\":14}" },
-    "GET", "/objects/config?watch=5&waitMs=30000", "", BJ_OK, "14", "{\"a\":1}" },
-  { "watch without news", WATCH, { 200, "{\"events\":[],\"storeRevision\":15}" }, "GET", "/objects/config?watch=5&waitMs=30000", "", BJ_E_NOT_FOUND, "15", "" },
-  { "history gone", WATCH, { 410, "{}" }, "GET", "/objects/config?watch=5&waitMs=30000", "", BJ_E_GONE, "", "" },
+  { "get of nothing",
+    GET,
+    { 404, "{}" },
+    "GET",
+    "/objects/config/main",
+    "",
+    BJ_E_NOT_FOUND,
+    "",
+    "" },
+  { "create",
+    CREATE,
+    { 201, OBJECT ("8") },
+    "POST",
+    "/objects/config",
+    "\"name\":\"main\"",
+    BJ_OK,
+    "8",
+    "{\"a\":1}" },
+  { "create loses a race",
+    CREATE,
+    { 409, OBJECT ("9") },
+    "POST",
+    "/objects/config",
+    "",
+    BJ_E_CONFLICT,
+    "9",
+    "{\"a\":1}" },
+  { "update",
+    UPDATE,
+    { 200, OBJECT ("10") },
+    "PUT",
+    "/objects/config/main",
+    "\"revision\":5",
+    BJ_OK,
+    "10",
+    "{\"a\":1}" },
+  { "update loses a race",
+    UPDATE,
+    { 409, OBJECT ("11") },
+    "PUT",
+    "/objects/config/main",
+    "",
+    BJ_E_CONFLICT,
+    "11",
+    "{\"a\":1}" },
+  { "list",
+    LIST,
+    { 200,
+      "{\"items\":[{\"metadata\":{\"name\":\"other\"},\"spec\":{}}," OBJECT (
+          "3") "],\"hasMore\":false,\"storeRevision\":12}" },
+    "GET",
+    "/objects/config",
+    "",
+    BJ_OK,
+    "12",
+    "{\"a\":1}" },
+  { "list without it",
+    LIST,
+    { 200, "{\"items\":[],\"hasMore\":false,\"storeRevision\":13}" },
+    "GET",
+    "/objects/config",
+    "",
+    BJ_E_NOT_FOUND,
+    "13",
+    "" },
+  { "watch with news",
+    WATCH,
+    { 200, "{\"events\":[{\"deleted\":false,\"object\":" OBJECT ("14") "}],\"storeRevision\":14}" },
+    "GET",
+    "/objects/config?watch=5&waitMs=30000",
+    "",
+    BJ_OK,
+    "14",
+    "{\"a\":1}" },
+  { "watch without news",
+    WATCH,
+    { 200, "{\"events\":[],\"storeRevision\":15}" },
+    "GET",
+    "/objects/config?watch=5&waitMs=30000",
+    "",
+    BJ_E_NOT_FOUND,
+    "15",
+    "" },
+  { "history gone",
+    WATCH,
+    { 410, "{}" },
+    "GET",
+    "/objects/config?watch=5&waitMs=30000",
+    "",
+    BJ_E_GONE,
+    "",
+    "" },
   { "over the rate", GET, { 429, "{}" }, "GET", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
   { "down", GET, { 503, "{}" }, "GET", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
   { "answer lost", UPDATE, { 0, NULL }, "PUT", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
   { "not JSON", GET, { 200, "{{" }, "GET", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
-  { "JSON of another form", GET, { 200, "[1]" }, "GET", "/objects/config/main", "", BJ_E_PLATFORM, "", "" },
+  { "JSON of another form",
+    GET,
+    { 200, "[1]" },
+    "GET",
+    "/objects/config/main",
+    "",
+    BJ_E_PLATFORM,
+    "",
+    "" },
 };
 
 static void
@@ -415,8 +616,7 @@
   if (call == GET)
     p->ops->get (p, "config/main", on_reply, r);
   else if (call == CREATE || call == UPDATE)
-    p->ops->put (
-        p, "config/main", spec, call == CREATE ? BJ_STR_NULL : BJ_STR ("5"), on_reply, r);
+    p->ops->put (p, "config/main", spec, call == CREATE ? BJ_STR_NULL : BJ_STR ("5"), on_reply, r);
   else
     p->ops->watch (p, "config/main", call == LIST ? BJ_STR_NULL : BJ_STR ("5"), on_reply, r);
   json_object_put (spec);
