--- a/tests/callers.c
+++ b/tests/callers.c
@@ -61,12 +61,8 @@
 }
 
 BjOutcome
-callers_send (Fleet *f,
-              Action *a,
-              int member,
-              const char *path_prefix,
-              int *status,
-              double *retry_ms)
+callers_send (
+    Fleet *f, Action *a, int member, const char *path_prefix, int *status, double *retry_ms)
 {
   char path[160];
   char header[96];
@@ -168,4 +164,3 @@
     }
   return true;
 }
-
--- a/tests/callers.h
+++ b/tests/callers.h
@@ -41,12 +41,8 @@
 void callers_make_key (char *key, size_t size); // A UUID of version 7, unique in this process
 void callers_make_key_at (char *key, size_t size, double wall_ms); // Of that time
 bool callers_mint (Fleet *f, int member, char *key, size_t size);  // A home-bound id
-BjOutcome callers_send (Fleet *f,
-                        Action *a,
-                        int member,
-                        const char *path_prefix,
-                        int *status,
-                        double *retry_ms);
+BjOutcome callers_send (
+    Fleet *f, Action *a, int member, const char *path_prefix, int *status, double *retry_ms);
 void callers_begin (Fleet *f, GThread **threads, Caller *callers, bool is_home_bound);
 void callers_end (GThread **threads);
 bool callers_are_served (void *fleet); // Every daemon serves one action
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -222,7 +222,8 @@
 {
   for (int i = 0; i < FAULTS_MAX; i++)
     if (running[i].kind != NULL
-        && (running[i].kind == k || (k->takes_daemon && running[i].kind->takes_daemon && running[i].node == node)))
+        && (running[i].kind == k
+            || (k->takes_daemon && running[i].kind->takes_daemon && running[i].node == node)))
       return false;
   return true;
 }
