A probe's connection must stay open for 100 ms

Cause: the proxy accepts in the crashed upstream's place and resets, on a busy machine later than 20 ms, so the crash passed for a lost connection. A probe that is refused tells at once, as before; only lost answers wait longer for their retry.

--- a/src/pool.c
+++ b/src/pool.c
@@ -21,7 +21,7 @@
 #define PROBE_IDLE_S 1     // of a silent connection before it is probed
 #define PROBE_INTERVAL_S 1 // between two probes
 #define PROBES 2           // unanswered, before it is lost
-#define PROOF_MS 20        // that the connection of a probe must stay open
+#define PROOF_MS 100       // that the connection of a probe must stay open
 #define HEADER_MAX 65536   // bytes of an answer's head
 #define SUSPECT_MS 500     // without an answer while others come, idle connections are doubted
 
