--- a/tests/test_announce.c
+++ b/tests/test_announce.c
@@ -57,6 +57,7 @@
     }
   bj_kernel_free (d.kernel);
   bj_str_free (&d.upstream.host);
+  bj_str_free (&d.upstream_id);
   g_string_free (out, TRUE);
 }
 
