--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -129,6 +129,7 @@
 void bj_hist_add (BjHist *h, double ms); // Records one value; below 1 us counts as 1 us
 double bj_hist_quantile (const BjHist *h,
                          double q); // Value in ms at quantile q in 0..1; 0 when empty
+uint64_t bj_hist_below (const BjHist *h, double ms);   // Values in the buckets up to that of ms
 void bj_hist_merge (BjHist *into, const BjHist *from); // Adds from to into
 
 typedef struct
@@ -739,6 +740,10 @@
                      BjCall *c,
                      BjStatus s,
                      BjOutcome o); // Peer or upstream failed before an answer
+void bj_kernel_crashed (BjKernel *k,
+                        BjTime now,
+                        uint64_t fingerprint,
+                        BjTime started); // The own upstream died running a call that ended since
 void bj_kernel_notice (BjKernel *k, BjTime now, const BjNotice *n); // A peer tells of a suspect
 void bj_kernel_notices (BjKernel *k,
                         BjTime now,
--- a/src/call.c
+++ b/src/call.c
@@ -3,7 +3,6 @@
 #include "kernel.h"
 
 static uint32_t cohort_of (BjKernel *k, const BjRequest *r);
-
 static void copy_request (BjRequest *to, const BjRequest *from);
 static void clear_request (BjRequest *r);
 
--- a/src/count.c
+++ b/src/count.c
@@ -83,23 +83,30 @@
 static void
 print_latency (const BjKernel *k, GString *out)
 {
-  static const double quantiles[] = { 0.5, 0.9, 0.99, 0.999 };
+  static const double bounds_ms[] = { 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000 };
 
   g_string_append (out, "# HELP bj_latency_ms From arrival to the end of the answer, by role.\n");
-  g_string_append (out, "# TYPE bj_latency_ms summary\n");
+  g_string_append (out, "# TYPE bj_latency_ms histogram\n");
   for (int role = 0; role < BJ_ROLES; role++)
     {
       const BjHist *h = &k->counts.latency[role];
 
-      for (size_t i = 0; i < G_N_ELEMENTS (quantiles); i++)
+      for (size_t i = 0; i < G_N_ELEMENTS (bounds_ms); i++)
         g_string_append_printf (out,
-                                "bj_latency_ms{role=\"%s\",quantile=\"%g\"} %.3f\n",
+                                "bj_latency_ms_bucket{role=\"%s\",le=\"%g\"} %" G_GUINT64_FORMAT
+                                "\n",
                                 role_names[role],
-                                quantiles[i],
-                                bj_hist_quantile (h, quantiles[i]));
-      g_string_append_printf (
-          out, "bj_latency_ms_sum{role=\"%s\"} %.3f\n", role_names[role], h->sum_ms);
-      g_string_append_printf (
-          out, "bj_latency_ms_count{role=\"%s\"} %" G_GUINT64_FORMAT "\n", role_names[role], h->n);
+                                bounds_ms[i],
+                                bj_hist_below (h, bounds_ms[i]));
+      g_string_append_printf (out,
+                              "bj_latency_ms_bucket{role=\"%s\",le=\"+Inf\"} %" G_GUINT64_FORMAT
+                              "\nbj_latency_ms_sum{role=\"%s\"} %.3f\n"
+                              "bj_latency_ms_count{role=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                              role_names[role],
+                              h->n,
+                              role_names[role],
+                              h->sum_ms,
+                              role_names[role],
+                              h->n);
     }
 }
--- a/src/http.c
+++ b/src/http.c
@@ -41,11 +41,8 @@
   BjStr body;
   BjHttpOptions o;
   BjHttpHead head;
-  char content_type[128];
   char outcome[16];
-  GString *relayed; // headers to relay
   bool head_told;
-  bool paused;
   bool cancelled;
   BjTime started;
 };
@@ -121,8 +118,6 @@
   c->o = *o;
   c->url = g_strdup (o->url);
   c->body = bj_str_dup (o->body);
-  c->relayed = g_string_new (NULL);
-  c->head.length = -1;
   c->head.attempts_left = -1;
   c->started = bj_clock_now ();
   c->easy = curl_easy_init ();
@@ -147,15 +142,6 @@
   return c;
 }
 
-void
-bj_http_resume (BjHttpCall *c)
-{
-  if (!c->paused || c->cancelled)
-    return;
-  c->paused = false;
-  curl_easy_pause (c->easy, CURLPAUSE_CONT);
-}
-
 void
 bj_http_cancel (BjHttpCall *c)
 {
@@ -295,9 +281,6 @@
 
   if (c->cancelled)
     return 0;
-  // A status line begins a new head, after an interim one too.
-  if (bj_str_starts (line, BJ_STR ("HTTP/")))
-    g_string_truncate (c->relayed, 0);
   if (colon == NULL)
     return line.len;
   name = (BjStr){ line.data, (size_t)(colon - line.data) };
@@ -307,8 +290,7 @@
   while (value.len > 0 && g_ascii_isspace (value.data[value.len - 1]))
     value.len--;
   read_header (c, name, value);
-  bj_header_add (c->relayed, name, value);
-  return c->relayed->len <= BJ_HEADER_MAX ? line.len : 0;
+  return line.len;
 }
 
 static size_t
@@ -326,26 +308,18 @@
   taken = c->o.body_part (c->o.data, (BjStr){ data, size * n });
   if (c->cancelled)
     return 0;
-  if (taken == size * n)
-    return taken;
-  c->paused = true;
-  return CURL_WRITEFUNC_PAUSE;
+  return taken;
 }
 
 static void
 tell_head (BjHttpCall *c)
 {
   long status = 0;
-  curl_off_t length = -1;
 
   c->head_told = true;
   curl_easy_getinfo (c->easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_getinfo (c->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
   c->head.status = (int)status;
-  c->head.length = length;
-  c->head.content_type = bj_str (c->content_type);
   c->head.outcome = bj_str (c->outcome);
-  c->head.headers = (BjStr){ c->relayed->str, c->relayed->len };
   if (c->o.head != NULL)
     c->o.head (c->o.data, &c->head);
 }
@@ -356,9 +330,7 @@
   int64_t number = 0;
   const char *key = name.data;
 
-  if (name.len == 12 && strncasecmp (key, "Content-Type", 12) == 0)
-    g_strlcpy (c->content_type, value.data, MIN (value.len + 1, sizeof c->content_type));
-  else if (name.len == 10 && strncasecmp (key, "Bj-Outcome", 10) == 0)
+  if (name.len == 10 && strncasecmp (key, "Bj-Outcome", 10) == 0)
     g_strlcpy (c->outcome, value.data, MIN (value.len + 1, sizeof c->outcome));
   else if (name.len == 17 && strncasecmp (key, "Bj-Retry-After-Ms", 17) == 0
            && bj_str_int (value, &number))
@@ -401,7 +373,6 @@
   curl_easy_cleanup (c->easy);
   curl_slist_free_all (c->headers);
   bj_str_free (&c->body);
-  g_string_free (c->relayed, TRUE);
   g_free (c->url);
   g_free (c);
 }
@@ -415,7 +386,7 @@
     h->pool = POOL_TRUSTED;
   if (h->pool == POOL_PROBED && h->probe == NULL)
     h->probe = c;
-  return c->o.fresh_connection || h->probe == c || h->pool == POOL_DISTRUSTED;
+  return h->probe == c || h->pool == POOL_DISTRUSTED;
 }
 
 static bool
--- a/src/internal.h
+++ b/src/internal.h
@@ -220,10 +220,7 @@
 typedef struct
 {
   int status;
-  BjStr content_type;
-  BjStr headers;  // others to relay
-  int64_t length; // -1 when not known
-  BjStr outcome;  // Bj-Outcome
+  BjStr outcome; // Bj-Outcome
   double retry_after_ms;
   int attempts_left; // -1 when not given
 } BjHttpHead;
@@ -235,9 +232,8 @@
   const char *const *headers; // "Name: value", NULL-terminated
   BjStr body;                 // copied
   double timeout_ms;          // 0 for none
-  bool fresh_connection;      // never reuse an idle one
   void (*head) (void *data, const BjHttpHead *h);
-  size_t (*body_part) (void *data, BjStr part); // bytes taken: all or 0, which pauses
+  size_t (*body_part) (void *data, BjStr part); // bytes taken, all of them
   void (*done) (
       void *data,
       BjStatus s,
@@ -249,7 +245,6 @@
 void bj_http_free (BjHttp *h); // Ends open calls without telling them
 BjHttpCall *bj_http_start (BjHttp *h,
                            const BjHttpOptions *o); // done is called later, never at once
-void bj_http_resume (BjHttpCall *c);                // After a pause
 void bj_http_cancel (BjHttpCall *c);                // Closes the connection; done is not called
 
 // ---------------------------------------------------------------------------------------------
@@ -636,6 +631,31 @@
   const BjPlatformOps *ops;
 };
 
+// ---------------------------------------------------------------------------------------------
+// Ask: calls to an HTTP object store that answers in JSON, for plug-ins of the platform
+// ---------------------------------------------------------------------------------------------
+
+typedef struct BjAsks BjAsks;
+
+typedef struct
+{
+  const char *method;
+  const char *path; // behind the store's URL
+  const char *name; // of the object, copied, for read
+  BjStr body;       // copied
+  double timeout_ms;
+  void (*read) (struct json_object *o,
+                const char *name,
+                BjPlatformReply *r); // Fills r from a whole answer, NULL when it is no JSON
+  BjPlatformDone done;
+  void *data;
+} BjAskOptions;
+
+BjAsks *bj_asks_new (BjHttp *http, BjStr url);
+void bj_asks_free (BjAsks *a); // Drops the open calls
+void bj_asks_start (BjAsks *a, const BjAskOptions *o);
+void bj_asks_forget (BjAsks *a, void *data); // Drops the open calls of data
+
 // ---------------------------------------------------------------------------------------------
 // Filer: makes the calls of one filing at the platform
 // ---------------------------------------------------------------------------------------------
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -293,6 +293,12 @@
   failed (k, now, c, &a);
 }
 
+void
+bj_kernel_crashed (BjKernel *k, BjTime now, uint64_t fingerprint, BjTime started)
+{
+  bj_quarantine_crashed (k->quarantine, now, fingerprint, started);
+}
+
 void
 bj_kernel_notice (BjKernel *k, BjTime now, const BjNotice *n)
 {
--- a/src/metric.c
+++ b/src/metric.c
@@ -36,6 +36,16 @@
   return upper_bound_ms (BJ_HIST_BUCKETS - 1);
 }
 
+uint64_t
+bj_hist_below (const BjHist *h, double ms)
+{
+  uint64_t n = 0;
+
+  for (int i = 0; i <= bucket_of (ms); i++)
+    n += h->bucket[i];
+  return n;
+}
+
 void
 bj_hist_merge (BjHist *into, const BjHist *from)
 {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -15,6 +15,8 @@
 {
   BjSource source; // first
   BjExchange *x;   // NULL once its call has ended
+  uint64_t fingerprint;
+  BjTime started;
 } Lost;
 
 static void write_head (const BjDaemon *d, BjCall *c, GString *head);
@@ -24,9 +26,9 @@
 static size_t on_body (void *data, BjStr part);
 static void on_done (void *data, BjStatus s, bool sent);
 static void free_run (Run *r);
-
 static void wait_for_probe (BjExchange *x);
 static void on_probed (void *data, BjStatus s, bool sent);
+static void tell_lost (BjDaemon *d, const Lost *l, bool has_crashed);
 static void on_lost_drained (BjSource *s, size_t n);
 static void on_lost_cancel (BjSource *s);
 
@@ -169,6 +171,8 @@
 
   l->source.ops = &lost_ops;
   l->x = x;
+  l->fingerprint = x->call->fingerprint;
+  l->started = x->call->started;
   x->source = &l->source;
   g_ptr_array_add (d->lost_runs, l);
   if (d->lost_runs->len > 1)
@@ -194,19 +198,26 @@
     bj_daemon_upstream_down (d);
   for (guint i = 0; i < all->len; i++)
     {
-      Lost *l = all->pdata[i];
-      BjExchange *x = l->x;
-
-      g_free (l);
-      // Its call ended meanwhile.
-      if (x == NULL)
-        continue;
-      x->source = NULL;
-      bj_exchange_lost (x, s == BJ_E_NO_UPSTREAM ? BJ_E_CRASHED : BJ_E_LOST, BJ_UNKNOWN);
+      tell_lost (d, all->pdata[i], s == BJ_E_NO_UPSTREAM);
+      g_free (all->pdata[i]);
     }
   g_ptr_array_free (all, TRUE);
 }
 
+// A call that ended while the probe was out may still be what crashed the upstream.
+static void
+tell_lost (BjDaemon *d, const Lost *l, bool has_crashed)
+{
+  if (l->x == NULL)
+    {
+      if (has_crashed)
+        bj_kernel_crashed (d->kernel, bj_clock_now (), l->fingerprint, l->started);
+      return;
+    }
+  l->x->source = NULL;
+  bj_exchange_lost (l->x, has_crashed ? BJ_E_CRASHED : BJ_E_LOST, BJ_UNKNOWN);
+}
+
 static void
 on_lost_drained (BjSource *s, size_t n)
 {
--- /dev/null
+++ b/tests/test_upstream.c
@@ -0,0 +1,248 @@
+// Runs whose connection was lost: a crash of the upstream is told from a lost connection by a probe,
+// also for a call that ended before the probe did.
+
+#include "internal.h"
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <ev.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define PROBE_HELD_MS 40 // before the probe's connection is reset or kept for good
+#define WAIT_MS 3000
+
+typedef struct
+{
+  const char *name;
+  bool crashes;   // the probe is reset, as a proxy does in place of a crashed upstream
+  bool is_left;   // the caller leaves while the probe is out
+  bool suspected; // the request is, in the end
+} CrashCase;
+
+static const CrashCase cases[] = {
+  { "crash, its caller waits", true, false, true },
+  { "crash, its caller has left", true, true, true },
+  { "lost connection, its caller waits", false, false, false },
+  { "lost connection, its caller has left", false, true, false },
+};
+
+typedef struct
+{
+  struct ev_loop *loop;
+  const CrashCase *c;
+  int fd;
+  ev_io accept;
+  ev_timer held;
+  int n_conns;
+  int probe;
+  BjExchange *x; // of the call, NULL once it has ended
+  bool is_done;
+} Upstream;
+
+typedef struct
+{
+  BjSink sink; // first
+  Upstream *u;
+} Caller;
+
+static void
+close_reset (int fd)
+{
+  struct linger reset = { 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (fd);
+}
+
+static void
+on_held (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Upstream *u = w->data;
+
+  (void)loop;
+  (void)events;
+  if (u->c->crashes)
+    close_reset (u->probe);
+  u->is_done = true;
+}
+
+// The first connection carries the run and is reset, the second is the probe.
+static void
+on_accept (struct ev_loop *loop, ev_io *w, int events)
+{
+  Upstream *u = w->data;
+  int fd = accept (u->fd, NULL, NULL);
+  char byte;
+
+  (void)events;
+  if (++u->n_conns == 1)
+    {
+      assert_int_equal (recv (fd, &byte, 1, 0), 1);
+      close_reset (fd);
+      return;
+    }
+  u->probe = fd;
+  if (u->c->is_left && u->x != NULL)
+    {
+      BjExchange *x = u->x;
+
+      u->x = NULL;
+      bj_exchange_gone (x);
+    }
+  ev_timer_set (&u->held, PROBE_HELD_MS / 1000.0, 0);
+  ev_timer_start (loop, &u->held);
+}
+
+static void
+caller_begin (BjSink *s, const BjAnswer *a)
+{
+  (void)s;
+  (void)a;
+}
+
+static size_t
+caller_room (BjSink *s)
+{
+  (void)s;
+  return SIZE_MAX;
+}
+
+static void
+caller_data (BjSink *s, BjStr part)
+{
+  (void)s;
+  (void)part;
+}
+
+static void
+caller_end (BjSink *s, bool whole)
+{
+  (void)whole;
+  ((Caller *)s)->u->x = NULL;
+}
+
+static const BjSinkOps caller_ops = { caller_begin, caller_room, caller_data, caller_end };
+
+// A listening socket on a port that is free; its number.
+static int
+listen_anywhere (int *fd)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  socklen_t len = sizeof addr;
+
+  inet_pton (AF_INET, "127.0.0.1", &addr.sin_addr);
+  *fd = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (bind (*fd, (struct sockaddr *)&addr, sizeof addr), 0);
+  assert_int_equal (listen (*fd, 8), 0);
+  getsockname (*fd, (struct sockaddr *)&addr, &len);
+  return ntohs (addr.sin_port);
+}
+
+static BjAddress
+free_address (void)
+{
+  int fd;
+  int port = listen_anywhere (&fd);
+
+  close (fd);
+  return (BjAddress){ BJ_STR ("127.0.0.1"), port };
+}
+
+static BjDaemon *
+new_daemon (struct ev_loop *loop, int upstream_port)
+{
+  static const char config[]
+      = "{\"number\":1,\"priorities\":[\"lookup\"],\"services\":{\"s\":{\"routes\":[{\"prefix\":\"/s/"
+        "\",\"class\":\"lookup\",\"attempts\":0}]}}}";
+  BjSettings s = { .name = BJ_STR ("one"),
+                   .domain = BJ_STR ("a"),
+                   .region = BJ_STR ("r"),
+                   .front = free_address (),
+                   .admin = free_address (),
+                   .link = free_address (),
+                   .gossip = free_address (),
+                   .platform_name = BJ_STR ("memory"),
+                   .platform_url = BJ_STR ("test_upstream"),
+                   .dialect = BJ_STR ("borage"),
+                   .heartbeat_ms = 10000,
+                   .drain_ms = 100 };
+  BjDaemon *d;
+
+  s.advertised_link = s.link;
+  s.advertised_gossip = s.gossip;
+  if (bj_daemon_new (loop, &s, &d) != BJ_OK)
+    fail_msg ("%s", bj_last_message ());
+  bj_daemon_config (d, bj_str (config));
+  assert_int_equal (bj_daemon_announce (d,
+                                        &(BjAnnouncement){ .service = BJ_STR ("s"),
+                                                           .address = { BJ_STR ("127.0.0.1"),
+                                                                        upstream_port },
+                                                           .slots = 4 }),
+                    BJ_OK);
+  return d;
+}
+
+static void
+run_case (const CrashCase *c)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  Upstream u = { .loop = loop, .c = c, .probe = -1 };
+  BjDaemon *d = new_daemon (loop, listen_anywhere (&u.fd));
+  Caller caller = { .sink = { &caller_ops }, .u = &u };
+  BjRequest r = { .method = BJ_STR ("GET"),
+                  .path = BJ_STR ("/s/x"),
+                  .klass = -1,
+                  .attempts_left = -1,
+                  .deadline_ms = WAIT_MS };
+  GArray *notices = g_array_new (FALSE, FALSE, sizeof (BjNotice));
+  BjTime until = bj_clock_now () + WAIT_MS;
+
+  ev_io_init (&u.accept, on_accept, u.fd, EV_READ);
+  ev_timer_init (&u.held, on_held, 0, 0);
+  u.accept.data = &u;
+  u.held.data = &u;
+  ev_io_start (loop, &u.accept);
+  u.x = bj_daemon_arrive (d, &r, &caller.sink);
+  assert_non_null (u.x);
+  while ((!u.is_done || d->lost_runs->len > 0) && bj_clock_now () < until)
+    ev_run (loop, EVRUN_ONCE);
+  assert_true (u.is_done);
+  assert_int_equal (d->lost_runs->len, 0);
+  bj_kernel_notices (d->kernel, bj_clock_now (), true, notices);
+  if ((notices->len > 0) != c->suspected)
+    fail_msg ("%s: %u suspects", c->name, notices->len);
+  g_array_free (notices, TRUE);
+  ev_io_stop (loop, &u.accept);
+  close (u.fd);
+  if (!c->crashes)
+    close (u.probe);
+  bj_daemon_free (d);
+  ev_loop_destroy (loop);
+}
+
+static void
+test_cases (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      print_message ("  %s\n", cases[i].name);
+      run_case (&cases[i]);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_cases) };
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  bj_log_open (BJ_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
