--- a/src/pool.c
+++ b/src/pool.c
@@ -320,7 +320,10 @@
       getsockopt (r->fd, SOL_SOCKET, SO_ERROR, &error, &len);
       if (error != 0)
         {
-          lose (r, error == ECONNREFUSED ? BJ_E_NO_UPSTREAM : BJ_E_LOST);
+          // What stands between may reset what it has accepted in the upstream's place.
+          bool is_refused = error == ECONNREFUSED || (r->o.is_probe && error == ECONNRESET);
+
+          lose (r, is_refused ? BJ_E_NO_UPSTREAM : BJ_E_LOST);
           return;
         }
       r->state = SENDING;
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -1,5 +1,5 @@
-// Runs whose connection was lost: a crash of the upstream is told from a lost connection by a probe,
-// also for a call that ended before the probe did.
+// Runs whose connection was lost: a crash of the upstream is told from a lost connection by a
+// probe, also for a call that ended before the probe did.
 
 #include "internal.h"
 #include <arpa/inet.h>
@@ -21,15 +21,17 @@
 {
   const char *name;
   bool crashes;   // the probe is reset, as a proxy does in place of a crashed upstream
+  bool at_once;   // before the daemon has seen it open
   bool is_left;   // the caller leaves while the probe is out
   bool suspected; // the request is, in the end
 } CrashCase;
 
 static const CrashCase cases[] = {
-  { "crash, its caller waits", true, false, true },
-  { "crash, its caller has left", true, true, true },
-  { "lost connection, its caller waits", false, false, false },
-  { "lost connection, its caller has left", false, true, false },
+  { "crash, its caller waits", true, false, false, true },
+  { "crash, the probe reset at once", true, true, false, true },
+  { "crash, its caller has left", true, false, true, true },
+  { "lost connection, its caller waits", false, false, false, false },
+  { "lost connection, its caller has left", false, false, true, false },
 };
 
 typedef struct
@@ -85,6 +87,10 @@
     {
       assert_int_equal (recv (fd, &byte, 1, 0), 1);
       close_reset (fd);
+      // From now on before the daemon's watchers in the same turn of the loop.
+      ev_io_stop (loop, w);
+      ev_set_priority (w, EV_MAXPRI);
+      ev_io_start (loop, w);
       return;
     }
   u->probe = fd;
@@ -95,6 +101,11 @@
       u->x = NULL;
       bj_exchange_gone (x);
     }
+  if (u->c->at_once)
+    {
+      on_held (loop, &u->held, 0);
+      return;
+    }
   ev_timer_set (&u->held, PROBE_HELD_MS / 1000.0, 0);
   ev_timer_start (loop, &u->held);
 }
@@ -157,9 +168,9 @@
 static BjDaemon *
 new_daemon (struct ev_loop *loop, int upstream_port)
 {
-  static const char config[]
-      = "{\"number\":1,\"priorities\":[\"lookup\"],\"services\":{\"s\":{\"routes\":[{\"prefix\":\"/s/"
-        "\",\"class\":\"lookup\",\"attempts\":0}]}}}";
+  static const char config[] = "{\"number\":1,\"priorities\":[\"lookup\"],\"services\":{\"s\":{"
+                               "\"routes\":[{\"prefix\":\"/s/"
+                               "\",\"class\":\"lookup\",\"attempts\":0}]}}}";
   BjSettings s = { .name = BJ_STR ("one"),
                    .domain = BJ_STR ("a"),
                    .region = BJ_STR ("r"),
@@ -179,12 +190,12 @@
   if (bj_daemon_new (loop, &s, &d) != BJ_OK)
     fail_msg ("%s", bj_last_message ());
   bj_daemon_config (d, bj_str (config));
-  assert_int_equal (bj_daemon_announce (d,
-                                        &(BjAnnouncement){ .service = BJ_STR ("s"),
-                                                           .address = { BJ_STR ("127.0.0.1"),
-                                                                        upstream_port },
-                                                           .slots = 4 }),
-                    BJ_OK);
+  assert_int_equal (
+      bj_daemon_announce (d,
+                          &(BjAnnouncement){ .service = BJ_STR ("s"),
+                                             .address = { BJ_STR ("127.0.0.1"), upstream_port },
+                                             .slots = 4 }),
+      BJ_OK);
   return d;
 }
 
