--- a/src/swim.c
+++ b/src/swim.c
@@ -12,7 +12,8 @@
 #define DEPARTED_EVERY_MS 1000  // between probes of dead members
 #define DEPARTED_MS 21600000.0  // a dead member is kept and probed for this long
 #define LEFT_MS 60000.0         // a member that left is kept for this long
-#define SEED_JOIN_MS 1000       // between probes of seeds while nobody else is known
+#define SEED_FIRST_MS 200       // between probes of seeds after the start while nobody is known
+#define SEED_JOIN_MS 1000       // the same later
 #define SEED_EVERY_MS 10000     // between probes of seeds afterwards
 #define SEEDS_AT_ONCE 3         // seeds probed at once while nobody else is known
 #define QUIET_MS 1000           // since the last change before a different digest is looked into
@@ -35,6 +36,8 @@
 static void suspect (BjSwim *s, BjTime now, BjMember *m);
 static void expire_suspects (BjSwim *s, BjTime now);
 static void probe_departed (BjSwim *s, BjTime now);
+static void probe_new_seeds (BjSwim *s);
+static bool is_alone (const BjSwim *s);
 static void probe_seeds (BjSwim *s, BjTime now);
 static bool is_departed (const BjSwim *s, const BjMember *m);
 static BjSwimVerdict check_sender (BjSwim *s, BjTime now, const BjDatagram *d);
@@ -114,6 +117,7 @@
   bj_spread_tick (s, now);
   if (now >= s->next_departed)
     probe_departed (s, now);
+  probe_new_seeds (s);
   if (now >= s->next_seed)
     probe_seeds (s, now);
   bj_roster_forget (&s->roster, now, DEPARTED_MS, LEFT_MS);
@@ -161,8 +165,9 @@
   for (int i = 0; i < s->n_seeds; i++)
     if (port == s->seeds[i].port && bj_str_equal (host, s->seeds[i].host))
       return;
-  if (s->n_seeds < BJ_SWIM_SEEDS_MAX)
-    s->seeds[s->n_seeds++] = (BjAddress){ bj_str_dup (host), port };
+  if (s->n_seeds >= BJ_SWIM_SEEDS_MAX)
+    return;
+  s->seeds[s->n_seeds++] = (BjAddress){ bj_str_dup (host), port };
 }
 
 const BjMember *
@@ -389,15 +394,29 @@
     bj_spread_send (s, &d, m, m->report.gossip_host, m->report.gossip_port);
 }
 
+// Seeds may be named long after the start, by the platform's store.
+static void
+probe_new_seeds (BjSwim *s)
+{
+  for (int i = 0; i < SEEDS_AT_ONCE && s->n_seeds_probed < s->n_seeds && !s->leaving; i++)
+    ping_address (s, &s->seeds[s->n_seeds_probed++]);
+}
+
+static bool
+is_alone (const BjSwim *s)
+{
+  return s->roster.n_up < 2;
+}
+
 static void
 probe_seeds (BjSwim *s, BjTime now)
 {
-  bool is_alone = s->roster.n_up < 2;
+  double join_ms = now - s->started < JOIN_MS ? SEED_FIRST_MS : SEED_JOIN_MS;
 
-  s->next_seed = now + (is_alone ? SEED_JOIN_MS : SEED_EVERY_MS);
+  s->next_seed = now + (is_alone (s) ? join_ms : SEED_EVERY_MS);
   if (s->leaving || s->n_seeds == 0)
     return;
-  for (int i = 0; i < (is_alone ? SEEDS_AT_ONCE : 1); i++)
+  for (int i = 0; i < (is_alone (s) ? SEEDS_AT_ONCE : 1); i++)
     ping_address (s, &s->seeds[g_rand_int_range (s->rand, 0, s->n_seeds)]);
 }
 
--- a/src/swim.h
+++ b/src/swim.h
@@ -36,6 +36,7 @@
   BjAddress bound;  // where the socket listens, owned
   BjAddress *seeds; // owned
   int n_seeds;
+  int n_seeds_probed; // the first ones, at least once
   uint64_t sequence;
   BjProbe probes[BJ_SWIM_PROBES_MAX];
   GPtrArray *round; // BjStr* names of the own domain still to be probed in this round, owned
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -452,6 +452,40 @@
     }
 }
 
+// A daemon that restarts learns its seeds from the store, after its first tick.
+static void
+test_late_seeds (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool knows_other;
+    BjTime until;
+    int at_least; // pings of the seed
+  } cases[] = {
+    { "alone, at once", false, 2 * BJ_SWIM_TICK_MS, 1 },
+    { "alone, while the seed starts too", false, 1000, 3 },
+    { "with others known, at once", true, 2 * BJ_SWIM_TICK_MS, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Bench b;
+
+      open_bench (&b);
+      if (cases[i].knows_other)
+        give (&b, 0, BJ_DATAGRAM_NEWS, 1, full ("a", 2, 10, 1, BJ_MEMBER_ALIVE), NULL);
+      bj_swim_tick (b.swim, 0);
+      bj_swim_add_seed (b.swim, BJ_STR ("127.0.0.1"), 7);
+      run (&b, BJ_SWIM_TICK_MS, cases[i].until);
+      if (count (&b, BJ_DATAGRAM_PING, "f") < cases[i].at_least)
+        print_error ("%s\n", cases[i].name);
+      assert_true (count (&b, BJ_DATAGRAM_PING, "f") >= cases[i].at_least);
+      bj_swim_free (b.swim);
+    }
+}
+
 static void
 on_send (BjSwimHost *h, const BjDatagram *d)
 {
@@ -503,7 +537,8 @@
     cmocka_unit_test (test_precedence), cmocka_unit_test (test_probing),
     cmocka_unit_test (test_own_name),   cmocka_unit_test (test_refused),
     cmocka_unit_test (test_pause),      cmocka_unit_test (test_leave),
-    cmocka_unit_test (test_mutations),  cmocka_unit_test (test_sizes),
+    cmocka_unit_test (test_late_seeds), cmocka_unit_test (test_mutations),
+    cmocka_unit_test (test_sizes),
   };
 
   bj_log_open (BJ_LOG_ERROR);
