A stopping daemon's upstream goes on taking work for a second

Cause: a stop refused peers at once, while the process stays 2 s for its own callers; the upstream stood idle for 2 s of each rolling restart. Ruled out: exiting sooner (callers look elsewhere only after two missed checks of /ready).

--- a/src/config.h
+++ b/src/config.h
@@ -43,6 +43,7 @@
 #define BJ_SKIP_MS 500              // a failed peer gets no call for this long
 #define BJ_WATCH_MS 10000           // one long poll at the platform
 #define BJ_DRAIN_MS 30000           // longest wait of a stop for open calls
+#define BJ_DRAIN_SERVE_MS 1000      // from a stop until the peers are told, work is taken as before
 #define BJ_DRAIN_TELL_MS 2000       // from a stop until no caller or peer sends new work
 #define BJ_PLATFORM_TIMEOUT_MS 2000 // of one platform call that is not a watch
 #define BJ_RETRY_AFTER_MIN_MS 100   // shortest time to come back
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -99,9 +99,9 @@
   d->stopping = true;
   d->stop_by = bj_clock_now () + d->settings.drain_ms;
   d->told_by = bj_clock_now () + MIN (BJ_DRAIN_TELL_MS, d->settings.drain_ms);
+  // Callers look elsewhere only later, so that there is no gain in leaving slots empty before.
+  d->serve_by = MIN (bj_clock_now () + BJ_DRAIN_SERVE_MS, d->told_by);
   bj_log (BJ_LOG_INFO, "DRAIN", "Stopping, %d calls open.", bj_kernel_open_calls (d->kernel));
-  bj_daemon_drain (d, true);
-  bj_members_tell (d->members);
   bj_server_close (bj_front_server (d->front));
 }
 
@@ -449,7 +449,14 @@
 static void
 check_stop (BjDaemon *d, BjTime now)
 {
-  if (!d->stopping || now < d->told_by)
+  if (!d->stopping || now < d->serve_by)
+    return;
+  if (!d->draining)
+    {
+      bj_daemon_drain (d, true);
+      bj_members_tell (d->members);
+    }
+  if (now < d->told_by)
     return;
   if (!d->is_quiesced)
     {
--- a/src/internal.h
+++ b/src/internal.h
@@ -859,7 +859,8 @@
   bool draining;
   bool stopping;
   BjTime stop_by;
-  BjTime told_by; // when all have heard that it stops
+  BjTime serve_by; // until when a stopping daemon's upstream takes new work
+  BjTime told_by;  // when all have heard that it stops
   bool is_quiesced;
   BjTime flush_by; // while stopping, after the last call ended
   struct BjDaemonWatchers *watchers;
--- a/tests/test_fleet_drain.c
+++ b/tests/test_fleet_drain.c
@@ -132,6 +132,30 @@
   close_fleet ();
 }
 
+// Callers and peers go on for a while, so the upstream must not stand idle meanwhile.
+static void
+test_stop_serves_first (void **state)
+{
+  double before[2];
+  double after[2];
+
+  (void)state;
+  open_fleet ();
+  start_load ();
+  for (BjTime until = bj_clock_now () + BOUND_MS; runs_of (1) < 10;)
+    assert_true (bj_clock_now () < until);
+  kill (fleet.members[1].daemon, SIGTERM);
+  for (int i = 0; i < 2; i++)
+    before[i] = runs_of (i + 1);
+  g_usleep ((gulong)(BJ_DRAIN_SERVE_MS * 0.8 * 1000));
+  for (int i = 0; i < 2; i++)
+    after[i] = runs_of (i + 1);
+  assert_int_equal (fleet_wait_exit (&fleet.members[1].daemon, BOUND_MS), 0);
+  close_fleet ();
+  print_message ("runs: %g stopping, %g elsewhere\n", after[0] - before[0], after[1] - before[1]);
+  assert_true (after[0] - before[0] >= (after[1] - before[1]) / 2);
+}
+
 static void
 test_rolling_replacement (void **state)
 {
@@ -301,6 +325,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_drained),
     cmocka_unit_test (test_stop),
+    cmocka_unit_test (test_stop_serves_first),
     cmocka_unit_test (test_rolling_replacement),
   };
 
