Guards tell what share of their upstream's runs fails; callers place elsewhere while there is room

Ruled out: the way to the daemon (its guard saw the losses), the row of three lost calls after which a daemon is skipped (successes between them).

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -209,6 +209,7 @@
   int limit;     // calls in flight that a guard takes, 0 when it tells no load
   int in_flight; // on its upstream
   int queued;    // waiting there
+  int failing;   // of 1000 runs there, those that fail through the upstream's fault
 } BjLoad;
 
 typedef struct
@@ -250,6 +251,8 @@
   bool irreversible;
   bool answer_begun;    // nothing can be retried any more
   int status;           // HTTP status of that answer
+  bool is_failed;       // that answer says that the run failed
+  bool is_failed_below; // a call that its run made did not succeed
   bool needs_claim;     // irreversible under the caller's key, not only within this attempt
   bool may_have_run;    // an attempt ended without telling
   uint64_t fingerprint; // of the request, for the quarantine
@@ -621,7 +624,8 @@
   int limit;             // calls in flight it takes now
   int in_flight;
   int queued;
-  int level; // admission level
+  int level;   // admission level
+  int failing; // of 1000 runs on its upstream, those that fail through the upstream's fault
   bool draining;
   int64_t config_number; // ticket in force there
 } BjPeerReport;
--- a/src/config.h
+++ b/src/config.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #define BJ_VERSION "0.1.0"
-#define BJ_PROTOCOL_VERSION 1 // of frames between daemons; others are refused
+#define BJ_PROTOCOL_VERSION 2 // of frames between daemons; others are refused
 
 // Sizes
 #define BJ_CLASSES 8                               // priority classes, 0 is shed last
@@ -42,6 +42,7 @@
 #define BJ_SWIM_PAUSE_MS 1000       // a later tick means that this process was paused
 #define BJ_SKIP_MS 500              // a failed peer gets no call for this long
 #define BJ_WATCH_MS 10000           // one long poll at the platform
+#define BJ_FAILING_MAX 1000         // of so many runs the failed ones are told
 #define BJ_DRAIN_MS 30000           // longest wait of a stop for open calls
 #define BJ_DRAIN_SERVE_MS 1000      // from a stop until the peers are told, work is taken as before
 #define BJ_DRAIN_TELL_MS 2000       // from a stop until no caller or peer sends new work
--- a/src/count.c
+++ b/src/count.c
@@ -34,6 +34,7 @@
   print_gauge (out, "limit", "Calls that may run on the own upstream.", self.limit);
   print_gauge (out, "queued", "Calls that wait for the own upstream.", self.queued);
   print_gauge (out, "level", "Admission level told to fronts.", self.level);
+  print_gauge (out, "failing", "Of 1000 runs on the own upstream, those it fails.", self.failing);
   print_gauge (out, "ticket", "Ticket in force.", (double)self.config_number);
   print_gauge (out, "members", "Daemons known, this one included.", g_hash_table_size (k->peers));
   print_gauge (out,
--- a/src/datagram.c
+++ b/src/datagram.c
@@ -4,9 +4,9 @@
 #include <arpa/inet.h>
 
 #define FIELDS 11
-#define FULL_FIELDS 20
+#define FULL_FIELDS 21
 #define STATE_FIELDS 6
-#define LOAD_FIELDS 8
+#define LOAD_FIELDS 9
 #define PORT_MAX 65535
 #define LOAD_MAX 1000000000 // calls
 #define ARRAY_BYTES 3       // of the head of an array, at most
@@ -100,7 +100,7 @@
 {
   const BjPeerReport *r = &u->report;
   BjStr texts[] = { r->domain, r->region, r->service, r->host, r->gossip_host };
-  int loads[] = { r->limit, r->in_flight, r->queued, r->level };
+  int loads[] = { r->limit, r->in_flight, r->queued, r->level, r->failing };
   size_t n = ARRAY_BYTES + 1 + STR_BYTES + r->name.len + uint_size (r->incarnation);
 
   if (u->kind != BJ_UPDATE_LOAD)
@@ -144,6 +144,7 @@
   msgpack_pack_int (p, r->in_flight);
   msgpack_pack_int (p, r->queued);
   msgpack_pack_int (p, r->level);
+  msgpack_pack_int (p, r->failing);
 }
 
 static void
@@ -172,6 +173,7 @@
   msgpack_pack_int (p, r->in_flight);
   msgpack_pack_int (p, r->queued);
   msgpack_pack_int (p, r->level);
+  msgpack_pack_int (p, r->failing);
 }
 
 static void
@@ -250,6 +252,7 @@
   r->in_flight = (int)bj_field_uint (in, LOAD_MAX);
   r->queued = (int)bj_field_uint (in, LOAD_MAX);
   r->level = (int)bj_field_uint (in, LOAD_MAX);
+  r->failing = (int)bj_field_uint (in, BJ_FAILING_MAX);
 }
 
 // Texts reach log lines and JSON, so control characters are refused.
--- a/src/frame.c
+++ b/src/frame.c
@@ -141,6 +141,7 @@
   msgpack_pack_int (p, a->load.limit);
   msgpack_pack_int (p, a->load.in_flight);
   msgpack_pack_int (p, a->load.queued);
+  msgpack_pack_int (p, a->load.failing);
   a->makes_calls ? msgpack_pack_true (p) : msgpack_pack_false (p);
   pack_str (p, a->content_type);
   pack_str (p, a->headers);
@@ -158,7 +159,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 17,  [BJ_FRAME_ANSWER] = 14, [BJ_FRAME_DATA] = 1,
+    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 17,  [BJ_FRAME_ANSWER] = 15, [BJ_FRAME_DATA] = 1,
     [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_NOTICE] = 3,  [BJ_FRAME_CONFIG] = 1,
   };
 
@@ -243,6 +244,7 @@
   a->load.limit = (int)bj_field_int (in, 0, INT_MAX);
   a->load.in_flight = (int)bj_field_int (in, 0, INT_MAX);
   a->load.queued = (int)bj_field_int (in, 0, INT_MAX);
+  a->load.failing = (int)bj_field_int (in, 0, BJ_FAILING_MAX);
   a->makes_calls = bj_field_bool (in);
   a->content_type = bj_field_bytes (in);
   a->headers = bj_field_bytes (in);
--- a/src/guard.c
+++ b/src/guard.c
@@ -164,6 +164,7 @@
                              .in_flight = c->start_in_flight,
                              .code = s };
 
+  bj_health_ended (k, now, c, s);
   bj_spill_changed (k, now, c, -1);
   smooth_demand (g, now);
   g->in_flight--;
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -249,6 +249,9 @@
     {
       c->answer_begun = true;
       c->status = a->http_status;
+      c->is_failed = a->failed;
+      if (a->failed)
+        bj_health_blame (k, c);
       return BJ_RELAY;
     }
   if (c->state == BJ_CALL_RUNNING && copy.code == BJ_OK)
@@ -271,6 +274,8 @@
                   whole,
                   now - c->arrived,
                   c->is_front ? bj_level_of (k, now, c) : bj_kernel_level (k, now, c));
+  if (!whole)
+    bj_health_blame (k, c);
   leave_state (k, now, c, whole ? BJ_OK : BJ_E_BROKEN);
   bj_call_end (k, c);
 }
@@ -611,6 +616,8 @@
                   now - c->arrived,
                   c->n_tried,
                   a.retry_after_ms);
+  if (a.code != BJ_OK)
+    bj_health_blame (k, c);
   if (c->service != NULL)
     a.level = bj_kernel_level (k, now, c);
   a.load = bj_kernel_load (k, now);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -11,6 +11,15 @@
   char *text; // owned
 } BjDecision;
 
+// Runs on the own upstream, fading with time.
+typedef struct
+{
+  double n_good;
+  double n_failed;
+  double n_orphans; // failed calls that the own upstream made for a run that is not known
+  BjTime faded;     // until then
+} BjHealth;
+
 typedef struct
 {
   BjStr service;      // owned, empty before the upstream announced itself
@@ -32,6 +41,7 @@
   int spilled;                   // of in_flight, calls from other domains
   double own_average;            // calls of the own domain in flight
   BjTime averaged;
+  BjHealth health;
 } BjGuard;
 
 // ---------------------------------------------------------------------------------------------
@@ -192,6 +202,14 @@
                            BjStatus s,
                            int klass); // Final answer with a time to come back
 
+// Health
+void bj_health_ended (BjKernel *k,
+                      BjTime now,
+                      const BjCall *c,
+                      BjStatus s);                   // A run on the own upstream
+int bj_health_failing (BjKernel *k, BjTime now);     // Of 1000 runs, those that fail by its fault
+void bj_health_blame (BjKernel *k, const BjCall *c); // c failed: so may what it was made for
+
 // Spill
 bool bj_spill_admit (BjKernel *k, BjTime now); // Whether one call of another domain may run now
 void bj_spill_changed (BjKernel *k,
--- a/src/peer.c
+++ b/src/peer.c
@@ -60,7 +60,7 @@
     {
       // The name is the key in the table and does not change.
       BjStr name = p->report.name;
-      BjLoad load = { p->report.limit, p->report.in_flight, p->report.queued };
+      BjLoad load = { p->report.limit, p->report.in_flight, p->report.queued, p->report.failing };
       bool keeps = !p->is_gone && p->report.incarnation == r->incarnation
                    && now - p->told_load < TOLD_LOAD_MS;
 
@@ -135,6 +135,7 @@
     .limit = k->guard.limiter != NULL ? bj_guard_limit (k, now) : 0,
     .in_flight = k->guard.in_flight,
     .queued = q != NULL ? q->ops->length (q) : 0,
+    .failing = bj_health_failing (k, now),
   };
 }
 
@@ -147,6 +148,7 @@
   p->report.limit = l->limit;
   p->report.in_flight = l->in_flight;
   p->report.queued = l->queued;
+  p->report.failing = l->failing;
   p->reported = now;
   p->told_load = now;
   p->sent_since = 0;
@@ -170,6 +172,7 @@
   self->limit = load.limit;
   self->in_flight = load.in_flight;
   self->queued = load.queued;
+  self->failing = load.failing;
   self->level = (int)k->level.own;
   self->draining = k->guard.draining;
   self->config_number = k->config != NULL ? k->config->number : 0;
--- a/src/place.c
+++ b/src/place.c
@@ -3,9 +3,13 @@
 // Another region gets it when the own one would keep it waiting longer than the way there and back,
 // and only what it has free.
 //
+// An upstream whose runs fail more often than those of most others gets what these have no room
+// for: each failure counts as if the call had waited for its whole objective.
+//
 // Loads come with every answer, so that a busy caller's view of a guard is some milliseconds old.
 
 #include "boragejunction.h"
+#include <stdlib.h>
 
 #define HOP_REGION_MS 1.0    // extra wait that a sister domain counts as
 #define HOP_FAR_MS 70.0      // the same of another region
@@ -17,7 +21,9 @@
 #define FAILURES_MAX 3       // in a row, before a daemon is skipped
 #define SKIP_MS 250          // first time without calls, doubled up to the next
 #define SKIP_MAX_MS 2000
-#define EXAMINED_MAX 32 // candidates looked at for one call; more are drawn at random
+#define EXAMINED_MAX 32  // candidates looked at for one call; more are drawn at random
+#define FAILING_MIN 50   // of 1000 runs; fewer failures are noise
+#define FAILED_MS 1000.0 // that a failure counts as for a call without an objective
 
 typedef struct
 {
@@ -29,7 +35,12 @@
 static BjPeer *pick (BjRouter *r, BjTime now, const BjRouterAsk *ask);
 static void result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s);
 static bool was_tried (const BjPeer *p, const BjCall *c);
+static bool is_candidate (const BjPeer *p, const BjRouterAsk *ask);
+static bool has_room (const BjPeer *p, BjTime now, const BjRouterAsk *ask);
 static double expected_wait (const BjPeer *p, BjTime now, const BjRouterAsk *ask);
+static int common_failing (const BjRouterAsk *ask, int first, int n);
+static gint by_number (gconstpointer a, gconstpointer b);
+static double failure_cost (const BjPeer *p, int common, const BjRouterAsk *ask);
 static double load_of (const BjPeer *p, BjTime now);
 
 static const BjRouterOps least_wait_ops = { create, destroy, pick, result, true };
@@ -56,17 +67,28 @@
   double best_ms = BJ_TIME_NEVER;
   int n = MIN (ask->n, EXAMINED_MAX);
   int first = ask->n > 0 ? g_rand_int_range (ask->rand, 0, ask->n) : 0;
+  int common = common_failing (ask, first, n);
+  double crowding = 0; // a failing one with room is taken before the others are crowded
 
   (void)r;
+  for (int i = 0; i < n; i++)
+    {
+      const BjPeer *p = ask->peers[(first + i) % ask->n];
+
+      if (is_candidate (p, ask) && has_room (p, now, ask))
+        crowding = MAX (crowding, failure_cost (p, common, ask));
+    }
   *ask->n_candidates = 0;
   for (int i = 0; i < n; i++)
     {
       BjPeer *p = ask->peers[(first + i) % ask->n];
       double ms;
 
-      if (p->report.draining || p->report.service.len == 0 || was_tried (p, ask->call))
+      if (!is_candidate (p, ask))
         continue;
-      ms = expected_wait (p, now, ask);
+      ms = expected_wait (p, now, ask) + failure_cost (p, common, ask);
+      if (!has_room (p, now, ask))
+        ms += crowding;
       (*ask->n_candidates)++;
       if (ms >= best_ms)
         continue;
@@ -119,6 +141,57 @@
   return false;
 }
 
+static bool
+is_candidate (const BjPeer *p, const BjRouterAsk *ask)
+{
+  return !p->report.draining && p->report.service.len > 0 && !was_tried (p, ask->call);
+}
+
+static bool
+has_room (const BjPeer *p, BjTime now, const BjRouterAsk *ask)
+{
+  return load_of (p, now) <= BUSY_LOAD && bj_str_equal (p->report.region, ask->region);
+}
+
+// What three quarters of the candidates reach, be it through calls that they make or through what
+// they are asked.
+static int
+common_failing (const BjRouterAsk *ask, int first, int n)
+{
+  int all[EXAMINED_MAX];
+  int found = 0;
+  bool is_any = false;
+
+  for (int i = 0; i < n; i++)
+    {
+      const BjPeer *p = ask->peers[(first + i) % ask->n];
+
+      if (!is_candidate (p, ask))
+        continue;
+      all[found++] = p->report.failing;
+      is_any = is_any || p->report.failing >= FAILING_MIN;
+    }
+  if (!is_any)
+    return 0;
+  qsort (all, (size_t)found, sizeof all[0], by_number);
+  return all[found / 4];
+}
+
+static gint
+by_number (gconstpointer a, gconstpointer b)
+{
+  return *(const int *)a - *(const int *)b;
+}
+
+static double
+failure_cost (const BjPeer *p, int common, const BjRouterAsk *ask)
+{
+  double ms = ask->call->objective_ms > 0 ? ask->call->objective_ms : FAILED_MS;
+  int more = p->report.failing - common;
+
+  return more >= FAILING_MIN ? ms * more / BJ_FAILING_MAX : 0;
+}
+
 // One that is skipped is still better than none.
 static double
 expected_wait (const BjPeer *p, BjTime now, const BjRouterAsk *ask)
--- a/src/swim.c
+++ b/src/swim.c
@@ -3,6 +3,7 @@
 
 #include "swim.h"
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define FAR_SHARE 0.25 // probes that go to another failure domain
@@ -23,8 +24,11 @@
 #define STALE_EVERY_MS 200      // between two hints to one member
 #define CONFLICT_EVERY_MS 10000 // between two log lines on a name claimed twice
 #define LOAD_DATAGRAMS 4        // that tell of one change of load
+#define FAILING_STEP 100        // of 1000 runs, a change that is told to all domains
+#define FAILING_EVERY_MS 500    // between two of these
 
 static void refresh_self (BjSwim *s, BjTime now);
+static bool has_new_health (const BjSwim *s, BjTime now);
 static void forgive_pause (BjSwim *s, BjTime gap);
 static void check_probes (BjSwim *s, BjTime now);
 static void ask_relays (BjSwim *s, BjProbe *p, const BjMember *m);
@@ -199,15 +203,19 @@
   s->host->ops->refresh (s->host, &r);
   has_new_config = r.config_number != self->config_number;
   if (r.limit != self->limit || r.in_flight != self->in_flight || r.queued != self->queued
-      || r.level != self->level || has_new_config)
+      || r.level != self->level || r.failing != self->failing || has_new_config)
     {
       set_load (self, &r);
       self->config_number = r.config_number;
       self->load_version++;
     }
-  // The ticket in force rides on the version, so that news are relayed and digests repair it.
-  if (bj_str_equal (r.service, self->service) && r.draining == self->draining && !has_new_config)
+  // The ticket in force rides on the version, so that news are relayed and digests repair it; so
+  // does a change of health, as load is told in the own domain only.
+  if (bj_str_equal (r.service, self->service) && r.draining == self->draining && !has_new_config
+      && !has_new_health (s, now))
     return;
+  s->told_failing = self->failing;
+  s->told_failing_at = now;
   bj_str_set (&self->service, r.service);
   self->draining = r.draining;
   self->version++;
@@ -218,6 +226,13 @@
     bj_spread_news (s, s->self);
 }
 
+static bool
+has_new_health (const BjSwim *s, BjTime now)
+{
+  return abs (s->self->report.failing - s->told_failing) >= FAILING_STEP
+         && now - s->told_failing_at >= FAILING_EVERY_MS;
+}
+
 // A process that did not run has not seen the answers that came meanwhile.
 static void
 forgive_pause (BjSwim *s, BjTime gap)
@@ -545,6 +560,7 @@
   to->in_flight = from->in_flight;
   to->queued = from->queued;
   to->level = from->level;
+  to->failing = from->failing;
 }
 
 static void
--- a/src/swim.h
+++ b/src/swim.h
@@ -36,6 +36,8 @@
   BjAddress bound;  // where the socket listens, owned
   BjAddress *seeds; // owned
   int n_seeds;
+  int told_failing; // as last told to all domains
+  BjTime told_failing_at;
   int n_seeds_probed; // the first ones, at least once
   uint64_t sequence;
   BjProbe probes[BJ_SWIM_PROBES_MAX];
--- a/tests/test_heavy.c
+++ b/tests/test_heavy.c
@@ -85,10 +85,10 @@
       "\"objective_ms\":250}]%1$s}}}";
 static const char policy_own[]
     = ",\"limiter\":{\"plugin\":\"slots\"},\"router\":{\"plugin\":\"least-wait\"},"
-      "\"retry\":{\"ratio\":0.12,\"burst\":3,\"reserve\":2}";
+      "\"retry\":{\"ratio\":0.12,\"burst\":3,\"saved\":0.03,\"reserve\":2}";
 static const char policy_plain[] = ",\"limiter\":{\"plugin\":\"fixed\"},\"router\":{\"plugin\":"
                                    "\"round-robin\"},\"queue\":{\"plugin\":\"fifo\"},"
-                                   "\"retry\":{\"ratio\":0.12,\"burst\":3}";
+                                   "\"retry\":{\"ratio\":0.12,\"burst\":3,\"saved\":0.03}";
 
 typedef struct
 {
@@ -96,6 +96,7 @@
   double load;           // of what all estimators can carry
   int lost;              // domains without an estimator
   double ill;            // share of their runs that estimators refuse
+  double loses;          // share of the runs whose answer gets lost, in half of the domains
   double crowded;        // by how much runs take longer on full estimators than on half empty ones
   double least[CLASSES]; // share of callers served in time
   double of_best;        // worth served, of the most that the estimators can carry; 0 if not known
@@ -104,14 +105,15 @@
 // Targets: nothing is lost below capacity; above it acceptances and previews go before lookups, at
 // least nine tenths of the capacity turns into worth, and never less than with the plain plug-ins.
 static const HeavyCase cases[] = {
-  { "under its capacity", 0.7, 0, 0, 0, { 0.97, 0.97, 0.97 }, 0.97 },
-  { "a third over the capacity", 1.33, 0, 0, 0, { 0.9, 0.9, 0.3 }, 0.9 },
-  { "twice the capacity", 2, 0, 0, 0, { 0.8, 0.85, 0 }, 0.9 },
-  { "one domain without an estimator", 0.9, 1, 0, 0, { 0.9, 0.9, 0.5 }, 0.9 },
+  { "under its capacity", 0.7, 0, 0, 0, 0, { 0.97, 0.97, 0.97 }, 0.97 },
+  { "a third over the capacity", 1.33, 0, 0, 0, 0, { 0.9, 0.9, 0.3 }, 0.9 },
+  { "twice the capacity", 2, 0, 0, 0, 0, { 0.8, 0.85, 0 }, 0.9 },
+  { "one domain without an estimator", 0.9, 1, 0, 0, 0, { 0.9, 0.9, 0.5 }, 0.9 },
   { "half a region's estimators gone, a third slower when full",
     0.6,
     1,
     0,
+    0,
     0.35,
     { 0.97, 0.97, 0.9 },
     0.95 },
@@ -119,10 +121,19 @@
     1.33,
     0,
     0,
+    0,
     0.35,
     { 0.9, 0.9, 0.3 },
     0.9 },
-  { "estimators refuse a fifth", 0.8, 0, 0.2, 0, { 0.5, 0.85, 0 }, 0 },
+  { "half of the estimators lose a third of the answers",
+    0.4,
+    0,
+    0,
+    0.33,
+    0,
+    { 0.95, 0.95, 0.95 },
+    0.95 },
+  { "estimators refuse a fifth", 0.8, 0, 0.2, 0, 0, { 0.5, 0.85, 0 }, 0 },
 };
 
 typedef struct Node Node;
@@ -160,7 +171,7 @@
   char region[4];
   Service service;
   double speed;
-  bool is_gone;
+  bool is_lossy;
 };
 
 typedef enum
@@ -170,6 +181,7 @@
   BACK,    // an answer reaches the front
   WORKED,  // a run's own work is done
   REFUSE,  // the upstream refuses a run
+  LOSE,    // the upstream closes the connection of a run without an answer
   GOSSIP,
   TICK,
 } EventKind;
@@ -307,6 +319,8 @@
   g_ptr_array_add (w.runs, r);
   if (n->service == ESTIMATOR && g_rand_double (w.rand) < w.c->ill)
     add (REFUSE, 1, n)->run = r;
+  else if (n->service == ESTIMATOR && n->is_lossy && g_rand_double (w.rand) < w.c->loses)
+    add (LOSE, r->work->work_ms * n->speed, n)->run = r;
   else
     add (WORKED, r->work->work_ms * slowness (n) * (0.5 + g_rand_double (w.rand)), n)->run = r;
 }
@@ -404,6 +418,16 @@
   tell (asker, &a, r->node);
 }
 
+static void
+lose_run (Run *r)
+{
+  BjCall *c = g_hash_table_lookup (r->node->kernel->calls, &r->call);
+
+  if (!r->is_dead && c != NULL && c->state == BJ_CALL_RUNNING)
+    bj_kernel_lost (r->node->kernel, w.now, c, BJ_E_LOST, BJ_UNKNOWN);
+  r->is_dead = true;
+}
+
 // The next call of a run, or its end.
 static void
 next_step (Run *r)
@@ -500,6 +524,9 @@
       if (!e->run->is_dead)
         end_run (e->run, (BjAnswer){ .outcome = BJ_NOT_RUN, .http_status = 503 });
       break;
+    case LOSE:
+      lose_run (e->run);
+      break;
     case GOSSIP:
       gossip ();
       add (GOSSIP, GOSSIP_MS, NULL);
@@ -523,6 +550,7 @@
 
   n->host.ops = &host_ops;
   n->service = s;
+  n->is_lossy = domain % 2 == 0;
   n->speed = speeds[(domain + (int)s) % 4];
   g_snprintf (n->name, sizeof n->name, "d%d-%s", domain, service_names[s]);
   g_snprintf (n->domain, sizeof n->domain, "d%d", domain);
