--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -411,7 +411,7 @@
 typedef struct
 {
   double ratio; // tokens earned per fresh call
-  int reserve;  // tokens that a class leaves to more important ones, at most one a class
+  int reserve;  // classes whose place counts: each leaves a quarter of the tokens, one at least
   double burst; // most tokens kept
   double saved; // more of them for each fresh call of the last ten seconds or so
 } BjRetryOptions;
--- a/src/retry.c
+++ b/src/retry.c
@@ -3,7 +3,8 @@
 #include "boragejunction.h"
 #include <math.h>
 
-#define RECENT_MS 10000.0 // time constant over which fresh calls are counted
+#define RECENT_MS 10000.0  // time constant over which fresh calls are counted
+#define RESERVE_SHARE 0.25 // of the most tokens, left by a class to each more important one
 
 typedef struct
 {
@@ -22,6 +23,8 @@
 static bool naive_allow (BjRetry *r, BjTime now, BjCall *c);
 static void budget_fresh (BjRetry *r, BjTime now);
 static bool budget_allow (BjRetry *r, BjTime now, BjCall *c);
+static double most_tokens (const Retry *r);
+static double left_to_others (const Retry *r, int klass);
 
 static const BjRetryOps naive_ops = { naive_create, destroy, naive_fresh, naive_allow };
 static const BjRetryOps budget_ops = { budget_create, destroy, budget_fresh, budget_allow };
@@ -75,10 +78,12 @@
 {
   Retry *r = (Retry *)base;
 
+  // Calls get fewer when those before them fail, and are then needed most.
+  double missing = r->recent / RECENT_MS * (now - r->faded) - 1;
+
   r->recent = r->recent * exp ((r->faded - now) / RECENT_MS) + 1;
   r->faded = now;
-  // Failures come in clusters, and a busy daemon sees larger ones.
-  r->tokens = MIN (r->o.burst + r->o.saved * r->recent, r->tokens + r->o.ratio);
+  r->tokens = MIN (most_tokens (r), r->tokens + r->o.ratio * (1 + MAX (0, missing)));
 }
 
 static bool
@@ -87,13 +92,26 @@
   Retry *r = (Retry *)base;
 
   (void)now;
-  // What more important classes may need is left to them.
-  if (c->attempts_left <= 0 || r->tokens < c->retry_cost + MIN (c->klass, r->o.reserve))
+  if (c->attempts_left <= 0 || r->tokens < c->retry_cost + left_to_others (r, c->klass))
     return false;
   r->tokens -= c->retry_cost;
   c->attempts_left--;
   return true;
 }
 
+// Failures come in clusters, and a busy daemon sees larger ones.
+static double
+most_tokens (const Retry *r)
+{
+  return r->o.burst + r->o.saved * r->recent;
+}
+
+// What more important classes may need.
+static double
+left_to_others (const Retry *r, int klass)
+{
+  return MIN (klass, r->o.reserve) * MAX (1, RESERVE_SHARE * most_tokens (r));
+}
+
 BJ_PLUGIN (BJ_PLUGIN_RETRY, "naive", naive_ops)
 BJ_PLUGIN (BJ_PLUGIN_RETRY, "budget", budget_ops)
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -429,11 +429,68 @@
     }
 }
 
+// A service whose calls fail is called less, since actions end at the first failure.
+static void
+test_earned_by_earlier_calls (void **state)
+{
+  const BjRetryOps *ops = bj_plugin_find (BJ_PLUGIN_RETRY, BJ_STR ("budget"));
+  BjRetryOptions o = { .ratio = 0.12, .burst = 3, .saved = 0.03 };
+  BjRetry *r = ops->create (&o);
+  BjCall c = { .retry_cost = 1, .attempts_left = 1000 };
+  BjTime now = 0;
+  int n = 0;
+
+  (void)state;
+  for (; now < 60000; now += 10)
+    ops->fresh (r, now);
+  while (ops->allow (r, now, &c))
+    ;
+  for (int i = 0; i < 20; i++, now += 50)
+    {
+      ops->fresh (r, now);
+      n += ops->allow (r, now, &c);
+    }
+  // A second at a fifth of the rate: twelve for the hundred calls of a second before.
+  assert_in_range (n, 9, 12);
+  ops->destroy (r);
+}
+
+// Less important classes leave what more important ones may need.
+static void
+test_reserve (void **state)
+{
+  static const struct
+  {
+    int klass;
+    int expected; // retries in a row, of 33 kept
+  } classes[] = { { 2, 17 }, { 1, 8 }, { 0, 8 } };
+  const BjRetryOps *ops = bj_plugin_find (BJ_PLUGIN_RETRY, BJ_STR ("budget"));
+  BjRetryOptions o = { .ratio = 0.12, .burst = 3, .saved = 0.03, .reserve = 2 };
+  BjRetry *r = ops->create (&o);
+  BjTime now = 0;
+
+  (void)state;
+  for (; now < 100000; now += 10)
+    ops->fresh (r, now);
+  for (size_t i = 0; i < G_N_ELEMENTS (classes); i++)
+    {
+      BjCall c = { .retry_cost = 1, .attempts_left = 1000, .klass = classes[i].klass };
+      int n = 0;
+
+      while (ops->allow (r, now, &c))
+        n++;
+      assert_in_range (n, classes[i].expected - 1, classes[i].expected + 1);
+    }
+  ops->destroy (r);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_chain), cmocka_unit_test (test_saved) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_chain),
+                                      cmocka_unit_test (test_saved),
+                                      cmocka_unit_test (test_earned_by_earlier_calls),
+                                      cmocka_unit_test (test_reserve) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
