Calls named after a running call are made for it

Ruled out: choosing the most important of the candidates (half of the lookups would stand before previews). Change: an id that continues that of a call running here names its parent; once seen, ids alone tell.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -271,6 +271,7 @@
   uint64_t route;      // hash of the prefix that its path matched, 0 if not known
   BjTime handed_until; // deadline that the upstream was told, by this clock
   bool is_inner;       // the own upstream made it for a call that runs there
+  uint64_t made_for;   // that call, 0 if not known
   bool is_return;      // its caller was refused before and came back when told
   int level;           // highest admission level below, for calls made for it
   BjPeer *target;      // where it was sent
--- a/src/health.c
+++ b/src/health.c
@@ -39,10 +39,9 @@
 void
 bj_health_blame (BjKernel *k, const BjCall *c)
 {
-  BjCall *parent = NULL;
+  const uint64_t *id = c->request.parent != 0 ? &c->request.parent : &c->made_for;
+  BjCall *parent = *id != 0 ? g_hash_table_lookup (k->calls, id) : NULL;
 
-  if (c->request.parent != 0)
-    parent = g_hash_table_lookup (k->calls, &c->request.parent);
   if (parent != NULL)
     parent->is_failed_below = true;
   else if (c->is_front && bj_parent_is_called (k, c->route))
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -516,6 +516,7 @@
   if (was != BJ_CALL_RUNNING)
     return;
   bj_quarantine_ended (k->quarantine, now, c->fingerprint, s == BJ_OK);
+  bj_parent_ended (k, c);
   bj_guard_finished (k, now, c, s);
 }
 
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -105,6 +105,8 @@
   GHashTable *calls;    // call id to open BjCall*
   GHashTable *parents;  // hash of a route to what its runs call
   GHashTable *ages;     // hash of a route to how old the parents of its calls are at their deadline
+  GHashTable *running;  // BjStr* of the id of a call on the own upstream to its BjCall
+  uint64_t n_named;     // calls whose parent was found by its id
   GHashTable *comebacks; // fingerprint of a refused call to when it was told to return
   GHashTable *splits;    // BjRoute* to how its shares stand
   BjGuard guard;
@@ -138,7 +140,8 @@
 void bj_parent_clear (BjKernel *k);
 void
 bj_parent_find (BjKernel *k, BjTime now, BjCall *c); // Front: sets the parent if it can be told
-void bj_parent_ran (BjKernel *k, const BjCall *c);   // Guard: c runs on the own upstream
+void bj_parent_ran (BjKernel *k, BjCall *c);         // Guard: c runs on the own upstream
+void bj_parent_ended (BjKernel *k, BjCall *c);       // Guard: it does no longer
 bool bj_parent_makes_calls (BjKernel *k, uint64_t route); // Runs of this route call others
 bool bj_parent_is_called (BjKernel *k,
                           uint64_t route); // The own upstream makes calls of this route
--- a/src/parent.c
+++ b/src/parent.c
@@ -1,13 +1,17 @@
-// Parent: which running call the own upstream made a call for, where its headers do not say. A call
-// ends at its parent's deadline, or some fixed time after its parent began if that is sooner. The
-// first is matched against the deadlines handed down; the second is learned for each route: among
-// the ages of all running calls at that deadline, one value comes again and again.
+// Parent: which running call the own upstream made a call for, where no header of its own says so.
+// Some upstreams name a call after the one that it is made for, "parent.child"; where running calls
+// were found so, nothing else is looked at. Otherwise a call ends at its parent's deadline, or some
+// fixed time after its parent began if that is sooner. The first is matched against the deadlines
+// handed down; the second is learned for each route: among the ages of all running calls at that
+// deadline, one value comes again and again.
 //
 // A call has its parent's class and cohort, and tells which routes the runs of a route call.
 
 #include "kernel.h"
 #include <math.h>
 
+#define ID_SEPARATOR '.'   // between the id of a call and what the upstream appends to it
+#define NAMED_MIN 20       // parents found by name before calls without one are taken for callers'
 #define MATCH_MS 1.5       // between the deadline handed down and that of a call made for it
 #define CALLED_SHARE 0.1   // of a route's runs that are seen to call another, for a dependency
 #define BUSIEST_SHARE 0.2  // of the calls a run that the busiest caller of a route makes
@@ -40,6 +44,7 @@
   int commonest; // 0 before it is known
 } Ages;
 
+static const BjCall *match_name (BjKernel *k, const BjCall *c);
 static Runs *find (BjKernel *k, uint64_t route);
 static const BjCall *match_age (BjKernel *k, BjTime deadline, const BjCall *c);
 static void learn_ages (BjKernel *k, Ages *a, BjTime deadline);
@@ -58,6 +63,7 @@
 {
   k->parents = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   k->ages = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  k->running = g_hash_table_new (bj_str_key_hash, bj_str_key_equal);
 }
 
 void
@@ -65,6 +71,7 @@
 {
   g_hash_table_destroy (k->parents);
   g_hash_table_destroy (k->ages);
+  g_hash_table_destroy (k->running);
 }
 
 void
@@ -79,7 +86,16 @@
         note (find (k, parent->route), c->route);
       return;
     }
-  if (k->guard.in_flight == 0 || c->request.deadline_ms <= 0)
+  if (k->guard.in_flight == 0)
+    return;
+  parent = match_name (k, c);
+  if (parent != NULL)
+    {
+      k->n_named++;
+      adopt (k, c, parent);
+      return;
+    }
+  if (k->n_named >= NAMED_MIN || c->request.deadline_ms <= 0)
     return;
   parent = match (k, now + c->request.deadline_ms, c);
   if (parent == NULL)
@@ -89,10 +105,12 @@
 }
 
 void
-bj_parent_ran (BjKernel *k, const BjCall *c)
+bj_parent_ran (BjKernel *k, BjCall *c)
 {
   Runs *r;
 
+  if (c->request.id.len > 0)
+    g_hash_table_replace (k->running, &c->request.id, c);
   if (c->route == 0)
     return;
   r = find (k, c->route);
@@ -101,6 +119,13 @@
     halve (r);
 }
 
+void
+bj_parent_ended (BjKernel *k, BjCall *c)
+{
+  if (c->request.id.len > 0 && g_hash_table_lookup (k->running, &c->request.id) == c)
+    g_hash_table_remove (k->running, &c->request.id);
+}
+
 bool
 bj_parent_is_called (BjKernel *k, uint64_t route)
 {
@@ -146,6 +171,20 @@
   c->cohort = parent->cohort;
   c->klass = parent->klass;
   c->is_inner = true;
+  c->made_for = parent->id;
+}
+
+static const BjCall *
+match_name (BjKernel *k, const BjCall *c)
+{
+  BjStr name = c->request.id;
+
+  while (name.len > 0 && name.data[name.len - 1] != ID_SEPARATOR)
+    name.len--;
+  if (name.len < 2)
+    return NULL;
+  name.len--;
+  return g_hash_table_lookup (k->running, &name);
 }
 
 static const BjCall *
--- a/tests/test_parent.c
+++ b/tests/test_parent.c
@@ -96,10 +96,11 @@
 }
 
 static BjCall *
-run_parent (BjKernel *k, BjTime now, const char *path, int klass, double deadline_ms)
+run_named (BjKernel *k, BjTime now, const char *id, const char *path, int klass, double deadline_ms)
 {
   BjRequest r = { .method = BJ_STR ("GET"),
                   .path = bj_str (path),
+                  .id = bj_str (id),
                   .klass = klass,
                   .deadline_ms = deadline_ms,
                   .has_cohort = true,
@@ -109,10 +110,17 @@
 }
 
 static BjCall *
-make_call (BjKernel *k, Host *h, BjTime now, double deadline_ms)
+run_parent (BjKernel *k, BjTime now, const char *path, int klass, double deadline_ms)
+{
+  return run_named (k, now, "", path, klass, deadline_ms);
+}
+
+static BjCall *
+make_named (BjKernel *k, Host *h, BjTime now, const char *id, double deadline_ms)
 {
   BjRequest r = { .method = BJ_STR ("GET"),
                   .path = BJ_STR ("/rate/x"),
+                  .id = bj_str (id),
                   .klass = -1,
                   .attempts_left = -1,
                   .deadline_ms = deadline_ms };
@@ -122,6 +130,12 @@
   return h->sent;
 }
 
+static BjCall *
+make_call (BjKernel *k, Host *h, BjTime now, double deadline_ms)
+{
+  return make_named (k, h, now, "", deadline_ms);
+}
+
 // Runs begin at random with deadlines all over; each makes one call that ends AGE_MS after it.
 static BjTime
 teach (BjKernel *k, Host *h)
@@ -165,6 +179,51 @@
     }
 }
 
+// Where calls are named after their parents, deadlines that are alike mislead nobody.
+static void
+test_names (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *id; // of the call
+    int named;      // calls with a name of a running call before
+    bool found;
+    int klass;
+  } names[] = {
+    { "made for the lookup", "look.1", 0, true, 2 },
+    { "made for the acceptance", "acce.1", 0, true, 0 },
+    { "named after both", "acce.1.look.1", 0, true, 0 }, // by its deadline
+    { "a caller's own, told by the deadline", "own", 0, true, 0 },
+    { "a caller's own, where calls are named", "own", 30, false, 1 },
+    { "made for one that ended, where calls are named", "gone.1", 30, false, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      Host h;
+      BjKernel *k = new_kernel (&h);
+      BjTime now = 1000;
+      BjCall *accept;
+      BjCall *child;
+
+      for (int n = 0; n < names[i].named; n++)
+        {
+          run_named (k, now, "old", "/index/x", 1, 900);
+          make_named (k, &h, now, "old.1", 500);
+        }
+      accept = run_named (k, now, "acce", "/index/x", 0, 400);
+      run_named (k, now, "look", "/index/y", 2, 401);
+      child = make_named (k, &h, now + 7, names[i].id, accept->handed_until - now - 7);
+      if (child->is_inner != names[i].found || child->klass != names[i].klass)
+        print_error ("%s\n", names[i].name);
+      assert_true (child->is_inner == names[i].found);
+      assert_int_equal (child->klass, names[i].klass);
+      bj_kernel_free (k);
+    }
+}
+
 // A parent that ends sooner than the age hands its own deadline down.
 static void
 test_deadline (void **state)
@@ -227,6 +286,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_cases),
+                                      cmocka_unit_test (test_names),
                                       cmocka_unit_test (test_deadline),
                                       cmocka_unit_test (test_dependencies) };
 
