--- a/src/guard.c
+++ b/src/guard.c
@@ -120,7 +120,7 @@
       return;
     }
   bj_level_offered (k, now, false);
-  if (c->request.is_spilled && !c->irreversible && !bj_spill_admit (k, now))
+  if (c->request.is_spilled && !c->irreversible && !bj_spill_admit (k, now, c->klass))
     {
       a = bj_guard_refusal (k, now, BJ_E_OVERLOAD, c->klass);
       bj_call_refuse (k, now, c, &a);
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -14,6 +14,7 @@
 static void learn_suspicion (BjKernel *k, BjTime now, const BjCall *c, BjStatus s);
 static bool refuse_quarantined (BjKernel *k, BjTime now, BjCall *c);
 static void answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a);
+static bool is_refused (const BjAnswer *a);
 static void expire (BjKernel *k, BjTime now, BjCall *c);
 static void detach (BjKernel *k, BjTime now, BjCall *c);
 static bool cancel_work (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
@@ -274,6 +275,8 @@
                   whole,
                   now - c->arrived,
                   c->is_front ? bj_level_of (k, now, c) : bj_kernel_level (k, now, c));
+  if (c->is_front)
+    bj_level_placed (k, now, c, false);
   if (!whole)
     bj_health_blame (k, c);
   leave_state (k, now, c, whole ? BJ_OK : BJ_E_BROKEN);
@@ -625,11 +628,21 @@
   a.makes_calls = !c->is_front && bj_parent_makes_calls (k, c->route);
   if (c->is_front && a.outcome == BJ_NOT_RUN && a.retry_after_ms > 0)
     bj_comeback_told (k, now + a.retry_after_ms, c);
+  if (c->is_front && c->n_tried > 0)
+    bj_level_placed (k, now, c, is_refused (&a));
   bj_count_answer (k, now, c, a.code, a.outcome);
   k->host->ops->answer (k->host, c, &a);
   bj_call_end (k, c);
 }
 
+// For want of room, by every guard that was asked.
+static bool
+is_refused (const BjAnswer *a)
+{
+  return a->outcome == BJ_NOT_RUN
+         && (a->code == BJ_E_OVERLOAD || a->code == BJ_E_DEADLINE || a->code == BJ_E_NO_UPSTREAM);
+}
+
 static void
 expire (BjKernel *k, BjTime now, BjCall *c)
 {
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -11,6 +11,13 @@
   char *text; // owned
 } BjDecision;
 
+typedef struct
+{
+  int own;            // calls of the own domain in flight
+  int spilled;        // of other domains
+  double own_average; // calls of the own domain in flight, smoothed
+} BjSpill;
+
 // Runs on the own upstream, fading with time.
 typedef struct
 {
@@ -38,9 +45,8 @@
   BjTime top_demand_at;          // when it was smoothed
   int drain_reasons;             // set of BjDrainReason
   bool draining;                 // there is one
-  int spilled;                   // of in_flight, calls from other domains
-  double own_average;            // calls of the own domain in flight
-  BjTime averaged;
+  BjSpill spill[BJ_CLASSES];     // calls in flight of this class and more important ones
+  BjTime averaged;               // the calls of the own domain in it
   BjHealth health;
 } BjGuard;
 
@@ -185,6 +191,10 @@
                      BjTime now,
                      const BjCall *c,
                      int level); // Front: an answer to c told it
+void bj_level_placed (BjKernel *k,
+                      BjTime now,
+                      const BjCall *c,
+                      bool refused); // Front: c ended, or no guard took it
 bool
 bj_level_sheds (BjKernel *k, BjTime now, const BjCall *c); // Front: c is to be refused before a hop
 
@@ -214,7 +224,7 @@
 void bj_health_blame (BjKernel *k, const BjCall *c); // c failed: so may what it was made for
 
 // Spill
-bool bj_spill_admit (BjKernel *k, BjTime now); // Whether one call of another domain may run now
+bool bj_spill_admit (BjKernel *k, BjTime now, int klass); // Whether one call of another domain may
 void bj_spill_changed (BjKernel *k,
                        BjTime now,
                        const BjCall *c,
--- a/src/level.c
+++ b/src/level.c
@@ -3,6 +3,8 @@
 // is the number of ranks shed from the lowest upwards. An action has one cohort on its whole chain
 // and lives or dies as a whole. A level rises with the wait for the upstream, before calls are
 // refused there, and passes up the graph: an answer tells the highest of all that its route calls.
+// Guards of other regions refuse calls long before they are overloaded themselves; so a front also
+// raises a level of its own for a route whose calls no guard takes.
 
 #include "kernel.h"
 
@@ -26,6 +28,10 @@
   double level;
   BjTime at;
   bool makes_calls; // its runs call other services
+  double refused;   // own level, by the calls that no guard took
+  int n_sent;       // calls that ended in this window
+  int n_refused;    // of them, taken by no guard
+  BjTime window_from;
 } Learned;
 
 typedef struct
@@ -40,6 +46,8 @@
 static double highest (const BjKernel *k);
 static void look_below (uint64_t called, void *below);
 static Learned *find (BjKernel *k, uint64_t route);
+static void change_refused (BjKernel *k, BjTime now, Learned *l);
+static double known (BjKernel *k, Learned *l, BjTime now); // The higher of both levels
 static double faded (const Learned *l, BjTime now);
 static BjCall *parent_of (BjKernel *k, const BjCall *c);
 
@@ -88,7 +96,7 @@
 int
 bj_level_of (BjKernel *k, BjTime now, const BjCall *c)
 {
-  return (int)faded (find (k, c->route), now);
+  return (int)known (k, find (k, c->route), now);
 }
 
 void
@@ -116,10 +124,21 @@
     parent->level = MAX (parent->level, (int)l->level);
 }
 
+void
+bj_level_placed (BjKernel *k, BjTime now, const BjCall *c, bool refused)
+{
+  Learned *l = find (k, c->route);
+
+  if (now - l->window_from >= WINDOW_MS)
+    change_refused (k, now, l);
+  l->n_sent++;
+  l->n_refused += refused;
+}
+
 bool
 bj_level_sheds (BjKernel *k, BjTime now, const BjCall *c)
 {
-  double level = faded (find (k, c->route), now);
+  double level = known (k, find (k, c->route), now);
   double rank = c->klass * COHORTS + (c->is_return ? 0 : c->cohort % COHORTS);
   BjCall *parent = parent_of (k, c);
   int n = k->config->classes != NULL ? (int)k->config->classes->len : 1;
@@ -173,7 +192,7 @@
 {
   Below *b = data;
 
-  b->level = MAX (b->level, faded (find (b->kernel, called), b->now));
+  b->level = MAX (b->level, known (b->kernel, find (b->kernel, called), b->now));
 }
 
 // The first class is never shed early.
@@ -199,6 +218,29 @@
   return l;
 }
 
+static void
+change_refused (BjKernel *k, BjTime now, Learned *l)
+{
+  double share = l->n_sent > 0 ? (double)l->n_refused / l->n_sent : 0;
+  double windows = (now - l->window_from) / WINDOW_MS;
+
+  if (l->n_sent >= CALLS_MIN && share > REFUSED_SHARE)
+    l->refused = MIN (highest (k), l->refused + share * RISE);
+  else if (l->n_refused == 0)
+    l->refused = MAX (0, l->refused - windows * MAX (FALL_MIN, l->refused * FALL_SHARE));
+  l->n_sent = 0;
+  l->n_refused = 0;
+  l->window_from = now;
+}
+
+static double
+known (BjKernel *k, Learned *l, BjTime now)
+{
+  if (now - l->window_from >= WINDOW_MS)
+    change_refused (k, now, l);
+  return MAX (faded (l, now), l->refused);
+}
+
 static double
 faded (const Learned *l, BjTime now)
 {
--- a/src/spill.c
+++ b/src/spill.c
@@ -1,6 +1,6 @@
-// Spill: calls from other failure domains that the guard lets in. They get a share of what the own
-// domain leaves free on average and never wait in the queue, so that the overload of one domain
-// does not sink the next.
+// Spill: calls from other failure domains that the guard lets in. They get a share of what equally
+// or more important calls of the own domain leave free on average, and wait only before less
+// important ones, so that the overload of one domain does not sink the next.
 
 #include "kernel.h"
 #include <math.h>
@@ -11,18 +11,19 @@
 static void average (BjGuard *g, BjTime now);
 
 bool
-bj_spill_admit (BjKernel *k, BjTime now)
+bj_spill_admit (BjKernel *k, BjTime now, int klass)
 {
   BjGuard *g = &k->guard;
+  const BjSpill *s = &g->spill[klass];
   int limit;
 
-  if (g->limiter == NULL || g->queue->ops->length (g->queue) > 0)
+  if (g->limiter == NULL)
     return false;
   limit = bj_guard_limit (k, now);
-  if (g->in_flight >= limit)
+  if (s->own + s->spilled + g->queue->ops->waiting (g->queue, klass) >= limit)
     return false;
   average (g, now);
-  return g->spilled < (limit - g->own_average) * BJ_SPILL_SHARE;
+  return s->spilled < (limit - s->own_average) * BJ_SPILL_SHARE;
 }
 
 bool
@@ -37,17 +38,17 @@
 bj_spill_changed (BjKernel *k, BjTime now, const BjCall *c, int change)
 {
   average (&k->guard, now);
-  if (c->request.is_spilled)
-    k->guard.spilled += change;
+  for (int i = c->klass; i < BJ_CLASSES; i++)
+    *(c->request.is_spilled ? &k->guard.spill[i].spilled : &k->guard.spill[i].own) += change;
 }
 
-// Call before in_flight or spilled changes.
+// Call before the counts change.
 static void
 average (BjGuard *g, BjTime now)
 {
   double weight = exp (-(now - g->averaged) / AVERAGE_MS);
-  double own = g->in_flight - g->spilled;
 
-  g->own_average = g->own_average * weight + own * (1 - weight);
+  for (int i = 0; i < BJ_CLASSES; i++)
+    g->spill[i].own_average = g->spill[i].own_average * weight + g->spill[i].own * (1 - weight);
   g->averaged = now;
 }
--- a/tests/test_heavy.c
+++ b/tests/test_heavy.c
@@ -133,6 +133,14 @@
     0,
     { 0.95, 0.95, 0.95 },
     0.95 },
+  { "a region without estimators, a third over the capacity of the other",
+    0.67,
+    2,
+    0,
+    0,
+    0,
+    { 0.9, 0.9, 0.2 },
+    0.9 },
   { "estimators refuse a fifth", 0.8, 0, 0.2, 0, 0, { 0.5, 0.85, 0 }, 0 },
 };
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -334,6 +334,54 @@
     }
 }
 
+// A call of another domain that is more important than those that fill the slots waits before them.
+static void
+test_spill_by_class (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int own_klass; // of the ten that fill the slots
+    int klass;     // of the call of another domain
+    bool refused;
+  } classes[] = {
+    { "an acceptance where lookups run", 1, 0, false },
+    { "an acceptance where acceptances run", 0, 0, true },
+    { "a lookup where lookups run", 1, 1, true },
+    { "a lookup where acceptances run", 0, 1, true },
+  };
+  static const BjHostOps ops
+      = { send_peer, start_upstream, do_nothing, answer, do_nothing, do_nothing };
+  static const char config[]
+      = "{\"number\":1,\"priorities\":[\"accept\",\"lookup\"],\"services\":{\"catalogue\":{"
+        "\"routes\":[{\"prefix\":\"/"
+        "c\",\"class\":\"accept\"}],\"limiter\":{\"plugin\":\"fixed\"}}}}";
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (classes); i++)
+    {
+      SpillHost h = { .host.ops = &ops };
+      BjKernelOptions o = { .self = { .name = BJ_STR ("one") }, .host = &h.host, .seed = 1 };
+      BjKernel *k = bj_kernel_new (&o, 0);
+      BjRequest r = { .method = BJ_STR ("GET"), .path = BJ_STR ("/c"), .deadline_ms = 60000 };
+      BjConfig *parsed;
+
+      assert_int_equal (bj_config_parse (bj_str (config), &parsed), BJ_OK);
+      bj_kernel_set_config (k, 0, parsed);
+      bj_kernel_announce (k, 0, BJ_STR ("catalogue"), 10);
+      r.klass = classes[i].own_klass;
+      for (int j = 0; j < 10; j++)
+        bj_kernel_arrive_peer (k, 1, &r, BJ_STR ("catalogue"), NULL);
+      r.klass = classes[i].klass;
+      r.is_spilled = true;
+      bj_kernel_arrive_peer (k, NOW, &r, BJ_STR ("catalogue"), NULL);
+      if (h.refused != classes[i].refused)
+        print_error ("%s\n", classes[i].name);
+      assert_int_equal (h.refused, classes[i].refused);
+      bj_kernel_free (k);
+    }
+}
+
 // A limit that peers cannot decode would cost the daemon its membership.
 static void
 test_limits_in_reports (void **state)
@@ -385,11 +433,9 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_pick),
-    cmocka_unit_test (test_result),
-    cmocka_unit_test (test_many),
-    cmocka_unit_test (test_spill),
-    cmocka_unit_test (test_limits_in_reports),
+    cmocka_unit_test (test_pick),           cmocka_unit_test (test_result),
+    cmocka_unit_test (test_many),           cmocka_unit_test (test_spill),
+    cmocka_unit_test (test_spill_by_class), cmocka_unit_test (test_limits_in_reports),
   };
 
   return cmocka_run_group_tests (tests, find_router, NULL);
