--- a/src/kernel.c
+++ b/src/kernel.c
@@ -11,6 +11,7 @@
 static void failed (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static void retry (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static bool may_try_again (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
+static bool is_free (const BjKernel *k, const BjCall *c, const BjAnswer *a);
 static void learn_suspicion (BjKernel *k, BjTime now, const BjCall *c, BjStatus s);
 static bool refuse_quarantined (BjKernel *k, BjTime now, BjCall *c);
 static void answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a);
@@ -563,7 +564,7 @@
     return false;
   if (a->outcome == BJ_UNKNOWN && c->irreversible)
     return false;
-  if (a->code == BJ_E_DRAINING || (a->code == BJ_E_OVERLOAD && bj_spill_may_return (k, c)))
+  if (is_free (k, c, a))
     return true;
   c->retry_cost = bj_level_makes_calls (k, c) ? BJ_RETRY_COST_CALLS : 1;
   // What was retried below is not retried above it.
@@ -572,6 +573,16 @@
   return c->service->retry->ops->allow (c->service->retry, now, c);
 }
 
+// What a guard refused has not reached its upstream, so another one may be asked at no cost.
+static bool
+is_free (const BjKernel *k, const BjCall *c, const BjAnswer *a)
+{
+  bool is_refused = a->code == BJ_E_OVERLOAD || a->code == BJ_E_DEADLINE;
+
+  return a->code == BJ_E_DRAINING
+         || (is_refused && a->outcome == BJ_NOT_RUN && bj_spill_may_return (k, c));
+}
+
 // The answer of a guard may be here before its notice.
 static void
 learn_suspicion (BjKernel *k, BjTime now, const BjCall *c, BjStatus s)
--- a/src/place.c
+++ b/src/place.c
@@ -36,7 +36,7 @@
 static void result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s);
 static bool was_tried (const BjPeer *p, const BjCall *c);
 static bool is_candidate (const BjPeer *p, const BjRouterAsk *ask);
-static bool has_room (const BjPeer *p, BjTime now, const BjRouterAsk *ask);
+static bool is_near (const BjPeer *p, const BjRouterAsk *ask);
 static double expected_wait (const BjPeer *p, BjTime now, const BjRouterAsk *ask);
 static int common_failing (const BjRouterAsk *ask, int first, int n);
 static gint by_number (gconstpointer a, gconstpointer b);
@@ -75,7 +75,7 @@
     {
       const BjPeer *p = ask->peers[(first + i) % ask->n];
 
-      if (is_candidate (p, ask) && has_room (p, now, ask))
+      if (is_candidate (p, ask) && is_near (p, ask) && load_of (p, now) <= BUSY_LOAD)
         crowding = MAX (crowding, failure_cost (p, common, ask));
     }
   *ask->n_candidates = 0;
@@ -87,7 +87,7 @@
       if (!is_candidate (p, ask))
         continue;
       ms = expected_wait (p, now, ask) + failure_cost (p, common, ask);
-      if (!has_room (p, now, ask))
+      if (is_near (p, ask) && load_of (p, now) > BUSY_LOAD)
         ms += crowding;
       (*ask->n_candidates)++;
       if (ms >= best_ms)
@@ -148,9 +148,9 @@
 }
 
 static bool
-has_room (const BjPeer *p, BjTime now, const BjRouterAsk *ask)
+is_near (const BjPeer *p, const BjRouterAsk *ask)
 {
-  return load_of (p, now) <= BUSY_LOAD && bj_str_equal (p->report.region, ask->region);
+  return bj_str_equal (p->report.region, ask->region);
 }
 
 // What three quarters of the candidates reach, be it through calls that they make or through what
@@ -196,7 +196,7 @@
 static double
 expected_wait (const BjPeer *p, BjTime now, const BjRouterAsk *ask)
 {
-  bool near = bj_str_equal (p->report.region, ask->region);
+  bool near = is_near (p, ask);
   double service = p->service_ms > 0 ? p->service_ms : SERVICE_MS;
   double load = load_of (p, now);
   double ms = 0;
