--- a/src/place.c
+++ b/src/place.c
@@ -14,6 +14,7 @@
 #define HOP_REGION_MS 1.0    // extra wait that a sister domain counts as
 #define HOP_FAR_MS 70.0      // the same of another region
 #define BUSY_LOAD 0.92       // of the limit, from which a call may have to wait
+#define WAIT_WEIGHT 5.0      // of a ms of wait over one on the way: levels rise at 15 ms of wait
 #define FAR_BUSY_LOAD 0.8    // of the limit, from which another region's daemon is left alone
 #define FAR_BUSY_MS 500.0    // extra wait that it then counts as
 #define SERVICE_MS 50.0      // time of a call at an upstream that has not answered yet
@@ -206,7 +207,7 @@
   if (!near && load > FAR_BUSY_LOAD)
     ms += FAR_BUSY_MS;
   // Among idle ones the less loaded, by less than a hop.
-  ms += MAX (0, load - BUSY_LOAD) * service + MIN (load, 1) * HOP_REGION_MS / 2;
+  ms += WAIT_WEIGHT * MAX (0, load - BUSY_LOAD) * service + MIN (load, 1) * HOP_REGION_MS / 2;
   if (now < p->skip_until)
     ms += SKIP_MAX_MS;
   return ms;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -66,11 +66,11 @@
 static BjKernel *
 new_kernel (Host *h, int burst, const Candidate *candidates)
 {
-  BjKernelOptions o = { .self = { .name = BJ_STR ("self"),
-                                  .domain = BJ_STR ("north-a"),
-                                  .region = BJ_STR ("north") },
-                        .host = &h->host,
-                        .seed = 5 };
+  BjKernelOptions o
+      = { .self
+          = { .name = BJ_STR ("self"), .domain = BJ_STR ("north-a"), .region = BJ_STR ("north") },
+          .host = &h->host,
+          .seed = 5 };
   char text[512];
   BjConfig *c;
   BjKernel *k;
@@ -187,10 +187,9 @@
     {
       Host h;
       BjKernel *k = new_kernel (&h, cases[i].burst, candidates);
-      BjAnswer a = { .code = cases[i].code,
-                     .outcome = cases[i].outcome,
-                     .http_status = 503,
-                     .attempts_left = -1 };
+      BjAnswer a = {
+        .code = cases[i].code, .outcome = cases[i].outcome, .http_status = 503, .attempts_left = -1
+      };
 
       ask (k);
       assert_int_equal (h.n_sent, 1);
