--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -756,6 +756,13 @@
                         bool all,
                         GArray *notices); // What peers must be told: news, or all in force
 void bj_kernel_cancel (BjKernel *k, BjTime now, BjCall *c); // The caller went away; c is freed
+void bj_kernel_peer_silent (BjKernel *k,
+                            BjTime now,
+                            BjPeer *p,
+                            double ms); // Gets no calls for so long if there are others
+void bj_kernel_move (BjKernel *k,
+                     BjTime now,
+                     BjCall *c); // Its peer is silent: c goes elsewhere if it may run again
 void bj_kernel_announce (BjKernel *k,
                          BjTime now,
                          BjStr service,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -324,6 +324,12 @@
   bj_kernel_lost (x->daemon->kernel, bj_clock_now (), x->call, s, o);
 }
 
+void
+bj_exchange_move (BjExchange *x)
+{
+  bj_kernel_move (x->daemon->kernel, bj_clock_now (), x->call);
+}
+
 void
 bj_exchange_drained (BjExchange *x, size_t n)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -295,8 +295,9 @@
 void bj_exchange_end (BjExchange *x,
                       bool whole); // Source: body ended; the source frees itself after
 void bj_exchange_lost (BjExchange *x, BjStatus s, BjOutcome o); // Source: failed before a head
-void bj_exchange_drained (BjExchange *x, size_t n);             // Sink: passed n bytes on
-void bj_exchange_gone (BjExchange *x); // Sink: its reader went away; x is freed
+void bj_exchange_move (BjExchange *x); // Source: its peer is silent; may cancel the source
+void bj_exchange_drained (BjExchange *x, size_t n); // Sink: passed n bytes on
+void bj_exchange_gone (BjExchange *x);              // Sink: its reader went away; x is freed
 
 // ---------------------------------------------------------------------------------------------
 // Field: the fields of a msgpack array, read one after the other with type and range
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -5,6 +5,7 @@
 // An irreversible call may run on this long after its caller was answered.
 #define DETACHED_MAX_MS 60000
 
+static BjPeer *pick (BjKernel *k, BjTime now, const BjCall *c, int *n_candidates);
 static void dispatch (BjKernel *k, BjTime now, BjCall *c);
 static void send_to (BjKernel *k, BjTime now, BjCall *c, BjPeer *p, int n_candidates);
 static void leave_state (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
@@ -334,6 +335,30 @@
     detach (k, now, c);
 }
 
+void
+bj_kernel_peer_silent (BjKernel *k, BjTime now, BjPeer *p, double ms)
+{
+  (void)k;
+  p->skip_until = MAX (p->skip_until, now + ms);
+}
+
+// One that nobody else can take, or may not run again, goes on waiting.
+void
+bj_kernel_move (BjKernel *k, BjTime now, BjCall *c)
+{
+  BjAnswer a = { .code = BJ_E_LOST, .outcome = BJ_UNKNOWN, .attempts_left = -1 };
+  int n_candidates;
+
+  if (c->state != BJ_CALL_SENT || pick (k, now, c, &n_candidates) == NULL
+      || !may_try_again (k, now, c, &a))
+    return;
+  bj_allowance_answered (c, &a);
+  c->may_have_run = true;
+  k->host->ops->cancel (k->host, c);
+  leave_state (k, now, c, BJ_E_LOST);
+  retry (k, now, c, &a);
+}
+
 void
 bj_kernel_tick (BjKernel *k, BjTime now)
 {
@@ -427,10 +452,9 @@
   k->host->ops->start_upstream (k->host, c);
 }
 
-static void
-dispatch (BjKernel *k, BjTime now, BjCall *c)
+static BjPeer *
+pick (BjKernel *k, BjTime now, const BjCall *c, int *n_candidates)
 {
-  int n_candidates = 0;
   BjPeerReport self;
   BjRouterAsk ask = {
     .call = c,
@@ -439,16 +463,23 @@
     .domain = k->self->report.domain,
     .region = k->self->report.region,
     .rand = k->rand,
-    .n_candidates = &n_candidates,
+    .n_candidates = n_candidates,
   };
-  BjPeer *p;
-  BjAnswer a;
 
+  *n_candidates = 0;
   bj_kernel_self (k, now, &self); // the own guard's load as it is now
   if (bj_quarantine_state (k->quarantine, now, c->fingerprint) == BJ_SUSPECT)
-    p = bj_quarantine_home (c->service, c->fingerprint);
-  else
-    p = c->service->router->ops->pick (c->service->router, now, &ask);
+    return bj_quarantine_home (c->service, c->fingerprint);
+  return c->service->router->ops->pick (c->service->router, now, &ask);
+}
+
+static void
+dispatch (BjKernel *k, BjTime now, BjCall *c)
+{
+  int n_candidates;
+  BjPeer *p = pick (k, now, c, &n_candidates);
+  BjAnswer a;
+
   if (p != NULL)
     {
       send_to (k, now, c, p, n_candidates);
@@ -460,7 +491,7 @@
                   "ROUTE",
                   "no_upstream service=%.*s known=%d tried=%d",
                   BJ_STR_ARG (c->service->name),
-                  ask.n,
+                  (int)c->service->peers->len,
                   c->n_tried);
   a = bj_guard_refusal (k, now, BJ_E_NO_UPSTREAM, c->klass);
   answer (k, now, c, a);
--- a/src/link.c
+++ b/src/link.c
@@ -1,5 +1,7 @@
 // Link: TCP connections to other daemons. A daemon dials one for the calls it sends to a peer; the
-// answers come back on it. A connection with open calls that goes silent is pinged and replaced.
+// answers come back on it. A connection with open calls that goes silent is pinged. While the ping
+// is not answered, the peer gets no new calls and those that may be repeated go elsewhere; after
+// some more pings the connection is replaced.
 
 #include "link.h"
 #include <arpa/inet.h>
@@ -13,7 +15,8 @@
 #define LENGTH_BYTES 4
 #define READ_BYTES 65536
 #define BACKLOG 512
-#define PINGS_MAX 2 // unanswered, then the connection counts as dead
+#define PINGS_MAX 5 // unanswered, then the connection counts as dead
+#define LOOK_MS 50  // between two looks at silent connections
 
 typedef struct
 {
@@ -26,6 +29,7 @@
 static void on_writable (struct ev_loop *loop, ev_io *w, int events);
 static void on_probe (struct ev_loop *loop, ev_timer *w, int events);
 static bool probe (BjConn *c, BjTime now);
+static void move_calls (BjConn *c, BjTime now);
 static BjConn *new_conn (BjLinks *l, int fd);
 static BjConn *dial (BjLinks *l, BjPeer *p);
 static void send_hello (BjConn *c);
@@ -85,7 +89,7 @@
   ev_io_init (&l->accept, on_accept, fd, EV_READ);
   l->accept.data = l;
   ev_io_start (d->loop, &l->accept);
-  ev_timer_init (&l->probe, on_probe, BJ_PING_MS / 1000.0, BJ_PING_MS / 1000.0);
+  ev_timer_init (&l->probe, on_probe, LOOK_MS / 1000.0, LOOK_MS / 1000.0);
   l->probe.data = l;
   ev_timer_start (d->loop, &l->probe);
   l->dead = g_ptr_array_new ();
@@ -315,6 +319,8 @@
     return now - c->heard < BJ_IDLE_MS;
   if (c->n_pings > 0 && now - c->pinged < BJ_PING_MS)
     return true;
+  if (c->n_pings > 0 && c->is_dialled)
+    move_calls (c, now);
   if (c->n_pings >= PINGS_MAX)
     {
       n_silent.value++;
@@ -330,6 +336,24 @@
   return true;
 }
 
+static void
+move_calls (BjConn *c, BjTime now)
+{
+  BjPeer *p = bj_kernel_find_peer (c->links->daemon->kernel, c->peer);
+
+  if (p == NULL)
+    return;
+  if (c->n_pings == 1)
+    bj_log (BJ_LOG_INFO,
+            "LINK",
+            "silent=%.*s for_ms=%.0f open=%u",
+            BJ_STR_ARG (c->peer),
+            now - c->heard,
+            g_hash_table_size (c->outgoing));
+  bj_kernel_peer_silent (c->links->daemon->kernel, now, p, 2 * BJ_PING_MS);
+  bj_outgoing_move (c);
+}
+
 static BjConn *
 new_conn (BjLinks *l, int fd)
 {
--- a/src/link.h
+++ b/src/link.h
@@ -62,6 +62,7 @@
                        uint64_t n_written,
                        BjStatus s); // The connection failed: sends the calls again or loses them
 bool bj_outgoing_waits (const BjConn *c); // A call is open there
+void bj_outgoing_move (BjConn *c); // Sends elsewhere what is not answered and may be repeated
 
 // Incoming: calls received from peers
 BjIncoming *bj_incoming_new (BjDaemon *d);
--- a/src/outgoing.c
+++ b/src/outgoing.c
@@ -95,6 +95,27 @@
   return g_hash_table_size (c->outgoing) > 0;
 }
 
+void
+bj_outgoing_move (BjConn *c)
+{
+  GArray *ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GHashTableIter i;
+  gpointer id;
+
+  g_hash_table_iter_init (&i, c->outgoing);
+  while (g_hash_table_iter_next (&i, &id, NULL))
+    g_array_append_val (ids, *(uint64_t *)id);
+  for (guint n = 0; n < ids->len; n++)
+    {
+      // Moving one call may end others.
+      BjOutgoing *o = g_hash_table_lookup (c->outgoing, &g_array_index (ids, uint64_t, n));
+
+      if (o != NULL && !o->begun)
+        bj_exchange_move (o->x);
+    }
+  g_array_free (ids, TRUE);
+}
+
 static void
 send_call (BjConn *c, BjOutgoing *o)
 {
--- a/tests/test_fleet_drain.c
+++ b/tests/test_fleet_drain.c
@@ -19,6 +19,9 @@
 #define WATCH_MS 2000    // of load while nothing new may arrive
 #define BOUND_MS 15000
 #define ANSWER_BYTES 200000
+#define SLOW_MS 1000          // silence is noticed in 300 ms, the rest is for another run
+#define AVOID_US 200000       // for the calls at the daemon that will stand still to end
+#define STANDSTILL_US 3000000 // longer than the other daemons suspect it
 
 typedef struct
 {
@@ -49,7 +52,8 @@
 static Fleet fleet;
 static GThread *threads[CALLERS];
 static gint running;
-static gint n_done, n_refused, n_cut, n_wrong;
+static gint n_done, n_refused, n_cut, n_wrong, n_slow;
+static gint avoided = -1; // daemon that no caller asks
 
 static const char ticket[] = "{\"number\":1,\"base\":0,\"priorities\":[\"all\"],\"services\":{"
                              "\"plans\":{\"routes\":[{\"prefix\":\"/plans/\",\"class\":\"all\","
@@ -156,6 +160,27 @@
   assert_true (after[0] - before[0] >= (after[1] - before[1]) / 2);
 }
 
+// Callers of the others need not wait until a daemon that stands still counts as dead.
+static void
+test_standstill (void **state)
+{
+  (void)state;
+  open_fleet ();
+  start_load ();
+  for (BjTime until = bj_clock_now () + BOUND_MS; runs_of (1) < 10;)
+    assert_true (bj_clock_now () < until);
+  g_atomic_int_set (&n_slow, 0);
+  g_atomic_int_set (&avoided, 1);
+  g_usleep (AVOID_US);
+  kill (fleet.members[1].daemon, SIGSTOP);
+  g_usleep (STANDSTILL_US);
+  kill (fleet.members[1].daemon, SIGCONT);
+  close_fleet ();
+  g_atomic_int_set (&avoided, -1);
+  print_message ("%d answered after more than %d ms\n", n_slow, SLOW_MS);
+  assert_int_equal (n_slow, 0);
+}
+
 static void
 test_rolling_replacement (void **state)
 {
@@ -231,14 +256,19 @@
   long status = 0;
   bool has_time = false;
   CURLcode code = CURLE_COULDNT_CONNECT;
+  BjTime began = bj_clock_now ();
 
   g_snprintf (id, sizeof id, "c%d-%d", caller, n);
   for (int i = 0; i < DAEMONS && code == CURLE_COULDNT_CONNECT; i++)
     {
+      int at = (caller + n + i) % DAEMONS;
+
+      if (at == g_atomic_int_get (&avoided))
+        continue;
       g_snprintf (url,
                   sizeof url,
                   "http://127.0.0.1:%d/plans/1?bytes=%d&id=%s",
-                  fleet.members[(caller + n + i) % DAEMONS].front_port,
+                  fleet.members[at].front_port,
                   ANSWER_BYTES,
                   id);
       curl_easy_setopt (easy, CURLOPT_URL, url);
@@ -257,6 +287,8 @@
       print_message ("%s at %s: %s\n", id, url, curl_easy_strerror (code));
       g_atomic_int_inc (&n_cut);
     }
+  else if (bj_clock_now () - began > SLOW_MS)
+    g_atomic_int_inc (&n_slow);
   else if (status != 200 && has_time)
     g_atomic_int_inc (&n_refused);
   else if (status == 200 && is_whole (body, id))
@@ -326,6 +358,7 @@
     cmocka_unit_test (test_drained),
     cmocka_unit_test (test_stop),
     cmocka_unit_test (test_stop_serves_first),
+    cmocka_unit_test (test_standstill),
     cmocka_unit_test (test_rolling_replacement),
   };
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -31,7 +31,8 @@
 
 static const char config[]
     = "{\"number\":1,\"priorities\":[\"a\",\"b\",\"c\"],\"services\":{\"estimator\":{"
-      "\"routes\":[{\"prefix\":\"/rate/\",\"class\":\"c\",\"objective_ms\":300,\"attempts\":1}],"
+      "\"routes\":[{\"prefix\":\"/rate/\",\"class\":\"c\",\"objective_ms\":300,\"attempts\":1},"
+      "{\"prefix\":\"/book/\",\"class\":\"a\",\"irreversible\":true,\"claim\":false}],"
       "\"router\":{\"plugin\":\"least-wait\"},"
       "\"retry\":{\"ratio\":0.1,\"burst\":%d}}}}";
 
@@ -101,10 +102,10 @@
 }
 
 static void
-ask (BjKernel *k)
+ask_for (BjKernel *k, const char *path)
 {
   BjRequest r = { .method = BJ_STR ("GET"),
-                  .path = BJ_STR ("/rate/x"),
+                  .path = bj_str (path),
                   .klass = -1,
                   .attempts_left = -1,
                   .deadline_ms = 700 };
@@ -112,6 +113,12 @@
   bj_kernel_arrive (k, 1, &r, NULL);
 }
 
+static void
+ask (BjKernel *k)
+{
+  ask_for (k, "/rate/x");
+}
+
 // Who gets a call, by load and by the share of runs that fail.
 static void
 test_pick (void **state)
@@ -202,11 +209,75 @@
     }
 }
 
+// A call whose peer fell silent goes elsewhere if it may run again and somebody can take it.
+static void
+test_move (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *path;
+    int n_peers;
+    int burst; // tokens
+    int n_sent;
+  } cases[] = {
+    { "may run again", "/rate/x", 2, 5, 2 },
+    { "no token left", "/rate/x", 2, 0, 1 },
+    { "nobody else", "/rate/x", 1, 5, 1 },
+    { "irreversible", "/book/x", 2, 5, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Candidate candidates[PEERS] = { { "a", "north", 4, 0 }, { "b", "north", 4, 0 } };
+      Host h;
+      BjKernel *k;
+
+      if (cases[i].n_peers == 1)
+        candidates[1].name = NULL;
+      k = new_kernel (&h, cases[i].burst, candidates);
+      ask_for (k, cases[i].path);
+      bj_kernel_peer_silent (k, 300, bj_kernel_find_peer (k, bj_str (h.to[0])), 300);
+      bj_kernel_move (k, 300, h.sent);
+      if (h.n_sent != cases[i].n_sent)
+        print_error ("%s\n", cases[i].name);
+      assert_int_equal (h.n_sent, cases[i].n_sent);
+      assert_false (h.is_answered);
+      if (h.n_sent > 1)
+        assert_string_not_equal (h.to[0], h.to[1]);
+      bj_kernel_free (k);
+    }
+}
+
+// A silent peer gets no calls for a while, unless it is the only one.
+static void
+test_silent (void **state)
+{
+  static const Candidate two[PEERS] = { { "a", "north", 0, 0 }, { "b", "north", 16, 0 } };
+  static const Candidate one[PEERS] = { { "a", "north", 0, 0 } };
+  Host h;
+  BjKernel *k = new_kernel (&h, 0, two);
+
+  (void)state;
+  bj_kernel_peer_silent (k, 0, bj_kernel_find_peer (k, BJ_STR ("a")), 300);
+  ask (k);
+  assert_string_equal (h.to[0], "b");
+  bj_kernel_free (k);
+  k = new_kernel (&h, 0, one);
+  bj_kernel_peer_silent (k, 0, bj_kernel_find_peer (k, BJ_STR ("a")), 300);
+  ask (k);
+  assert_string_equal (h.to[0], "a");
+  bj_kernel_free (k);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_pick), cmocka_unit_test (test_refusals) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_pick),
+                                      cmocka_unit_test (test_refusals),
+                                      cmocka_unit_test (test_move),
+                                      cmocka_unit_test (test_silent) };
 
   bj_log_open (BJ_LOG_ERROR);
   return cmocka_run_group_tests (tests, NULL, NULL);
