--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -389,6 +389,15 @@
   assert_true (naive > 1 + ALLOWANCE); // the baseline breaks the bound, and the check sees it
 }
 
+// Fresh calls at an even rate, from time 0; returns when the next one would come.
+static BjTime
+arrive (const BjRetryOps *ops, BjRetry *r, int n, double every_ms)
+{
+  for (int i = 0; i < n; i++)
+    ops->fresh (r, i * every_ms);
+  return n * every_ms;
+}
+
 // How many calls may be tried again at once after fresh ones at an even rate.
 static void
 test_saved (void **state)
@@ -397,15 +406,15 @@
   {
     const char *name;
     double saved;
-    double per_s;  // fresh calls
-    double for_ms; // at this rate
-    int least;     // retries allowed in a row
+    int n_fresh;     // calls
+    double every_ms; // between two of them
+    int least;       // retries allowed in a row
     int most;
   } cases_saved[] = {
-    { "at rest", 0.03, 0.1, 60000, 3, 3 },
-    { "none saved", 0, 100, 60000, 3, 3 },
-    { "a busy daemon keeps three of a hundred calls", 0.03, 100, 60000, 31, 33 },
-    { "they have to be earned first", 0.03, 100, 50, 3, 3 },
+    { "at rest", 0.03, 6, 10000, 3, 3 },
+    { "none saved", 0, 6000, 10, 3, 3 },
+    { "a busy daemon keeps three of a hundred calls", 0.03, 6000, 10, 31, 33 },
+    { "they have to be earned first", 0.03, 5, 10, 3, 3 },
   };
   const BjRetryOps *ops = bj_plugin_find (BJ_PLUGIN_RETRY, BJ_STR ("budget"));
 
@@ -415,11 +424,9 @@
       BjRetryOptions o = { .ratio = 0.12, .burst = 3, .saved = cases_saved[i].saved };
       BjRetry *r = ops->create (&o);
       BjCall c = { .retry_cost = 1, .attempts_left = 1000 };
-      BjTime now = 0;
+      BjTime now = arrive (ops, r, cases_saved[i].n_fresh, cases_saved[i].every_ms);
       int n = 0;
 
-      for (; now < cases_saved[i].for_ms; now += 1000 / cases_saved[i].per_s)
-        ops->fresh (r, now);
       while (ops->allow (r, now, &c))
         n++;
       if (n < cases_saved[i].least || n > cases_saved[i].most)
@@ -437,12 +444,10 @@
   BjRetryOptions o = { .ratio = 0.12, .burst = 3, .saved = 0.03 };
   BjRetry *r = ops->create (&o);
   BjCall c = { .retry_cost = 1, .attempts_left = 1000 };
-  BjTime now = 0;
+  BjTime now = arrive (ops, r, 6000, 10);
   int n = 0;
 
   (void)state;
-  for (; now < 60000; now += 10)
-    ops->fresh (r, now);
   while (ops->allow (r, now, &c))
     ;
   for (int i = 0; i < 20; i++, now += 50)
@@ -467,11 +472,9 @@
   const BjRetryOps *ops = bj_plugin_find (BJ_PLUGIN_RETRY, BJ_STR ("budget"));
   BjRetryOptions o = { .ratio = 0.12, .burst = 3, .saved = 0.03, .reserve = 2 };
   BjRetry *r = ops->create (&o);
-  BjTime now = 0;
+  BjTime now = arrive (ops, r, 10000, 10);
 
   (void)state;
-  for (; now < 100000; now += 10)
-    ops->fresh (r, now);
   for (size_t i = 0; i < G_N_ELEMENTS (classes); i++)
     {
       BjCall c = { .retry_cost = 1, .attempts_left = 1000, .klass = classes[i].klass };
