--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -645,6 +645,7 @@
   int own_in_flight;       // calls this daemon has there
   int sent_since;          // of them, sent after the load was told
   double service_ms;       // smoothed time to an answer, 0 before the first
+  bool is_silent;          // its link was replaced for silence and has not been heard since
   bool is_gone;            // takes no new call, kept while calls are open there
   void *link;              // the host's
 };
@@ -760,6 +761,9 @@
                             BjTime now,
                             BjPeer *p,
                             double ms); // Gets no calls for so long if there are others
+void bj_kernel_peer_unheard (BjKernel *k,
+                             BjPeer *p,
+                             bool unheard); // Gets no calls until it is heard again
 void bj_kernel_move (BjKernel *k,
                      BjTime now,
                      BjCall *c); // Its peer is silent: c goes elsewhere if it may run again
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -342,6 +342,20 @@
   p->skip_until = MAX (p->skip_until, now + ms);
 }
 
+void
+bj_kernel_peer_unheard (BjKernel *k, BjPeer *p, bool unheard)
+{
+  (void)k;
+  if (p->is_silent != unheard)
+    bj_log (BJ_LOG_INFO,
+            "LINK",
+            unheard ? "unheard=%.*s, no calls until it is" : "heard=%.*s again",
+            BJ_STR_ARG (p->report.name));
+  p->is_silent = unheard;
+  if (!unheard)
+    p->skip_until = 0;
+}
+
 // One that nobody else can take, or may not run again, goes on waiting.
 void
 bj_kernel_move (BjKernel *k, BjTime now, BjCall *c)
--- a/src/link.c
+++ b/src/link.c
@@ -26,9 +26,11 @@
 
 static void on_accept (struct ev_loop *loop, ev_io *w, int events);
 static void on_readable (struct ev_loop *loop, ev_io *w, int events);
+static void note_heard (const BjConn *c);
 static void on_writable (struct ev_loop *loop, ev_io *w, int events);
 static void on_probe (struct ev_loop *loop, ev_timer *w, int events);
 static bool probe (BjConn *c, BjTime now);
+static void redial_unheard (BjPeer *p, void *links);
 static void move_calls (BjConn *c, BjTime now);
 static BjConn *new_conn (BjLinks *l, int fd);
 static BjConn *dial (BjLinks *l, BjPeer *p);
@@ -256,11 +258,22 @@
     }
   c->heard = bj_clock_now ();
   c->n_pings = 0;
+  note_heard (c);
   g_string_append_len (c->in, buffer, n);
   if (!read_frames (c))
     close_conn (c, BJ_E_LOST);
 }
 
+static void
+note_heard (const BjConn *c)
+{
+  BjKernel *k = c->links->daemon->kernel;
+  BjPeer *p = c->is_dialled ? bj_kernel_find_peer (k, c->peer) : NULL;
+
+  if (p != NULL && p->is_silent)
+    bj_kernel_peer_unheard (k, p, false);
+}
+
 static void
 on_writable (struct ev_loop *loop, ev_io *w, int events)
 {
@@ -302,6 +315,7 @@
     if (!probe (i->data, now))
       close_conn (i->data, BJ_E_LOST);
   g_list_free (all);
+  bj_kernel_each_peer (l->daemon->kernel, redial_unheard, l);
   bj_incoming_tick (l->incoming, now);
 }
 
@@ -311,7 +325,9 @@
 probe (BjConn *c, BjTime now)
 {
   BjFrame ping = { .kind = BJ_FRAME_PING };
-  bool is_open = g_hash_table_size (c->outgoing) > 0 || g_hash_table_size (c->incoming) > 0;
+  BjPeer *p = c->is_dialled ? bj_kernel_find_peer (c->links->daemon->kernel, c->peer) : NULL;
+  bool is_open = g_hash_table_size (c->outgoing) > 0 || g_hash_table_size (c->incoming) > 0
+                 || (p != NULL && p->is_silent);
 
   if (c->is_closing || now - c->heard < BJ_PING_MS)
     return true;
@@ -328,6 +344,8 @@
               "LINK",
               "The connection to %.*s is silent and is replaced.",
               BJ_STR_ARG (c->peer));
+      if (p != NULL)
+        bj_kernel_peer_unheard (c->links->daemon->kernel, p, true);
       return false;
     }
   c->n_pings++;
@@ -336,6 +354,14 @@
   return true;
 }
 
+// So that no call has to find out whether it is back.
+static void
+redial_unheard (BjPeer *p, void *links)
+{
+  if (p->is_silent && !p->is_self)
+    bj_conn_to (links, p);
+}
+
 static void
 move_calls (BjConn *c, BjTime now)
 {
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -271,13 +271,35 @@
   bj_kernel_free (k);
 }
 
+// Nothing is sent to a peer that was not heard for long: a caller that is told at once that its
+// call has not run can come back, one whose call hangs can't.
+static void
+test_unheard (void **state)
+{
+  static const Candidate one[PEERS] = { { "a", "north", 0, 0 } };
+  Host h;
+  BjKernel *k = new_kernel (&h, 5, one);
+  BjPeer *p = bj_kernel_find_peer (k, BJ_STR ("a"));
+
+  (void)state;
+  bj_kernel_peer_unheard (k, p, true);
+  ask (k);
+  assert_int_equal (h.n_sent, 0);
+  assert_true (h.is_answered);
+  bj_kernel_peer_unheard (k, p, false);
+  ask (k);
+  assert_int_equal (h.n_sent, 1);
+  bj_kernel_free (k);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_pick),
                                       cmocka_unit_test (test_refusals),
                                       cmocka_unit_test (test_move),
-                                      cmocka_unit_test (test_silent) };
+                                      cmocka_unit_test (test_silent),
+                                      cmocka_unit_test (test_unheard) };
 
   bj_log_open (BJ_LOG_ERROR);
   return cmocka_run_group_tests (tests, NULL, NULL);
