--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -645,7 +645,7 @@
   int own_in_flight;       // calls this daemon has there
   int sent_since;          // of them, sent after the load was told
   double service_ms;       // smoothed time to an answer, 0 before the first
-  bool is_silent;          // its link was replaced for silence and has not been heard since
+  bool is_unheard;         // its link was replaced for silence and has not been heard since
   bool is_gone;            // takes no new call, kept while calls are open there
   void *link;              // the host's
 };
--- a/src/config.h
+++ b/src/config.h
@@ -24,14 +24,12 @@
 #define BJ_LOG_BUFFER (1024 * 1024)                // bytes of log lines not yet written
 
 // Times, in milliseconds
-#define BJ_HEADER_TIMEOUT_MS 10000 // for the head of a caller's request
-#define BJ_CALLER_IDLE_MS 120000   // of a caller's connection without a request
-#define BJ_DEADLINE_MS 2000        // of a call whose route and caller give none
-#define BJ_HOP_MS 2                // taken off the deadline at each hop
-#define BJ_CONNECT_TIMEOUT_MS 1000 // for TCP and HTTP connections
-#define BJ_PING_MS                                                                                 \
-  150                               // silence on a link with open calls before a ping, and after it
-                                    // before the peer gets no more calls
+#define BJ_HEADER_TIMEOUT_MS 10000  // for the head of a caller's request
+#define BJ_CALLER_IDLE_MS 120000    // of a caller's connection without a request
+#define BJ_DEADLINE_MS 2000         // of a call whose route and caller give none
+#define BJ_HOP_MS 2                 // taken off the deadline at each hop
+#define BJ_CONNECT_TIMEOUT_MS 1000  // for TCP and HTTP connections
+#define BJ_PING_MS 150              // silence on a link with open calls before a ping, and after it
 #define BJ_IDLE_MS 30000            // a link without calls is closed after this long
 #define BJ_HEARTBEAT_MS 1000        // between two announcements of an upstream
 #define BJ_ANNOUNCE_MISSES 3        // announcements that may be missed before an upstream is gone
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -12,7 +12,7 @@
 static void failed (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static void retry (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static bool may_try_again (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
-static bool is_free (const BjKernel *k, const BjCall *c, const BjAnswer *a);
+static bool needs_no_token (const BjKernel *k, const BjCall *c, const BjAnswer *a);
 static void learn_suspicion (BjKernel *k, BjTime now, const BjCall *c, BjStatus s);
 static bool refuse_quarantined (BjKernel *k, BjTime now, BjCall *c);
 static void answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a);
@@ -346,12 +346,12 @@
 bj_kernel_peer_unheard (BjKernel *k, BjPeer *p, bool unheard)
 {
   (void)k;
-  if (p->is_silent != unheard)
+  if (p->is_unheard != unheard)
     bj_log (BJ_LOG_INFO,
             "LINK",
             unheard ? "unheard=%.*s, no calls until it is" : "heard=%.*s again",
             BJ_STR_ARG (p->report.name));
-  p->is_silent = unheard;
+  p->is_unheard = unheard;
   if (!unheard)
     p->skip_until = 0;
 }
@@ -609,7 +609,7 @@
     return false;
   if (a->outcome == BJ_UNKNOWN && c->irreversible)
     return false;
-  if (is_free (k, c, a))
+  if (needs_no_token (k, c, a))
     return true;
   c->retry_cost = bj_level_makes_calls (k, c) ? BJ_RETRY_COST_CALLS : 1;
   // What was retried below is not retried above it.
@@ -618,9 +618,9 @@
   return c->service->retry->ops->allow (c->service->retry, now, c);
 }
 
-// What a guard refused has not reached its upstream, so another one may be asked at no cost.
+// What a guard refused has not reached its upstream, so another one may be asked without a token.
 static bool
-is_free (const BjKernel *k, const BjCall *c, const BjAnswer *a)
+needs_no_token (const BjKernel *k, const BjCall *c, const BjAnswer *a)
 {
   bool is_refused = a->code == BJ_E_OVERLOAD || a->code == BJ_E_DEADLINE;
 
--- a/src/link.c
+++ b/src/link.c
@@ -270,7 +270,7 @@
   BjKernel *k = c->links->daemon->kernel;
   BjPeer *p = c->is_dialled ? bj_kernel_find_peer (k, c->peer) : NULL;
 
-  if (p != NULL && p->is_silent)
+  if (p != NULL && p->is_unheard)
     bj_kernel_peer_unheard (k, p, false);
 }
 
@@ -327,7 +327,7 @@
   BjFrame ping = { .kind = BJ_FRAME_PING };
   BjPeer *p = c->is_dialled ? bj_kernel_find_peer (c->links->daemon->kernel, c->peer) : NULL;
   bool is_open = g_hash_table_size (c->outgoing) > 0 || g_hash_table_size (c->incoming) > 0
-                 || (p != NULL && p->is_silent);
+                 || (p != NULL && p->is_unheard);
 
   if (c->is_closing || now - c->heard < BJ_PING_MS)
     return true;
@@ -358,7 +358,7 @@
 static void
 redial_unheard (BjPeer *p, void *links)
 {
-  if (p->is_silent && !p->is_self)
+  if (p->is_unheard && !p->is_self)
     bj_conn_to (links, p);
 }
 
--- a/src/place.c
+++ b/src/place.c
@@ -145,7 +145,7 @@
 static bool
 is_candidate (const BjPeer *p, const BjRouterAsk *ask)
 {
-  return !p->report.draining && !p->is_silent && p->report.service.len > 0
+  return !p->report.draining && !p->is_unheard && p->report.service.len > 0
          && !was_tried (p, ask->call);
 }
 
