Callers: blanks before a colon are refused, 413 before the body, idle ones make room

Change: a blank or tab in a field's name is a 400, a length over the limit a 413 at once, and above 0.7 of the descriptors the connection that is idle longest is closed for a new one. test_fleet_input: two cases and test_idle_callers failed before.

--- a/src/front.c
+++ b/src/front.c
@@ -2,9 +2,12 @@
 // the dialect.
 
 #include "internal.h"
+#include <limits.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #define ACTIONS_PATH "/v1/actions" // mints home-bound action ids
+#define CALLERS_SHARE 0.7          // of the descriptors; the rest is for links, store and upstream
 
 struct BjFront
 {
@@ -20,6 +23,7 @@
   BjExchange *x;
 } Caller;
 
+static int most_callers (void);
 static void on_request (void *front, BjServerConn *conn, const BjHead *h, BjStr body);
 static void on_left (void *caller);
 static void on_drained (void *caller, size_t n);
@@ -45,10 +49,21 @@
       g_free (f);
       return s;
     }
+  bj_server_keep (f->server, most_callers ());
   *front = f;
   return BJ_OK;
 }
 
+static int
+most_callers (void)
+{
+  struct rlimit l;
+
+  if (getrlimit (RLIMIT_NOFILE, &l) != 0 || l.rlim_cur > INT_MAX)
+    return INT_MAX;
+  return MAX (1, (int)(CALLERS_SHARE * (double)l.rlim_cur));
+}
+
 void
 bj_front_free (BjFront *f)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -125,10 +125,11 @@
                         BjServer **s); // BJ_E_IO when the port is busy
 void bj_server_free (BjServer *s);
 void bj_server_limit (BjServer *s, const BjCallerLimits *l); // From now on
-void bj_server_close (BjServer *s);     // Every answer from now on ends its connection
-void bj_server_quiesce (BjServer *s);   // Takes no new connection from now on
-int bj_server_open (const BjServer *s); // Requests not yet answered whole
-void bj_server_flush (BjServer *s);     // Writes what was queued in this turn
+void bj_server_keep (BjServer *s, int n); // Most connections; above, idle ones make room
+void bj_server_close (BjServer *s);       // Every answer from now on ends its connection
+void bj_server_quiesce (BjServer *s);     // Takes no new connection from now on
+int bj_server_open (const BjServer *s);   // Requests not yet answered whole
+void bj_server_flush (BjServer *s);       // Writes what was queued in this turn
 void bj_server_answer_for (BjServerConn *c, void *call); // Whom left and drained are told
 void bj_server_begin (BjServerConn *c,
                       int status,
--- a/src/server.c
+++ b/src/server.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <ev.h>
 #include <http_parser.h>
+#include <limits.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -68,9 +69,11 @@
   GPtrArray *dead;   // closed, freed at the end of the turn
   bool is_closing;
   int n_open;
+  int conns_max; // above it, the one that is idle longest is closed for a new one
 };
 
 static void on_accept (struct ev_loop *loop, ev_io *w, int events);
+static void make_room (BjServer *s);
 static void add_conn (BjServer *s, int fd);
 static void on_read (struct ev_loop *loop, ev_io *w, int events);
 static void on_write (struct ev_loop *loop, ev_io *w, int events);
@@ -139,6 +142,7 @@
   s->ops = ops;
   s->data = data;
   s->limits = (BjCallerLimits)BJ_CALLER_LIMITS_DEFAULT;
+  s->conns_max = INT_MAX;
   s->conns = g_hash_table_new (NULL, NULL);
   s->dirty = g_ptr_array_new ();
   s->dead = g_ptr_array_new ();
@@ -178,6 +182,12 @@
   s->limits = *l;
 }
 
+void
+bj_server_keep (BjServer *s, int n)
+{
+  s->conns_max = n;
+}
+
 void
 bj_server_close (BjServer *s)
 {
@@ -302,12 +312,36 @@
     }
 }
 
+// Connections that wait for nothing make room, so that descriptors are left for links, the store
+// and the upstream.
+static void
+make_room (BjServer *s)
+{
+  BjServerConn *oldest = NULL;
+  GHashTableIter i;
+  gpointer key;
+
+  if ((int)g_hash_table_size (s->conns) < s->conns_max)
+    return;
+  g_hash_table_iter_init (&i, s->conns);
+  while (g_hash_table_iter_next (&i, &key, NULL))
+    {
+      BjServerConn *c = key;
+
+      if (c->state == IDLE && (oldest == NULL || c->since < oldest->since))
+        oldest = c;
+    }
+  if (oldest != NULL)
+    close_conn (oldest);
+}
+
 static void
 add_conn (BjServer *s, int fd)
 {
   BjServerConn *c = g_new0 (BjServerConn, 1);
   int on = 1;
 
+  make_room (s);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   c->server = s;
   c->fd = fd;
@@ -472,6 +506,12 @@
   // Fields behind a body in chunks are not relayed.
   if (c->state == BODY)
     return 0;
+  // http-parser takes "Name : value"; who reads it otherwise ends the request elsewhere.
+  if (memchr (data, ' ', n) != NULL || memchr (data, '\t', n) != NULL)
+    {
+      c->error_status = HTTP_STATUS_BAD_REQUEST;
+      return -1;
+    }
   bj_message_field (&c->head, data, n);
   return check_head (c);
 }
@@ -498,6 +538,11 @@
       c->error_status = HTTP_STATUS_BAD_REQUEST;
       return -1;
     }
+  if ((p->flags & F_CONTENTLENGTH) != 0 && p->content_length > c->server->limits.body_bytes)
+    {
+      c->error_status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
+      return -1;
+    }
   set_state (c, BODY);
   if (bj_header_is (bj_header_find (headers, "Expect"), "100-continue"))
     {
@@ -514,9 +559,11 @@
 
   c->since = bj_clock_now ();
   if (c->body->len + n > c->server->limits.body_bytes)
-    c->error_status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
-  else
-    g_string_append_len (c->body, data, (gssize)n);
+    {
+      c->error_status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
+      return -1;
+    }
+  g_string_append_len (c->body, data, (gssize)n);
   return 0;
 }
 
--- a/tests/test_fleet_input.c
+++ b/tests/test_fleet_input.c
@@ -9,11 +9,14 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cmocka.h>
 
+#define DESCRIPTORS 256  // of the daemon
+#define IDLE_CALLERS 300 // more than these
 #define ANSWER_TIMEOUT_MS 3000
 #define SEED 20261203
 #define RANDOM_INPUTS 200
@@ -84,6 +87,22 @@
     "",
     "HTTP/1.1 413",
     NULL },
+  { "blank before the colon",
+    FRONT,
+    BYTES ("POST /catalogue/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n"),
+    NULL,
+    0,
+    NULL,
+    "HTTP/1.1 400",
+    NULL },
+  { "announced body over the limit, without its bytes",
+    FRONT,
+    BYTES ("POST /catalogue/x HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n"),
+    NULL,
+    0,
+    NULL,
+    "HTTP/1.1 413",
+    NULL },
   { "length is no number",
     FRONT,
     BYTES ("POST /catalogue/x HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\n"),
@@ -232,10 +251,20 @@
       .service_ms = 1 },
   };
 
+  struct rlimit all;
+  struct rlimit few;
+  bool started;
+
   (void)state;
   curl_global_init (CURL_GLOBAL_DEFAULT);
   fleet_init (&fleet, nodes, G_N_ELEMENTS (nodes));
-  return fleet_start (&fleet)
+  getrlimit (RLIMIT_NOFILE, &all);
+  few = all;
+  few.rlim_cur = DESCRIPTORS;
+  setrlimit (RLIMIT_NOFILE, &few);
+  started = fleet_start (&fleet);
+  setrlimit (RLIMIT_NOFILE, &all);
+  return started
                  && fleet_file_ticket (
                      &fleet,
                      "{\"number\":1,\"base\":0,\"priorities\":[\"lookup\"],\"services\":{"
@@ -436,6 +465,26 @@
       "POST", fleet.members[0].upstream_port, "/control/service_us?value=1000", NULL, "", NULL);
 }
 
+// Idle callers make room, so that the next one is answered though descriptors are few.
+static void
+test_idle_callers (void **state)
+{
+  static const char request[] = "GET /catalogue/x HTTP/1.1\r\nHost: x\r\n\r\n";
+  int fds[IDLE_CALLERS];
+  char buffer[4096];
+
+  (void)state;
+  for (int i = 0; i < IDLE_CALLERS; i++)
+    {
+      fds[i] = connect_to (FRONT);
+      assert_int_equal (send (fds[i], request, strlen (request), MSG_NOSIGNAL), strlen (request));
+      if (recv (fds[i], buffer, sizeof buffer, 0) <= 0)
+        fail_msg ("caller %d got no answer", i);
+    }
+  for (int i = 0; i < IDLE_CALLERS; i++)
+    close (fds[i]);
+}
+
 // Under ASan and UBSan the exit code also tells of leaks.
 static void
 test_ends_cleanly (void **state)
@@ -452,6 +501,7 @@
     cmocka_unit_test (test_cases),
     cmocka_unit_test (test_random_bytes),
     cmocka_unit_test (test_cancel_of_a_queued_call),
+    cmocka_unit_test (test_idle_callers),
     cmocka_unit_test (test_ends_cleanly),
   };
 
