least-wait looks at each candidate once; both routers share who may get a call

A pick compared the region and worked out the load of every candidate up to three times and walked the list three times; was_tried stood in place.c and route.c.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -660,8 +660,9 @@
 };
 
 void bj_peer_report_copy (BjPeerReport *to,
-                          const BjPeerReport *from); // Deep copy; frees what was there
-void bj_peer_report_clear (BjPeerReport *r);         // Frees the strings
+                          const BjPeerReport *from);   // Deep copy; frees what was there
+void bj_peer_report_clear (BjPeerReport *r);           // Frees the strings
+bool bj_peer_takes (const BjPeer *p, const BjCall *c); // May get c, which it has not had yet
 
 // ---------------------------------------------------------------------------------------------
 // Kernel: makes every decision, does no I/O
--- a/src/peer.c
+++ b/src/peer.c
@@ -35,6 +35,17 @@
   bj_str_free (&r->gossip_host);
 }
 
+bool
+bj_peer_takes (const BjPeer *p, const BjCall *c)
+{
+  if (p->report.draining || p->is_unheard || p->report.service.len == 0)
+    return false;
+  for (int i = 0; i < c->n_tried; i++)
+    if (c->tried[i] == p)
+      return false;
+  return true;
+}
+
 void
 bj_kernel_peer (BjKernel *k, BjTime now, const BjPeerReport *r)
 {
--- a/src/place.c
+++ b/src/place.c
@@ -31,17 +31,22 @@
   BjRouter base;
 } Place;
 
+typedef struct
+{
+  BjPeer *peer;
+  bool is_near; // in the own region
+  double load;  // of its limit, with this call
+  double failures_ms;
+} Candidate;
+
 static BjRouter *create (void);
 static void destroy (BjRouter *r);
 static BjPeer *pick (BjRouter *r, BjTime now, const BjRouterAsk *ask);
 static void result (BjRouter *r, BjTime now, BjPeer *p, BjStatus s);
-static bool was_tried (const BjPeer *p, const BjCall *c);
-static bool is_candidate (const BjPeer *p, const BjRouterAsk *ask);
-static bool is_near (const BjPeer *p, const BjRouterAsk *ask);
-static double expected_wait (const BjPeer *p, BjTime now, const BjRouterAsk *ask);
-static int common_failing (const BjRouterAsk *ask, int first, int n);
+static int collect (BjTime now, const BjRouterAsk *ask, Candidate *all);
+static void price_failures (Candidate *all, int n, const BjRouterAsk *ask);
 static gint by_number (gconstpointer a, gconstpointer b);
-static double failure_cost (const BjPeer *p, int common, const BjRouterAsk *ask);
+static double expected_wait (const Candidate *c, BjTime now, const BjRouterAsk *ask);
 static double load_of (const BjPeer *p, BjTime now);
 
 static const BjRouterOps least_wait_ops = { create, destroy, pick, result, true };
@@ -64,36 +69,27 @@
 static BjPeer *
 pick (BjRouter *r, BjTime now, const BjRouterAsk *ask)
 {
+  Candidate all[EXAMINED_MAX];
+  int n = collect (now, ask, all);
   BjPeer *best = NULL;
   double best_ms = BJ_TIME_NEVER;
-  int n = MIN (ask->n, EXAMINED_MAX);
-  int first = ask->n > 0 ? g_rand_int_range (ask->rand, 0, ask->n) : 0;
-  int common = common_failing (ask, first, n);
   double crowding = 0; // a failing one with room is taken before the others are crowded
 
   (void)r;
+  *ask->n_candidates = n;
+  price_failures (all, n, ask);
   for (int i = 0; i < n; i++)
-    {
-      const BjPeer *p = ask->peers[(first + i) % ask->n];
-
-      if (is_candidate (p, ask) && is_near (p, ask) && load_of (p, now) <= BUSY_LOAD)
-        crowding = MAX (crowding, failure_cost (p, common, ask));
-    }
-  *ask->n_candidates = 0;
+    if (all[i].is_near && all[i].load <= BUSY_LOAD)
+      crowding = MAX (crowding, all[i].failures_ms);
   for (int i = 0; i < n; i++)
     {
-      BjPeer *p = ask->peers[(first + i) % ask->n];
-      double ms;
+      double ms = expected_wait (&all[i], now, ask) + all[i].failures_ms;
 
-      if (!is_candidate (p, ask))
-        continue;
-      ms = expected_wait (p, now, ask) + failure_cost (p, common, ask);
-      if (is_near (p, ask) && load_of (p, now) > BUSY_LOAD)
+      if (all[i].is_near && all[i].load > BUSY_LOAD)
         ms += crowding;
-      (*ask->n_candidates)++;
       if (ms >= best_ms)
         continue;
-      best = p;
+      best = all[i].peer;
       best_ms = ms;
     }
   return best;
@@ -133,50 +129,50 @@
           p->skip_ms);
 }
 
-static bool
-was_tried (const BjPeer *p, const BjCall *c)
+static int
+collect (BjTime now, const BjRouterAsk *ask, Candidate *all)
 {
-  for (int i = 0; i < c->n_tried; i++)
-    if (c->tried[i] == p)
-      return true;
-  return false;
-}
+  int first = ask->n > 0 ? g_rand_int_range (ask->rand, 0, ask->n) : 0;
+  int n = 0;
 
-static bool
-is_candidate (const BjPeer *p, const BjRouterAsk *ask)
-{
-  return !p->report.draining && !p->is_unheard && p->report.service.len > 0
-         && !was_tried (p, ask->call);
-}
+  for (int i = 0; i < MIN (ask->n, EXAMINED_MAX); i++)
+    {
+      BjPeer *p = ask->peers[(first + i) % ask->n];
 
-static bool
-is_near (const BjPeer *p, const BjRouterAsk *ask)
-{
-  return bj_str_equal (p->report.region, ask->region);
+      if (bj_peer_takes (p, ask->call))
+        all[n++] = (Candidate){
+          .peer = p,
+          .is_near = bj_str_equal (p->report.region, ask->region),
+          .load = load_of (p, now),
+        };
+    }
+  return n;
 }
 
-// What three quarters of the candidates reach, be it through calls that they make or through what
-// they are asked.
-static int
-common_failing (const BjRouterAsk *ask, int first, int n)
+// Failures above what three quarters of the candidates reach, be it through calls that they make or
+// through what they are asked.
+static void
+price_failures (Candidate *all, int n, const BjRouterAsk *ask)
 {
-  int all[EXAMINED_MAX];
-  int found = 0;
+  double ms = ask->call->objective_ms > 0 ? ask->call->objective_ms : FAILED_MS;
+  int failing[EXAMINED_MAX];
   bool is_any = false;
 
   for (int i = 0; i < n; i++)
     {
-      const BjPeer *p = ask->peers[(first + i) % ask->n];
-
-      if (!is_candidate (p, ask))
-        continue;
-      all[found++] = p->report.failing;
-      is_any = is_any || p->report.failing >= FAILING_MIN;
+      failing[i] = all[i].peer->report.failing;
+      is_any = is_any || failing[i] >= FAILING_MIN;
     }
   if (!is_any)
-    return 0;
-  qsort (all, (size_t)found, sizeof all[0], by_number);
-  return all[found / 4];
+    return;
+  qsort (failing, (size_t)n, sizeof failing[0], by_number);
+  for (int i = 0; i < n; i++)
+    {
+      int more = all[i].peer->report.failing - failing[n / 4];
+
+      if (more >= FAILING_MIN)
+        all[i].failures_ms = ms * more / BJ_FAILING_MAX;
+    }
 }
 
 static gint
@@ -185,30 +181,20 @@
   return *(const int *)a - *(const int *)b;
 }
 
-static double
-failure_cost (const BjPeer *p, int common, const BjRouterAsk *ask)
-{
-  double ms = ask->call->objective_ms > 0 ? ask->call->objective_ms : FAILED_MS;
-  int more = p->report.failing - common;
-
-  return more >= FAILING_MIN ? ms * more / BJ_FAILING_MAX : 0;
-}
-
 // One that is skipped is still better than none.
 static double
-expected_wait (const BjPeer *p, BjTime now, const BjRouterAsk *ask)
+expected_wait (const Candidate *c, BjTime now, const BjRouterAsk *ask)
 {
-  bool near = is_near (p, ask);
+  const BjPeer *p = c->peer;
   double service = p->service_ms > 0 ? p->service_ms : SERVICE_MS;
-  double load = load_of (p, now);
   double ms = 0;
 
   if (!bj_str_equal (p->report.domain, ask->domain))
-    ms = near ? HOP_REGION_MS : HOP_FAR_MS;
-  if (!near && load > FAR_BUSY_LOAD)
+    ms = c->is_near ? HOP_REGION_MS : HOP_FAR_MS;
+  if (!c->is_near && c->load > FAR_BUSY_LOAD)
     ms += FAR_BUSY_MS;
   // Among idle ones the less loaded, by less than a hop.
-  ms += WAIT_WEIGHT * MAX (0, load - BUSY_LOAD) * service + MIN (load, 1) * HOP_REGION_MS / 2;
+  ms += WAIT_WEIGHT * MAX (0, c->load - BUSY_LOAD) * service + MIN (c->load, 1) * HOP_REGION_MS / 2;
   if (now < p->skip_until)
     ms += SKIP_MAX_MS;
   return ms;
--- a/src/route.c
+++ b/src/route.c
@@ -245,12 +245,7 @@
 static bool
 is_usable (const BjPeer *p, BjTime now, const BjCall *c)
 {
-  if (p->report.draining || p->is_unheard || p->report.service.len == 0 || now < p->skip_until)
-    return false;
-  for (int i = 0; i < c->n_tried; i++)
-    if (c->tried[i] == p)
-      return false;
-  return true;
+  return now >= p->skip_until && bj_peer_takes (p, c);
 }
 
 // A daemon of another domain may take a share of what its own domain leaves free.
