--- a/src/allowance.c
+++ b/src/allowance.c
@@ -9,12 +9,11 @@
 void
 bj_allowance_draw (BjKernel *k, BjCall *c)
 {
-  BjCall *parent;
+  BjCall *parent = bj_call_parent (k, &c->request);
   int share = 0;
 
   if (c->request.parent == 0)
     return;
-  parent = g_hash_table_lookup (k->calls, &c->request.parent);
   if (parent != NULL)
     {
       share = MIN (c->attempts_left, (MAX (0, parent->attempts_left) + 1) / 2);
@@ -26,10 +25,8 @@
 void
 bj_allowance_return (BjKernel *k, const BjCall *c)
 {
-  BjCall *parent = NULL;
+  BjCall *parent = bj_call_parent (k, &c->request);
 
-  if (c->request.parent != 0)
-    parent = g_hash_table_lookup (k->calls, &c->request.parent);
   if (parent != NULL)
     parent->attempts_left += c->attempts_left;
 }
--- a/src/call.c
+++ b/src/call.c
@@ -36,6 +36,12 @@
   g_free (c);
 }
 
+BjCall *
+bj_call_parent (BjKernel *k, const BjRequest *r)
+{
+  return r->parent != 0 ? g_hash_table_lookup (k->calls, &r->parent) : NULL;
+}
+
 void
 bj_call_set_deadline (BjKernel *k, BjCall *c, BjTime deadline)
 {
@@ -49,12 +55,10 @@
 static uint32_t
 cohort_of (BjKernel *k, const BjRequest *r)
 {
-  const BjCall *parent = NULL;
+  const BjCall *parent = bj_call_parent (k, r);
 
   if (r->has_cohort)
     return r->cohort;
-  if (r->parent != 0)
-    parent = g_hash_table_lookup (k->calls, &r->parent);
   if (parent != NULL)
     return parent->cohort;
   return r->key.len > 0 ? (uint32_t)bj_str_hash (r->key) : g_rand_int (k->rand);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -128,6 +128,7 @@
 BjCall *bj_call_new (BjKernel *k, BjTime now, const BjRequest *r, void *data); // Copies r
 gint bj_call_by_deadline (gconstpointer a, gconstpointer b, gpointer data);    // Earliest first
 void bj_call_end (BjKernel *k, BjCall *c);                                     // Frees c
+BjCall *bj_call_parent (BjKernel *k, const BjRequest *r); // That it names, NULL when it has ended
 void bj_call_set_deadline (BjKernel *k, BjCall *c, BjTime deadline);
 void bj_call_refuse (BjKernel *k,
                      BjTime now,
--- a/src/level.c
+++ b/src/level.c
@@ -47,9 +47,9 @@
 static void look_below (uint64_t called, void *below);
 static Learned *find (BjKernel *k, uint64_t route);
 static void change_refused (BjKernel *k, BjTime now, Learned *l);
+static double fallen (double level, double windows);
 static double known (BjKernel *k, Learned *l, BjTime now); // The higher of both levels
 static double faded (const Learned *l, BjTime now);
-static BjCall *parent_of (BjKernel *k, const BjCall *c);
 
 void
 bj_level_init (BjLevel *l)
@@ -115,7 +115,7 @@
 bj_level_learn (BjKernel *k, BjTime now, const BjCall *c, int level)
 {
   Learned *l = find (k, c->route);
-  BjCall *parent = parent_of (k, c);
+  BjCall *parent = bj_call_parent (k, &c->request);
   double old = faded (l, now);
 
   l->level = old + LEARN_WEIGHT * (CLAMP (level, 0, highest (k)) - old);
@@ -140,7 +140,7 @@
 {
   double level = known (k, find (k, c->route), now);
   double rank = c->klass * COHORTS + (c->is_return ? 0 : c->cohort % COHORTS);
-  BjCall *parent = parent_of (k, c);
+  BjCall *parent = bj_call_parent (k, &c->request);
   int n = k->config->classes != NULL ? (int)k->config->classes->len : 1;
 
   if (c->irreversible || rank < n * COHORTS - level)
@@ -171,7 +171,7 @@
   if (rise > 0)
     l->own = MIN (highest (k), l->own + rise);
   else if (l->n_refused == 0 && !is_busy (k, now))
-    l->own = MAX (0, l->own - windows * MAX (FALL_MIN, l->own * FALL_SHARE));
+    l->own = fallen (l->own, windows);
   l->n_offered = 0;
   l->n_refused = 0;
   l->n_started = 0;
@@ -227,12 +227,18 @@
   if (l->n_sent >= CALLS_MIN && share > REFUSED_SHARE)
     l->refused = MIN (highest (k), l->refused + share * RISE);
   else if (l->n_refused == 0)
-    l->refused = MAX (0, l->refused - windows * MAX (FALL_MIN, l->refused * FALL_SHARE));
+    l->refused = fallen (l->refused, windows);
   l->n_sent = 0;
   l->n_refused = 0;
   l->window_from = now;
 }
 
+static double
+fallen (double level, double windows)
+{
+  return MAX (0, level - windows * MAX (FALL_MIN, level * FALL_SHARE));
+}
+
 static double
 known (BjKernel *k, Learned *l, BjTime now)
 {
@@ -248,9 +254,3 @@
 
   return l->level * CLAMP (1 - age / FADE_MS, 0, 1);
 }
-
-static BjCall *
-parent_of (BjKernel *k, const BjCall *c)
-{
-  return c->request.parent != 0 ? g_hash_table_lookup (k->calls, &c->request.parent) : NULL;
-}
--- a/src/parent.c
+++ b/src/parent.c
@@ -81,7 +81,7 @@
 
   if (c->request.parent != 0)
     {
-      parent = g_hash_table_lookup (k->calls, &c->request.parent);
+      parent = bj_call_parent (k, &c->request);
       if (parent != NULL && parent->route != 0)
         note (find (k, parent->route), c->route);
       return;
