A lost run is judged by a probe that started after it, also when the loop stalled

Two ways were found in the code. The probe's timer runs before its read watcher when the loop stalled past both, so a reset that was already there was not seen. And a run lost while a probe was out was judged by that probe, which could have connected to the upstream before the crash. Change: the timer looks for a pending reset before it calls the connection open; a probe that stayed open decides only for the runs that were lost before it started, later ones wait for another probe. Not ruled out: that the run that was once seen red had another cause; no trace of it was kept.

--- a/src/pool.c
+++ b/src/pool.c
@@ -347,12 +347,20 @@
   send_request (c);
 }
 
+// After a stall of the loop the timer runs before the read watcher, so the reset may be pending.
 static void
 on_probe_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
+  BjPoolConn *c = w->data;
+  char byte;
+  bool is_open = recv (c->fd, &byte, 1, MSG_PEEK) < 0 && errno == EAGAIN;
+
   (void)loop;
   (void)events;
-  finish_response (w->data, false);
+  if (is_open)
+    finish_response (c, false);
+  else
+    fail_request (c, BJ_E_NO_UPSTREAM);
 }
 
 static void
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -28,7 +28,8 @@
 static size_t on_body (void *data, BjStr part);
 static void on_done (void *data, BjStatus s, bool sent);
 static void free_run (Run *r);
-static void probe_upstream (BjExchange *x);
+static void await_probe (BjExchange *x);
+static void start_probe (BjDaemon *d);
 static void on_probe_done (void *data, BjStatus s, bool sent);
 static void report_lost_run (BjDaemon *d, const LostRun *l, bool has_crashed);
 static void on_lost_drained (BjSource *s, size_t n);
@@ -155,7 +156,7 @@
   if (s == BJ_OK || s == BJ_E_BROKEN || begun)
     bj_exchange_end (x, s == BJ_OK);
   else if (s == BJ_E_LOST && sent)
-    probe_upstream (x);
+    await_probe (x);
   else
     {
       if (s == BJ_E_NO_UPSTREAM)
@@ -165,10 +166,9 @@
 }
 
 // Delays the outcome of a run whose connection was lost until a probe has shown whether the
-// upstream crashed: a crashed upstream refuses new connections. One probe decides for all runs lost
-// before it ends.
+// upstream crashed: a crashed upstream refuses new connections.
 static void
-probe_upstream (BjExchange *x)
+await_probe (BjExchange *x)
 {
   BjDaemon *d = x->daemon;
   LostRun *l = g_new0 (LostRun, 1);
@@ -179,8 +179,14 @@
   l->started = x->call->started;
   x->source = &l->source;
   g_ptr_array_add (d->lost_runs, l);
-  if (d->lost_runs->len > 1)
-    return;
+  if (d->lost_runs->len == 1)
+    start_probe (d);
+}
+
+static void
+start_probe (BjDaemon *d)
+{
+  d->n_probed_runs = d->lost_runs->len;
   bj_pool_start (d->pool,
                  &(BjPoolOptions){
                      .address = d->upstream,
@@ -190,19 +196,27 @@
                  });
 }
 
+// A refused probe decides for all lost runs. One that succeeded says nothing about runs that were
+// lost after it started: these wait for another probe.
 static void
 on_probe_done (void *data, BjStatus s, bool sent)
 {
   BjDaemon *d = data;
+  bool has_crashed = s == BJ_E_NO_UPSTREAM;
   GPtrArray *all = d->lost_runs;
+  guint n = has_crashed ? all->len : d->n_probed_runs;
 
   (void)sent;
   d->lost_runs = g_ptr_array_new ();
-  if (s == BJ_E_NO_UPSTREAM)
+  for (guint i = n; i < all->len; i++)
+    g_ptr_array_add (d->lost_runs, all->pdata[i]);
+  if (d->lost_runs->len > 0)
+    start_probe (d);
+  if (has_crashed)
     bj_daemon_mark_upstream_down (d);
-  for (guint i = 0; i < all->len; i++)
+  for (guint i = 0; i < n; i++)
     {
-      report_lost_run (d, all->pdata[i], s == BJ_E_NO_UPSTREAM);
+      report_lost_run (d, all->pdata[i], has_crashed);
       g_free (all->pdata[i]);
     }
   g_ptr_array_free (all, TRUE);
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -16,6 +16,7 @@
 #include <cmocka.h>
 
 #define PROBE_DELAY_MS 40 // before the probe connection is reset, or kept open for good
+#define STALL_MS 200      // longer than a probe connection has to stay open
 #define WAIT_MS 3000      // deadline of the call and of each case
 
 typedef struct
@@ -24,15 +25,26 @@
   bool crashes;          // the probe connection is reset, as a proxy does for a crashed upstream
   bool is_reset_at_once; // the reset comes before the daemon sees the probe connection open
   bool is_cancelled;     // the caller cancels during the probe
+  bool is_stalled;       // the daemon's loop stalls right after the probe connection is reset
+  bool has_second_run;   // a second run is lost while the first probe connection stays open
   bool is_suspect;       // the request must be suspect after the probe
 } CrashCase;
 
 static const CrashCase cases[] = {
-  { "crash, caller waits for the response", true, false, false, true },
-  { "crash, probe connection reset before the daemon saw it open", true, true, false, true },
-  { "crash, caller cancelled during the probe", true, false, true, true },
-  { "lost connection, caller waits for the response", false, false, false, false },
-  { "lost connection, caller cancelled during the probe", false, false, true, false },
+  { "crash, caller waits for the response", true, false, false, false, false, true },
+  { "crash, probe connection reset before the daemon saw it open",
+    true,
+    true,
+    false,
+    false,
+    false,
+    true },
+  { "crash, caller cancelled during the probe", true, false, true, false, false, true },
+  { "crash, the daemon stalls past the end of the probe", true, false, false, true, false, true },
+  { "crash in a second run after the probe connected", true, false, false, false, true, true },
+  { "lost connection, caller waits for the response", false, false, false, false, false, false },
+  { "lost connection, caller cancelled during the probe", false, false, true, false, false, false },
+  { "two lost connections", false, false, false, false, true, false },
 };
 
 typedef struct
@@ -41,10 +53,14 @@
   const CrashCase *c;
   int fd;
   ev_io accept;
+  ev_io run; // connection of a run
   ev_timer probe_delay;
   int n_conns;
-  int probe_fd;         // descriptor of the probe connection, -1 before
-  BjExchange *exchange; // of the call, NULL once it has ended
+  int probe_fd;         // descriptor of the last probe connection, -1 before
+  int first_probe_fd;   // descriptor of an earlier one that stays open, -1 if none
+  BjExchange *exchange; // of the first call, NULL once it has ended
+  BjDaemon *daemon;
+  BjSink *second_caller;
   bool is_done;
 } Upstream;
 
@@ -54,6 +70,8 @@
   Upstream *u;
 } Caller;
 
+static void start_second_run (Upstream *u);
+
 static void
 close_reset (int fd)
 {
@@ -72,22 +90,33 @@
   (void)events;
   if (u->c->crashes)
     close_reset (u->probe_fd);
+  if (u->c->is_stalled)
+    g_usleep (STALL_MS * 1000);
   u->is_done = true;
 }
 
-// The first connection carries the run and is reset; the second one is the probe.
+static void
+on_run_data (struct ev_loop *loop, ev_io *w, int events)
+{
+  (void)events;
+  ev_io_stop (loop, w);
+  close_reset (w->fd);
+}
+
+// The first connection carries the run and is reset; the second one is the probe. With a second
+// run, the third one carries that and is reset, and the fourth one is the second probe.
 static void
 on_accept (struct ev_loop *loop, ev_io *w, int events)
 {
   Upstream *u = w->data;
   int fd = accept (u->fd, NULL, NULL);
-  char byte;
 
   (void)events;
-  if (++u->n_conns == 1)
+  u->n_conns++;
+  if (u->n_conns == 1 || (u->c->has_second_run && u->n_conns == 3))
     {
-      assert_int_equal (recv (fd, &byte, 1, 0), 1);
-      close_reset (fd);
+      ev_io_init (&u->run, on_run_data, fd, EV_READ);
+      ev_io_start (loop, &u->run);
       // With the highest priority, the probe is accepted before the daemon's watchers run in the
       // same loop iteration.
       ev_io_stop (loop, w);
@@ -95,6 +124,12 @@
       ev_io_start (loop, w);
       return;
     }
+  if (u->c->has_second_run && u->n_conns == 2)
+    {
+      u->first_probe_fd = fd;
+      start_second_run (u);
+      return;
+    }
   u->probe_fd = fd;
   if (u->c->is_cancelled && u->exchange != NULL)
     {
@@ -143,6 +178,24 @@
 static const BjSinkOps caller_ops
     = { on_caller_begin, on_caller_room, on_caller_data, on_caller_end };
 
+static BjRequest
+make_request (const char *path)
+{
+  return (BjRequest){ .method = BJ_STR ("GET"),
+                      .path = bj_str (path),
+                      .klass = -1,
+                      .attempts_left = -1,
+                      .deadline_ms = WAIT_MS };
+}
+
+static void
+start_second_run (Upstream *u)
+{
+  BjRequest r = make_request ("/s/second");
+
+  assert_non_null (bj_daemon_handle_call (u->daemon, &r, u->second_caller));
+}
+
 // Opens a listening socket on a free port and returns the port.
 static int
 listen_on_free_port (int *fd)
@@ -172,6 +225,7 @@
 new_daemon (struct ev_loop *loop, int upstream_port)
 {
   static const char config[] = "{\"number\":1,\"priorities\":[\"lookup\"],\"services\":{\"s\":{"
+                               "\"limiter\":{\"plugin\":\"fixed\"},"
                                "\"routes\":[{\"prefix\":\"/s/"
                                "\",\"class\":\"lookup\",\"attempts\":0}]}}}";
   BjSettings s = { .name = BJ_STR ("one"),
@@ -206,14 +260,11 @@
 run_case (const CrashCase *c)
 {
   struct ev_loop *loop = ev_loop_new (0);
-  Upstream u = { .loop = loop, .c = c, .probe_fd = -1 };
+  Upstream u = { .loop = loop, .c = c, .probe_fd = -1, .first_probe_fd = -1 };
   BjDaemon *d = new_daemon (loop, listen_on_free_port (&u.fd));
   Caller caller = { .sink = { &caller_ops }, .u = &u };
-  BjRequest r = { .method = BJ_STR ("GET"),
-                  .path = BJ_STR ("/s/x"),
-                  .klass = -1,
-                  .attempts_left = -1,
-                  .deadline_ms = WAIT_MS };
+  Caller second_caller = { .sink = { &caller_ops }, .u = &u };
+  BjRequest r = make_request ("/s/x");
   GArray *notices = g_array_new (FALSE, FALSE, sizeof (BjNotice));
   BjTime until = bj_clock_now () + WAIT_MS;
 
@@ -221,6 +272,8 @@
   ev_timer_init (&u.probe_delay, on_probe_delay, 0, 0);
   u.accept.data = &u;
   u.probe_delay.data = &u;
+  u.daemon = d;
+  u.second_caller = &second_caller.sink;
   ev_io_start (loop, &u.accept);
   u.exchange = bj_daemon_handle_call (d, &r, &caller.sink);
   assert_non_null (u.exchange);
@@ -239,6 +292,8 @@
   close (u.fd);
   if (!c->crashes)
     close (u.probe_fd);
+  if (u.first_probe_fd >= 0)
+    close (u.first_probe_fd);
   bj_daemon_free (d);
   ev_loop_destroy (loop);
 }
