The platform's store may come back from an older copy: eras, watches and members objects

A daemon that watched on from a revision of the lost history never saw what the operator wrote again under it, and the members object of a domain stayed lost for up to a minute, until a maintainer read it. Nothing read Store-Era. Change: the adapter reports the era of each response; a late response of an older era fails; a watch from a version of an older era ends and the configuration is read anew; the maintainers of a members object, now the same daemons as the readers, read and write it at once. A watch gets a connection of its own: libcurl resends a request by itself when a reused connection is lost, and so went on watching from a lost revision without notice (found by "restored twice"). Not covered: claims in the store (http plug-in, docs/AT-MOST-ONCE.md), which this platform does not use; a restore during which no connection of the daemon fails is seen at its next response, at most 30 s later.

--- a/src/client.c
+++ b/src/client.c
@@ -8,9 +8,11 @@
 
 struct BjStoreClient
 {
+  BjPlatform *platform;
   BjHttp *http;
   BjStr url;
-  GHashTable *open; // set of Request*
+  const char *era_header; // NULL if the store reports no era
+  GHashTable *open;       // set of Request*
 };
 
 typedef struct
@@ -20,20 +22,24 @@
   char *name; // copy of o.name, owned
   BjHttpCall *call;
   int status;
+  int64_t era; // in the response, 0 if absent
   GString *body;
 } Request;
 
 static void on_head (void *data, const BjHttpHead *h);
 static size_t on_body (void *data, BjStr part);
 static void on_done (void *data, BjStatus s, bool sent);
+static bool check_era (const Request *q);
 static void free_request (gpointer request);
 static BjStatus status_from_http (int http_status);
 
 BjStoreClient *
-bj_store_client_new (BjHttp *http, BjStr url)
+bj_store_client_new (BjPlatform *p, BjHttp *http, BjStr url, const char *era_header)
 {
   BjStoreClient *c = g_new0 (BjStoreClient, 1);
 
+  c->platform = p;
+  c->era_header = era_header;
   c->http = http;
   c->url = bj_str_dup (url);
   c->open = g_hash_table_new_full (NULL, NULL, free_request, NULL);
@@ -66,6 +72,8 @@
                                .method = o->method,
                                .url = url,
                                .headers = headers,
+                               .number_header = client->era_header,
+                               .sends_once = o->is_watch,
                                .body = o->body,
                                .timeout_ms = o->timeout_ms,
                                .head = on_head,
@@ -92,6 +100,7 @@
 on_head (void *data, const BjHttpHead *h)
 {
   ((Request *)data)->status = h->status;
+  ((Request *)data)->era = h->number;
 }
 
 static size_t
@@ -114,7 +123,7 @@
   (void)sent;
   q->call = NULL;
   g_hash_table_steal (q->client->open, q);
-  if (s == BJ_OK)
+  if (s == BJ_OK && check_era (q))
     r.code = status_from_http (q->status);
   if (r.code == BJ_OK || r.code == BJ_E_CONFLICT)
     o = json_tokener_parse (q->body->str);
@@ -128,16 +137,39 @@
     }
   if (r.code == BJ_E_PLATFORM)
     bj_fail (BJ_E_PLATFORM,
-             "Platform request for %s failed: HTTP status %d, %s, %zu bytes received.",
+             "Platform request for %s failed: HTTP status %d, %s, %zu bytes received, era "
+             "%" G_GINT64_FORMAT " of %" G_GINT64_FORMAT ".",
              q->name,
              q->status,
              bj_status_name (s),
-             q->body->len);
+             q->body->len,
+             q->era,
+             q->client->platform->era);
   q->o.done (q->o.data, &r);
   json_object_put (o);
   free_request (q);
 }
 
+// Returns false for a late response from before the last restore. A new era is recorded.
+static bool
+check_era (const Request *q)
+{
+  BjPlatform *p = q->client->platform;
+
+  if (q->era > p->era)
+    {
+      if (p->era > 0)
+        bj_log (BJ_LOG_WARNING,
+                "PLATFORM",
+                "The store came back from an older copy (era %" G_GINT64_FORMAT
+                " after %" G_GINT64_FORMAT "); reading it again.",
+                q->era,
+                p->era);
+      p->era = q->era;
+    }
+  return q->era == 0 || q->era == p->era;
+}
+
 static void
 free_request (gpointer request)
 {
--- a/src/http.c
+++ b/src/http.c
@@ -129,7 +129,8 @@
   curl_easy_setopt (c->easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (c->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)BJ_CONNECT_TIMEOUT_MS);
   curl_easy_setopt (c->easy, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
-  curl_easy_setopt (c->easy, CURLOPT_FRESH_CONNECT, use_new_connection (c) ? 1L : 0L);
+  curl_easy_setopt (
+      c->easy, CURLOPT_FRESH_CONNECT, o->sends_once || use_new_connection (c) ? 1L : 0L);
   curl_easy_setopt (c->easy, CURLOPT_MAXAGE_CONN, (long)IDLE_MAX_S);
   curl_easy_setopt (c->easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (c->easy, CURLOPT_HEADERDATA, c);
@@ -339,6 +340,9 @@
   else if (name.len == 16 && strncasecmp (key, "Bj-Attempts-Left", 16) == 0
            && bj_str_int (value, &number))
     c->head.attempts_left = (int)number;
+  else if (c->options.number_header != NULL && bj_header_name_equal (name, c->options.number_header)
+           && bj_str_int (value, &number))
+    c->head.number = number;
 }
 
 static void
--- a/src/internal.h
+++ b/src/internal.h
@@ -234,6 +234,7 @@
   BjStr outcome; // value of Bj-Outcome
   double retry_after_ms;
   int attempts_left; // -1 if the header is absent
+  int64_t number;    // value of BjHttpOptions.number_header, 0 if absent
 } BjHttpHead;
 
 typedef struct
@@ -241,6 +242,8 @@
   const char *method;
   const char *url;
   const char *const *headers; // "Name: value", NULL-terminated
+  const char *number_header;  // response header whose number is reported; NULL for none
+  bool sends_once;            // never resent by libcurl, which resends on a lost reused connection
   BjStr body;                 // copied
   double timeout_ms;          // 0 for no timeout
   void (*head) (void *data, const BjHttpHead *h);
@@ -649,6 +652,8 @@
 struct BjPlatform
 {
   const BjPlatformOps *ops;
+  int64_t era; // rises when the store comes back from an older copy; 0 if unknown. A version of one
+               // era means nothing in another
 };
 
 // ---------------------------------------------------------------------------------------------
@@ -664,6 +669,7 @@
   const char *name; // of the object, passed to read; copied
   BjStr body;       // copied
   double timeout_ms;
+  bool is_watch; // must not be resent unnoticed: the store may have been restored in between
   void (*read) (struct json_object *o,
                 const char *name,
                 BjPlatformReply *r); // Fills r from the response; o is NULL if it is not JSON
@@ -671,7 +677,12 @@
   void *data;
 } BjStoreRequestOptions;
 
-BjStoreClient *bj_store_client_new (BjHttp *http, BjStr url);
+BjStoreClient *
+bj_store_client_new (BjPlatform *p, // whose era is updated
+                     BjHttp *http,
+                     BjStr url,
+                     const char *era_header); // response header with the era, NULL for none; a
+                                              // response of an older era fails with BJ_E_PLATFORM
 void bj_store_client_free (BjStoreClient *c); // Cancels the open requests
 void bj_store_client_start (BjStoreClient *c, const BjStoreRequestOptions *o);
 void bj_store_client_cancel (BjStoreClient *c, void *data); // Cancels the open requests of data
@@ -699,6 +710,8 @@
 BjReader *bj_reader_new (BjDaemon *d);
 void bj_reader_free (BjReader *r);
 void bj_reader_check_peer (BjReader *r, BjPeer *p); // Fetches if p reports a newer configuration
+uint64_t bj_reader_rank (BjStr name,
+                         BjStr domain); // Members with the highest ranks of a domain use the store
 
 // ---------------------------------------------------------------------------------------------
 // Shard: a bounded table of claims with a low watermark
--- a/src/platform.c
+++ b/src/platform.c
@@ -39,7 +39,7 @@
 
   (void)loop;
   h->base.ops = &http_ops;
-  h->client = bj_store_client_new (http, url);
+  h->client = bj_store_client_new (&h->base, http, url, NULL);
   return &h->base;
 }
 
@@ -101,6 +101,7 @@
                  query,
                  (BjStoreRequestOptions){ .method = "GET",
                                           .timeout_ms = BJ_WATCH_TIMEOUT_MS + WATCH_GRACE_MS,
+                                          .is_watch = true,
                                           .done = done,
                                           .data = data });
   g_free (query);
--- a/src/reader.c
+++ b/src/reader.c
@@ -17,6 +17,8 @@
   ev_timer tick;
   BjFiler *filer; // read under way, with completion and write-back; NULL if none
   bool watching;  // a watch request is open
+  bool is_list;   // the open watch request has no version: it returns the state at once
+  int64_t era;    // of the store when the open watch request was sent
   bool must_read; // read before the next watch: a watch alone can miss a restored store
   BjStr version;  // of the object last read, empty before the first read
   BjStr stored;   // configuration last read, kept until it is applied or dropped
@@ -49,11 +51,12 @@
 static void on_tick (struct ev_loop *loop, ev_timer *w, int events);
 static bool is_reader (BjReader *r, bool *has_peers);
 static void count_higher (BjPeer *p, void *data);
-static uint64_t member_hash (BjStr name, BjStr domain);
 static HolderSearch find_holders (BjReader *r);
 static void consider_holder (BjPeer *p, void *data);
 static void fetch_from_peer (BjReader *r, bool reads_store, BjTime now);
+static bool has_old_version (const BjReader *r);
 static void read_store (BjReader *r);
+static void send_watch (BjReader *r, BjStr version);
 static void on_read_done (void *data, const BjFiling *f);
 static void on_watched (void *data, const BjPlatformReply *reply);
 static void keep_stored (BjReader *r, struct json_object *spec);
@@ -119,6 +122,12 @@
     fetch_from_peer (r, true, bj_clock_now ());
 }
 
+uint64_t
+bj_reader_rank (BjStr name, BjStr domain)
+{
+  return XXH64 (name.data, name.len, bj_str_hash (domain));
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *w, int events)
 {
@@ -131,8 +140,9 @@
   (void)events;
   apply_stored (r);
   fetch_from_peer (r, reads_store, now);
-  if (!reads_store && r->watching)
+  if (r->watching && (!reads_store || has_old_version (r)))
     {
+      r->must_read = r->must_read || has_old_version (r);
       r->daemon->platform->ops->cancel_requests (r->daemon->platform, r);
       r->watching = false;
     }
@@ -146,7 +156,7 @@
 is_reader (BjReader *r, bool *has_peers)
 {
   const BjSettings *s = &r->daemon->settings;
-  RankCount count = { .reader = r, .own_hash = member_hash (s->name, s->domain) };
+  RankCount count = { .reader = r, .own_hash = bj_reader_rank (s->name, s->domain) };
 
   bj_kernel_each_peer (r->daemon->kernel, count_higher, &count);
   *has_peers = count.has_peers;
@@ -163,16 +173,10 @@
     return;
   count->has_peers = true;
   if (bj_str_equal (p->report.domain, domain)
-      && member_hash (p->report.name, domain) > count->own_hash)
+      && bj_reader_rank (p->report.name, domain) > count->own_hash)
     count->n_higher++;
 }
 
-static uint64_t
-member_hash (BjStr name, BjStr domain)
-{
-  return XXH64 (name.data, name.len, bj_str_hash (domain));
-}
-
 static HolderSearch
 find_holders (BjReader *r)
 {
@@ -227,27 +231,32 @@
   bj_links_request_config (r->daemon->links, h.best, h.best->report.config_number);
 }
 
+// True if the open watch started at a version that the store issued before it was restored. The
+// store may since have issued that version for another change, which the watch would not report.
+static bool
+has_old_version (const BjReader *r)
+{
+  return !r->is_list && r->era != r->daemon->platform->era;
+}
+
 static void
 read_store (BjReader *r)
 {
   const BjConfig *c = bj_kernel_config (r->daemon->kernel);
   BjPlatform *p = r->daemon->platform;
-  const char *name = p->ops->config_name;
   BjFilingOptions o = BJ_FILING_OPTIONS_DEFAULT;
   BjFiling *f;
 
   if (!r->must_read)
     {
       n_watches.value++;
-      r->watching = true;
-      p->ops->watch (p, name, r->version, on_watched, r);
+      send_watch (r, r->version);
       return;
     }
   if (p->ops->read_config != NULL)
     {
       n_reads.value++;
-      r->watching = true;
-      p->ops->watch (p, name, BJ_STR_NULL, on_watched, r);
+      send_watch (r, BJ_STR_NULL);
       return;
     }
   o.in_force_config = c != NULL ? c->text : BJ_STR_NULL;
@@ -259,6 +268,17 @@
   r->filer = bj_filer_new (r->daemon->loop, p, f, on_read_done, r);
 }
 
+static void
+send_watch (BjReader *r, BjStr version)
+{
+  BjPlatform *p = r->daemon->platform;
+
+  r->watching = true;
+  r->is_list = version.len == 0;
+  r->era = p->era;
+  p->ops->watch (p, p->ops->config_name, version, on_watched, r);
+}
+
 static void
 on_read_done (void *data, const BjFiling *f)
 {
@@ -294,6 +314,11 @@
   struct json_object *spec = reply->spec;
 
   r->watching = false;
+  if (has_old_version (r))
+    {
+      r->must_read = true;
+      return;
+    }
   if (reply->code == BJ_OK)
     {
       bj_str_set (&r->version, reply->version);
--- a/src/seeds.c
+++ b/src/seeds.c
@@ -28,6 +28,7 @@
   BjStr version;        // of the object as last read or written
   bool is_absent;       // the last read found no object
   bool is_request_open; // a store request is open
+  int64_t era;          // of the store when version was read
   BjTime next_read;
   BjTime next_write;
   double alone_backoff_ms; // backoff before the next read while alone
@@ -42,6 +43,7 @@
 } RankedMember;
 
 static void on_tick (struct ev_loop *loop, ev_timer *w, int events);
+static void forget_object (BjSeeds *s);
 static bool read_other_domain (BjSeeds *s, BjTime now);
 static void on_other_domain_read (void *data, const BjPlatformReply *r);
 static bool knows_domain (const BjSeeds *s, BjStr domain);
@@ -104,6 +106,12 @@
   (void)events;
   if (s->is_request_open || s->daemon->platform == NULL || s->daemon->stopping)
     return;
+  if (s->era != s->daemon->platform->era)
+    {
+      if (s->era != 0)
+        forget_object (s);
+      s->era = s->daemon->platform->era;
+    }
   if (now >= s->next_read && (is_alone || is_maintainer (s)))
     {
       s->next_read = now + (is_alone ? s->alone_backoff_ms : READ_INTERVAL_MS);
@@ -121,6 +129,17 @@
     g_free (text);
 }
 
+// After a restore of the store, the object may be gone or older, and its version may mean another
+// content. It is read and, if it differs, written at once, since a daemon that starts now needs it.
+static void
+forget_object (BjSeeds *s)
+{
+  g_clear_pointer (&s->stored_list, g_free);
+  s->is_absent = false;
+  s->next_read = 0;
+  s->next_write = 0;
+}
+
 // Reads the object of a domain without known members, to find some. Returns true if it sent a
 // request.
 static bool
@@ -296,6 +315,7 @@
 }
 
 // Rendezvous hash: all members compute the same ranking, so only the first few maintain the object.
+// These also read the configuration, so their watch tells them soon that the store was restored.
 // Returns the members of the own domain, or of all others.
 static GArray *
 rank_members (const BjSeeds *s, bool own_domain)
@@ -305,7 +325,7 @@
 
   for (guint i = 0; (m = bj_swim_member (s->swim, i)) != NULL; i++)
     {
-      RankedMember r = { .rank = bj_str_hash (m->report.name), .member = m };
+      RankedMember r = { .rank = bj_reader_rank (m->report.name, m->report.domain), .member = m };
 
       if (m->state <= BJ_MEMBER_SUSPECT
           && own_domain == bj_str_equal (m->report.domain, s->daemon->settings.domain))
@@ -321,7 +341,7 @@
   uint64_t x = ((const RankedMember *)a)->rank;
   uint64_t y = ((const RankedMember *)b)->rank;
 
-  return x < y ? -1 : x > y;
+  return x > y ? -1 : x < y;
 }
 
 static gint
