Refused calls leave half of the retry tokens to calls of a silent peer

Daemon logs of two runs show two kinds of slow responses. (1) Calls at the paused daemon were rerouted one by one as tokens were earned, the last after 0.95 s, because retries of calls that full guards had refused had used the bucket. (2) Responses that had begun when the daemon was paused: first byte early, the rest after the pause. Change: a call refused for load takes a token only while more than half of the bucket is left; its caller can come back.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -268,6 +268,7 @@
   int attempts_left;      // further attempts left for the call chain, delegated ones not included
   int attempts_delegated; // further attempts delegated to the daemon that it was sent to
   double retry_cost;      // retry tokens for one more attempt; more if the call makes nested calls
+  bool is_refused;        // its last attempt was refused for load and did not run
   int attempts_at_send;   // attempts_left when it was last sent, before any were delegated
   uint32_t cohort;        // hash of the action, the same on every hop
   uint64_t route;         // hash of host and path prefix of its route, 0 if not known
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -618,6 +618,7 @@
   if (is_free_retry (k, c, a))
     return true;
   c->retry_cost = bj_level_makes_calls (k, c) ? BJ_RETRY_COST_CALLS : 1;
+  c->is_refused = lacked_capacity (a);
   // The daemon that it was sent to has already retried it; retrying at each hop multiplies load.
   if (a->outcome == BJ_NOT_RUN && c->attempts_left < c->attempts_at_send)
     return false;
--- a/src/retry.c
+++ b/src/retry.c
@@ -6,6 +6,7 @@
 
 #define FRESH_DECAY_MS 10000.0 // time constant for the count of first attempts
 #define RESERVE_SHARE 0.25     // share of the bucket that a class leaves to each more important one
+#define LOST_SHARE 0.5         // share of the bucket that refused calls leave to lost ones
 
 typedef struct
 {
@@ -25,7 +26,7 @@
 static void budget_count_first_attempt (BjRetry *r, BjTime now);
 static bool budget_allow (BjRetry *r, BjTime now, BjCall *c);
 static double bucket_capacity (const Retry *r);
-static double reserved_tokens (const Retry *r, int klass);
+static double reserved_tokens (const Retry *r, const BjCall *c);
 
 static const BjRetryOps naive_ops
     = { naive_create, destroy, naive_count_first_attempt, naive_allow };
@@ -96,7 +97,7 @@
   Retry *r = (Retry *)base;
 
   (void)now;
-  if (c->attempts_left <= 0 || r->tokens < c->retry_cost + reserved_tokens (r, c->klass))
+  if (c->attempts_left <= 0 || r->tokens < c->retry_cost + reserved_tokens (r, c))
     return false;
   r->tokens -= c->retry_cost;
   c->attempts_left--;
@@ -111,11 +112,15 @@
   return r->o.burst + r->o.saved * r->recent;
 }
 
-// Tokens that this class must leave to more important ones.
+// Tokens that c must leave to calls of more important classes and, if it was refused for load, to
+// calls of a peer that is lost or silent: a refused caller can come back later, but without a token
+// a call at a silent peer waits for its deadline.
 static double
-reserved_tokens (const Retry *r, int klass)
+reserved_tokens (const Retry *r, const BjCall *c)
 {
-  return MIN (klass, r->o.reserve) * MAX (1, RESERVE_SHARE * bucket_capacity (r));
+  double tokens = MIN (c->klass, r->o.reserve) * MAX (1, RESERVE_SHARE * bucket_capacity (r));
+
+  return c->is_refused ? MAX (tokens, LOST_SHARE * bucket_capacity (r)) : tokens;
 }
 
 BJ_PLUGIN (BJ_PLUGIN_RETRY, "naive", naive_ops)
