A front that just started takes the first admission level in full

From 10.5 s to 11.5 s the bookings guards refuse 3,800 nested calls at 0.97 to 0.99 of their limits, whose actions then fail after their work was done, while the level that fronts hold for lookups falls from 328 to 225: fronts that just started had averaged the guards' levels from 0, with a weight of 0.2 a response. Change: the first response for a route sets its level; later ones are smoothed as before. Shown: test_level test_first_response_sets_level fails on the code before.

--- a/src/level.c
+++ b/src/level.c
@@ -122,8 +122,10 @@
   RouteLevel *l = find_route_level (k, c->route);
   BjCall *parent = bj_call_parent (k, &c->request);
   double old = decayed_level (l, now);
+  double reported = CLAMP (level, 0, max_level (k));
 
-  l->learned_level = old + LEARN_WEIGHT * (CLAMP (level, 0, max_level (k)) - old);
+  // A front that just started knows no level; the first one counts in full.
+  l->learned_level = l->at > 0 ? old + LEARN_WEIGHT * (reported - old) : reported;
   l->at = now;
   if (parent != NULL)
     parent->level = MAX (parent->level, (int)l->learned_level);
--- a/tests/test_level.c
+++ b/tests/test_level.c
@@ -182,6 +182,23 @@
     }
 }
 
+// A daemon that just started must not admit calls to overloaded guards until it has averaged many
+// responses: the first response sets the level, later ones are smoothed.
+static void
+test_first_response_sets_level (void **state)
+{
+  Host h;
+  BjKernel *k = new_front (&h);
+  BjCall probe = { .route = 9 };
+
+  (void)state;
+  bj_level_learn (k, 1, &probe, COHORTS);
+  assert_true (compute_shed_share (k, probe.route, 1) >= 0.99);
+  bj_level_learn (k, 1, &probe, 0);
+  assert_true (compute_shed_share (k, probe.route, 1) >= 0.7);
+  bj_kernel_free (k);
+}
+
 // The level in a guard's response includes the highest level that its nested calls met.
 static void
 test_level_includes_nested_calls (void **state)
@@ -235,6 +252,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_shed_share),
+    cmocka_unit_test (test_first_response_sets_level),
     cmocka_unit_test (test_level_includes_nested_calls),
     cmocka_unit_test (test_nested_call_has_parent_cohort),
   };
