The reader records the era with the version that it read, not with the watch that it sends

Cause (found when reading the diff): if another response told of a restore between the reading of a version and the next watch, the watch started from a version of the older era and was taken for one of the new era. Change: the era is stored with the version; the next watch is replaced by a read when the eras differ. Shown: test_restore stays green; the order of events of this case has no test of its own.

--- a/src/reader.c
+++ b/src/reader.c
@@ -18,7 +18,7 @@
   BjFiler *filer; // read under way, with completion and write-back; NULL if none
   bool watching;  // a watch request is open
   bool is_list;   // the open watch request has no version: it returns the state at once
-  int64_t era;    // of the store when the open watch request was sent
+  int64_t era;    // of the store when version was read
   bool must_read; // read before the next watch: a watch alone can miss a restored store
   BjStr version;  // of the object last read, empty before the first read
   BjStr stored;   // configuration last read, kept until it is applied or dropped
@@ -231,8 +231,9 @@
   bj_links_request_config (r->daemon->links, h.best, h.best->report.config_number);
 }
 
-// True if the open watch started at a version that the store issued before it was restored. The
-// store may since have issued that version for another change, which the watch would not report.
+// True if the open or next watch is from a version that the store issued before it was restored.
+// The store may since have issued that version for another change, which the watch would not
+// report.
 static bool
 has_old_version (const BjReader *r)
 {
@@ -247,7 +248,7 @@
   BjFilingOptions o = BJ_FILING_OPTIONS_DEFAULT;
   BjFiling *f;
 
-  if (!r->must_read)
+  if (!r->must_read && !has_old_version (r))
     {
       n_watches.value++;
       send_watch (r, r->version);
@@ -275,7 +276,6 @@
 
   r->watching = true;
   r->is_list = version.len == 0;
-  r->era = p->era;
   p->ops->watch (p, p->ops->config_name, version, on_watched, r);
 }
 
@@ -319,6 +319,8 @@
       r->must_read = true;
       return;
     }
+  r->is_list = false;
+  r->era = r->daemon->platform->era;
   if (reply->code == BJ_OK)
     {
       bj_str_set (&r->version, reply->version);
