--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -738,6 +738,8 @@
 void bj_kernel_set_config (BjKernel *k,
                            BjTime now,
                            BjConfig *c); // Takes ownership of c; applies it if its number is newer
+void bj_kernel_note_config (BjKernel *k,
+                            int64_t number);          // A configuration of this number was received
 const BjConfig *bj_kernel_config (const BjKernel *k); // Borrowed; NULL before the first one
 BjCall *bj_kernel_arrive (BjKernel *k,
                           BjTime now,
--- a/src/client.c
+++ b/src/client.c
@@ -23,6 +23,7 @@
   BjHttpCall *call;
   int status;
   int64_t era; // in the response, 0 if absent
+  BjTime head_at;
   GString *body;
 } Request;
 
@@ -99,8 +100,11 @@
 static void
 on_head (void *data, const BjHttpHead *h)
 {
-  ((Request *)data)->status = h->status;
-  ((Request *)data)->era = h->number;
+  Request *q = data;
+
+  q->status = h->status;
+  q->era = h->number;
+  q->head_at = bj_clock_now ();
 }
 
 static size_t
@@ -117,12 +121,14 @@
 on_done (void *data, BjStatus s, bool sent)
 {
   Request *q = data;
-  BjPlatformReply r = { .code = BJ_E_PLATFORM };
+  BjPlatformReply r = { .code = BJ_E_PLATFORM, .bytes = q->body->len };
   struct json_object *o = NULL;
 
   (void)sent;
   q->call = NULL;
   g_hash_table_steal (q->client->open, q);
+  if (q->head_at > 0)
+    r.transfer_ms = bj_clock_now () - q->head_at;
   if (s == BJ_OK && check_era (q))
     r.code = status_from_http (q->status);
   if (r.code == BJ_OK || r.code == BJ_E_CONFLICT)
--- a/src/count.c
+++ b/src/count.c
@@ -7,6 +7,7 @@
 static void print_answers (const BjKernel *k, GString *out);
 static void print_latency (const BjKernel *k, GString *out);
 static void print_codes (const BjKernel *k, GString *out);
+static int64_t newest_config (const BjKernel *k);
 static void print_gauge (GString *out, const char *name, const char *help, double value);
 
 void
@@ -40,6 +41,11 @@
                self.failure_permille);
   print_gauge (
       out, "ticket", "Number of the ticket in force, 0 if none.", (double)self.config_number);
+  print_gauge (out,
+               "ticket_newest",
+               "Highest ticket number received or reported by a peer; above bj_ticket: not yet in "
+               "force here.",
+               (double)newest_config (k));
   print_gauge (out, "members", "Known daemons, this one included.", g_hash_table_size (k->peers));
   print_gauge (out,
                "log_dropped",
@@ -78,6 +84,19 @@
                               k->counts.codes[code]);
 }
 
+static int64_t
+newest_config (const BjKernel *k)
+{
+  int64_t newest = k->newest_config_seen;
+  GHashTableIter i;
+  gpointer p;
+
+  g_hash_table_iter_init (&i, k->peers);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    newest = MAX (newest, ((const BjPeer *)p)->report.config_number);
+  return newest;
+}
+
 static void
 print_gauge (GString *out, const char *name, const char *help, double value)
 {
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -33,6 +33,11 @@
 static void release_exchange (BjHost *h, BjCall *c);
 static BjExchange *new_exchange (BjDaemon *d, BjSink *sink);
 
+static BjCounter n_rejected_configs
+    = { "configs_rejected_total",
+        "Configurations from the store or a peer that were rejected as a whole.",
+        0 };
+
 static const BjHostOps host_ops
     = { send_peer, start_upstream, cancel_source, send_answer, request_claim, release_exchange };
 
@@ -44,6 +49,7 @@
   BjKernelOptions o;
   BjStatus status;
 
+  bj_metric_register (&n_rejected_configs);
   d->host.ops = &host_ops;
   d->loop = loop;
   d->settings = *s;
@@ -140,21 +146,47 @@
 }
 
 void
-bj_daemon_apply_config (BjDaemon *d, BjStr text)
+bj_daemon_apply_config (BjDaemon *d, int64_t number, BjStr text, const char *source)
 {
+  BjTime began = bj_clock_now ();
   BjConfig *c;
 
+  bj_kernel_note_config (d->kernel, number);
   if (bj_config_parse_with_defaults (text, d->settings.service_defaults, &c) != BJ_OK)
     {
-      bj_log (
-          BJ_LOG_WARNING, "TICKET", "Configuration rejected, not applied: %s", bj_last_message ());
+      bj_daemon_reject_config (d, number, text.len, source);
       return;
     }
+  bj_log (BJ_LOG_INFO,
+          "TICKET",
+          "received number=%" G_GINT64_FORMAT " from=%s bytes=%zu parse_ms=%.0f",
+          c->number,
+          source,
+          text.len,
+          bj_clock_now () - began);
+  bj_kernel_note_config (d->kernel, c->number);
   bj_kernel_set_config (d->kernel, bj_clock_now (), c);
   if (d->front != NULL)
     bj_server_set_limits (bj_front_server (d->front), &bj_kernel_config (d->kernel)->callers);
 }
 
+void
+bj_daemon_reject_config (BjDaemon *d, int64_t number, size_t bytes, const char *source)
+{
+  const BjConfig *c = bj_kernel_config (d->kernel);
+
+  n_rejected_configs.value++;
+  bj_log (BJ_LOG_WARNING,
+          "TICKET",
+          "rejected number=%" G_GINT64_FORMAT " from=%s bytes=%zu in_force=%" G_GINT64_FORMAT
+          ": %s",
+          number,
+          source,
+          bytes,
+          c != NULL ? c->number : 0,
+          bj_last_message ());
+}
+
 BjExchange *
 bj_daemon_handle_call (BjDaemon *d, const BjRequest *r, BjSink *sink)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -614,6 +614,8 @@
   BjStatus code; // BJ_OK, BJ_E_NOT_FOUND, BJ_E_EXISTS, BJ_E_CONFLICT, BJ_E_GONE, BJ_E_PLATFORM
   BjStr version; // opaque resourceVersion
   struct json_object *spec; // content of the object, borrowed; NULL on failure
+  size_t bytes;             // of the response body, 0 if not known
+  double transfer_ms;       // from the head of the response to its end, 0 if not known
 } BjPlatformReply;
 
 typedef void (*BjPlatformDone) (void *data, const BjPlatformReply *r);
@@ -917,7 +919,14 @@
 };
 
 void bj_daemon_apply_config (BjDaemon *d,
-                             BjStr text); // Applies a configuration from a peer or the platform
+                             int64_t number, // as the source states it
+                             BjStr text,
+                             const char *source); // "store", or the peer's name, for logs
+void
+bj_daemon_reject_config (BjDaemon *d,
+                         int64_t number, // 0 if it could not be read
+                         size_t bytes,
+                         const char *source); // Logs and counts; the last message is the reason
 BjExchange *bj_daemon_handle_call (BjDaemon *d,
                                    const BjRequest *r,
                                    BjSink *sink); // Call from a caller; NULL if answered already
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -109,6 +109,12 @@
   bj_log (BJ_LOG_INFO, "TICKET", "Ticket %" G_GINT64_FORMAT " is in force.", c->number);
 }
 
+void
+bj_kernel_note_config (BjKernel *k, int64_t number)
+{
+  k->newest_config_seen = MAX (k->newest_config_seen, number);
+}
+
 const BjConfig *
 bj_kernel_config (const BjKernel *k)
 {
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -125,6 +125,7 @@
   BjGuard guard;
   BjQuarantine *quarantine;
   BjCounts counts;
+  int64_t newest_config_seen; // highest configuration number received, also if it was rejected
   BjLevel level;
   uint64_t next_id;
   BjDecision ring[BJ_DECISION_RING_SIZE];
--- a/src/link.c
+++ b/src/link.c
@@ -628,7 +628,7 @@
       bj_kernel_apply_notice (c->links->daemon->kernel, bj_clock_now (), &f->notice);
       break;
     case BJ_FRAME_CONFIG:
-      bj_daemon_apply_config (c->links->daemon, f->data);
+      bj_daemon_apply_config (c->links->daemon, (int64_t)f->id, f->data, c->peer.data);
       break;
     default:
       break;
@@ -731,6 +731,7 @@
 
   if (config == NULL || (uint64_t)config->number < f->id)
     return;
+  reply.id = (uint64_t)config->number;
   reply.data = config->text;
   bj_conn_send (c, &reply);
 }
--- a/src/reader.c
+++ b/src/reader.c
@@ -59,7 +59,7 @@
 static void send_watch (BjReader *r, BjStr version);
 static void on_read_done (void *data, const BjFiling *f);
 static void on_watched (void *data, const BjPlatformReply *reply);
-static void keep_stored (BjReader *r, struct json_object *spec);
+static void keep_stored (BjReader *r, const BjPlatformReply *reply);
 static void apply_stored (BjReader *r);
 static void record_failure (BjReader *r);
 static void record_success (BjReader *r);
@@ -228,6 +228,15 @@
     return;
   r->fetched_at = now;
   n_fetches.value++;
+  bj_log (BJ_LOG_INFO,
+          "TICKET",
+          "fetch number=%" G_GINT64_FORMAT " from=%.*s holders=%d in_force=%" G_GINT64_FORMAT
+          " behind_ms=%.0f",
+          h.best->report.config_number,
+          BJ_STR_ARG (h.best->report.name),
+          h.n_best,
+          h.own,
+          now - r->behind_since);
   bj_links_request_config (r->daemon->links, h.best, h.best->report.config_number);
 }
 
@@ -311,20 +320,26 @@
 on_watched (void *data, const BjPlatformReply *reply)
 {
   BjReader *r = data;
-  struct json_object *spec = reply->spec;
-
   r->watching = false;
   if (has_old_version (r))
     {
       r->must_read = true;
       return;
     }
+  if (reply->code == BJ_OK)
+    bj_log (BJ_LOG_INFO,
+            "TICKET",
+            "read from=store as=%s bytes=%zu transfer_ms=%.0f in_force=%" G_GINT64_FORMAT,
+            r->is_list ? "list" : "event",
+            reply->bytes,
+            reply->transfer_ms,
+            own_number (r));
   r->is_list = false;
   r->era = r->daemon->platform->era;
   if (reply->code == BJ_OK)
     {
       bj_str_set (&r->version, reply->version);
-      keep_stored (r, spec);
+      keep_stored (r, reply);
       record_success (r);
       apply_stored (r);
       return;
@@ -343,9 +358,10 @@
 
 // Keeps the configuration read from the store, converted to the format of this library.
 static void
-keep_stored (BjReader *r, struct json_object *spec)
+keep_stored (BjReader *r, const BjPlatformReply *reply)
 {
   const BjPlatformOps *ops = r->daemon->platform->ops;
+  struct json_object *spec = reply->spec;
   GString *text;
 
   if (ops->read_config == NULL)
@@ -360,10 +376,7 @@
   if (ops->read_config (spec, text) == BJ_OK)
     bj_str_set (&r->stored, (BjStr){ text->str, text->len });
   else
-    bj_log (BJ_LOG_WARNING,
-            "TICKET",
-            "Configuration from the store rejected, not applied: %s",
-            bj_last_message ());
+    bj_daemon_reject_config (r->daemon, 0, reply->bytes, "store");
   g_string_free (text, TRUE);
 }
 
@@ -379,10 +392,7 @@
     return;
   if (bj_json_read ("configuration", r->stored, BJ_E_TICKET, &o) != BJ_OK)
     {
-      bj_log (BJ_LOG_WARNING,
-              "TICKET",
-              "Configuration from the store rejected, not applied: %s",
-              bj_last_message ());
+      bj_daemon_reject_config (r->daemon, 0, r->stored.len, "store");
       bj_str_set (&r->stored, BJ_STR_NULL);
       return;
     }
@@ -392,7 +402,7 @@
       && number < find_holders (r).highest)
     return;
   if (number > own_number (r))
-    bj_daemon_apply_config (r->daemon, r->stored);
+    bj_daemon_apply_config (r->daemon, number, r->stored, "store");
   bj_str_set (&r->stored, BJ_STR_NULL);
 }
 
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -246,7 +246,7 @@
   s.advertised_gossip = s.gossip;
   if (bj_daemon_new (loop, &s, &d) != BJ_OK)
     fail_msg ("%s", bj_last_message ());
-  bj_daemon_apply_config (d, bj_str (config));
+  bj_daemon_apply_config (d, 1, bj_str (config), "test");
   assert_int_equal (bj_daemon_handle_announcement (
                         d,
                         &(BjAnnouncement){ .service = BJ_STR ("s"),
