A configuration is not rejected for the number of its routes or the size of its text

Cause: the checks of a ticket (4,096 routes of a service, 1 MiB of text) were also applied to a configuration that the store had accepted already. Nobody is there to refuse it to, so each daemon dropped it, with a log line, and went on with the older one. Why this works: a ticket and the merge of tickets keep their bounds, where the filer gets the answer. A configuration in force is bounded by what an object of the store can become when it is converted (4 MiB), and the size bounds the number of routes.

--- a/src/bjctl/tickets.c
+++ b/src/bjctl/tickets.c
@@ -297,7 +297,7 @@
   char *text;
 
   if (current.len > 0)
-    bj_json_read ("configuration", current, BJ_E_TICKET, &c);
+    bj_config_read (current, &c);
   number = bj_json_int (c, "number");
   old = json_object_object_get (json_object_object_get (c, "upstreams"), upstream);
   if (old != NULL)
--- a/src/config.h
+++ b/src/config.h
@@ -13,14 +13,17 @@
 #define BJ_FRAME_DATA_MAX 65536                    // bytes of response body in one frame
 #define BJ_WINDOW_BYTES (256 * 1024) // flow control window of a response body, per call
 #define BJ_HEADER_MAX 16384          // bytes of a request head from a caller
-#define BJ_TICKET_MAX (1024 * 1024)  // bytes of one ticket
-#define BJ_TICKET_DEPTH_MAX 16       // nesting depth of the JSON in a ticket or in settings
-#define BJ_OBJECT_NAME_MAX 64        // bytes of an object name in the store
-#define BJ_DECISIONS_MAX 32          // most recent ticket decisions kept in config/current
-#define BJ_DATAGRAM_MAX 1400         // bytes of one gossip datagram
-#define BJ_MSGPACK_DEPTH_MAX 4       // nesting depth of arrays in a message between daemons
-#define BJ_DECISION_RING_SIZE 4096   // decision lines kept in memory for explain
-#define BJ_LOG_BUFFER (1024 * 1024)  // bytes of log lines not yet written to stdout
+#define BJ_TICKET_MAX (1024 * 1024)  // bytes of one ticket, and of config/current
+#define BJ_CONFIG_MAX                                                                              \
+  (4 * 1024 * 1024)                 // bytes of a configuration in force: one that the platform's
+                                    // operator wrote grows up to fourfold when it is converted
+#define BJ_TICKET_DEPTH_MAX 16      // nesting depth of the JSON in a ticket or in settings
+#define BJ_OBJECT_NAME_MAX 64       // bytes of an object name in the store
+#define BJ_DECISIONS_MAX 32         // most recent ticket decisions kept in config/current
+#define BJ_DATAGRAM_MAX 1400        // bytes of one gossip datagram
+#define BJ_MSGPACK_DEPTH_MAX 4      // nesting depth of arrays in a message between daemons
+#define BJ_DECISION_RING_SIZE 4096  // decision lines kept in memory for explain
+#define BJ_LOG_BUFFER (1024 * 1024) // bytes of log lines not yet written to stdout
 
 // Times, in milliseconds
 #define BJ_HEADER_TIMEOUT_MS 10000  // time a caller has to send a complete request head
--- a/src/filing.c
+++ b/src/filing.c
@@ -342,7 +342,7 @@
       f->step = STEP_READ_OWN_TICKET;
       return;
     }
-  if (bj_json_read ("configuration", f->current, BJ_E_TICKET, &config) != BJ_OK)
+  if (bj_config_read (f->current, &config) != BJ_OK)
     {
       finish (f, BJ_E_TICKET);
       return;
@@ -465,7 +465,7 @@
   struct json_object *o;
   int64_t number;
 
-  if (text.len == 0 || bj_json_read ("configuration", text, BJ_E_TICKET, &o) != BJ_OK)
+  if (text.len == 0 || bj_config_read (text, &o) != BJ_OK)
     return 0;
   number = bj_json_int (o, "number");
   json_object_put (o);
--- a/src/internal.h
+++ b/src/internal.h
@@ -47,6 +47,9 @@
               BjStatus code,
               struct json_object **root); // Parses one JSON value, comments allowed; the caller
                                           // frees root; code or BJ_E_TOO_LARGE on failure
+BjStatus bj_config_read (BjStr text,
+                         struct json_object **root); // The same for a configuration, which may be
+                                                     // larger; BJ_E_TICKET or BJ_E_TOO_LARGE
 BjStatus bj_json_check (const char *name,
                         const char *path,
                         struct json_object *o,
--- a/src/json.c
+++ b/src/json.c
@@ -14,6 +14,8 @@
   int depth;
 } KeyScan;
 
+static BjStatus read_text (
+    const char *name, BjStr text, size_t bytes_max, BjStatus code, struct json_object **root);
 static BjStatus check_duplicate_keys (const char *name, BjStr text, BjStatus code);
 static BjStatus scan_text (const char *name, KeyScan *k, BjStatus code);
 static BjStatus add_key (const char *name, KeyScan *k, BjStatus code);
@@ -40,6 +42,18 @@
 
 BjStatus
 bj_json_read (const char *name, BjStr text, BjStatus code, struct json_object **root)
+{
+  return read_text (name, text, BJ_TICKET_MAX, code, root);
+}
+
+BjStatus
+bj_config_read (BjStr text, struct json_object **root)
+{
+  return read_text ("configuration", text, BJ_CONFIG_MAX, BJ_E_TICKET, root);
+}
+
+static BjStatus
+read_text (const char *name, BjStr text, size_t bytes_max, BjStatus code, struct json_object **root)
 {
   struct json_tokener *t;
   enum json_tokener_error e;
@@ -47,9 +61,9 @@
   BjStatus s;
 
   *root = NULL;
-  if (text.len > BJ_TICKET_MAX)
+  if (text.len > bytes_max)
     return bj_fail (
-        BJ_E_TOO_LARGE, "%s: %zu bytes, at most %d are allowed.", name, text.len, BJ_TICKET_MAX);
+        BJ_E_TOO_LARGE, "%s: %zu bytes, at most %zu are allowed.", name, text.len, bytes_max);
   if (!g_utf8_validate (text.data, (gssize)text.len, NULL))
     return bj_fail (code, "%s: the text is not valid UTF-8.", name);
   t = json_tokener_new_ex (BJ_TICKET_DEPTH_MAX);
--- a/src/merge.c
+++ b/src/merge.c
@@ -179,7 +179,7 @@
   *o = NULL;
   if (s != BJ_OK)
     return s;
-  return bj_json_read ("configuration", text.len > 0 ? text : BJ_STR ("{}"), BJ_E_TICKET, o);
+  return bj_config_read (text.len > 0 ? text : BJ_STR ("{}"), o);
 }
 
 static BjStatus
@@ -289,6 +289,11 @@
   BjStatus s;
 
   g_string_assign (out, json_object_to_json_string_ext (o, JSON_C_TO_STRING_PLAIN));
+  if (out->len > BJ_TICKET_MAX)
+    return bj_fail (BJ_E_TOO_LARGE,
+                    "The merged configuration has %zu bytes, config/current holds at most %d.",
+                    out->len,
+                    BJ_TICKET_MAX);
   s = bj_config_parse ((BjStr){ out->str, out->len }, &result);
   bj_config_free (result);
   return s;
--- a/src/reader.c
+++ b/src/reader.c
@@ -390,7 +390,7 @@
 
   if (r->stored.len == 0)
     return;
-  if (bj_json_read ("configuration", r->stored, BJ_E_TICKET, &o) != BJ_OK)
+  if (bj_config_read (r->stored, &o) != BJ_OK)
     {
       bj_daemon_reject_config (r->daemon, 0, r->stored.len, "store");
       bj_str_set (&r->stored, BJ_STR_NULL);
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -7,7 +7,8 @@
 #include <string.h>
 
 #define NAME_MAX_BYTES 64
-#define ROUTES_MAX 4096
+#define ROUTES_MAX (BJ_CONFIG_MAX / ROUTE_BYTES_MIN) // more than a configuration has room for
+#define ROUTE_BYTES_MIN 16
 #define SHARES_MAX 16
 #define WEIGHT_MAX 1000000
 #define NUMBER_MAX 9007199254740991.0 // largest ticket number, exact as a double
@@ -153,7 +154,7 @@
   BjStatus s;
 
   *config = NULL;
-  s = bj_json_read ("configuration", text, BJ_E_TICKET, &o);
+  s = bj_config_read (text, &o);
   if (s != BJ_OK)
     return s;
   *config = g_new0 (BjConfig, 1);
