Configurations go from daemon to daemon in parts of 64 KiB

A text that the store accepts can be larger than a frame between daemons (1 MiB + 64 KiB). The receiver then closed the link, with all calls on it, at each fetch, every 300 ms. Beside it, a fetch was sent again after 300 ms whether its text was under way or not, calls waited behind the whole text, and the text was in memory once for each connection. Evidence: test_large_config, 'an object full of routes' (1,048,304 bytes): two of four daemons kept the older configuration. Why this works: parts are sent one at a time and share one copy; the receiver measures silence, not the whole transfer, and keeps the first peer that sends. A rejected number is not fetched again. A daemon of an earlier build gets the text in one frame, as before, if it fits.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -145,17 +145,19 @@
   g_free (d);
 }
 
-void
+BjStatus
 bj_daemon_apply_config (BjDaemon *d, int64_t number, BjStr text, const char *source)
 {
   BjTime began = bj_clock_now ();
+  BjStatus s;
   BjConfig *c;
 
   bj_kernel_note_config (d->kernel, number);
-  if (bj_config_parse_with_defaults (text, d->settings.service_defaults, &c) != BJ_OK)
+  s = bj_config_parse_with_defaults (text, d->settings.service_defaults, &c);
+  if (s != BJ_OK)
     {
       bj_daemon_reject_config (d, number, text.len, source);
-      return;
+      return s;
     }
   bj_log (BJ_LOG_INFO,
           "TICKET",
@@ -168,6 +170,7 @@
   bj_kernel_set_config (d->kernel, bj_clock_now (), c);
   if (d->front != NULL)
     bj_server_set_limits (bj_front_server (d->front), &bj_kernel_config (d->kernel)->callers);
+  return BJ_OK;
 }
 
 void
--- a/src/frame.c
+++ b/src/frame.c
@@ -91,6 +91,14 @@
     case BJ_FRAME_CONFIG:
       pack_str (p, f->data);
       break;
+    case BJ_FRAME_CONFIG_REQUEST:
+      f->takes_parts ? msgpack_pack_true (p) : msgpack_pack_false (p);
+      break;
+    case BJ_FRAME_CONFIG_PART:
+      msgpack_pack_uint64 (p, f->length);
+      msgpack_pack_uint64 (p, f->offset);
+      pack_str (p, f->data);
+      break;
     case BJ_FRAME_END:
       f->is_complete ? msgpack_pack_true (p) : msgpack_pack_false (p);
       msgpack_pack_uint64 (p, f->length);
@@ -166,8 +174,10 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 3, [BJ_FRAME_CALL] = 17,  [BJ_FRAME_ANSWER] = 15, [BJ_FRAME_DATA] = 1,
-    [BJ_FRAME_END] = 3,   [BJ_FRAME_WINDOW] = 1, [BJ_FRAME_NOTICE] = 3,  [BJ_FRAME_CONFIG] = 1,
+    [BJ_FRAME_HELLO] = 3,       [BJ_FRAME_CALL] = 17,  [BJ_FRAME_ANSWER] = 15,
+    [BJ_FRAME_DATA] = 1,        [BJ_FRAME_END] = 3,    [BJ_FRAME_WINDOW] = 1,
+    [BJ_FRAME_NOTICE] = 3,      [BJ_FRAME_CONFIG] = 1, [BJ_FRAME_CONFIG_REQUEST] = 1,
+    [BJ_FRAME_CONFIG_PART] = 3,
   };
 
   return counts[k];
@@ -193,6 +203,14 @@
     case BJ_FRAME_CONFIG:
       f->data = bj_field_bytes (in);
       break;
+    case BJ_FRAME_CONFIG_REQUEST:
+      f->takes_parts = in->n_left > 0 && bj_field_bool (in);
+      break;
+    case BJ_FRAME_CONFIG_PART:
+      f->length = bj_field_uint (in, BJ_CONFIG_MAX);
+      f->offset = bj_field_uint (in, BJ_CONFIG_MAX);
+      f->data = bj_field_bytes (in);
+      break;
     case BJ_FRAME_END:
       f->is_complete = bj_field_bool (in);
       f->length = bj_field_uint (in, UINT64_MAX);
--- a/src/internal.h
+++ b/src/internal.h
@@ -352,23 +352,26 @@
   BJ_FRAME_WINDOW,
   BJ_FRAME_PING,
   BJ_FRAME_PONG,
-  BJ_FRAME_CONFIG_REQUEST, // lowest configuration number wanted
-  BJ_FRAME_CONFIG,         // text of the merged configuration
+  BJ_FRAME_CONFIG_REQUEST, // lowest configuration number wanted, whether it is taken in parts
+  BJ_FRAME_CONFIG,         // whole text of the configuration, for peers that take no parts
   BJ_FRAME_NOTICE,         // a suspect or quarantined request
+  BJ_FRAME_CONFIG_PART,    // next part of the text, its offset, length of the whole text
   BJ_FRAME_KINDS,
 } BjFrameKind;
 
 typedef struct
 {
   BjFrameKind kind;
-  uint64_t id;                   // call id; HELLO: incarnation; CONFIG_REQUEST: number
+  uint64_t id;                   // call id; HELLO: incarnation; CONFIG_*: number
   BjStr name;                    // HELLO: daemon; CALL: service
   int protocol;                  // HELLO
   BjRequest request;             // CALL
   uint64_t expected_incarnation; // CALL: of the peer if it may have the call already, else 0
   BjAnswer answer;               // ANSWER
-  BjStr data;                    // DATA, CONFIG; HELLO: signature
-  uint64_t length;               // END: bytes of the body; WINDOW: bytes granted
+  BjStr data;                    // DATA, CONFIG, CONFIG_PART; HELLO: signature
+  uint64_t length;               // END: bytes of the body; WINDOW: bytes granted; CONFIG_PART: all
+  uint64_t offset;               // CONFIG_PART: of data in the text
+  bool takes_parts;              // CONFIG_REQUEST
   uint64_t hash;                 // END: xxHash of the body
   bool is_complete;              // END: of the body
   BjNotice notice;               // NOTICE
@@ -392,7 +395,8 @@
 void bj_links_disconnect (BjLinks *l, BjPeer *p); // Closes the connection; fails its open calls
 void bj_links_request_config (BjLinks *l,
                               BjPeer *p,
-                              int64_t number); // The reply goes to bj_daemon_apply_config
+                              int64_t number); // The reply goes to bj_reader_take_part, from a
+                                               // peer that sends no parts to the daemon
 void bj_links_send_notices (BjLinks *l);       // Sends new notices on suspect requests to all peers
 void bj_links_flush (BjLinks *l);            // Writes the data queued in this event loop iteration
 bool bj_links_is_flushed (const BjLinks *l); // All queued data is written
@@ -715,6 +719,9 @@
 BjReader *bj_reader_new (BjDaemon *d);
 void bj_reader_free (BjReader *r);
 void bj_reader_check_peer (BjReader *r, BjPeer *p); // Fetches if p reports a newer configuration
+bool bj_reader_take_part (BjReader *r,
+                          BjStr peer,
+                          const BjFrame *f); // CONFIG_PART; false if it is not the next part
 uint64_t bj_reader_rank (BjStr name,
                          BjStr domain); // Members with the highest ranks of a domain use the store
 
@@ -921,10 +928,12 @@
   struct BjDaemonWatchers *watchers;
 };
 
-void bj_daemon_apply_config (BjDaemon *d,
-                             int64_t number, // as the source states it
-                             BjStr text,
-                             const char *source); // "store", or the peer's name, for logs
+BjStatus
+bj_daemon_apply_config (BjDaemon *d,
+                        int64_t number, // as the source states it
+                        BjStr text,
+                        const char *source); // "store", or the peer's name, for logs; BJ_E_TICKET
+                                             // or BJ_E_TOO_LARGE, logged and counted
 void
 bj_daemon_reject_config (BjDaemon *d,
                          int64_t number, // 0 if it could not be read
--- a/src/link.c
+++ b/src/link.c
@@ -50,6 +50,8 @@
 static bool handle_hello (BjConn *c, const BjFrame *f);
 static void close_superseded_conns (BjConn *c);
 static void handle_config_request (BjConn *c, const BjFrame *f);
+static void start_config_parts (BjConn *c, const BjConfig *config);
+static void queue_config_part (BjConn *c);
 
 static BjCounter n_unmatched
     = { "link_unmatched_frames_total", "Response frames from peers that matched no open call.", 0 };
@@ -123,6 +125,7 @@
   g_list_free (all);
   bj_links_flush (l);
   bj_incoming_free (l->incoming);
+  g_clear_pointer (&l->config, g_bytes_unref);
   g_ptr_array_free (l->closed, TRUE);
   ev_timer_stop (l->daemon->loop, &l->ping_timer);
   ev_io_stop (l->daemon->loop, &l->accept);
@@ -155,7 +158,7 @@
 bj_links_request_config (BjLinks *l, BjPeer *p, int64_t number)
 {
   BjConn *c = bj_conn_get (l, p);
-  BjFrame f = { .kind = BJ_FRAME_CONFIG_REQUEST, .id = (uint64_t)number };
+  BjFrame f = { .kind = BJ_FRAME_CONFIG_REQUEST, .id = (uint64_t)number, .takes_parts = true };
 
   bj_conn_send (c, &f);
 }
@@ -309,6 +312,8 @@
   ev_io_stop (loop, w);
   if (!write_pending (c))
     close_conn (c, BJ_E_LOST);
+  else if (c->config != NULL && c->out.size == 0)
+    queue_config_part (c);
 }
 
 static void
@@ -510,6 +515,7 @@
     g_ptr_array_remove_fast (c->links->dirty, c);
   g_hash_table_destroy (c->outgoing);
   g_hash_table_destroy (c->incoming);
+  g_clear_pointer (&c->config, g_bytes_unref);
   msgpack_sbuffer_destroy (&c->out);
   g_string_free (c->in, TRUE);
   bj_str_free (&c->peer);
@@ -627,6 +633,10 @@
     case BJ_FRAME_NOTICE:
       bj_kernel_apply_notice (c->links->daemon->kernel, bj_clock_now (), &f->notice);
       break;
+    case BJ_FRAME_CONFIG_PART:
+      if (!bj_reader_take_part (c->links->daemon->reader, c->peer, f))
+        n_unmatched.value++;
+      break;
     case BJ_FRAME_CONFIG:
       bj_daemon_apply_config (c->links->daemon, (int64_t)f->id, f->data, c->peer.data);
       break;
@@ -727,11 +737,75 @@
 handle_config_request (BjConn *c, const BjFrame *f)
 {
   const BjConfig *config = bj_kernel_config (c->links->daemon->kernel);
-  BjFrame reply = { .kind = BJ_FRAME_CONFIG };
 
   if (config == NULL || (uint64_t)config->number < f->id)
-    return;
-  reply.id = (uint64_t)config->number;
-  reply.data = config->text;
-  bj_conn_send (c, &reply);
+    {
+      bj_log (BJ_LOG_INFO,
+              "TICKET",
+              "not sent to=%.*s wanted=%" G_GUINT64_FORMAT " in_force=%" G_GINT64_FORMAT,
+              BJ_STR_ARG (c->peer),
+              f->id,
+              config != NULL ? config->number : 0);
+      return;
+    }
+  if (f->takes_parts)
+    {
+      start_config_parts (c, config);
+      return;
+    }
+  if (config->text.len > BJ_REQUEST_BODY_MAX)
+    bj_log (BJ_LOG_WARNING,
+            "TICKET",
+            "Configuration %" G_GINT64_FORMAT " of %zu bytes does not fit into one frame, and %.*s "
+            "takes no parts.",
+            config->number,
+            config->text.len,
+            BJ_STR_ARG (c->peer));
+  else
+    bj_conn_send (c,
+                  &(BjFrame){ .kind = BJ_FRAME_CONFIG,
+                              .id = (uint64_t)config->number,
+                              .data = config->text });
+}
+
+// A peer that asks again has dropped what it received, so its configuration starts anew.
+static void
+start_config_parts (BjConn *c, const BjConfig *config)
+{
+  BjLinks *l = c->links;
+
+  if (l->config == NULL || l->config_number != config->number)
+    {
+      g_clear_pointer (&l->config, g_bytes_unref);
+      l->config = g_bytes_new (config->text.data, config->text.len);
+      l->config_number = config->number;
+    }
+  g_clear_pointer (&c->config, g_bytes_unref);
+  c->config = g_bytes_ref (l->config);
+  c->config_number = l->config_number;
+  c->config_sent = 0;
+  queue_config_part (c);
+}
+
+// Queues one part. The next one follows when this one is written, so that calls on the connection
+// wait for one part at most, and a configuration is not in memory once for each peer that it is
+// sent to.
+static void
+queue_config_part (BjConn *c)
+{
+  gsize size;
+  const char *text = g_bytes_get_data (c->config, &size);
+  size_t n = MIN (size - c->config_sent, BJ_FRAME_DATA_MAX);
+  BjFrame part = { .kind = BJ_FRAME_CONFIG_PART,
+                   .id = (uint64_t)c->config_number,
+                   .length = size,
+                   .offset = c->config_sent,
+                   .data = { text + c->config_sent, n } };
+
+  bj_conn_send (c, &part);
+  c->config_sent += n;
+  if (c->config_sent < size)
+    ev_io_start (c->links->daemon->loop, &c->write);
+  else
+    g_clear_pointer (&c->config, g_bytes_unref);
 }
--- a/src/link.h
+++ b/src/link.h
@@ -19,6 +19,8 @@
   GPtrArray *dirty;    // BjConn* with bytes to write
   GPtrArray *closed;   // BjConn* to free at the end of the loop iteration
   BjIncoming *incoming;
+  GBytes *config; // copy of the configuration, shared by the connections that send it; NULL if none
+  int64_t config_number;
 };
 
 struct BjConn
@@ -44,6 +46,9 @@
   uint64_t n_written;        // bytes written since the connection was opened
   GHashTable *outgoing;      // call id to BjOutgoing, calls sent to the peer
   GHashTable *incoming;      // call id to IncomingCall, calls received from the peer
+  GBytes *config;            // configuration being sent to the peer in parts, NULL if none
+  int64_t config_number;
+  size_t config_sent; // bytes of config in frames so far
 };
 
 // Connections
--- a/src/reader.c
+++ b/src/reader.c
@@ -27,7 +27,11 @@
   double backoff_ms;
   bool is_store_failing; // the last store request failed
   BjTime behind_since;   // since when a peer has a newer configuration, BJ_TIME_NEVER if none has
-  BjTime fetched_at;     // last fetch from a peer
+  BjTime fetched_at;     // last request to a peer, or last part of its response
+  GString *part;         // text received in parts so far
+  BjStr part_peer;       // the peer that sends it
+  uint64_t part_number;
+  int64_t rejected_number; // last configuration of a peer that was rejected; not fetched again
 };
 
 typedef struct
@@ -92,6 +96,8 @@
   r->must_read = true;
   r->backoff_ms = BACKOFF_MIN_MS;
   r->behind_since = BJ_TIME_NEVER;
+  r->fetched_at = -BJ_TIME_NEVER;
+  r->part = g_string_new (NULL);
   ev_timer_init (&r->tick, on_tick, 0, BJ_READER_TICK_MS / 1000.0);
   r->tick.data = r;
   ev_timer_start (d->loop, &r->tick);
@@ -106,6 +112,8 @@
   r->daemon->platform->ops->cancel_requests (r->daemon->platform, r);
   bj_str_free (&r->version);
   bj_str_free (&r->stored);
+  g_string_free (r->part, TRUE);
+  bj_str_free (&r->part_peer);
   g_free (r);
 }
 
@@ -122,6 +130,37 @@
     fetch_from_peer (r, true, bj_clock_now ());
 }
 
+// Of two peers that were asked, the first one that sends is kept: a fetch is repeated when the
+// first part takes long, and both responses may come.
+bool
+bj_reader_take_part (BjReader *r, BjStr peer, const BjFrame *f)
+{
+  bool is_first = f->offset == 0 && (r->part->len == 0 || bj_str_equal (peer, r->part_peer));
+  bool has_peers;
+
+  if (is_first)
+    {
+      g_string_truncate (r->part, 0);
+      bj_str_set (&r->part_peer, peer);
+      r->part_number = f->id;
+    }
+  else if (!bj_str_equal (peer, r->part_peer) || f->id != r->part_number
+           || f->offset != r->part->len)
+    return false;
+  r->fetched_at = bj_clock_now ();
+  g_string_append_len (r->part, f->data.data, (gssize)f->data.len);
+  if (r->part->len < f->length)
+    return true;
+  if (bj_daemon_apply_config (
+          r->daemon, (int64_t)f->id, (BjStr){ r->part->str, r->part->len }, r->part_peer.data)
+      != BJ_OK)
+    r->rejected_number = (int64_t)f->id;
+  g_string_truncate (r->part, 0);
+  r->fetched_at = -BJ_TIME_NEVER;
+  fetch_from_peer (r, is_reader (r, &has_peers), bj_clock_now ());
+  return true;
+}
+
 uint64_t
 bj_reader_rank (BjStr name, BjStr domain)
 {
@@ -180,7 +219,7 @@
 static HolderSearch
 find_holders (BjReader *r)
 {
-  HolderSearch h = { .reader = r, .own = own_number (r), .best_rank = 3 };
+  HolderSearch h = { .reader = r, .own = MAX (own_number (r), r->rejected_number), .best_rank = 3 };
 
   bj_kernel_each_peer (r->daemon->kernel, consider_holder, &h);
   return h;
@@ -222,11 +261,12 @@
       return;
     }
   r->behind_since = MIN (r->behind_since, now);
-  if (now - r->fetched_at < BJ_FETCH_RETRY_MS)
+  if (now - r->fetched_at < (r->part->len > 0 ? BJ_FETCH_STALL_MS : BJ_FETCH_RETRY_MS))
     return;
   if (h.best_rank > 0 && !reads_store && now - r->behind_since < BJ_FETCH_REMOTE_DELAY_MS)
     return;
   r->fetched_at = now;
+  g_string_truncate (r->part, 0);
   n_fetches.value++;
   bj_log (BJ_LOG_INFO,
           "TICKET",
