Routes are found by hash of their prefix; values are printed only for a message

With thousands of routes on one host each request compared its path with all of them, and applying a configuration printed each of its values once per level of nesting. Now a lookup takes one hash per distinct length of prefix.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -517,7 +517,7 @@
   BjUpstreamConfig *upstreams;
   int n_upstreams;
   GPtrArray *classes;         // char*, index is the class
-  GHashTable *hosts;          // BjStr* in BjRoute to GArray of routes, longest prefix first
+  GHashTable *hosts;          // BjStr* in BjRoute to the routes of that host, by prefix
   BjCallerLimits callers;     // limits for connections and requests of callers
   bool allows_missing_routes; // accepts services without routes, which a ticket must not contain
   BjStr text;                 // canonical JSON of the whole configuration
--- a/src/json.c
+++ b/src/json.c
@@ -260,15 +260,13 @@
 check_value (
     const char *name, const char *path, const BjJsonKey *k, struct json_object *v, BjStatus code)
 {
-  const char *shown = json_object_to_json_string (v);
-
   if (!has_type (v, k->type))
     return bj_fail (code,
                     "%s: %s.%s: %.60s is not %s.",
                     name,
                     path,
                     k->key,
-                    shown,
+                    json_object_to_json_string (v),
                     bj_json_type_name (k->type));
   if (k->type == BJ_JSON_STR
       && strlen (json_object_get_string (v)) != (size_t)json_object_get_string_len (v))
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -104,6 +104,13 @@
   const BjServiceConfig *service;
 } RouteEntry;
 
+// Routes of one host.
+typedef struct
+{
+  GHashTable *by_prefix; // BjStr* to RouteEntry*
+  GArray *lengths;       // of the prefixes, size_t, each once, the longest first
+} HostRoutes;
+
 static BjStatus
 parse_config (BjStr text, BjStr defaults, bool allows_missing_routes, BjConfig **config);
 static BjStatus add_service_defaults (struct json_object *config, BjStr defaults);
@@ -119,7 +126,9 @@
 static BjStatus read_shares (const char *path, struct json_object *o, BjRoute *r);
 static BjStatus read_callers (struct json_object *o, BjCallerLimits *l);
 static void index_hosts (BjConfig *c);
-static gint longer_prefix_first (gconstpointer a, gconstpointer b);
+static HostRoutes *new_host (void);
+static void add_route (HostRoutes *h, const BjRoute *r, const BjServiceConfig *s);
+static void free_host (gpointer host);
 static const RouteEntry *find_route (const BjConfig *c, BjStr host, BjStr path);
 static BjStatus read_plugins (const char *path, struct json_object *o, BjServiceConfig *s);
 static BjStatus read_plugin (const char *path,
@@ -477,46 +486,70 @@
 static void
 index_hosts (BjConfig *c)
 {
-  GHashTableIter i;
-  gpointer all;
-
-  c->hosts = g_hash_table_new_full (
-      bj_str_key_hash, bj_str_key_equal, NULL, (GDestroyNotify)g_array_unref);
+  c->hosts = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, free_host);
   for (int s = 0; s < c->n_services; s++)
     for (int r = 0; r < c->services[s].n_routes; r++)
       {
-        RouteEntry entry = { &c->services[s].routes[r], &c->services[s] };
-        GArray *routes = g_hash_table_lookup (c->hosts, &entry.route->host);
+        const BjRoute *route = &c->services[s].routes[r];
+        HostRoutes *host = g_hash_table_lookup (c->hosts, &route->host);
 
-        if (routes == NULL)
+        if (host == NULL)
           {
-            routes = g_array_new (FALSE, FALSE, sizeof entry);
-            g_hash_table_insert (c->hosts, (gpointer)&entry.route->host, routes);
+            host = new_host ();
+            g_hash_table_insert (c->hosts, (gpointer)&route->host, host);
           }
-        g_array_append_val (routes, entry);
+        add_route (host, route, &c->services[s]);
       }
-  g_hash_table_iter_init (&i, c->hosts);
-  while (g_hash_table_iter_next (&i, NULL, &all))
-    g_array_sort (all, longer_prefix_first);
 }
 
-static gint
-longer_prefix_first (gconstpointer a, gconstpointer b)
+static HostRoutes *
+new_host (void)
+{
+  HostRoutes *h = g_new0 (HostRoutes, 1);
+
+  h->by_prefix = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, g_free);
+  h->lengths = g_array_new (FALSE, FALSE, sizeof (size_t));
+  return h;
+}
+
+static void
+add_route (HostRoutes *h, const BjRoute *r, const BjServiceConfig *s)
+{
+  RouteEntry *e = g_new0 (RouteEntry, 1);
+  guint i = 0;
+
+  *e = (RouteEntry){ r, s };
+  g_hash_table_insert (h->by_prefix, (gpointer)&r->prefix, e);
+  while (i < h->lengths->len && g_array_index (h->lengths, size_t, i) > r->prefix.len)
+    i++;
+  if (i == h->lengths->len || g_array_index (h->lengths, size_t, i) != r->prefix.len)
+    g_array_insert_val (h->lengths, i, r->prefix.len);
+}
+
+static void
+free_host (gpointer host)
 {
-  size_t x = ((const RouteEntry *)a)->route->prefix.len;
-  size_t y = ((const RouteEntry *)b)->route->prefix.len;
+  HostRoutes *h = host;
 
-  return x > y ? -1 : x < y;
+  g_hash_table_destroy (h->by_prefix);
+  g_array_free (h->lengths, TRUE);
+  g_free (h);
 }
 
 static const RouteEntry *
 find_route (const BjConfig *c, BjStr host, BjStr path)
 {
-  GArray *routes = c != NULL ? g_hash_table_lookup (c->hosts, &host) : NULL;
+  HostRoutes *h = c != NULL ? g_hash_table_lookup (c->hosts, &host) : NULL;
+
+  for (guint i = 0; h != NULL && i < h->lengths->len; i++)
+    {
+      BjStr prefix = { path.data, g_array_index (h->lengths, size_t, i) };
+      const RouteEntry *e
+          = prefix.len <= path.len ? g_hash_table_lookup (h->by_prefix, &prefix) : NULL;
 
-  for (guint i = 0; routes != NULL && i < routes->len; i++)
-    if (bj_str_starts (path, g_array_index (routes, RouteEntry, i).route->prefix))
-      return &g_array_index (routes, RouteEntry, i);
+      if (e != NULL)
+        return e;
+    }
   return NULL;
 }
 
