A store request ends after 2 s of silence, not after 2 s in all

Cause: the list of the configuration, and each other request but a watch, had 2 s for the whole response. A daemon that starts, or whose watch was refused, began the same list again and again and never had a configuration. Why this works: the time limit runs to the first byte of the response and then between bytes; 30 s bound the rest. A request with a body has the time to send it on top. The clock of the check runs only while such a request is open.

--- a/src/client.c
+++ b/src/client.c
@@ -5,6 +5,7 @@
 
 // A longer response body is truncated and then fails to parse.
 #define REPLY_BYTES_MAX (4 * 1024 * 1024)
+#define RATE_MIN 64.0 // bytes per ms at which a store takes a request
 
 struct BjStoreClient
 {
@@ -76,7 +77,8 @@
                                .number_header = client->era_header,
                                .sends_once = o->is_watch,
                                .body = o->body,
-                               .timeout_ms = o->timeout_ms,
+                               .timeout_ms = o->timeout_ms + (double)o->body.len / RATE_MIN,
+                               .stall_ms = BJ_PLATFORM_TIMEOUT_MS,
                                .head = on_head,
                                .body_part = on_body,
                                .done = on_done,
--- a/src/config.h
+++ b/src/config.h
@@ -48,9 +48,11 @@
 #define BJ_DRAIN_MS 30000           // longest time a stopping daemon waits for open calls
 #define BJ_DRAIN_ACCEPT_MS 1000     // time from a stop to the notice to peers; calls are accepted
 #define BJ_DRAIN_NOTIFY_MS 2000     // after a stop, time until callers and peers send no new work
-#define BJ_PLATFORM_TIMEOUT_MS 2000 // timeout of one platform call, watches excepted
-#define BJ_RETRY_AFTER_MIN_MS 100   // shortest retry-after time
-#define BJ_RETRY_AFTER_MAX_MS 10000 // longest retry-after time when goodput is preferred
+#define BJ_PLATFORM_TIMEOUT_MS                                                                     \
+  2000                            // longest silence of the platform in one call, until the end of a
+                                  // watch excepted
+#define BJ_RETRY_AFTER_MIN_MS 100 // shortest retry-after time
+#define BJ_RETRY_AFTER_MAX_MS 10000        // longest retry-after time when goodput is preferred
 #define BJ_RETRY_AFTER_RECOVERY_MAX_MS 250 // longest retry-after time when recovery is preferred
 
 // Policy defaults
--- a/src/http.c
+++ b/src/http.c
@@ -8,6 +8,8 @@
 
 #define IDLE_CONNECTIONS_MAX 256
 #define IDLE_MAX_S 5           // a connection idle for longer is not reused
+#define STALL_CHECK_MS 100     // interval between checks for stalled responses
+#define TRANSFER_MAX_MS 30000  // longest time of a response with a stall limit after its first byte
 #define SUSPECT_SILENCE_MS 500 // a reused connection without a response for longer is suspect
 
 // An idle connection can break without notice while new ones work. After a reused connection gave
@@ -31,6 +33,8 @@
   PoolState pool;
   BjTime distrusted_at; // when pool became POOL_DISTRUSTED
   BjHttpCall *probe;    // the call on a new connection, NULL if none
+  ev_timer stall_timer; // ends calls whose response has stopped; active while n_stall_calls > 0
+  int n_stall_calls;    // calls with a stall limit
 };
 
 struct BjHttpCall
@@ -46,6 +50,7 @@
   bool is_head_reported; // options.head was called
   bool cancelled;
   BjTime started;
+  BjTime received_at; // last bytes of the response, 0 before the first
 };
 
 typedef struct
@@ -59,6 +64,8 @@
 static int on_timer_change (CURLM *multi, long timeout_ms, void *data);
 static void on_io (struct ev_loop *loop, ev_io *w, int events);
 static void on_timeout (struct ev_loop *loop, ev_timer *w, int events);
+static void on_stall_timer (struct ev_loop *loop, ev_timer *w, int events);
+static bool is_stalled (const BjHttpCall *c, BjTime now);
 static void run_socket_action (BjHttp *h, curl_socket_t fd, int events);
 static void finish_completed_calls (BjHttp *h);
 static void finish_call (BjHttpCall *c, CURLcode code);
@@ -86,6 +93,8 @@
   h->cancelled_calls = g_ptr_array_new ();
   ev_timer_init (&h->timer, on_timeout, 0, 0);
   h->timer.data = h;
+  ev_timer_init (&h->stall_timer, on_stall_timer, STALL_CHECK_MS / 1000.0, STALL_CHECK_MS / 1000.0);
+  h->stall_timer.data = h;
   curl_multi_setopt (h->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
   curl_multi_setopt (h->multi, CURLMOPT_SOCKETDATA, h);
   curl_multi_setopt (h->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
@@ -105,6 +114,7 @@
   g_list_free (open);
   curl_multi_cleanup (h->multi);
   ev_timer_stop (h->loop, &h->timer);
+  ev_timer_stop (h->loop, &h->stall_timer);
   g_hash_table_destroy (h->calls);
   g_ptr_array_free (h->cancelled_calls, TRUE);
   g_free (h);
@@ -128,7 +138,8 @@
   curl_easy_setopt (c->easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (c->easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (c->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)BJ_CONNECT_TIMEOUT_MS);
-  curl_easy_setopt (c->easy, CURLOPT_TIMEOUT_MS, (long)o->timeout_ms);
+  curl_easy_setopt (
+      c->easy, CURLOPT_TIMEOUT_MS, (long)(o->timeout_ms + (o->stall_ms > 0 ? TRANSFER_MAX_MS : 0)));
   curl_easy_setopt (
       c->easy, CURLOPT_FRESH_CONNECT, o->sends_once || use_new_connection (c) ? 1L : 0L);
   curl_easy_setopt (c->easy, CURLOPT_MAXAGE_CONN, (long)IDLE_MAX_S);
@@ -140,6 +151,8 @@
   set_method (c);
   set_headers (c);
   g_hash_table_add (h->calls, c);
+  if (o->stall_ms > 0 && h->n_stall_calls++ == 0)
+    ev_timer_again (h->loop, &h->stall_timer);
   curl_multi_add_handle (h->multi, c->easy);
   return c;
 }
@@ -226,6 +239,31 @@
   run_socket_action (w->data, CURL_SOCKET_TIMEOUT, 0);
 }
 
+static void
+on_stall_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  BjHttp *h = w->data;
+  GList *all = g_hash_table_get_keys (h->calls);
+  BjTime now = bj_clock_now ();
+
+  (void)loop;
+  (void)events;
+  for (GList *i = all; i != NULL; i = i->next)
+    if (g_hash_table_contains (h->calls, i->data) && is_stalled (i->data, now))
+      finish_call (i->data, CURLE_OPERATION_TIMEDOUT);
+  g_list_free (all);
+}
+
+static bool
+is_stalled (const BjHttpCall *c, BjTime now)
+{
+  if (c->options.stall_ms <= 0 || c->cancelled)
+    return false;
+  if (c->received_at > 0)
+    return now - c->received_at > c->options.stall_ms;
+  return now - c->started > c->options.timeout_ms;
+}
+
 static void
 run_socket_action (BjHttp *h, curl_socket_t fd, int events)
 {
@@ -283,6 +321,7 @@
 
   if (c->cancelled)
     return 0;
+  c->received_at = bj_clock_now ();
   if (colon == NULL)
     return line.len;
   name = (BjStr){ line.data, (size_t)(colon - line.data) };
@@ -303,6 +342,7 @@
 
   if (c->cancelled)
     return 0;
+  c->received_at = bj_clock_now ();
   if (!c->is_head_reported)
     report_head (c);
   if (c->cancelled)
@@ -372,9 +412,13 @@
 static void
 free_call (BjHttpCall *c)
 {
+  BjHttp *h = c->http;
+
   update_pool_state (c);
-  g_hash_table_remove (c->http->calls, c);
-  curl_multi_remove_handle (c->http->multi, c->easy);
+  g_hash_table_remove (h->calls, c);
+  if (c->options.stall_ms > 0 && --h->n_stall_calls == 0)
+    ev_timer_stop (h->loop, &h->stall_timer);
+  curl_multi_remove_handle (h->multi, c->easy);
   curl_easy_cleanup (c->easy);
   curl_slist_free_all (c->headers);
   bj_str_free (&c->body);
--- a/src/internal.h
+++ b/src/internal.h
@@ -248,7 +248,8 @@
   const char *number_header;  // response header whose number is reported; NULL for none
   bool sends_once;            // never resent by libcurl, which resends on a lost reused connection
   BjStr body;                 // copied
-  double timeout_ms;          // 0 for no timeout
+  double timeout_ms;          // 0 for no timeout; up to the first byte if stall_ms is set
+  double stall_ms;            // longest pause between bytes of the response, 0 for no limit
   void (*head) (void *data, const BjHttpHead *h);
   size_t (*body_part) (void *data, BjStr part); // must accept and return all bytes
   void (*done) (
@@ -674,11 +675,11 @@
 typedef struct
 {
   const char *method;
-  const char *path; // appended to the URL of the store
-  const char *name; // of the object, passed to read; copied
-  BjStr body;       // copied
-  double timeout_ms;
-  bool is_watch; // must not be resent unnoticed: the store may have been restored in between
+  const char *path;  // appended to the URL of the store
+  const char *name;  // of the object, passed to read; copied
+  BjStr body;        // copied
+  double timeout_ms; // until the response begins, plus the time to send body at the lowest rate
+  bool is_watch;     // must not be resent unnoticed: the store may have been restored in between
   void (*read) (struct json_object *o,
                 const char *name,
                 BjPlatformReply *r); // Fills r from the response; o is NULL if it is not JSON
