A reader of the store stays one until its successor has a configuration

Cause: a daemon that lost its place to a newcomer of higher rank cancelled its watch at once, also in the middle of a response, and the newcomer began with a list of its own. With a store that takes 4 s for a text, each replacement moved the domain back by up to 4 s. Evidence: test_large_config, test_readers_superseded_during_transfer, failed before: 'n3: 1 in force 3751 ms after two readers started'. Why this works: a member without a configuration is not counted by those that have one, and an open watch is left to the store, which ends it within 30 s. No further call is made; while no one has a configuration the rank alone decides, as before.

--- a/src/reader.c
+++ b/src/reader.c
@@ -1,8 +1,9 @@
 // Reader: fetches the current configuration from the platform and from peers.
 //
 // In each domain the BJ_READERS_PER_DOMAIN live members with the highest rendezvous hash watch the
-// store. The others learn the configuration number by gossip and fetch the text from a peer. A
-// wrong view of the live members only changes the number of reads.
+// store. The others learn the
+// configuration number by gossip and fetch the text from a peer. A wrong view of the live members
+// only changes the number of reads.
 
 #include "internal.h"
 #include <ev.h>
@@ -38,6 +39,7 @@
 {
   BjReader *reader;
   uint64_t own_hash;
+  bool has_config;
   int n_higher; // members of the own domain with a higher hash
   bool has_peers;
 } RankCount;
@@ -179,9 +181,11 @@
   (void)events;
   apply_stored (r);
   fetch_from_peer (r, reads_store, now);
-  if (r->watching && (!reads_store || has_old_version (r)))
+  // A daemon that is no longer a reader keeps its open watch: those that took its place may still
+  // be reading, and a configuration may be under way to it.
+  if (r->watching && has_old_version (r))
     {
-      r->must_read = r->must_read || has_old_version (r);
+      r->must_read = true;
       r->daemon->platform->ops->cancel_requests (r->daemon->platform, r);
       r->watching = false;
     }
@@ -195,7 +199,9 @@
 is_reader (BjReader *r, bool *has_peers)
 {
   const BjSettings *s = &r->daemon->settings;
-  RankCount count = { .reader = r, .own_hash = bj_reader_rank (s->name, s->domain) };
+  RankCount count = { .reader = r,
+                      .own_hash = bj_reader_rank (s->name, s->domain),
+                      .has_config = own_number (r) > 0 };
 
   bj_kernel_each_peer (r->daemon->kernel, count_higher, &count);
   *has_peers = count.has_peers;
@@ -211,6 +217,10 @@
   if (p->is_self)
     return;
   count->has_peers = true;
+  // A member that is still reading its first configuration does not take the place of one that has
+  // a configuration.
+  if (count->has_config && p->report.config_number == 0)
+    return;
   if (bj_str_equal (p->report.domain, domain)
       && bj_reader_rank (p->report.name, domain) > count->own_hash)
     count->n_higher++;
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -18,6 +18,7 @@
 #define SETTLE_MS 8000           // until the daemons know each other and the first configuration
 #define STORE_PORT 19741
 #define PACE_MS 10
+#define RANKED_NAMES 16
 #define SLOW_BYTES_PER_MS 250.0 // rate of a slow store
 #define SLOW_TRANSFER_MS (OBJECT_BYTES_MAX / SLOW_BYTES_PER_MS)
 
@@ -333,12 +334,70 @@
   ev_loop_destroy (loop);
 }
 
+// Returns the name among "n0", "n1", ... with the highest rank below that of under, or the highest
+// of all if under is empty.
+static BjStr
+name_by_rank (BjStr under)
+{
+  static char names[RANKED_NAMES][8];
+  BjStr best = BJ_STR_NULL;
+
+  for (int i = 0; i < RANKED_NAMES; i++)
+    {
+      uint64_t rank;
+
+      g_snprintf (names[i], sizeof names[i], "n%d", i);
+      rank = bj_reader_rank (bj_str (names[i]), BJ_STR ("a"));
+      if ((under.len == 0 || rank < bj_reader_rank (under, BJ_STR ("a")))
+          && (best.len == 0 || rank > bj_reader_rank (best, BJ_STR ("a"))))
+        best = bj_str (names[i]);
+    }
+  return best;
+}
+
+// While the readers of a domain receive a configuration, two daemons start that take their place.
+static void
+test_readers_superseded_during_transfer (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *all[DAEMONS_MAX];
+  BjStr names[DAEMONS_MAX]; // by falling rank
+  double ms;
+  Store s;
+
+  (void)state;
+  for (int i = 0; i < DAEMONS_MAX; i++)
+    names[i] = name_by_rank (i > 0 ? names[i - 1] : BJ_STR_NULL);
+  open_store (&s, loop);
+  for (int i = BJ_READERS_PER_DOMAIN; i < DAEMONS_MAX; i++)
+    all[i] = start_daemon (loop, names[i], i > BJ_READERS_PER_DOMAIN ? all[i - 1] : NULL);
+  run_until_acquainted (loop, all + BJ_READERS_PER_DOMAIN, DAEMONS_MAX - BJ_READERS_PER_DOMAIN);
+  s.bytes_per_ms = SLOW_BYTES_PER_MS;
+  write_manifest (&s, 0, "%d");
+  run_until_in_force (
+      loop, &all[DAEMONS_MAX - 1], 1, s.revision, SLOW_TRANSFER_MS - APPLY_MS / 2.0);
+  for (int i = 0; i < BJ_READERS_PER_DOMAIN; i++)
+    all[i] = start_daemon (loop, names[i], all[DAEMONS_MAX - 1]);
+  ms = run_until_in_force (loop, all, DAEMONS_MAX, s.revision, APPLY_MS * 1.5);
+  for (int i = 0; i < DAEMONS_MAX; i++)
+    if (daemons_config_number (all[i]) != s.revision)
+      fail_msg ("%s: %" G_GINT64_FORMAT " in force %.0f ms after two readers started",
+                names[i].data,
+                daemons_config_number (all[i]),
+                ms);
+  for (int i = 0; i < DAEMONS_MAX; i++)
+    bj_daemon_free (all[i]);
+  close_store (&s);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_configuration_of_object_size_is_in_force),
     cmocka_unit_test (test_list_slower_than_request_timeout),
+    cmocka_unit_test (test_readers_superseded_during_transfer),
   };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
