A starting daemon waits for a peer that has a configuration, not for any peer

Callers saw: in a deployment with seeds, a restarted daemon showed ticket 2 after it had shown ticket 3, when another daemon restarted at the same time and the store had been restored. Cause: before its first read a daemon waits up to 3 s for a peer. A peer that had itself just started ended that wait, although it has no number to report. It is the case of all readers just started, on the side of the product's own store. Evidence: test_fleet_restore failed 1 of 1 and then 2 of 12, 1 of 4 and 1 of 10 runs; old code 0 of 12, so how often it fails there is not known. Logs of the fourth: a1 joined by b3, which restarted with it, at .446, read ticket 2 at .547, heard b1 with ticket 3 at .574. test_restored test_restarted_daemon_hears_restarted_peer_first failed before: 'configuration 2 of the restored store after 101 ms'. Why this works: the wait ends when a peer with a configuration is known, or 1 s after the start if there are peers without one (a deployment that starts for the first time). test_restore 2 of 2, test_fleet_restore 12 of 12.

--- a/src/config.h
+++ b/src/config.h
@@ -74,6 +74,7 @@
 #define BJ_READERS_PER_DOMAIN 2       // daemons per domain that watch the store
 #define BJ_READER_TICK_MS 100         // interval between checks of reader role and peers' versions
 #define BJ_READER_START_DELAY_MS 3000 // time to find peers by seeds before the first store read
+#define BJ_READER_PEERS_DELAY_MS 1000 // the same when the peers found so far have no configuration
 #define BJ_READER_BACKOFF_MAX_MS 2000 // longest backoff of a reader while the store fails
 #define BJ_FETCH_RETRY_MS 300         // time for a response to a fetch before it is sent again
 #define BJ_FETCH_STALL_MS 1000        // pause between two parts before the fetch is sent again
--- a/src/reader.c
+++ b/src/reader.c
@@ -40,8 +40,9 @@
   BjReader *reader;
   uint64_t own_hash;
   bool has_config;
-  int n_higher; // members of the own domain with a higher hash
-  bool has_peers;
+  int n_higher;  // members of the own domain with a higher hash
+  int n_peers;   // in all domains
+  int n_holders; // of these, with a configuration
 } RankCount;
 
 typedef struct
@@ -55,7 +56,8 @@
 } HolderSearch;
 
 static void on_tick (struct ev_loop *loop, ev_timer *w, int events);
-static bool is_reader (BjReader *r, bool *has_peers);
+static bool is_reader (BjReader *r);
+static double first_read_delay_ms (BjReader *r);
 static void count_higher (BjPeer *p, void *data);
 static HolderSearch find_holders (BjReader *r);
 static void consider_holder (BjPeer *p, void *data);
@@ -122,13 +124,12 @@
 void
 bj_reader_check_peer (BjReader *r, BjPeer *p)
 {
-  bool has_peers;
   bool in_own_domain;
 
   if (p == NULL || p->is_self || p->report.config_number <= own_number (r))
     return;
   in_own_domain = bj_str_equal (p->report.domain, r->daemon->settings.domain);
-  if (in_own_domain || is_reader (r, &has_peers))
+  if (in_own_domain || is_reader (r))
     fetch_from_peer (r, true, bj_clock_now ());
 }
 
@@ -138,7 +139,6 @@
 bj_reader_take_part (BjReader *r, BjStr peer, const BjFrame *f)
 {
   bool is_first = f->offset == 0 && (r->part->len == 0 || bj_str_equal (peer, r->part_peer));
-  bool has_peers;
 
   if (is_first)
     {
@@ -159,7 +159,7 @@
     r->rejected_number = (int64_t)f->id;
   g_string_truncate (r->part, 0);
   r->fetched_at = -BJ_TIME_NEVER;
-  fetch_from_peer (r, is_reader (r, &has_peers), bj_clock_now ());
+  fetch_from_peer (r, is_reader (r), bj_clock_now ());
   return true;
 }
 
@@ -174,8 +174,7 @@
 {
   BjReader *r = w->data;
   BjTime now = bj_clock_now ();
-  bool has_peers;
-  bool reads_store = is_reader (r, &has_peers);
+  bool reads_store = is_reader (r);
 
   (void)loop;
   (void)events;
@@ -189,14 +188,14 @@
       r->daemon->platform->ops->cancel_requests (r->daemon->platform, r);
       r->watching = false;
     }
-  if (!has_peers && r->daemon->settings.n_seeds > 0 && now - r->started < BJ_READER_START_DELAY_MS)
+  if (own_number (r) == 0 && now - r->started < first_read_delay_ms (r))
     return;
   if (reads_store && r->filer == NULL && !r->watching && now >= r->not_before)
     read_store (r);
 }
 
 static bool
-is_reader (BjReader *r, bool *has_peers)
+is_reader (BjReader *r)
 {
   const BjSettings *s = &r->daemon->settings;
   RankCount count = { .reader = r,
@@ -204,10 +203,24 @@
                       .has_config = own_number (r) > 0 };
 
   bj_kernel_each_peer (r->daemon->kernel, count_higher, &count);
-  *has_peers = count.has_peers;
   return count.n_higher < BJ_READERS_PER_DOMAIN;
 }
 
+// The store may have been restored from an older copy. A daemon that starts first gives its peers
+// time to report a newer configuration.
+static double
+first_read_delay_ms (BjReader *r)
+{
+  RankCount count = { .reader = r };
+
+  if (r->daemon->settings.n_seeds == 0)
+    return 0;
+  bj_kernel_each_peer (r->daemon->kernel, count_higher, &count);
+  if (count.n_holders > 0)
+    return 0;
+  return count.n_peers > 0 ? BJ_READER_PEERS_DELAY_MS : BJ_READER_START_DELAY_MS;
+}
+
 static void
 count_higher (BjPeer *p, void *data)
 {
@@ -216,7 +229,8 @@
 
   if (p->is_self)
     return;
-  count->has_peers = true;
+  count->n_peers++;
+  count->n_holders += p->report.config_number > 0;
   // A member that is still reading its first configuration does not take the place of one that has
   // a configuration.
   if (count->has_config && p->report.config_number == 0)
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -17,7 +17,8 @@
 #define RESTORE_MS 2000 // until everything is there again after the restore
 #define STORE_PORT 19731
 #define WATCHES_MAX 8
-#define LATE_DELAY_S 0.3 // of a response from before the restore
+#define HOLDER_DELAY_MS 400 // before the holder of the newer configuration is heard
+#define LATE_DELAY_S 0.3    // of a response from before the restore
 
 typedef enum
 {
@@ -316,10 +317,79 @@
     }
 }
 
+static void
+on_config_written (void *data, const BjPlatformReply *r)
+{
+  *(BjStatus *)data = r->code;
+}
+
+// Writes a configuration of this number to the store of a daemon, as an operator's ticket would.
+static void
+store_config (struct ev_loop *loop, BjDaemon *d, const char *text)
+{
+  struct json_object *spec = json_tokener_parse (text);
+  BjStatus code = BJ_E_PLATFORM;
+
+  d->platform->ops->put (
+      d->platform, "config/current", spec, BJ_STR_NULL, on_config_written, &code);
+  while (code == BJ_E_PLATFORM)
+    ev_run (loop, EVRUN_ONCE);
+  assert_int_equal (code, BJ_OK);
+  json_object_put (spec);
+}
+
+static BjDaemon *
+start_with_store (struct ev_loop *loop, const char *name, BjDaemon *seed)
+{
+  return daemons_new (loop,
+                      (BjSettings){ .name = bj_str (name),
+                                    .seeds = seed != NULL ? &seed->settings.gossip : NULL,
+                                    .n_seeds = seed != NULL ? 1 : 0,
+                                    .platform_name = BJ_STR ("memory"),
+                                    .platform_url = bj_str (name), // a store of its own
+                                    .dialect = BJ_STR ("borage") });
+}
+
+// Two daemons restart at the same time, and each hears the other before it hears a third one.
+static void
+test_restarted_daemon_hears_restarted_peer_first (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *other = start_with_store (loop, "other", NULL);
+  BjDaemon *d = start_with_store (loop, "restarted", other);
+  BjDaemon *holder = NULL;
+  BjTime began = bj_clock_now ();
+
+  (void)state;
+  store_config (loop, d, "{\"number\":2,\"priorities\":[\"a\"]}");
+  while (daemons_config_number (d) < 3)
+    {
+      if (bj_clock_now () - began > SETTLE_MS)
+        fail_msg ("no configuration after %d ms", SETTLE_MS);
+      if (daemons_config_number (d) != 0)
+        fail_msg ("configuration %" G_GINT64_FORMAT " of the restored store after %.0f ms",
+                  daemons_config_number (d),
+                  bj_clock_now () - began);
+      if (holder == NULL && bj_clock_now () - began > HOLDER_DELAY_MS)
+        {
+          holder = start_with_store (loop, "holder", other);
+          bj_daemon_apply_config (
+              holder, 3, BJ_STR ("{\"number\":3,\"priorities\":[\"a\"]}"), "test");
+        }
+      ev_run (loop, EVRUN_ONCE);
+    }
+  bj_daemon_free (d);
+  bj_daemon_free (other);
+  bj_daemon_free (holder);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_restore) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_restore),
+          cmocka_unit_test (test_restarted_daemon_hears_restarted_peer_first) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
