A response of the own upstream ends at 64 KiB of head and 256 MiB in all

Callers saw: nothing yet. Cause: the parser bounds one head, but interim responses and bodies were read until the call's deadline, a detached irreversible call for longer; malformed responses were logged and not counted. Why this works: bytes are counted over all that answers one request, and every malformed response takes the same way: counted, logged with its size and reason, connection closed.

--- a/src/pool.c
+++ b/src/pool.c
@@ -23,8 +23,9 @@
 #define KEEPALIVE_INTERVAL_S 1  // TCP_KEEPINTVL
 #define KEEPALIVE_PROBES 2      // TCP_KEEPCNT: unanswered probes before the connection is lost
 #define PROBE_OPEN_MS 100       // a probe succeeds when its connection stays open this long
-#define HEADER_MAX 65536        // bytes of a response's header fields
-#define SUSPECT_SILENCE_MS 500  // a reused connection silent this long makes idle ones suspect
+#define HEADER_MAX 65536        // bytes of a response's head, with the interim responses before it
+#define RESPONSE_MAX (256 * 1024 * 1024) // bytes of a response, four times the largest request
+#define SUSPECT_SILENCE_MS 500 // a reused connection silent this long makes idle ones suspect
 
 typedef enum
 {
@@ -48,6 +49,7 @@
   BjMessage message;        // head of the response
   GString *unconsumed_body; // response body that on_body did not accept
   size_t n_sent;            // bytes of the request's head and body written
+  size_t n_received;        // bytes of the response so far
   BjTime since; // when the request started, the probe connected or the connection became idle
   BjTime idle_deadline;   // when an idle connection is closed
   double idle_timeout_ms; // idle timeout after the response
@@ -84,6 +86,7 @@
 static void mark_dirty (BjPoolConn *c);
 static void on_end_of_stream (BjPoolConn *c, bool is_reset);
 static void parse_response (BjPoolConn *c, const char *data, size_t n);
+static void reject_response (BjPoolConn *c, const char *reason);
 static int on_status (http_parser *p, const char *data, size_t n);
 static int on_field (http_parser *p, const char *data, size_t n);
 static int on_value (http_parser *p, const char *data, size_t n);
@@ -116,6 +119,11 @@
         "Responses from the own upstream that belong to no open call or to another call.",
         0 };
 
+static BjCounter n_malformed
+    = { "upstream_malformed_responses_total",
+        "Responses of the own upstream that were malformed or larger than their limit.",
+        0 };
+
 BjPool *
 bj_pool_new (struct ev_loop *loop)
 {
@@ -124,6 +132,7 @@
   bj_metric_register (&n_opened);
   bj_metric_register (&n_reused);
   bj_metric_register (&n_foreign);
+  bj_metric_register (&n_malformed);
   p->loop = loop;
   p->conns = g_hash_table_new (NULL, NULL);
   p->dirty = g_ptr_array_new ();
@@ -165,6 +174,7 @@
   c->options = *o;
   c->head = bj_str_dup (o->head);
   c->n_sent = 0;
+  c->n_received = 0;
   c->since = bj_clock_now ();
   c->idle_timeout_ms = IDLE_TIMEOUT_MS;
   c->is_complete = false;
@@ -491,6 +501,7 @@
 
   if (c->is_closed)
     return;
+  c->n_received += n;
   if (e == HPE_PAUSED && c->is_complete)
     {
       if (used < n)
@@ -502,13 +513,21 @@
         finish_response (c, used < n);
     }
   else if (e != HPE_OK)
-    {
-      bj_log (BJ_LOG_INFO,
-              "UPSTREAM",
-              "Malformed response: %s; closing the connection.",
-              http_errno_description (e));
-      fail_request (c, BJ_E_LOST);
-    }
+    reject_response (c, http_errno_description (e));
+  else if (c->n_received > (c->state == RECEIVING ? RESPONSE_MAX : HEADER_MAX))
+    reject_response (c, c->state == RECEIVING ? "it has no end" : "its head has no end");
+}
+
+static void
+reject_response (BjPoolConn *c, const char *reason)
+{
+  n_malformed.value++;
+  bj_log (BJ_LOG_INFO,
+          "UPSTREAM",
+          "Malformed response after %zu bytes: %s; closing the connection.",
+          c->n_received,
+          reason);
+  fail_request (c, BJ_E_LOST);
 }
 
 static int
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -80,12 +80,7 @@
   { "guard: body without a length", GUARD, RESPONSE "\r\n", "x", BODY_BYTES_MAX, NO_RESPONSES },
   { "guard: chunks", GUARD, RESPONSE CHUNKED, "4\r\nbody\r\n", BODY_BYTES_MAX, NULL },
   { "guard: chunk extension", GUARD, RESPONSE CHUNKED "4;", "x", HEAD_BYTES_MAX, NO_RESPONSES },
-  { "guard: trailers",
-    GUARD,
-    RESPONSE CHUNKED "0\r\n",
-    "A: b\r\n",
-    HEAD_BYTES_MAX,
-    NO_RESPONSES },
+  { "guard: trailers", GUARD, RESPONSE CHUNKED "0\r\n", "A: b\r\n", HEAD_BYTES_MAX, NO_RESPONSES },
   { "guard: after a complete response",
     GUARD,
     RESPONSE "Content-Length: 4\r\n\r\nbody",
@@ -251,11 +246,11 @@
   BjDaemon *d;
 
   g_snprintf (url, sizeof url, "http://127.0.0.1:%d", port);
-  d = daemons_new (loop,
-                   (BjSettings){ .platform_name
-                                 = c->place == STORE ? BJ_STR ("objects") : BJ_STR ("memory"),
-                                 .platform_url = bj_str (url),
-                                 .dialect = BJ_STR ("borage") });
+  d = daemons_new (
+      loop,
+      (BjSettings){ .platform_name = c->place == STORE ? BJ_STR ("objects") : BJ_STR ("memory"),
+                    .platform_url = bj_str (url),
+                    .dialect = BJ_STR ("borage") });
   bj_daemon_apply_config (d, 1, bj_str (config), "test");
   assert_int_equal (
       bj_daemon_handle_announcement (d,
