An upstream that sends bytes on a probe connection has not crashed

Callers saw: nothing yet; found by the test of bytes without end. Cause: a probe of a lost run only opens a connection, and whatever happened on it before 100 ms counted as refused: also bytes, which only a live upstream sends. The daemon then sent no calls until the next announcement, and the request became suspect of a crash. Evidence: test_endless 'probe' before: not counted, upstream without an address; now 65,541 bytes, closed at once, counted and logged. Why this works: only an end or a reset of the connection means that the upstream refuses.

test_endless 'probe', test_pool, test_upstream green; front and store still red.

--- a/src/pool.c
+++ b/src/pool.c
@@ -78,6 +78,7 @@
 static void on_read (struct ev_loop *loop, ev_io *w, int events);
 static void on_write (struct ev_loop *loop, ev_io *w, int events);
 static void on_probe_timer (struct ev_loop *loop, ev_timer *w, int events);
+static void finish_probe (BjPoolConn *c, ssize_t n_received);
 static void on_timeout_timer (struct ev_loop *loop, ev_timer *w, int events);
 static void check_timeouts (BjPoolConn *c, BjTime now);
 static void suspect_idle_conns (BjPoolConn *c, BjTime now);
@@ -317,7 +318,7 @@
       return;
     }
   if (c->options.is_probe)
-    fail_request (c, BJ_E_NO_UPSTREAM);
+    finish_probe (c, n);
   else if (n <= 0)
     on_end_of_stream (c, n < 0);
   else
@@ -363,14 +364,29 @@
 {
   BjPoolConn *c = w->data;
   char byte;
-  bool is_open = recv (c->fd, &byte, 1, MSG_PEEK) < 0 && errno == EAGAIN;
+  ssize_t n = recv (c->fd, &byte, 1, MSG_PEEK);
 
   (void)loop;
   (void)events;
-  if (is_open)
+  if (n < 0 && errno == EAGAIN)
     finish_response (c, false);
   else
-    fail_request (c, BJ_E_NO_UPSTREAM);
+    finish_probe (c, n);
+}
+
+// An upstream that sends bytes before a request is faulty, but it has not crashed.
+static void
+finish_probe (BjPoolConn *c, ssize_t n_received)
+{
+  if (n_received <= 0)
+    {
+      fail_request (c, BJ_E_NO_UPSTREAM);
+      return;
+    }
+  n_foreign.value++;
+  bj_log (
+      BJ_LOG_INFO, "UPSTREAM", "Received %zd bytes on a probe connection; closing it.", n_received);
+  finish_response (c, true);
 }
 
 static void
