The front reads a bounded number of bytes from a caller that it has rejected

Callers saw: nothing yet; found by the test of bytes without end. Cause: after its final response the front discards what the caller still sends, for 1 s and at any rate, so that the response is not lost to a reset. Chunked bodies had no bound on their chunk headers and no time limit while bytes came. Rejections were logged and not counted. Why this works: after 256 KiB the connection is not read any more, TCP stops the caller, and the response can still be read until the connection closes as before. A body has 120 s and eight bytes per byte of its limit.

--- a/src/server.c
+++ b/src/server.c
@@ -18,6 +18,9 @@
 #define READ_BYTES 65536     // per recv call
 #define PIPELINED_MAX 65536  // buffered bytes of later requests at which reading stops
 #define TIMEOUT_CHECK_INTERVAL_MS 100
+#define LINGER_BYTES 262144    // read after a final response before the connection is closed
+#define BODY_MAX_MS 120000     // longest time of a request body
+#define BODY_FACTOR_MAX 8      // bytes of a chunked body per byte of its limit
 #define LINGER_MS 1000         // for a caller to read the response before its connection is closed
 #define WRITE_TIMEOUT_MS 10000 // time without a byte written until the connection is closed
 
@@ -41,6 +44,9 @@
   BjTime since; // last state change, body bytes read or bytes written
   BjMessage head;
   GString *body;          // of the request
+  BjTime body_since;      // when its body began
+  size_t n_encoded;       // bytes of its body with chunk headers
+  size_t n_lingering;     // bytes discarded while LINGERING
   GString *pipelined;     // received bytes behind the current request
   GString *out;           // bytes to write
   size_t out_written;     // bytes of out already written
@@ -108,6 +114,11 @@
   .on_message_complete = on_complete,
 };
 
+static BjCounter n_rejected
+    = { "front_rejected_requests_total",
+        "Requests of callers that were malformed, larger than a limit or too slow.",
+        0 };
+
 BjStatus
 bj_server_new (struct ev_loop *loop,
                const char *name,
@@ -155,6 +166,7 @@
   s->timeout_timer.data = s;
   ev_io_start (loop, &s->accept);
   ev_timer_start (loop, &s->timeout_timer);
+  bj_metric_register (&n_rejected);
   *server = s;
   return BJ_OK;
 }
@@ -380,7 +392,12 @@
       return;
     }
   if (c->state == LINGERING)
-    return;
+    {
+      c->n_lingering += (size_t)n;
+      if (c->n_lingering > LINGER_BYTES)
+        ev_io_stop (loop, &c->read);
+      return;
+    }
   if (c->state != ANSWERING)
     {
       parse_request (c, buffer, (size_t)n);
@@ -429,6 +446,8 @@
 
   if (c->state == HEAD && age > l->header_timeout_ms)
     reject_request (c, HTTP_STATUS_REQUEST_TIMEOUT);
+  else if (c->state == BODY && now - c->body_since > BODY_MAX_MS)
+    reject_request (c, HTTP_STATUS_REQUEST_TIMEOUT);
   else if ((c->state == IDLE || c->state == BODY) && age > l->idle_timeout_ms)
     close_conn (c);
   else if (c->state == LINGERING && age > LINGER_MS)
@@ -454,6 +473,12 @@
     }
   else if (e != HPE_OK || c->parser.upgrade)
     reject_request (c, c->error_status != 0 ? c->error_status : HTTP_STATUS_BAD_REQUEST);
+  else if (c->state == BODY)
+    {
+      c->n_encoded += n;
+      if (c->n_encoded > BODY_FACTOR_MAX * c->server->limits.body_bytes + READ_BYTES)
+        reject_request (c, HTTP_STATUS_PAYLOAD_TOO_LARGE);
+    }
 }
 
 static void
@@ -549,6 +574,8 @@
       return -1;
     }
   set_state (c, BODY);
+  c->body_since = c->since;
+  c->n_encoded = 0;
   if (bj_header_name_equal (bj_header_find (headers, "Expect"), "100-continue"))
     {
       g_string_append (c->out, "HTTP/1.1 100 Continue\r\n\r\n");
@@ -609,6 +636,7 @@
           "FRONT",
           "Request rejected with HTTP status %d; closing the connection.",
           status);
+  n_rejected.value++;
   if (c->state == ANSWERING)
     return;
   c->keep_alive = false;
