Values of the operator's manifest outside our ranges are moved into them

Cause, the same class: one value that the store accepts and a check of ours does not (a time-out above 10 minutes, a header limit below 256 bytes, an empty host) made every daemon reject the whole manifest. A weight below 1 became 0: its service got no calls. Evidence: test_platform test_manifest_values_out_of_range failed before: 'deadline_ms: value 3.6e+06 is out of range'. Not covered: names, prefixes above 256 bytes and more than 16 shares.

test_platform 7 of 7.

--- a/src/internal.h
+++ b/src/internal.h
@@ -39,6 +39,9 @@
 } BjJsonTable;
 
 const BjJsonTable *bj_settings_tables (int *n); // Keys allowed in settings
+double bj_config_clamp (const char *key,
+                        double value); // Nearest value that a key of a route, share or of callers
+                                       // may have
 const BjJsonTable *bj_ticket_tables (int *n); // Keys allowed in tickets; the top level comes first
 const char *bj_json_type_name (BjJsonType t); // With the article, as in "a string"
 BjStatus
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -271,6 +271,26 @@
   return r != NULL ? bj_str_hash (r->prefix) ^ (bj_str_hash (r->host) << 1) : 0;
 }
 
+double
+bj_config_clamp (const char *key, double value)
+{
+  static const struct
+  {
+    const BjJsonKey *keys;
+    size_t n;
+  } all[] = {
+    { route_keys, G_N_ELEMENTS (route_keys) },
+    { share_keys, G_N_ELEMENTS (share_keys) },
+    { callers_keys, G_N_ELEMENTS (callers_keys) },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (all); i++)
+    for (size_t j = 0; j < all[i].n; j++)
+      if (strcmp (all[i].keys[j].key, key) == 0)
+        return CLAMP (value, all[i].keys[j].min, all[i].keys[j].max);
+  return value;
+}
+
 const BjJsonTable *
 bj_ticket_tables (int *n)
 {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -162,6 +162,47 @@
     }
 }
 
+#define ROUTE_LONG                                                                                 \
+  "[\"r-1\",\"a.example\",\"/long/\",\"idempotent\",3600,0.0001,0,\"orders\",2,null]"
+#define ROUTE_ANY_HOST "[\"r-2\",\"\",\"/any/\",\"idempotent\",1,1,0,\"orders\",2,null]"
+#define ROUTE_FRACTIONS                                                                            \
+  "[\"r-3\",\"a.example\",\"/f/"                                                                   \
+  "\",\"idempotent\",1,1,0,null,2,[{\"service\":\"plans\",\"weight\":0.7},"                        \
+  "{\"service\":\"orders\",\"weight\":0.3}]]"
+#define LIMITS                                                                                     \
+  "{\"maxHeaderBytes\":100,\"maxBodyBytes\":1e12,\"headerTimeoutS\":3600,\"idleTimeoutS\":86400}"
+
+// One value out of range must not keep all other routes of an accepted manifest from being served.
+static void
+test_manifest_values_out_of_range (void **state)
+{
+  struct json_object *spec
+      = json_tokener_parse (MANIFEST ("r12", ROUTE_LONG "," ROUTE_ANY_HOST "," ROUTE_FRACTIONS));
+  GString *text = g_string_new (NULL);
+  const BjServiceConfig *s = NULL;
+  const BjRoute *r;
+  BjConfig *c;
+
+  (void)state;
+  json_object_object_add (spec, "limits", json_tokener_parse (LIMITS));
+  assert_int_equal (platform_convert_manifest (spec, text), BJ_OK);
+  if (bj_config_parse_with_defaults ((BjStr){ text->str, text->len }, BJ_STR_NULL, &c) != BJ_OK)
+    fail_msg ("%s", bj_last_message ());
+  r = bj_config_route_for_host (c, BJ_STR ("a.example"), BJ_STR ("/long/x"), &s);
+  assert_true (r->deadline_ms == 600000 && r->objective_ms == 1);
+  assert_non_null (bj_config_route_for_host (c, BJ_STR ("b.example"), BJ_STR ("/any/x"), &s));
+  r = bj_config_route_for_host (c, BJ_STR ("a.example"), BJ_STR ("/f/x"), &s);
+  assert_int_equal (r->n_shares, 2);
+  assert_int_equal (r->shares[0].weight * 3, r->shares[1].weight * 7);
+  assert_true (r->shares[1].weight > 0);
+  assert_int_equal (c->callers.header_bytes, 256);
+  assert_int_equal (c->callers.body_bytes, 1 << 30);
+  assert_true (c->callers.header_timeout_ms == 600000 && c->callers.idle_timeout_ms == 3600000);
+  bj_config_free (c);
+  json_object_put (spec);
+  g_string_free (text, TRUE);
+}
+
 typedef struct
 {
   const char *name;
@@ -737,9 +778,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_manifest),      cmocka_unit_test (test_answers),
-    cmocka_unit_test (test_refusals),      cmocka_unit_test (test_request),
-    cmocka_unit_test (test_announcements), cmocka_unit_test (test_store),
+    cmocka_unit_test (test_manifest), cmocka_unit_test (test_manifest_values_out_of_range),
+    cmocka_unit_test (test_answers),  cmocka_unit_test (test_refusals),
+    cmocka_unit_test (test_request),  cmocka_unit_test (test_announcements),
+    cmocka_unit_test (test_store),
   };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
