--- a/tests/callers.c
+++ b/tests/callers.c
@@ -1,11 +1,13 @@
 // Callers: threads that send irreversible requests to a fleet in a loop.
 
 #include "callers.h"
+#include <curl/curl.h>
 
 CallerRecord callers_record;
 
 static gint stopping;
 static gint64 n_keys;
+static _Thread_local CURL *kept_connections; // NULL: each request opens a connection
 
 void
 callers_make_key_at (char *key, size_t size, double wall_ms)
@@ -71,7 +73,11 @@
 
   g_snprintf (path, sizeof path, "%s?id=%s&bytes=%d", path_prefix, a->id, ANSWER_BYTES);
   g_snprintf (header, sizeof header, "Idempotency-Key: %s", a->key);
-  *status = fleet_http ("POST", f->members[member].front_port, path, headers, "", out);
+  if (kept_connections != NULL)
+    *status = fleet_http_on (
+        kept_connections, "POST", f->members[member].front_port, path, headers, "", out);
+  else
+    *status = fleet_http ("POST", f->members[member].front_port, path, headers, "", out);
   s.outcome = read_outcome (*status, out);
   s.is_from_upstream = *status == 200;
   s.is_complete = *status != 0;
@@ -96,6 +102,8 @@
   Caller *c = data;
   int home_member = c->index % c->fleet->n;
 
+  if (callers_record.keeps_connections)
+    kept_connections = curl_easy_init ();
   while (!g_atomic_int_get (&stopping))
     {
       Action a = { 0 };
@@ -120,6 +128,7 @@
             member = (member + 1) % c->fleet->n;
         }
     }
+  g_clear_pointer (&kept_connections, curl_easy_cleanup);
   return NULL;
 }
 
--- a/tests/callers.h
+++ b/tests/callers.h
@@ -29,9 +29,10 @@
 
 typedef struct
 {
-  GMutex lock;      // protects the fields below
-  Checker *checker; // NULL if responses are not checked
-  int n_done;       // responses by outcome
+  GMutex lock;            // protects the fields below
+  Checker *checker;       // NULL if responses are not checked
+  bool keeps_connections; // callers use a connection until the daemon closes it
+  int n_done;             // responses by outcome
   int n_not_run;
   int n_unknown;
 } CallerRecord;
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -295,6 +295,21 @@
             GString *out)
 {
   CURL *easy = curl_easy_init ();
+  int status = fleet_http_on (easy, method, port, path, headers, body, out);
+
+  curl_easy_cleanup (easy);
+  return status;
+}
+
+int
+fleet_http_on (void *easy,
+               const char *method,
+               int port,
+               const char *path,
+               const char *const *headers,
+               const char *body,
+               GString *out)
+{
   struct curl_slist *list = NULL;
   char *url = g_strdup_printf ("http://127.0.0.1:%d%s", port, path);
   GString *sink = g_string_new (NULL);
@@ -303,6 +318,7 @@
 
   for (int i = 0; headers != NULL && headers[i] != NULL; i++)
     list = curl_slist_append (list, headers[i]);
+  curl_easy_reset (easy);
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
@@ -322,7 +338,6 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, out != NULL ? out : sink);
   code = curl_easy_perform (easy);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_cleanup (easy);
   curl_slist_free_all (list);
   g_string_free (sink, TRUE);
   g_free (url);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -106,6 +106,15 @@
                 const char *body,
                 GString *out);
 
+// The same with a CURL handle of the caller, which keeps its connections open for later requests.
+int fleet_http_on (void *easy,
+                   const char *method,
+                   int port,
+                   const char *path,
+                   const char *const *headers,
+                   const char *body,
+                   GString *out);
+
 const char *fleet_last_response_head (void); // Header block of the last response on this thread
 double fleet_json_number (const char *json, const char *key); // Top-level number, -1 if absent
 
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -23,13 +23,15 @@
 #define FAULT_MIN_MS 300          // shortest duration of a fault
 #define FAULT_MAX_MS 4000         // longest duration of a fault
 #define RECOVERY_TIMEOUT_MS 15000 // time-out for full recovery after the last fault
-#define CI_SECONDS 6              // duration of a run in CI
+#define CI_SECONDS 20             // duration of a run in CI
+#define LARGE_TICKET_ROUTES 4000  // text of several parts between daemons
+#define SERIES_MAX 4              // tickets filed one right after the other
 
-static const char ticket[]
-    = "{\"number\":1,\"base\":0,\"priorities\":[\"acceptance\",\"lookup\"],\"services\":{"
+static const char ticket_head[]
+    = ",\"priorities\":[\"acceptance\",\"lookup\"],\"services\":{"
       "\"orders\":{\"routes\":[{\"prefix\":\"/orders/accept\",\"class\":\"acceptance\","
       "\"irreversible\":true,\"deadline_ms\":800},"
-      "{\"prefix\":\"/orders/\",\"class\":\"lookup\",\"deadline_ms\":800}]}}}";
+      "{\"prefix\":\"/orders/\",\"class\":\"lookup\",\"deadline_ms\":800}";
 
 typedef struct
 {
@@ -40,7 +42,9 @@
 } SoakSeed;
 
 static const SoakSeed seeds[] = {
-  { 1, CI_SECONDS, NODES_DEFAULT, "default seed of CI" },
+  { 1, CI_SECONDS, NODES_DEFAULT, "home-bound actions" },
+  { 2, CI_SECONDS, NODES_DEFAULT, "claimed actions" },
+  { 3, CI_SECONDS, NODES_DEFAULT, "home-bound actions" },
 };
 
 static Fleet fleet;
@@ -256,20 +260,26 @@
 }
 
 // Files the next ticket while faults are active; no daemon may return to an older one.
-static void
-file_next_ticket (void)
+static bool
+file_next_ticket (int n_more_routes)
 {
-  char text[512];
   int64_t number = ticket_number + 1;
-
-  g_snprintf (text,
-              sizeof text,
-              "{\"number\":%" G_GINT64_FORMAT ",\"base\":%" G_GINT64_FORMAT "%s",
-              number,
-              ticket_number,
-              strchr (ticket + 1, ',') + strlen (",\"base\":0"));
-  if (fleet_file_ticket (&fleet, text))
+  GString *text = g_string_new (NULL);
+  bool ok;
+
+  g_string_printf (text,
+                   "{\"number\":%" G_GINT64_FORMAT ",\"base\":%" G_GINT64_FORMAT "%s",
+                   number,
+                   ticket_number,
+                   ticket_head);
+  for (int i = 0; i < n_more_routes; i++)
+    g_string_append_printf (text, ",{\"prefix\":\"/orders/%d/\",\"class\":\"lookup\"}", i);
+  g_string_append (text, "]}}}");
+  ok = fleet_file_ticket (&fleet, text->str);
+  if (ok)
     ticket_number = number;
+  g_string_free (text, TRUE);
+  return ok;
 }
 
 static void
@@ -329,9 +339,9 @@
   fleet_init (&fleet, nodes, n);
   g_free (nodes);
   fleet.use_fault = true;
-  ticket_number = 1;
+  ticket_number = 0;
   assert_true (fleet_start (&fleet));
-  assert_true (fleet_file_ticket (&fleet, ticket));
+  assert_true (file_next_ticket (0));
   assert_true (fleet_wait_ticket (&fleet, 1, 10000));
 }
 
@@ -349,6 +359,7 @@
   start_fleet (s->nodes);
   callers_record.n_done = callers_record.n_not_run = callers_record.n_unknown = 0;
   callers_record.checker = checker_new ();
+  callers_record.keeps_connections = true;
   callers_start (&fleet, threads, callers, s->seed % 2 == 1);
   end = bj_clock_now () + s->seconds * 1000.0;
   while (bj_clock_now () < end)
@@ -361,7 +372,8 @@
       if (r->kind == NULL)
         begin_fault (rand, active, r, bj_clock_now ());
       if (g_rand_int_range (rand, 0, 8) == 0)
-        file_next_ticket ();
+        for (int i = g_rand_int_range (rand, 0, SERIES_MAX); i >= 0; i--)
+          file_next_ticket (g_rand_int_range (rand, 0, 2) * LARGE_TICKET_ROUTES);
     }
   end_faults (active, BJ_TIME_NEVER);
   callers_stop (threads);
