A request body up to the callers' limit fits into a frame to a peer

Evidence: test_large_request failed before: '2097152 bytes: status 502 after 32 ms'; now 8 MiB are served after 119 ms. Why this works: a daemon that has said HELLO may send frames as large as the limit in force at the receiver allows. Open: the body still goes as one frame, so other calls on the link wait for it and it is in memory several times; a body of tens of MiB over the link between regions is slower than the silence check of a link.

--- a/src/config.h
+++ b/src/config.h
@@ -9,8 +9,9 @@
 #define BJ_CLASSES 8                      // number of priority classes; class 0 is refused last
 #define BJ_PEERS_TRIED_MAX 8              // peers that one call may be sent to, one after the other
 #define BJ_REQUEST_BODY_MAX (1024 * 1024) // bytes of a request body; it is buffered for retries
-#define BJ_FRAME_MAX (BJ_REQUEST_BODY_MAX + 65536) // bytes of a frame after its length prefix
-#define BJ_FRAME_DATA_MAX 65536                    // bytes of response body in one frame
+#define BJ_FRAME_OVERHEAD 65536           // bytes of a CALL frame besides the request's body
+#define BJ_FRAME_MAX (BJ_REQUEST_BODY_MAX + BJ_FRAME_OVERHEAD) // bytes of a frame after its length
+#define BJ_FRAME_DATA_MAX 65536      // bytes of response body in one frame
 #define BJ_WINDOW_BYTES (256 * 1024) // flow control window of a response body, per call
 #define BJ_HEADER_MAX 16384          // bytes of a request head from a caller
 #define BJ_TICKET_MAX (1024 * 1024)  // bytes of one ticket, and of config/current
--- a/src/link.c
+++ b/src/link.c
@@ -42,6 +42,7 @@
 static void free_conn (BjConn *c);
 static void mark_dirty (BjConn *c);
 static bool write_pending (BjConn *c);
+static size_t get_frame_max (const BjConn *c);
 static bool read_frames (BjConn *c);
 static bool dispatch_frame (BjConn *c, const BjFrame *f);
 static void send_current_notices (BjConn *c);
@@ -554,9 +555,21 @@
   return true;
 }
 
+// A CALL frame contains the whole body of a request, which may be as large as callers may send.
+static size_t
+get_frame_max (const BjConn *c)
+{
+  const BjConfig *config = bj_kernel_config (c->links->daemon->kernel);
+  size_t body_bytes = config != NULL ? config->callers.body_bytes : 0;
+
+  return c->peer_incarnation == 0 ? BJ_FRAME_MAX
+                                  : MAX (BJ_FRAME_MAX, body_bytes + BJ_FRAME_OVERHEAD);
+}
+
 static bool
 read_frames (BjConn *c)
 {
+  size_t frame_max = get_frame_max (c);
   size_t n_parsed = 0;
   bool is_valid = true;
 
@@ -568,15 +581,15 @@
 
       memcpy (&length, c->in->str + n_parsed, LENGTH_BYTES);
       length = ntohl (length);
-      if (length > BJ_FRAME_MAX)
+      if (length > frame_max)
         {
           n_malformed.value++;
           bj_log (BJ_LOG_WARNING,
                   "LINK",
-                  "\"%.*s\" sent a frame of %u bytes, limit %d; closing the connection.",
+                  "\"%.*s\" sent a frame of %u bytes, limit %zu; closing the connection.",
                   BJ_STR_ARG (c->peer),
                   length,
-                  BJ_FRAME_MAX);
+                  frame_max);
           return false;
         }
       if (c->in->len - n_parsed - LENGTH_BYTES < length)
