--- a/src/ticket.c
+++ b/src/ticket.c
@@ -7,8 +7,7 @@
 #include <string.h>
 
 #define NAME_MAX_BYTES 64
-#define ROUTES_MAX (BJ_CONFIG_MAX / ROUTE_BYTES_MIN) // more than a configuration has room for
-#define ROUTE_BYTES_MIN 16
+#define ROUTES_MAX 262144 // BJ_CONFIG_MAX / 16, more than a configuration has room for
 #define SHARES_MAX 16
 #define WEIGHT_MAX 1000000
 #define NUMBER_MAX 9007199254740991.0 // largest ticket number, exact as a double
--- a/tests/test_large_request.c
+++ b/tests/test_large_request.c
@@ -113,14 +113,13 @@
 static BjDaemon *
 start_daemon (struct ev_loop *loop, const char *name, BjDaemon *seed)
 {
-  BjDaemon *d
-      = daemons_new (loop,
-                     (BjSettings){ .name = bj_str (name),
-                                   .seeds = seed != NULL ? &seed->settings.gossip : NULL,
-                                   .n_seeds = seed != NULL ? 1 : 0,
-                                   .platform_name = BJ_STR ("memory"),
-                                   .platform_url = BJ_STR ("test_large_request"),
-                                   .dialect = BJ_STR ("borage") });
+  BjDaemon *d = daemons_new (loop,
+                             (BjSettings){ .name = bj_str (name),
+                                           .seeds = seed != NULL ? &seed->settings.gossip : NULL,
+                                           .n_seeds = seed != NULL ? 1 : 0,
+                                           .platform_name = BJ_STR ("memory"),
+                                           .platform_url = BJ_STR ("test_large_request"),
+                                           .dialect = BJ_STR ("borage") });
 
   assert_int_equal (bj_daemon_apply_config (d, 1, bj_str (config), "test"), BJ_OK);
   return d;
@@ -148,8 +147,7 @@
   open_upstream (&u, loop, address);
   assert_int_equal (
       bj_daemon_handle_announcement (
-          guard,
-          &(BjAnnouncement){ .service = BJ_STR ("s"), .address = address, .slots = 4 }),
+          guard, &(BjAnnouncement){ .service = BJ_STR ("s"), .address = address, .slots = 4 }),
       BJ_OK);
   while (!knows_upstream (front))
     ev_run (loop, EVRUN_ONCE);
