--- a/src/http.c
+++ b/src/http.c
@@ -9,9 +9,9 @@
 #define IDLE_CONNECTIONS_MAX 256
 #define IDLE_MAX_S 5   // a connection idle for longer is not reused
 #define HEAD_MAX 65536 // bytes of a response's header lines, with interim responses and trailers
-#define ENCODED_FACTOR_MAX 4   // bytes of a chunked body per byte of its limit
-#define STALL_CHECK_MS 100     // interval between checks for stalled responses
-#define TRANSFER_MAX_MS 30000  // longest time of a response with a stall limit after its first byte
+#define ENCODED_FACTOR_MAX 4  // bytes of a chunked body per byte of its limit
+#define STALL_CHECK_MS 100    // interval between checks for stalled responses
+#define TRANSFER_MAX_MS 30000 // longest time of a response after its first byte, with a stall limit
 #define SUSPECT_SILENCE_MS 500 // a reused connection without a response for longer is suspect
 
 // An idle connection can break without notice while new ones work. After a reused connection gave
--- a/src/reader.c
+++ b/src/reader.c
@@ -1,9 +1,8 @@
 // Reader: fetches the current configuration from the platform and from peers.
 //
 // In each domain the BJ_READERS_PER_DOMAIN live members with the highest rendezvous hash watch the
-// store. The others learn the
-// configuration number by gossip and fetch the text from a peer. A wrong view of the live members
-// only changes the number of reads.
+// store. The others learn the configuration number by gossip and fetch the text from a peer, in
+// parts. A wrong view of the live members only changes the number of reads.
 
 #include "internal.h"
 #include <ev.h>
@@ -384,6 +383,7 @@
 on_watched (void *data, const BjPlatformReply *reply)
 {
   BjReader *r = data;
+
   r->watching = false;
   if (has_old_version (r))
     {
