--- a/src/daemon.c
+++ b/src/daemon.c
@@ -135,6 +135,7 @@
     d->platform->ops->destroy (d->platform);
   bj_http_free (d->http);
   bj_pool_free (d->pool);
+  g_ptr_array_set_free_func (d->lost_runs, g_free);
   g_ptr_array_free (d->lost_runs, TRUE);
   bj_auth_free (d->auth);
   bj_str_free (&d->settings.service);
