--- a/src/server.c
+++ b/src/server.c
@@ -178,12 +178,12 @@
 
   if (s == NULL)
     return;
+  bj_server_stop_accepting (s);
   all = g_hash_table_get_keys (s->conns);
   for (GList *i = all; i != NULL; i = i->next)
     close_conn (i->data);
   g_list_free (all);
   bj_server_flush (s);
-  bj_server_stop_accepting (s);
   ev_timer_stop (s->loop, &s->timeout_timer);
   g_hash_table_destroy (s->conns);
   g_ptr_array_free (s->dirty, TRUE);
