Log names of relayed response headers, count calls sent to the upstream

Each header name that goes on to callers is logged once (64 at most); bj_upstream_starts_total gives the rate that an upstream gets. No decision is changed.

--- a/src/count.c
+++ b/src/count.c
@@ -33,6 +33,11 @@
   print_gauge (out, "open_calls", "Calls that have not ended.", bj_kernel_open_calls (k));
   print_gauge (out, "in_flight", "Calls running on the own upstream.", self.in_flight);
   print_gauge (out, "limit", "Calls that may run at once on the own upstream.", self.limit);
+  g_string_append_printf (out,
+                          "# HELP bj_upstream_starts_total Calls sent to the own upstream.\n"
+                          "# TYPE bj_upstream_starts_total counter\n"
+                          "bj_upstream_starts_total %" G_GUINT64_FORMAT "\n",
+                          k->guard.n_started);
   print_gauge (out, "queued", "Calls queued for the own upstream.", self.queued);
   print_gauge (out, "level", "Admission level of this guard, 0 admits all calls.", self.level);
   print_gauge (out,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -62,6 +62,7 @@
   d->http = bj_http_new (loop);
   d->pool = bj_pool_new (loop);
   d->lost_runs = g_ptr_array_new ();
+  d->relayed_names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   d->dialect = bj_plugin_find (BJ_PLUGIN_DIALECT, s->dialect);
   d->watchers = g_new0 (struct BjDaemonWatchers, 1);
   ev_prepare_init (&d->watchers->prepare, on_prepare);
@@ -137,6 +138,7 @@
   bj_pool_free (d->pool);
   g_ptr_array_set_free_func (d->lost_runs, g_free);
   g_ptr_array_free (d->lost_runs, TRUE);
+  g_hash_table_destroy (d->relayed_names);
   bj_auth_free (d->auth);
   bj_str_free (&d->settings.service);
   bj_str_free (&d->settings.upstream.host);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -3,6 +3,8 @@
 #include "internal.h"
 #include <math.h>
 
+#define RELAYED_NAMES_MAX 64 // header names that are logged once each
+
 // A call that is running on the own upstream.
 typedef struct
 {
@@ -34,6 +36,7 @@
 static void report_lost_run (BjDaemon *d, const LostRun *l, bool has_crashed);
 static void on_lost_drained (BjSource *s, size_t n);
 static void on_lost_cancel (BjSource *s);
+static void log_relayed_headers (BjDaemon *d, BjStr block);
 
 static const BjSourceOps run_ops = { on_drained, on_cancel };
 static const BjSourceOps lost_ops = { on_lost_drained, on_lost_cancel };
@@ -129,6 +132,7 @@
       return s;
     }
   a.headers = (BjStr){ r->relayed->str, r->relayed->len };
+  log_relayed_headers (d, a.headers);
   bj_exchange_begin (r->exchange, &a);
   return BJ_OK;
 }
@@ -256,3 +260,24 @@
   g_string_free (r->relayed, TRUE);
   g_free (r);
 }
+
+// Logs each header name of the upstream's responses that is passed on to callers once. A header by
+// which the upstream addresses the layer must not be among them.
+static void
+log_relayed_headers (BjDaemon *d, BjStr block)
+{
+  BjStr name;
+  BjStr value;
+
+  while (bj_header_next (&block, &name, &value))
+    {
+      char *key;
+
+      if (g_hash_table_size (d->relayed_names) >= RELAYED_NAMES_MAX)
+        return;
+      key = g_ascii_strdown (name.data, (gssize)name.len);
+      if (!g_hash_table_add (d->relayed_names, key))
+        continue;
+      bj_log (BJ_LOG_INFO, "UPSTREAM", "header=%s is relayed to callers", key);
+    }
+}
