--- /dev/null
+++ b/tests/test_signals.c
@@ -0,0 +1,296 @@
+// What an upstream says of itself in its responses: the rate that it takes from all daemons
+// together, and that it leaves. The daemon must act on both, in each dialect.
+
+#include "daemons.h"
+#include <curl/curl.h>
+#include <ev.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define RUN_MS 5000
+#define CALL_INTERVAL_MS 5 // of a caller
+#define SERVICE_MS 20      // of the upstream
+#define SLOTS 64           // of the upstream, more than the callers use
+#define WINDOW_MS 4000     // span in which the calls that reach an upstream are counted
+#define EXCESS_SHARE 1.5   // calls allowed in a window, as a multiple of the named rate
+#define EXCESS_CALLS 5     // calls allowed beyond that
+#define DRAIN_MS 2500      // from the first response that says so until no call may arrive
+
+typedef struct
+{
+  const char *name;
+  const char *dialect;
+  const char *header; // of each response of the upstream
+  double rate;        // that it names, 0 if none
+  bool is_leaving;
+} SignalCase;
+
+static const SignalCase cases[] = {
+  { "rate, own dialect", "borage", "Bj-Rate-Limit: 20.5", 20.5, false },
+  { "rate, platform", "platform", "Server-Limit: 20.5", 20.5, false },
+  { "rate below one a second, platform", "platform", "Server-Limit: 0.4", 0.4, false },
+  { "leaving, own dialect", "borage", "Bj-Leaving: 1", 0, true },
+  { "leaving, platform", "platform", "Server-Leaving: 1", 0, true },
+};
+
+#define N_CASES G_N_ELEMENTS (cases)
+
+typedef struct
+{
+  BjServerConn *conn;
+  BjTime due;
+  char id[32];
+} Response;
+
+// One daemon with its upstream and a caller.
+typedef struct
+{
+  const SignalCase *c;
+  BjDaemon *daemon;
+  BjServer *upstream;
+  GArray *arrivals;  // BjTime of each request at the upstream
+  GArray *responses; // Response, not yet sent
+  BjTime first_response;
+  int n_sent;
+} Site;
+
+typedef struct
+{
+  BjSink sink; // first member, cast from BjSink*
+} Caller;
+
+static void
+on_request (void *data, BjServerConn *conn, const BjHead *h, BjStr body)
+{
+  Site *s = data;
+  BjTime now = bj_clock_now ();
+  Response r = { .conn = conn, .due = now + SERVICE_MS };
+  BjStr id = bj_header_find (h->headers, "X-Request-Id");
+
+  (void)body;
+  g_strlcpy (r.id, id.len > 0 ? id.data : "", MIN (sizeof r.id, id.len + 1));
+  g_array_append_val (s->arrivals, now);
+  g_array_append_val (s->responses, r);
+}
+
+static void
+ignore_disconnected (void *call)
+{
+  (void)call;
+}
+
+static void
+ignore_drained (void *call, size_t n)
+{
+  (void)call;
+  (void)n;
+}
+
+static const BjServerOps upstream_ops = { on_request, ignore_disconnected, ignore_drained };
+
+static void
+send_due_responses (Site *s, BjTime now)
+{
+  while (s->responses->len > 0 && g_array_index (s->responses, Response, 0).due <= now)
+    {
+      Response r = g_array_index (s->responses, Response, 0);
+      char lines[256];
+
+      g_snprintf (lines,
+                  sizeof lines,
+                  "%s\r\nX-Request-Id: %s\r\nX-Response-Seal: s\r\n",
+                  s->c->header,
+                  r.id);
+      if (s->first_response == 0)
+        s->first_response = now;
+      g_array_remove_index (s->responses, 0);
+      bj_server_begin (r.conn, 200, bj_str (lines), 2);
+      bj_server_data (r.conn, BJ_STR ("ok"));
+      bj_server_end (r.conn, true);
+    }
+  bj_server_flush (s->upstream);
+}
+
+static void
+ignore_begin (BjSink *sink, const BjAnswer *a)
+{
+  (void)sink;
+  (void)a;
+}
+
+static size_t
+accept_all (BjSink *sink)
+{
+  (void)sink;
+  return SIZE_MAX;
+}
+
+static void
+ignore_data (BjSink *sink, BjStr part)
+{
+  (void)sink;
+  (void)part;
+}
+
+static void
+free_caller (BjSink *sink, bool is_complete)
+{
+  (void)is_complete;
+  g_free (sink);
+}
+
+static const BjSinkOps caller_ops = { ignore_begin, accept_all, ignore_data, free_caller };
+
+static void
+send_call (Site *s)
+{
+  Caller *caller = g_new0 (Caller, 1);
+  char id[32];
+  BjRequest r = { .method = BJ_STR ("GET"),
+                  .path = BJ_STR ("/s/x"),
+                  .klass = -1,
+                  .attempts_left = -1,
+                  .deadline_ms = 1000 };
+
+  g_snprintf (id, sizeof id, "%d", ++s->n_sent);
+  r.id = bj_str (id);
+  caller->sink.ops = &caller_ops;
+  bj_daemon_handle_call (s->daemon, &r, &caller->sink);
+}
+
+static void
+start_site (Site *s, const SignalCase *c, struct ev_loop *loop)
+{
+  static const char config[] = "{\"number\":1,\"priorities\":[\"lookup\"],\"services\":{\"s\":{"
+                               "\"limiter\":{\"plugin\":\"slots\"},\"routes\":[{\"prefix\":\"/s/"
+                               "\",\"class\":\"lookup\",\"attempts\":0}]}}}";
+  BjAddress a = daemons_free_address ();
+
+  *s = (Site){ .c = c };
+  s->arrivals = g_array_new (FALSE, FALSE, sizeof (BjTime));
+  s->responses = g_array_new (FALSE, FALSE, sizeof (Response));
+  assert_int_equal (bj_server_new (loop, "upstream", a, &upstream_ops, s, &s->upstream), BJ_OK);
+  s->daemon = daemons_new (loop,
+                           (BjSettings){ .name = bj_str (c->name),
+                                         .platform_name = BJ_STR ("memory"),
+                                         .platform_url = bj_str (c->name),
+                                         .dialect = bj_str (c->dialect) });
+  assert_int_equal (bj_daemon_apply_config (s->daemon, 1, bj_str (config), "test"), BJ_OK);
+  assert_int_equal (bj_daemon_handle_announcement (s->daemon,
+                                                   &(BjAnnouncement){ .id = BJ_STR ("up"),
+                                                                      .service = BJ_STR ("s"),
+                                                                      .address = a,
+                                                                      .slots = SLOTS }),
+                    BJ_OK);
+}
+
+static void
+free_site (Site *s)
+{
+  bj_daemon_free (s->daemon);
+  bj_server_free (s->upstream);
+  g_array_free (s->arrivals, TRUE);
+  g_array_free (s->responses, TRUE);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Site *sites = w->data;
+
+  (void)loop;
+  (void)events;
+  for (size_t i = 0; i < N_CASES; i++)
+    {
+      send_call (&sites[i]);
+      send_due_responses (&sites[i], bj_clock_now ());
+    }
+}
+
+// Most requests in any window that begins after the first response.
+static int
+count_most_arrivals (const Site *s)
+{
+  const BjTime *at = (const BjTime *)s->arrivals->data;
+  int most = 0;
+
+  for (guint i = 0; i < s->arrivals->len; i++)
+    {
+      guint end = i;
+
+      while (end < s->arrivals->len && at[end] < at[i] + WINDOW_MS)
+        end++;
+      if (at[i] >= s->first_response)
+        most = MAX (most, (int)(end - i));
+    }
+  return most;
+}
+
+static int
+count_arrivals_after (const Site *s, BjTime from)
+{
+  int n = 0;
+
+  for (guint i = 0; i < s->arrivals->len; i++)
+    n += g_array_index (s->arrivals, BjTime, i) > from;
+  return n;
+}
+
+static int
+check_site (const Site *s)
+{
+  const SignalCase *c = s->c;
+  int allowed = c->is_leaving ? 0 : (int)(EXCESS_SHARE * c->rate * WINDOW_MS / 1000) + EXCESS_CALLS;
+  int n = c->is_leaving ? count_arrivals_after (s, s->first_response + DRAIN_MS)
+                        : count_most_arrivals (s);
+
+  print_message ("  %s: %d of %d calls reached the upstream; %d where %d are allowed\n",
+                 c->name,
+                 (int)s->arrivals->len,
+                 s->n_sent,
+                 n,
+                 allowed);
+  return n > allowed || s->arrivals->len == 0;
+}
+
+static void
+test_upstream_gets_more_than_it_asks_for (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  Site sites[N_CASES];
+  BjTime until;
+  ev_timer tick;
+  int n_failed = 0;
+
+  (void)state;
+  for (size_t i = 0; i < N_CASES; i++)
+    start_site (&sites[i], &cases[i], loop);
+  ev_timer_init (&tick, on_tick, 0, CALL_INTERVAL_MS / 1000.0);
+  tick.data = sites;
+  ev_timer_start (loop, &tick);
+  until = bj_clock_now () + RUN_MS;
+  while (bj_clock_now () < until)
+    ev_run (loop, EVRUN_ONCE);
+  ev_timer_stop (loop, &tick);
+  for (size_t i = 0; i < N_CASES; i++)
+    {
+      n_failed += check_site (&sites[i]);
+      free_site (&sites[i]);
+    }
+  ev_loop_destroy (loop);
+  assert_int_equal (n_failed, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_upstream_gets_more_than_it_asks_for) };
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  bj_log_open (BJ_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
