The calls to an upstream keep to the rate that it names

Cause: no line read the header. The platform dialect relayed it to callers, and the guard bounds calls in flight, never a rate. The guard reports the calls in flight that the rate sustains and the wait as queued calls, so that routers go elsewhere; the queue is cut to what the rate starts in its longest wait, least important first; Retry-After follows the rate. A wait for the rate does not raise admission levels: others of the service may have room, and fronts count calls that no guard admits.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -46,6 +46,8 @@
 bool bj_str_equal (BjStr a, BjStr b);    // True when both have the same bytes
 bool bj_str_starts (BjStr s, BjStr prefix); // True when s begins with prefix
 uint64_t bj_str_hash (BjStr s);             // 64-bit xxHash with seed 0
+bool bj_str_decimal (BjStr s,
+                     double *value);       // Digits with an optional fraction; false if malformed
 bool bj_str_int (BjStr s, int64_t *value); // Parses all of s as a decimal integer; false on failure
 
 // ---------------------------------------------------------------------------------------------
@@ -214,17 +216,28 @@
   int failure_permille; // counts only runs that failed through a fault of the upstream itself
 } BjLoad;
 
+// What an upstream says of itself in its responses.
+typedef struct
+{
+  uint64_t start; // hash that identifies its start, 0 if not known
+  bool has_rate;
+  double rate;        // calls a second that it takes from all daemons together
+  bool is_leaving;    // takes no new calls until another start
+  bool is_unreadable; // named a rate or its leaving in a form that can't be read
+} BjUpstreamState;
+
 typedef struct
 {
   BjStatus code; // BJ_OK for an upstream's response, else why the layer responds itself
   BjOutcome outcome;
   int http_status;
-  bool failed;           // the call ran and the upstream reported a failure
-  double retry_after_ms; // delay before the caller may try again, 0 if retrying is pointless
-  int attempts_left;     // further attempts left for the whole call chain, -1 if not known
-  int level;             // admission level of the guard that responded, 0 admits all
-  BjLoad load;           // load of that guard when it responded
-  bool makes_calls;      // the upstream calls other services for this route
+  bool failed;              // the call ran and the upstream reported a failure
+  double retry_after_ms;    // delay before the caller may try again, 0 if retrying is pointless
+  int attempts_left;        // further attempts left for the whole call chain, -1 if not known
+  int level;                // admission level of the guard that responded, 0 admits all
+  BjLoad load;              // load of that guard when it responded
+  bool makes_calls;         // the upstream calls other services for this route
+  BjUpstreamState upstream; // of the upstream that the daemon which responded runs calls on
   BjStr content_type;
   BjStr headers;  // other headers to relay, "Name: value" lines, each ended by a line feed
   int64_t length; // of the body, -1 if not known
@@ -798,6 +811,12 @@
                          BjTime now,
                          BjStr service,
                          int slots); // Own upstream announced its service and concurrent calls
+void bj_kernel_upstream_spoke (
+    BjKernel *k,
+    BjTime now,
+    const BjCall *c,
+    const BjUpstreamState *s); // The own upstream's response to c says s; call before answer_begin
+const BjUpstreamState *bj_kernel_upstream (const BjKernel *k); // What the own upstream last said
 void bj_kernel_upstream_down (BjKernel *k,
                               BjTime now); // Upstream refuses connections or stopped announcing
 void bj_kernel_drain (BjKernel *k,
--- a/src/count.c
+++ b/src/count.c
@@ -38,6 +38,15 @@
                           "# TYPE bj_upstream_starts_total counter\n"
                           "bj_upstream_starts_total %" G_GUINT64_FORMAT "\n",
                           k->guard.n_started);
+  print_gauge (out,
+               "upstream_rate_limit",
+               "Calls a second that the own upstream takes, -1 if it names no rate.",
+               k->guard.rate.is_set ? bj_rate_in_force (&k->guard.rate, now) : -1);
+  g_string_append_printf (out,
+                          "# HELP bj_rate_refusals_total Calls refused because of that rate.\n"
+                          "# TYPE bj_rate_refusals_total counter\n"
+                          "bj_rate_refusals_total %" G_GUINT64_FORMAT "\n",
+                          k->guard.n_refused_by_rate);
   print_gauge (out, "queued", "Calls queued for the own upstream.", self.queued);
   print_gauge (out, "level", "Admission level of this guard, 0 admits all calls.", self.level);
   print_gauge (out,
@@ -106,7 +115,7 @@
 print_gauge (GString *out, const char *name, const char *help, double value)
 {
   g_string_append_printf (
-      out, "# HELP bj_%s %s\n# TYPE bj_%s gauge\nbj_%s %.0f\n", name, help, name, name, value);
+      out, "# HELP bj_%s %s\n# TYPE bj_%s gauge\nbj_%s %.15g\n", name, help, name, name, value);
 }
 
 static void
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -340,6 +340,7 @@
   relayed.attempts_left = x->call->attempts_left;
   relayed.level = bj_kernel_admission_level (x->daemon->kernel, bj_clock_now (), x->call);
   relayed.makes_calls = bj_kernel_makes_calls (x->daemon->kernel, x->call);
+  relayed.upstream = *bj_kernel_upstream (x->daemon->kernel);
   relayed.load = bj_kernel_load (x->daemon->kernel, bj_clock_now ());
   if (x->sink != NULL)
     x->sink->ops->begin (x->sink, &relayed);
--- a/src/dialect.c
+++ b/src/dialect.c
@@ -14,6 +14,8 @@
 static double parse_number (BjStr value, double default_value);
 static BjOutcome parse_outcome (BjStr name);
 
+static const BjSignalNames signal_names = { "Bj-Rate-Limit", "Bj-Leaving" };
+
 static const BjDialectOps borage_ops
     = { read_request, write_answer, write_run, read_run, read_announcement };
 
@@ -93,7 +95,7 @@
         a->retry_after_ms = parse_number (value, 0);
       else if (bj_header_name_equal (name, "Bj-Attempts-Left"))
         a->attempts_left = (int)parse_number (value, -1);
-      else if (!is_own_header (name))
+      else if (!bj_signal_read (&signal_names, name, value, &a->upstream) && !is_own_header (name))
         bj_header_add_relayed (relayed, name, value);
     }
   return BJ_OK;
--- a/src/guard.c
+++ b/src/guard.c
@@ -3,13 +3,21 @@
 #include "kernel.h"
 #include <math.h>
 
-#define TOP_DEMAND_MS 1000.0   // time constant for smoothing the calls in flight of the top class
-#define HEADROOM_SHARE 0.0625  // largest share of the limit reserved for the top class
-#define COMPLETION_WEIGHT 0.02 // weight of the newest completion interval in the smoothed one
-#define RETRY_AFTER_SPREAD 0.5 // random variation of the retry-after time, as a share of it, +/-
-#define HEADROOM_LIMIT_MIN 4   // a limit below this reserves no slots for the top class
+#define TOP_DEMAND_MS 1000.0    // time constant for smoothing the calls in flight of the top class
+#define HEADROOM_SHARE 0.0625   // largest share of the limit reserved for the top class
+#define COMPLETION_WEIGHT 0.02  // weight of the newest completion interval in the smoothed one
+#define RETRY_AFTER_SPREAD 0.5  // random variation of the retry-after time, as a share of it, +/-
+#define HEADROOM_LIMIT_MIN 4    // a limit below this reserves no slots for the top class
+#define SERVICE_TIME_WEIGHT 0.1 // weight of the newest run in the smoothed time of a run
+#define BACKLOG_MAX 100000.0    // calls reported for a long wait
+#define RATE_RETRY_AFTER_MAX_MS 2000 // longest retry-after time while a rate is in force
 
 static void configure_queue (BjKernel *k, BjTime now, const BjServiceConfig *s);
+static void
+replace_queue (BjKernel *k, BjTime now, const BjServiceConfig *s, const BjQueueOptions *o);
+static void bound_queue (BjKernel *k, BjTime now);
+static void refuse_less_important (BjKernel *k, BjTime now, int klass);
+static BjStatus check_rate_wait (BjKernel *k, BjTime now, const BjCall *c);
 static void refuse_queued (BjKernel *k, BjTime now);
 static void refuse_evicted (BjKernel *k, BjTime now, BjCall *list);
 static void start_queued (BjKernel *k, BjTime now);
@@ -130,6 +138,17 @@
       bj_call_refuse (k, now, c, &a);
       return;
     }
+  bound_queue (k, now);
+  s = check_rate_wait (k, now, c);
+  if (s != BJ_OK)
+    {
+      g->n_refused_by_rate++;
+      // Calls behind it in the queue would wait even longer.
+      if (s == BJ_E_OVERLOAD)
+        refuse_less_important (k, now, c->klass);
+      refuse_for_load (k, now, c, s);
+      return;
+    }
   if (has_slot (k, now, c->klass) && g->queue->ops->waiting (g->queue, c->klass) == 0)
     {
       bj_call_start (k, now, c);
@@ -169,6 +188,9 @@
                              .code = s };
 
   bj_health_count_run (k, now, c, s);
+  if (s == BJ_OK)
+    g->service_ms
+        += (sample.service_ms - g->service_ms) * (g->service_ms > 0 ? SERVICE_TIME_WEIGHT : 1);
   bj_spill_count (k, now, c, -1);
   smooth_demand (g, now);
   g->in_flight--;
@@ -194,6 +216,50 @@
   return k->guard.limiter->ops->limit (k->guard.limiter, now);
 }
 
+// Calls in flight that the rate sustains, by Little's law, unless the limit is lower.
+int
+bj_guard_capacity (BjKernel *k, BjTime now)
+{
+  BjGuard *g = &k->guard;
+  int limit = g->limiter != NULL ? bj_guard_limit (k, now) : 0;
+
+  if (!g->rate.is_set)
+    return limit;
+  return MIN (limit, MAX (1, (int)ceil (bj_rate_in_force (&g->rate, now) * g->service_ms / 1000)));
+}
+
+int
+bj_guard_backlog (BjKernel *k, BjTime now)
+{
+  BjGuard *g = &k->guard;
+  int n = g->queue != NULL ? g->queue->ops->length (g->queue) : 0;
+  double wait = bj_rate_wait_ms (&g->rate, now, n);
+
+  if (wait <= 0 || g->service_ms <= 0)
+    return n;
+  return MAX (n, (int)MIN (BACKLOG_MAX, ceil (wait / g->service_ms * bj_guard_capacity (k, now))));
+}
+
+void
+bj_guard_tick (BjKernel *k, BjTime now)
+{
+  if (now >= k->guard.wake_at)
+    start_queued (k, now);
+}
+
+void
+bj_guard_set_rate (BjKernel *k, BjTime now, const BjUpstreamState *s)
+{
+  if (s->has_rate)
+    bj_rate_name (&k->guard.rate, now, s->rate);
+  else
+    bj_rate_name_none (&k->guard.rate, now);
+  if (k->guard.queue == NULL || k->guard.limiter == NULL)
+    return;
+  bound_queue (k, now);
+  start_queued (k, now);
+}
+
 BjAnswer
 bj_guard_make_refusal (BjKernel *k, BjTime now, BjStatus s, int klass)
 {
@@ -211,17 +277,27 @@
 // accept are refused.
 static void
 configure_queue (BjKernel *k, BjTime now, const BjServiceConfig *s)
+{
+  BjGuard *g = &k->guard;
+
+  g->max_wait_ms = s->queue_options.max_wait_ms;
+  g->queue_length_max = s->queue_options.max_length;
+  if (g->queue != NULL && g->queue->ops == s->queue)
+    g->queue->ops->configure (g->queue, &s->queue_options);
+  else
+    replace_queue (k, now, s, &s->queue_options);
+  bound_queue (k, now);
+}
+
+static void
+replace_queue (BjKernel *k, BjTime now, const BjServiceConfig *s, const BjQueueOptions *o)
 {
   BjGuard *g = &k->guard;
   BjQueue *old = g->queue;
+  BjCall *all_refused = NULL; // the least important first
   BjCall *c;
 
-  if (old != NULL && old->ops == s->queue)
-    {
-      old->ops->configure (old, &s->queue_options);
-      return;
-    }
-  g->queue = s->queue->create (&s->queue_options);
+  g->queue = s->queue->create (o);
   while (old != NULL && (c = old->ops->take (old, now)) != NULL)
     {
       BjCall *refused = NULL;
@@ -229,10 +305,74 @@
       c->queue_next = NULL;
       if (g->queue->ops->offer (g->queue, now, c, &refused) != BJ_OK)
         refused = c;
-      refuse_evicted (k, now, refused);
+      while (refused != NULL)
+        {
+          BjCall *next = refused->queue_next;
+
+          refused->queue_next = all_refused;
+          all_refused = refused;
+          refused = next;
+        }
     }
   if (old != NULL)
     old->ops->destroy (old);
+  refuse_evicted (k, now, all_refused);
+}
+
+// Bounds the queue to the calls that the rate in force starts within the longest wait. Calls beyond
+// that are refused, the least important first.
+static void
+bound_queue (BjKernel *k, BjTime now)
+{
+  BjGuard *g = &k->guard;
+  const BjServiceConfig *s = bj_config_service (k->config, g->service);
+  double rate = bj_rate_in_force (&g->rate, now);
+  BjQueueOptions o;
+
+  if (s == NULL)
+    return;
+  o = s->queue_options;
+  if (g->rate.is_set)
+    o.max_length = (int)CLAMP (rate * g->max_wait_ms / 1000, 1, o.max_length);
+  if (o.max_length == g->queue_length_max)
+    return;
+  g->queue_length_max = o.max_length;
+  if (g->queue->ops->length (g->queue) <= o.max_length)
+    g->queue->ops->configure (g->queue, &o);
+  else
+    replace_queue (k, now, s, &o);
+}
+
+// Refuses the queued calls of all less important classes.
+static void
+refuse_less_important (BjKernel *k, BjTime now, int klass)
+{
+  BjGuard *g = &k->guard;
+  const BjServiceConfig *s = bj_config_service (k->config, g->service);
+  int n = g->queue->ops->waiting (g->queue, klass);
+  BjQueueOptions o;
+
+  if (s == NULL || n == g->queue->ops->length (g->queue))
+    return;
+  o = s->queue_options;
+  o.max_length = n;
+  replace_queue (k, now, s, &o);
+  o.max_length = g->queue_length_max;
+  g->queue->ops->configure (g->queue, &o);
+}
+
+// Whether c may wait until the rate lets it start.
+static BjStatus
+check_rate_wait (BjKernel *k, BjTime now, const BjCall *c)
+{
+  BjGuard *g = &k->guard;
+  double wait = bj_rate_wait_ms (&g->rate, now, g->queue->ops->waiting (g->queue, c->klass));
+
+  if (wait <= 0)
+    return BJ_OK;
+  if (now + wait >= c->deadline)
+    return BJ_E_DEADLINE;
+  return wait > g->max_wait_ms ? BJ_E_OVERLOAD : BJ_OK;
 }
 
 // Refuses all queued calls because the upstream is down.
@@ -273,7 +413,9 @@
 {
   BjAnswer a = bj_guard_make_refusal (k, now, s, c->klass);
 
-  bj_level_count_offered (k, now, true);
+  // A rate is a need of this upstream alone; others of its service may have room.
+  if (!k->guard.rate.is_set)
+    bj_level_count_offered (k, now, true);
   if (c->irreversible && s == BJ_E_OVERLOAD)
     k->guard.admitted_klass = MIN (k->guard.admitted_klass, c->klass);
   bj_call_refuse (k, now, c, &a);
@@ -291,6 +433,7 @@
 start_queued (BjKernel *k, BjTime now)
 {
   BjGuard *g = &k->guard;
+  double wait;
   BjCall *c;
 
   while (g->queue->ops->length (g->queue) > 0
@@ -306,6 +449,8 @@
       BjAnswer a = bj_guard_make_refusal (k, now, BJ_E_DEADLINE, c->klass);
       bj_call_refuse (k, now, c, &a);
     }
+  wait = bj_rate_wait_ms (&g->rate, now, 0);
+  g->wake_at = wait > 0 && g->queue->ops->length (g->queue) > 0 ? now + wait : BJ_TIME_NEVER;
 }
 
 static bool
@@ -313,6 +458,8 @@
 {
   int limit = bj_guard_limit (k, now);
 
+  if (bj_rate_wait_ms (&k->guard.rate, now, 0) > 0)
+    return false;
   if (klass > 0)
     limit -= headroom_slots (k, now, limit);
   return k->guard.in_flight < limit;
@@ -359,9 +506,16 @@
   BjTime *at = &g->retry_after_until[klass];
   double wait = g->queue != NULL ? g->queue->ops->wait_ms (g->queue, now, klass) : 0;
   double max_ms = MAX (BJ_RETRY_AFTER_MIN_MS, g->max_retry_after_ms);
+  double interval = g->completion_interval_ms;
   double ms;
 
-  *at = CLAMP (*at + g->completion_interval_ms, now, now + max_ms);
+  if (g->rate.is_set)
+    {
+      max_ms = MAX (max_ms, RATE_RETRY_AFTER_MAX_MS);
+      interval = MAX (interval, 1000 / bj_rate_in_force (&g->rate, now));
+      wait = MAX (wait, bj_rate_wait_ms (&g->rate, now, 0));
+    }
+  *at = CLAMP (*at + interval, now, now + max_ms);
   ms = CLAMP (wait + *at - now, BJ_RETRY_AFTER_MIN_MS, max_ms);
   return ms * g_rand_double_range (k->rand, 1 - RETRY_AFTER_SPREAD, 1 + RETRY_AFTER_SPREAD);
 }
--- a/src/internal.h
+++ b/src/internal.h
@@ -227,6 +227,21 @@
                                  BjAnnouncement *a); // BJ_E_NOT_FOUND if it is none; BJ_E_FORMAT
 } BjDialectOps;
 
+// ---------------------------------------------------------------------------------------------
+// Signal: what upstreams say of themselves, read by all dialects
+// ---------------------------------------------------------------------------------------------
+
+typedef struct
+{
+  const char *rate;    // header with the calls a second that the upstream takes
+  const char *leaving; // header that is 1 when it takes no new calls
+} BjSignalNames;
+
+bool bj_signal_read (const BjSignalNames *names,
+                     BjStr name,
+                     BjStr value,
+                     BjUpstreamState *s); // Reads one header into s; false if it is another one
+
 // ---------------------------------------------------------------------------------------------
 // Http: client requests through the libcurl multi interface on the event loop
 // ---------------------------------------------------------------------------------------------
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -35,10 +35,12 @@
   k->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   k->quarantine = bj_quarantine_new ();
   bj_level_init (&k->level);
+  bj_signal_init ();
   bj_share_init (k);
   bj_parent_init (k);
   bj_retry_after_init (k);
   k->guard.admitted_klass = BJ_CLASSES;
+  k->guard.wake_at = BJ_TIME_NEVER;
   k->self = g_new0 (BjPeer, 1);
   k->self->is_self = true;
   k->self->reported = now;
@@ -395,12 +397,13 @@
     {
       first = g_sequence_get_begin_iter (k->deadlines);
       if (g_sequence_iter_is_end (first))
-        return;
+        break;
       c = g_sequence_get (first);
       if (c->deadline > now)
-        return;
+        break;
       expire_call (k, now, c);
     }
+  bj_guard_tick (k, now);
 }
 
 BjTime
@@ -409,8 +412,8 @@
   GSequenceIter *first = g_sequence_get_begin_iter (k->deadlines);
 
   if (g_sequence_iter_is_end (first))
-    return BJ_TIME_NEVER;
-  return ((BjCall *)g_sequence_get (first))->deadline;
+    return k->guard.wake_at;
+  return MIN (((BjCall *)g_sequence_get (first))->deadline, k->guard.wake_at);
 }
 
 bool
@@ -434,11 +437,12 @@
                           now,
                           c,
                           "LIMIT",
-                          "refused=%s in_flight=%d limit=%d queued=%d come_back_ms=%.0f",
+                          "refused=%s in_flight=%d limit=%d queued=%d rate=%g come_back_ms=%.0f",
                           bj_status_name (a->code),
                           load.in_flight,
                           load.limit,
                           load.queued,
+                          k->guard.rate.is_set ? bj_rate_in_force (&k->guard.rate, now) : -1,
                           a->retry_after_ms);
   handle_failure (k, now, c, a);
 }
@@ -458,7 +462,9 @@
       bj_call_refuse (k, now, c, &a);
       return;
     }
-  bj_level_count_started (k, c->queued > 0 ? now - c->queued : 0);
+  // A wait for the rate is no overload of the upstream.
+  bj_level_count_started (k, c->queued > 0 && !k->guard.rate.is_set ? now - c->queued : 0);
+  bj_rate_count_start (&k->guard.rate, now);
   c->state = BJ_CALL_RUNNING;
   c->started = now;
   bj_spill_count (k, now, c, 1);
@@ -695,6 +701,7 @@
   if (c->service != NULL)
     a.level = bj_kernel_admission_level (k, now, c);
   a.load = bj_kernel_load (k, now);
+  a.upstream = k->guard.upstream;
   a.makes_calls = !c->is_front && bj_parent_makes_calls (k, c->route);
   if (c->is_front && a.outcome == BJ_NOT_RUN && a.retry_after_ms > 0)
     bj_retry_after_record (k, now + a.retry_after_ms, c);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -19,6 +19,17 @@
   double own_smoothed; // smoothed average of own
 } BjSpillCounts;
 
+// Pace of the calls to an upstream that names a rate.
+typedef struct
+{
+  bool is_set;        // the upstream named a rate that is in force
+  double named;       // calls a second
+  BjTime named_at;    // when a response last named it
+  BjTime rise_from;   // when the rate began to rise after responses that name none, 0 if it stands
+  double tokens;      // calls that may start now
+  BjTime refilled_at; // time up to which tokens is computed
+} BjRate;
+
 // Exponentially decaying counts of runs on the own upstream.
 typedef struct
 {
@@ -49,8 +60,28 @@
   BjSpillCounts spill[BJ_CLASSES]; // calls in flight of each class and all more important ones
   BjTime spill_smoothed_at;        // when own_smoothed in spill was last updated
   BjHealth health;
+  BjRate rate;
+  BjUpstreamState upstream; // what the own upstream last said of itself
+  BjTime upstream_since;    // when its current start was first announced
+  double service_ms;        // smoothed time of a run, 0 before the first
+  double max_wait_ms;       // longest estimated wait of a queued call
+  int queue_length_max;     // calls in the queue, fewer than configured while a rate is in force
+  BjTime signal_logged_at;  // when a log line on upstream was last written
+  BjTime wake_at;           // when the rate lets the next queued call start, or never
+  uint64_t n_refused_by_rate;
 } BjGuard;
 
+// Rate: paces the calls to the own upstream. A wait of 0 lets a call start
+void
+bj_rate_name (BjRate *r, BjTime now, double per_s); // A response names this many calls a second
+void bj_rate_name_none (BjRate *r, BjTime now);     // A response names no rate
+void bj_rate_clear (BjRate *r);                     // For another start of the upstream
+double bj_rate_in_force (BjRate *r, BjTime now);    // Calls a second, infinite without a rate
+double bj_rate_wait_ms (BjRate *r,
+                        BjTime now,
+                        int n_ahead); // Until a call may start with n_ahead calls before it
+void bj_rate_count_start (BjRate *r, BjTime now);
+
 // ---------------------------------------------------------------------------------------------
 // Quarantine: requests that crash upstreams
 // ---------------------------------------------------------------------------------------------
@@ -223,6 +254,13 @@
                         BjStatus s); // Counts a running call that ended, starts queued calls
 void bj_guard_dequeue (BjKernel *k, BjCall *c); // Removes c from the queue
 int bj_guard_limit (BjKernel *k, BjTime now);   // Calls in flight allowed now
+int bj_guard_capacity (BjKernel *k,
+                       BjTime now); // The same, fewer if a rate keeps them from starting
+int bj_guard_backlog (BjKernel *k,
+                      BjTime now); // Calls queued, or those that a wait for the rate amounts to
+void bj_guard_tick (BjKernel *k, BjTime now); // Starts queued calls that waited for the rate
+void
+bj_guard_set_rate (BjKernel *k, BjTime now, const BjUpstreamState *s); // Applies the named rate
 BjAnswer bj_guard_make_refusal (BjKernel *k,
                                 BjTime now,
                                 BjStatus s,
@@ -246,6 +284,8 @@
     const BjKernel *k,
     const BjCall *c); // True if c, refused by another domain, may be rerouted without a token
 
+void bj_signal_init (void); // Registers the counters of signal.c
+
 // Peers
 void bj_peer_add_response_time (BjPeer *p, double ms);             // Records the time to a response
 void bj_peer_update_load (BjPeer *p, BjTime now, const BjLoad *l); // Stores the load in a response
--- a/src/peer.c
+++ b/src/peer.c
@@ -141,12 +141,10 @@
 BjLoad
 bj_kernel_load (BjKernel *k, BjTime now)
 {
-  const BjQueue *q = k->guard.queue;
-
   return (BjLoad){
-    .limit = k->guard.limiter != NULL ? bj_guard_limit (k, now) : 0,
+    .limit = bj_guard_capacity (k, now),
     .in_flight = k->guard.in_flight,
-    .queued = q != NULL ? q->ops->length (q) : 0,
+    .queued = bj_guard_backlog (k, now),
     .failure_permille = bj_health_failure_permille (k, now),
   };
 }
--- a/src/spill.c
+++ b/src/spill.c
@@ -20,7 +20,7 @@
 
   if (g->limiter == NULL)
     return false;
-  limit = bj_guard_limit (k, now);
+  limit = bj_guard_capacity (k, now);
   if (s->own + s->spilled + g->queue->ops->waiting (g->queue, klass) >= limit)
     return false;
   update_averages (g, now);
--- a/src/str.c
+++ b/src/str.c
@@ -58,6 +58,27 @@
   return XXH64 (s.data, s.len, 0);
 }
 
+bool
+bj_str_decimal (BjStr s, double *value)
+{
+  char text[32];
+  const char *at = text;
+
+  if (s.len == 0 || s.len >= sizeof text)
+    return false;
+  memcpy (text, s.data, s.len);
+  text[s.len] = '\0';
+  while (g_ascii_isdigit (*at))
+    at++;
+  if (at > text && *at == '.' && g_ascii_isdigit (at[1]))
+    for (at++; g_ascii_isdigit (*at);)
+      at++;
+  if (at != text + s.len)
+    return false;
+  *value = g_ascii_strtod (text, NULL);
+  return true;
+}
+
 bool
 bj_str_int (BjStr s, int64_t *value)
 {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -132,6 +132,7 @@
       return s;
     }
   a.headers = (BjStr){ r->relayed->str, r->relayed->len };
+  bj_kernel_upstream_spoke (d->kernel, bj_clock_now (), r->exchange->call, &a.upstream);
   log_relayed_headers (d, a.headers);
   bj_exchange_begin (r->exchange, &a);
   return BJ_OK;
--- a/tests/test_guard.c
+++ b/tests/test_guard.c
@@ -468,6 +468,16 @@
   bj_kernel_answer_end (g->kernel, g->now, c, true);
 }
 
+static void
+name_rate (Guard *g)
+{
+  BjUpstreamState s
+      = { .has_rate = g_rand_boolean (g->rand), .rate = g_rand_double_range (g->rand, 0, 1000) };
+
+  if (g->running->len > 0)
+    bj_kernel_upstream_spoke (g->kernel, g->now, g->running->pdata[0], &s);
+}
+
 static void
 run_event (Guard *g)
 {
@@ -481,6 +491,8 @@
     finish_call (g);
   else if (draw < 95 && g->running->len > 0)
     bj_kernel_cancel (g->kernel, g->now, g->running->pdata[0]);
+  else if (draw < 96)
+    name_rate (g);
   else if (draw < 97)
     bj_kernel_announce (g->kernel, g->now, BJ_STR ("s"), g_rand_int_range (g->rand, 1, 12));
   else
