An upstream that says in its responses that it leaves gets no new calls

What callers saw: calls that end with the upstream's process, as it goes on getting new ones until then. Cause: a leaving was read from announcements alone; the header Server-Leaving was relayed and read by nothing, as the rate was. Change: the kernel keeps what the upstream said, per start of it (hash of id and start time). A leaving by response or by DELETE drains the guard until another start; announcements of the same start that still say ready change nothing. Bj-Leaving is the same in the own dialect, whose announcements may now give an id, so that a new start is known; without an id, an upstream that was lost counts as a new start.

--- a/src/admin.c
+++ b/src/admin.c
@@ -18,13 +18,10 @@
 } Endpoint;
 
 static const BjJsonKey announce_keys[] = {
-  { "service", BJ_JSON_STR, true, 1, 64 },
-  { "host", BJ_JSON_STR, true, 7, 15 },
-  { "port", BJ_JSON_INT, true, 1, PORT_MAX },
-  { "slots", BJ_JSON_INT, true, 1, SLOTS_MAX },
-  { "connections", BJ_JSON_INT, false, 0, SLOTS_MAX },
-  { "load", BJ_JSON_NUMBER, false, 0, 1000 },
-  { "healthy", BJ_JSON_BOOL, false, 0, 0 },
+  { "id", BJ_JSON_STR, false, 1, 64 },          { "service", BJ_JSON_STR, true, 1, 64 },
+  { "host", BJ_JSON_STR, true, 7, 15 },         { "port", BJ_JSON_INT, true, 1, PORT_MAX },
+  { "slots", BJ_JSON_INT, true, 1, SLOTS_MAX }, { "connections", BJ_JSON_INT, false, 0, SLOTS_MAX },
+  { "load", BJ_JSON_NUMBER, false, 0, 1000 },   { "healthy", BJ_JSON_BOOL, false, 0, 0 },
   { "draining", BJ_JSON_BOOL, false, 0, 0 },
 };
 
@@ -124,6 +121,7 @@
       json_object_put (o);
       return append_error (out, 400);
     }
+  a.id = bj_json_str (o, "id");
   a.service = bj_json_str (o, "service");
   a.address = (BjAddress){ bj_json_str (o, "host"), (int)bj_json_number (o, "port", 0) };
   a.slots = announced_slots (o);
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -816,6 +816,11 @@
     BjTime now,
     const BjCall *c,
     const BjUpstreamState *s); // The own upstream's response to c says s; call before answer_begin
+void bj_kernel_upstream_started (
+    BjKernel *k,
+    BjTime now,
+    uint64_t start); // Start of the own upstream, not 0; another one than before says nothing yet
+void bj_kernel_upstream_leaves (BjKernel *k, BjTime now);      // No new calls until it starts again
 const BjUpstreamState *bj_kernel_upstream (const BjKernel *k); // What the own upstream last said
 void bj_kernel_upstream_down (BjKernel *k,
                               BjTime now); // Upstream refuses connections or stopped announcing
--- a/src/count.c
+++ b/src/count.c
@@ -42,6 +42,10 @@
                "upstream_rate_limit",
                "Calls a second that the own upstream takes, -1 if it names no rate.",
                k->guard.rate.is_set ? bj_rate_in_force (&k->guard.rate, now) : -1);
+  print_gauge (out,
+               "upstream_leaving",
+               "1 if the own upstream said that it leaves.",
+               k->guard.upstream.is_leaving);
   g_string_append_printf (out,
                           "# HELP bj_rate_refusals_total Calls refused because of that rate.\n"
                           "# TYPE bj_rate_refusals_total counter\n"
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -245,15 +245,22 @@
 static void
 handle_departure (BjDaemon *d, BjTime now)
 {
-  d->upstream_has_departed = true;
-  bj_log (BJ_LOG_INFO,
-          "UPSTREAM",
-          "id=%.*s announced that it stops; draining",
-          BJ_STR_ARG (d->upstream_id));
-  bj_kernel_drain (d->kernel, now, BJ_DRAIN_UPSTREAM, true);
+  bj_log (BJ_LOG_INFO, "UPSTREAM", "id=%.*s announced that it stops", BJ_STR_ARG (d->upstream_id));
+  bj_kernel_upstream_leaves (d->kernel, now);
   bj_members_publish (d->members);
 }
 
+// Hash of what identifies one start of an upstream, not 0.
+static uint64_t
+hash_start (const BjAnnouncement *a)
+{
+  uint64_t started_ms = (uint64_t)a->started_ms;
+
+  return (bj_str_hash (a->id)
+          ^ bj_str_hash ((BjStr){ (const char *)&started_ms, sizeof started_ms }))
+         | 1;
+}
+
 BjStatus
 bj_daemon_handle_announcement (BjDaemon *d, const BjAnnouncement *a)
 {
@@ -280,10 +287,10 @@
                     a->sequence);
   if (!is_own_upstream (d, a))
     return BJ_E_ARGUMENT;
-  // Ignored: after its departure an upstream keeps announcing itself until its process exits.
-  if (is_same_start && d->upstream_has_departed)
+  bj_kernel_upstream_started (d->kernel, now, hash_start (a));
+  // Ignored: an upstream that leaves keeps announcing itself until its process exits.
+  if (bj_kernel_upstream (d->kernel)->is_leaving)
     return BJ_OK;
-  d->upstream_has_departed = false;
   if (!is_same_start)
     bj_pool_close_idle (d->pool);
   bj_str_set (&d->upstream_id, a->id);
@@ -299,6 +306,15 @@
   return BJ_OK;
 }
 
+// The next announcement of an upstream that gives no id counts as another start.
+static void
+lose_upstream (BjDaemon *d)
+{
+  d->upstream.port = 0;
+  if (d->upstream_id.len == 0)
+    bj_kernel_upstream_started (d->kernel, bj_clock_now (), 0);
+}
+
 void
 bj_daemon_mark_upstream_down (BjDaemon *d)
 {
@@ -309,7 +325,7 @@
           "Upstream %.*s:%d refuses connections; no calls are sent until it is announced again.",
           BJ_STR_ARG (d->upstream.host),
           d->upstream.port);
-  d->upstream.port = 0;
+  lose_upstream (d);
   bj_pool_close_idle (d->pool);
   bj_kernel_upstream_down (d->kernel, bj_clock_now ());
 }
@@ -500,7 +516,7 @@
 {
   if (d->upstream.port == 0 || now - d->announced < BJ_ANNOUNCE_MISSES * d->settings.heartbeat_ms)
     return;
-  d->upstream.port = 0;
+  lose_upstream (d);
   bj_kernel_upstream_down (d->kernel, now);
 }
 
--- a/src/internal.h
+++ b/src/internal.h
@@ -934,8 +934,7 @@
   BjStr upstream_id;  // identifies its start, empty if not announced
   double upstream_started_ms;
   int64_t upstream_sequence;
-  bool upstream_has_departed; // it announced its shutdown
-  BjTime announced;           // time of the last announcement of the upstream
+  BjTime announced;     // time of the last announcement of the upstream
   GPtrArray *lost_runs; // calls whose upstream connection was lost; a probe shows if it crashed
   guint n_probed_runs;  // the first ones of lost_runs, lost before the current probe started
   GHashTable *relayed_names; // char*: header names of the upstream's responses logged so far
--- a/src/signal.c
+++ b/src/signal.c
@@ -40,6 +40,32 @@
   return true;
 }
 
+void
+bj_kernel_upstream_started (BjKernel *k, BjTime now, uint64_t start)
+{
+  BjGuard *g = &k->guard;
+
+  if (g->upstream.start == start)
+    return;
+  g->upstream = (BjUpstreamState){ .start = start };
+  g->upstream_since = now;
+  bj_rate_clear (&g->rate);
+}
+
+void
+bj_kernel_upstream_leaves (BjKernel *k, BjTime now)
+{
+  if (k->guard.upstream.is_leaving)
+    return;
+  k->guard.upstream.is_leaving = true;
+  bj_log (BJ_LOG_INFO,
+          "UPSTREAM",
+          "leaving; in_flight=%d queued=%d, new calls are refused until it starts again",
+          k->guard.in_flight,
+          bj_guard_backlog (k, now));
+  bj_kernel_drain (k, now, BJ_DRAIN_UPSTREAM, true);
+}
+
 void
 bj_kernel_upstream_spoke (BjKernel *k, BjTime now, const BjCall *c, const BjUpstreamState *s)
 {
@@ -55,6 +81,8 @@
   g->upstream.has_rate = s->has_rate;
   g->upstream.rate = s->rate;
   bj_guard_set_rate (k, now, s);
+  if (s->is_leaving)
+    bj_kernel_upstream_leaves (k, now);
 }
 
 const BjUpstreamState *
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -123,6 +123,7 @@
   BjDaemon *d = r->exchange->daemon;
   BjAnswer a = { .http_status = h->status, .attempts_left = -1, .length = h->length };
   BjStatus s;
+  bool was_leaving;
 
   a.content_type = bj_header_find (h->headers, "Content-Type");
   s = d->dialect->read_run (r->exchange->call, h, &a, r->relayed);
@@ -132,7 +133,10 @@
       return s;
     }
   a.headers = (BjStr){ r->relayed->str, r->relayed->len };
+  was_leaving = bj_kernel_upstream (d->kernel)->is_leaving;
   bj_kernel_upstream_spoke (d->kernel, bj_clock_now (), r->exchange->call, &a.upstream);
+  if (!was_leaving && bj_kernel_upstream (d->kernel)->is_leaving)
+    bj_members_publish (d->members);
   log_relayed_headers (d, a.headers);
   bj_exchange_begin (r->exchange, &a);
   return BJ_OK;
