Failing test: a restarted daemon forgets what its upstream said

The stand-in upstream names a rate (rate_milli) and its leaving (leaving), counts arrivals since, and gives an id. test_fleet_signals: with responses of 1.5 s, 214 requests in 4 s after a kill or a stop of the daemon where 65 are allowed; 75 and 77 at an upstream that leaves; a pause keeps the rate (40).

--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -10,7 +10,9 @@
 // its own response. The header X-Echo is returned. A path that contains "poison" ends the process.
 //
 // GET /control/executions prints one line per action: key, number of executions. GET /control/stats
-// prints the numbers of executed and refused requests. POST /control/NAME?value=N sets:
+// prints the numbers of executed and refused requests. GET /control/arrivals prints, since
+// rate_milli or leaving was last set, the number of requests and the most within 4 s. POST
+// /control/NAME?value=N sets:
 //
 //   service_us       service time in microseconds
 //   slots            requests executed concurrently
@@ -22,6 +24,8 @@
 //   load_lag_ms      announces the load measured N ms ago
 //   load_claim       announces N percent instead of the measured load, -1 for the measured load
 //   status           status of every response, 0 for the requested one
+//   rate_milli       every response names a rate of N / 1000 requests a second, -1 for none
+//   leaving          1 says in every response that the upstream leaves
 //   retries          most retries of a failed downstream request; no more than the attempts left
 //                    that its response returned
 //
@@ -48,7 +52,8 @@
 #define RESPONSE_BLOCK_BYTES 16384
 #define CONNECTIONS_MAX 4096
 #define REFUSING_LOAD 2.0 // load announced while every request is refused
-#define LOADS_MAX 64      // past loads kept for load_lag_ms
+#define ARRIVALS_WINDOW_MS 4000
+#define LOADS_MAX 64 // past loads kept for load_lag_ms
 
 typedef struct
 {
@@ -83,7 +88,10 @@
 static const char *service, *admin_address, *front_address, *next_path;
 static int port, announced_port, in_flight;
 static gint64 service_us, slots = 16, announced_slots, mute, draining, shed, cold_ms, cold_from_ms,
-                          n_refused, n_executed, load_lag_ms, load_claim = -1, retries, fail_status;
+                          n_refused, n_executed, load_lag_ms, load_claim = -1, retries, fail_status,
+                          rate_milli = -1, leaving;
+static gint64 started_us;
+static GArray *arrivals;        // double, ms, since rate_milli or leaving was last set
 static double loads[LOADS_MAX]; // ring buffer of the loads at past announcements
 static guint n_loads;
 
@@ -102,6 +110,7 @@
 static enum MHD_Result handle_request (Request *r, const char *url);
 static enum MHD_Result handle_control (Request *r, const char *what);
 static enum MHD_Result list_executions (Request *r);
+static enum MHD_Result list_arrivals (Request *r);
 static enum MHD_Result start_execution (Request *r, const char *url);
 static void take_slot (Request *r);
 static void on_service_timer (struct ev_loop *l, ev_timer *w, int events);
@@ -177,8 +186,10 @@
 
   inet_pton (AF_INET, "127.0.0.1", &addr.sin_addr);
   curl_global_init (CURL_GLOBAL_DEFAULT);
+  started_us = g_get_monotonic_time ();
   loop = ev_default_loop (0);
   http = bj_http_new (loop);
+  arrivals = g_array_new (FALSE, FALSE, sizeof (double));
   executions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   cold_from_ms = (gint64)now_ms ();
   daemon_http = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO,
@@ -301,6 +312,8 @@
                    { "draining", &draining },
                    { "load_lag_ms", &load_lag_ms },
                    { "load_claim", &load_claim },
+                   { "rate_milli", &rate_milli },
+                   { "leaving", &leaving },
                    { "retries", &retries },
                    { "status", &fail_status } };
   const char *value = MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, "value");
@@ -308,6 +321,8 @@
 
   if (strcmp (what, "executions") == 0)
     return list_executions (r);
+  if (strcmp (what, "arrivals") == 0)
+    return list_arrivals (r);
   if (strcmp (what, "stats") == 0)
     {
       g_snprintf (text,
@@ -321,6 +336,8 @@
     if (strcmp (what, controls[i].name) == 0)
       {
         *controls[i].value = g_ascii_strtoll (value, NULL, 10);
+        if (controls[i].value == &rate_milli || controls[i].value == &leaving)
+          g_array_set_size (arrivals, 0);
         if (controls[i].value == &cold_ms)
           cold_from_ms = (gint64)now_ms ();
         return reply (r, 200, "", 0);
@@ -345,6 +362,23 @@
   return result;
 }
 
+static enum MHD_Result
+list_arrivals (Request *r)
+{
+  const double *at = (const double *)arrivals->data;
+  char text[64];
+  guint most = 0;
+
+  for (guint i = 0, end = 0; i < arrivals->len; i++)
+    {
+      while (end < arrivals->len && at[end] < at[i] + ARRIVALS_WINDOW_MS)
+        end++;
+      most = MAX (most, end - i);
+    }
+  g_snprintf (text, sizeof text, "{\"requests\":%u,\"most\":%u}\n", arrivals->len, most);
+  return reply (r, 200, text, strlen (text));
+}
+
 static enum MHD_Result
 start_execution (Request *r, const char *url)
 {
@@ -355,6 +389,7 @@
 
   r->is_started = true;
   r->arrived_ms = now_ms ();
+  g_array_append_val (arrivals, r->arrived_ms);
   r->wanted_status = status != NULL ? (int)g_ascii_strtoll (status, NULL, 10) : 200;
   if (fail_status > 0)
     r->wanted_status = (int)fail_status;
@@ -530,11 +565,18 @@
 {
   struct MHD_Response *m
       = MHD_create_response_from_callback (r->size, RESPONSE_BLOCK_BYTES, read_pattern, r, NULL);
-  char text[16];
+  char text[32];
   enum MHD_Result result;
 
   if (r->is_refused)
     MHD_add_response_header (m, "Bj-Outcome", "not-run");
+  if (rate_milli >= 0)
+    {
+      g_snprintf (text, sizeof text, "%.3f", (double)rate_milli / 1000);
+      MHD_add_response_header (m, "Bj-Rate-Limit", text);
+    }
+  if (leaving != 0)
+    MHD_add_response_header (m, "Bj-Leaving", "1");
   if (r->attempts_left >= 0)
     {
       g_snprintf (text, sizeof text, "%d", r->attempts_left);
@@ -582,8 +624,11 @@
   load = next_announced_load ();
   url = g_strdup_printf ("http://%s/v1/announce", admin_address);
   body = g_strdup_printf (
-      "{\"service\":\"%s\",\"host\":\"127.0.0.1\",\"port\":%d,\"slots\":%" G_GINT64_FORMAT
+      "{\"id\":\"%d-%" G_GINT64_FORMAT
+      "\",\"service\":\"%s\",\"host\":\"127.0.0.1\",\"port\":%d,\"slots\":%" G_GINT64_FORMAT
       ",\"load\":%.2f,\"healthy\":%s,\"draining\":%s}",
+      (int)getpid (),
+      started_us,
       service,
       announced_port,
       announced_slots,
