A restarted daemon learns what its upstream said from the daemons that call it

What the upstream saw: after a restart of the daemon beside it, a burst of calls, or calls although it leaves, from daemons that had passed on its responses. Cause: what a response says was kept in one process only, and the first response after a restart may take seconds. Change: ANSWER frames say what the upstream said, with a hash of its start. A front keeps that by peer name, also while the peer is away, and sends it with each call. A guard that hears of its own upstream's start takes a leaving at once, and a rate unless its upstream has spoken to it already. Frames of earlier versions lack the fields and are read as before.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -820,7 +820,14 @@
     BjKernel *k,
     BjTime now,
     uint64_t start); // Start of the own upstream, not 0; another one than before says nothing yet
-void bj_kernel_upstream_leaves (BjKernel *k, BjTime now);      // No new calls until it starts again
+void bj_kernel_upstream_leaves (BjKernel *k, BjTime now); // No new calls until it starts again
+void bj_kernel_learn_upstream (BjKernel *k,
+                               BjTime now,
+                               const BjUpstreamState *s); // What a peer knows of the own upstream,
+                                                          // from before a restart of this daemon
+BjUpstreamState bj_kernel_recall_upstream (
+    BjKernel *k,
+    BjStr peer); // What the upstream of a peer last said in a response; start 0 if nothing
 const BjUpstreamState *bj_kernel_upstream (const BjKernel *k); // What the own upstream last said
 void bj_kernel_upstream_down (BjKernel *k,
                               BjTime now); // Upstream refuses connections or stopped announcing
--- a/src/frame.c
+++ b/src/frame.c
@@ -3,18 +3,22 @@
 #include "internal.h"
 #include <arpa/inet.h>
 #include <limits.h>
+#include <math.h>
 #include <string.h>
 
 #define LENGTH_BYTES 4 // length prefix of a frame
+#define NO_RATE (-1.0) // sent when an upstream names no rate
 
 static void pack_fields (msgpack_packer *p, const BjFrame *f);
 static void pack_call (msgpack_packer *p, const BjFrame *f);
 static void pack_answer (msgpack_packer *p, const BjFrame *f);
+static void pack_upstream (msgpack_packer *p, const BjUpstreamState *s);
 static void pack_str (msgpack_packer *p, BjStr s);
 static int field_count (BjFrameKind k);
 static void read_fields (BjFields *in, BjFrame *f);
 static void read_call (BjFields *in, BjFrame *f);
 static void read_answer (BjFields *in, BjFrame *f);
+static void read_upstream (BjFields *in, BjUpstreamState *s);
 static BjSuspicion read_suspicion (BjFields *in);
 
 void
@@ -139,6 +143,7 @@
   msgpack_pack_uint64 (p, r->cohort);
   r->irreversible ? msgpack_pack_true (p) : msgpack_pack_false (p);
   msgpack_pack_double (p, r->objective_ms);
+  pack_upstream (p, &f->upstream);
 }
 
 static void
@@ -161,6 +166,15 @@
   pack_str (p, a->content_type);
   pack_str (p, a->headers);
   msgpack_pack_int64 (p, a->length);
+  pack_upstream (p, &a->upstream);
+}
+
+static void
+pack_upstream (msgpack_packer *p, const BjUpstreamState *s)
+{
+  msgpack_pack_uint64 (p, s->start);
+  s->is_leaving ? msgpack_pack_true (p) : msgpack_pack_false (p);
+  msgpack_pack_double (p, s->has_rate ? s->rate : NO_RATE);
 }
 
 static void
@@ -174,7 +188,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 3,       [BJ_FRAME_CALL] = 17,  [BJ_FRAME_ANSWER] = 15,
+    [BJ_FRAME_HELLO] = 3,       [BJ_FRAME_CALL] = 20,  [BJ_FRAME_ANSWER] = 18,
     [BJ_FRAME_DATA] = 1,        [BJ_FRAME_END] = 3,    [BJ_FRAME_WINDOW] = 1,
     [BJ_FRAME_NOTICE] = 3,      [BJ_FRAME_CONFIG] = 1, [BJ_FRAME_CONFIG_REQUEST] = 1,
     [BJ_FRAME_CONFIG_PART] = 3,
@@ -252,6 +266,7 @@
   r->has_cohort = true;
   r->irreversible = bj_field_bool (in);
   r->objective_ms = bj_field_double (in);
+  read_upstream (in, &f->upstream);
 }
 
 static void
@@ -274,6 +289,19 @@
   a->content_type = bj_field_bytes (in);
   a->headers = bj_field_bytes (in);
   a->length = bj_field_int (in, -1, INT64_MAX);
+  read_upstream (in, &a->upstream);
+}
+
+// Daemons of earlier versions send no such fields.
+static void
+read_upstream (BjFields *in, BjUpstreamState *s)
+{
+  if (in->n_left == 0)
+    return;
+  s->start = bj_field_uint (in, UINT64_MAX);
+  s->is_leaving = bj_field_bool (in);
+  s->rate = bj_field_double (in);
+  s->has_rate = s->rate >= 0 && isfinite (s->rate);
 }
 
 static BjSuspicion
--- a/src/incoming.c
+++ b/src/incoming.c
@@ -285,6 +285,7 @@
   XXH64_reset (r->hash, 0);
   g_hash_table_insert (s->open, &r->id, r);
   g_hash_table_insert (c->incoming, &r->id, r);
+  bj_kernel_learn_upstream (d->kernel, bj_clock_now (), &f->upstream);
   x = bj_daemon_handle_peer_call (d, &request, f->name, &r->sink);
   // A call that is answered immediately has already freed r.
   if (x != NULL && g_hash_table_lookup (s->open, &id) == r)
--- a/src/internal.h
+++ b/src/internal.h
@@ -388,6 +388,7 @@
   BjRequest request;             // CALL
   uint64_t expected_incarnation; // CALL: of the peer if it may have the call already, else 0
   BjAnswer answer;               // ANSWER
+  BjUpstreamState upstream;      // CALL: what the peer's upstream last said; start 0 if nothing
   BjStr data;                    // DATA, CONFIG, CONFIG_PART; HELLO: signature
   uint64_t length;               // END: bytes of the body; WINDOW: bytes granted; CONFIG_PART: all
   uint64_t offset;               // CONFIG_PART: of data in the text
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -35,7 +35,7 @@
   k->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   k->quarantine = bj_quarantine_new ();
   bj_level_init (&k->level);
-  bj_signal_init ();
+  bj_signal_init (k);
   bj_share_init (k);
   bj_parent_init (k);
   bj_retry_after_init (k);
@@ -70,6 +70,7 @@
   bj_str_free (&k->guard.service);
   bj_explain_clear (k);
   bj_level_clear (&k->level);
+  bj_signal_clear (k);
   g_hash_table_destroy (k->calls);
   g_hash_table_destroy (k->share_states);
   bj_parent_clear (k);
@@ -242,6 +243,7 @@
   if (c->state == BJ_CALL_SENT)
     {
       bj_peer_update_load (c->target, now, &a->load);
+      bj_signal_remember (k, now, c->target->report.name, &a->upstream);
       if (a->outcome == BJ_DONE)
         bj_peer_add_response_time (c->target, now - c->sent);
       bj_level_learn (k, now, c, a->level);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -62,6 +62,7 @@
   BjHealth health;
   BjRate rate;
   BjUpstreamState upstream; // what the own upstream last said of itself
+  bool upstream_has_spoken; // to this daemon since its current start
   BjTime upstream_since;    // when its current start was first announced
   double service_ms;        // smoothed time of a run, 0 before the first
   double max_wait_ms;       // longest estimated wait of a queued call
@@ -152,6 +153,7 @@
   GHashTable *running;    // request id (BjStr*) to the BjCall that runs on the own upstream
   uint64_t n_matched_by_id;      // nested calls whose parent was found by request id
   GHashTable *retry_after_times; // fingerprint of a refused call to the end of its retry-after time
+  GHashTable *told;              // name of a peer (BjStr*) to what its upstream said, in signal.c
   GHashTable *share_states;      // BjRoute* to the weighted round-robin state of its shares
   BjGuard guard;
   BjQuarantine *quarantine;
@@ -284,7 +286,13 @@
     const BjKernel *k,
     const BjCall *c); // True if c, refused by another domain, may be rerouted without a token
 
-void bj_signal_init (void); // Registers the counters of signal.c
+// Signal: what the upstreams of peers said in their responses, kept for these peers
+void bj_signal_init (BjKernel *k);
+void bj_signal_clear (BjKernel *k);
+void bj_signal_remember (BjKernel *k,
+                         BjTime now,
+                         BjStr peer,
+                         const BjUpstreamState *s); // Front: a response of peer says s
 
 // Peers
 void bj_peer_add_response_time (BjPeer *p, double ms);             // Records the time to a response
--- a/src/outgoing.c
+++ b/src/outgoing.c
@@ -152,6 +152,7 @@
     .name = call->service->name,
     .request = call->request,
     .expected_incarnation = o->expected_incarnation,
+    .upstream = bj_kernel_recall_upstream (c->links->daemon->kernel, c->peer),
   };
 
   o->conn = c;
--- a/src/signal.c
+++ b/src/signal.c
@@ -1,12 +1,24 @@
 // Signal: what upstreams say of themselves in their responses. The guard beside an upstream acts on
-// it.
+// it. Fronts remember it by peer and send it along with their calls: a daemon that was restarted
+// beside its upstream has lost it, and the first response may take long.
 
 #include "internal.h"
 #include "kernel.h"
 
-#define RATE_MAX 1e9           // calls a second; a larger rate is treated as unreadable
-#define LOG_INTERVAL_MS 1000.0 // between two log lines on a rate that changes, or can't be read
+#define RATE_MAX 1e9              // calls a second; a larger rate is treated as unreadable
+#define TOLD_LIFETIME_MS 900000.0 // what a peer's upstream said is forgotten after this
+#define LOG_INTERVAL_MS 1000.0    // between two log lines on a rate that changes, or can't be read
 
+// What the upstream of a peer last said.
+typedef struct
+{
+  BjStr peer; // owned
+  BjUpstreamState state;
+  BjTime at;
+} Told;
+
+static void free_told (gpointer told);
+static gboolean is_expired (gpointer peer, gpointer told, gpointer now);
 static void log_state (BjKernel *k, BjTime now, const BjUpstreamState *s);
 
 static BjCounter n_unreadable
@@ -15,9 +27,37 @@
         0 };
 
 void
-bj_signal_init (void)
+bj_signal_init (BjKernel *k)
 {
   bj_metric_register (&n_unreadable);
+  k->told = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, free_told);
+}
+
+void
+bj_signal_clear (BjKernel *k)
+{
+  g_hash_table_destroy (k->told);
+}
+
+void
+bj_signal_remember (BjKernel *k, BjTime now, BjStr peer, const BjUpstreamState *s)
+{
+  Told *t = g_hash_table_lookup (k->told, &peer);
+
+  // A daemon that has just started may not know its upstream yet.
+  if (s->start == 0 || (t == NULL && !s->has_rate && !s->is_leaving))
+    return;
+  if (t == NULL)
+    {
+      g_hash_table_foreach_remove (k->told, is_expired, &now);
+      t = g_new0 (Told, 1);
+      t->peer = bj_str_dup (peer);
+      g_hash_table_insert (k->told, &t->peer, t);
+    }
+  t->state = *s;
+  t->at = now;
+  if (!s->has_rate && !s->is_leaving)
+    g_hash_table_remove (k->told, &peer);
 }
 
 bool
@@ -49,6 +89,7 @@
     return;
   g->upstream = (BjUpstreamState){ .start = start };
   g->upstream_since = now;
+  g->upstream_has_spoken = false;
   bj_rate_clear (&g->rate);
 }
 
@@ -66,6 +107,31 @@
   bj_kernel_drain (k, now, BJ_DRAIN_UPSTREAM, true);
 }
 
+void
+bj_kernel_learn_upstream (BjKernel *k, BjTime now, const BjUpstreamState *s)
+{
+  BjGuard *g = &k->guard;
+
+  if (s->start == 0 || s->start != g->upstream.start)
+    return;
+  if (s->is_leaving)
+    bj_kernel_upstream_leaves (k, now);
+  if (!s->has_rate || g->upstream_has_spoken || g->rate.is_set)
+    return;
+  log_state (k, now, s);
+  g->upstream.has_rate = true;
+  g->upstream.rate = s->rate;
+  bj_guard_set_rate (k, now, s);
+}
+
+BjUpstreamState
+bj_kernel_recall_upstream (BjKernel *k, BjStr peer)
+{
+  const Told *t = g_hash_table_lookup (k->told, &peer);
+
+  return t != NULL ? t->state : (BjUpstreamState){ 0 };
+}
+
 void
 bj_kernel_upstream_spoke (BjKernel *k, BjTime now, const BjCall *c, const BjUpstreamState *s)
 {
@@ -78,6 +144,7 @@
   n_unreadable.value += s->is_unreadable;
   if (s->is_unreadable)
     return;
+  g->upstream_has_spoken = true;
   g->upstream.has_rate = s->has_rate;
   g->upstream.rate = s->rate;
   bj_guard_set_rate (k, now, s);
@@ -91,6 +158,20 @@
   return &k->guard.upstream;
 }
 
+static void
+free_told (gpointer told)
+{
+  bj_str_free (&((Told *)told)->peer);
+  g_free (told);
+}
+
+static gboolean
+is_expired (gpointer peer, gpointer told, gpointer now)
+{
+  (void)peer;
+  return *(BjTime *)now - ((Told *)told)->at >= TOLD_LIFETIME_MS;
+}
+
 static void
 log_state (BjKernel *k, BjTime now, const BjUpstreamState *s)
 {
