Simulated load with estimators that name a rate

test_heavy, test_named_rates: one of four estimators names a third of its calls, no calls, or a third for one second in two; all name half. Targets are those of a lost estimator and of twice the capacity.

--- a/tests/test_heavy.c
+++ b/tests/test_heavy.c
@@ -1,7 +1,7 @@
-// Heavy load: under overload and with lost, refusing, lossy or slow estimators, the goodput must
-// stay near the remaining capacity and never be lower than with the baseline plug-ins. Simulates
-// kernels with a virtual clock: two regions of two failure domains each, four services, call chains
-// three services deep. A call carries nothing of its parent but the deadline.
+// Heavy load: under overload and with lost, refusing, lossy or slow estimators, or ones that name a
+// rate, the goodput must stay near the remaining capacity and never be lower than with the baseline
+// plug-ins. Simulates kernels with a virtual clock: two regions of two failure domains each, four
+// services, call chains three services deep. A call carries nothing of its parent but the deadline.
 
 #include "internal.h"
 #include "kernel.h"
@@ -23,6 +23,10 @@
 #define TICK_MS 5
 #define CALLS_DEADLINE_MS 700 // deadline of the calls of an execution, measured from its start
 #define CALLER_RETRIES 1
+#define RATE_FROM_MS 2000.0      // estimators that name a rate do so from then on
+#define RATE_WINDOW_MS 4000.0    // span in which the calls at an estimator are counted
+#define RATE_EXCESS 1.5          // calls allowed in a window, as a multiple of the rate
+#define RATE_EXCESS_CALLS 5      // calls allowed beyond that
 #define CROWDED_SLOTS_SHARE 0.95 // share of the slots in use above which estimators slow down
 
 typedef enum
@@ -91,6 +95,16 @@
                                       "\"round-robin\"},\"queue\":{\"plugin\":\"fifo\"},"
                                       "\"retry\":{\"ratio\":0.12,\"burst\":3,\"saved\":0.03}";
 
+// Rates that estimators name.
+typedef struct
+{
+  int n;         // number of estimators that name a rate
+  double share;  // that rate, as a share of the calls that each estimator gets on average
+  bool has_gaps; // they name it for one second in two only
+} RateNaming;
+
+static const RateNaming no_rates;
+
 typedef struct
 {
   const char *name;
@@ -103,6 +117,12 @@
   double min_of_best; // lowest accepted share of the best possible goodput, 0 if that is unknown
 } HeavyCase;
 
+typedef struct
+{
+  HeavyCase heavy;
+  RateNaming rates;
+} RateCase;
+
 // Targets: below capacity all callers are served; above it acceptances and previews take precedence
 // over lookups, at least nine tenths of the capacity become goodput, and the goodput is never lower
 // than with the baseline plug-ins.
@@ -154,6 +174,30 @@
   { "estimators refuse a fifth of their calls", 0.8, 0, 0.2, 0, 0, { 0.5, 0.85, 0 }, 0 },
 };
 
+// Estimators that name a rate: the same targets as with the estimator lost, or with twice the
+// capacity offered.
+static const RateCase rate_cases[] = {
+  { { .name = "one estimator names a third of its calls, enough capacity elsewhere",
+      .load = 0.65,
+      .min_served = { 0.97, 0.97, 0.95 },
+      .min_of_best = 0.97 },
+    { 1, 0.33, false } },
+  { { .name = "one estimator takes no calls, enough capacity elsewhere",
+      .load = 0.65,
+      .min_served = { 0.97, 0.97, 0.95 },
+      .min_of_best = 0.97 },
+    { 1, 0, false } },
+  { { .name = "one estimator names a third of its calls for one second in two",
+      .load = 0.65,
+      .min_served = { 0.97, 0.97, 0.95 },
+      .min_of_best = 0.97 },
+    { 1, 0.33, true } },
+  { { .name = "all estimators name half of their calls",
+      .load = 0.65,
+      .min_served = { 0.8, 0.85, 0 } },
+    { 4, 0.5, false } },
+};
+
 typedef struct Node Node;
 typedef struct Execution Execution;
 
@@ -190,6 +234,8 @@
   Service service;
   double time_factor; // factor on the execution time
   bool is_lossy;      // loses responses in cases with lost_share
+  double rate;        // calls a second that its upstream names, -1 if none
+  GArray *starts;     // BjTime of each call at its upstream since it named a rate
 };
 
 typedef enum
@@ -228,6 +274,7 @@
   Node nodes[NODES_MAX];
   int n;
   const HeavyCase *c;
+  RateNaming rates;
   int n_callers[CLASSES];
   int n_served[CLASSES]; // within the objective
 } Simulation;
@@ -336,6 +383,8 @@
   r->child_deadline = MIN (r->deadline, sim.now + CALLS_DEADLINE_MS);
   r->n_left = r->operation->n_calls;
   g_ptr_array_add (sim.executions, r);
+  if (n->rate >= 0 && sim.now >= RATE_FROM_MS + 500)
+    g_array_append_val (n->starts, sim.now);
   if (n->service == ESTIMATOR && g_rand_double (sim.rand) < sim.c->refused_share)
     add_event (EVENT_REFUSAL, 1, n)->execution = r;
   else if (n->service == ESTIMATOR && n->is_lossy && g_rand_double (sim.rand) < sim.c->lost_share)
@@ -421,6 +470,42 @@
     }
 }
 
+static void
+name_rate (Node *n, const BjCall *c)
+{
+  bool is_gap = sim.rates.has_gaps && (int)(sim.now / 1000) % 2 != 0;
+  BjUpstreamState s = { .has_rate = n->rate >= 0 && sim.now >= RATE_FROM_MS && !is_gap };
+
+  if (s.has_rate)
+    s.rate = n->rate;
+  bj_kernel_upstream_spoke (n->kernel, sim.now, c, &s);
+}
+
+// True if the calls at an estimator that names a rate stayed within it. In gaps it names none.
+static bool
+check_rate (const Node *n)
+{
+  const BjTime *at = (const BjTime *)n->starts->data;
+  int allowed = (int)(RATE_EXCESS * n->rate * RATE_WINDOW_MS / 1000) + RATE_EXCESS_CALLS;
+  int most = 0;
+
+  if (n->rate < 0)
+    return true;
+  for (guint i = 0, end = 0; i < n->starts->len; i++)
+    {
+      while (end < n->starts->len && at[end] < at[i] + RATE_WINDOW_MS)
+        end++;
+      most = MAX (most, (int)(end - i));
+    }
+  print_message ("    %s: rate %.1f, %u calls, most in 4 s %d, %d allowed\n",
+                 n->name,
+                 n->rate,
+                 n->starts->len,
+                 most,
+                 allowed);
+  return sim.rates.has_gaps || most <= allowed;
+}
+
 static void
 end_execution (Execution *r, BjAnswer a)
 {
@@ -433,6 +518,7 @@
     return;
   requester = c->data;
   a.attempts_left = c->attempts_left;
+  name_rate (r->node, c);
   if (bj_kernel_answer_begin (k, sim.now, c, &a) == BJ_ABSORB)
     return;
   a.level = bj_kernel_admission_level (k, sim.now, c);
@@ -566,6 +652,16 @@
     }
 }
 
+// Calls a second that one estimator gets on average while all callers are served.
+static double
+estimator_calls (void)
+{
+  double n_calls = class_share[PREVIEW] + (class_share[ACCEPT] + class_share[LOOKUP]) * 4;
+  double work_ms = class_share[PREVIEW] * 36 + (class_share[ACCEPT] + class_share[LOOKUP]) * 4 * 22;
+
+  return sim.c->load * service_slots[ESTIMATOR] / work_ms * n_calls * 1000;
+}
+
 static void
 add_node (int domain, Service s, const char *policy)
 {
@@ -578,6 +674,8 @@
   n->host.ops = &host_ops;
   n->service = s;
   n->is_lossy = domain % 2 == 0;
+  n->rate = s == ESTIMATOR && domain < sim.rates.n ? sim.rates.share * estimator_calls () : -1;
+  n->starts = g_array_new (FALSE, FALSE, sizeof (BjTime));
   n->time_factor = time_factors[(domain + (int)s) % 4];
   g_snprintf (n->name, sizeof n->name, "d%d-%s", domain, service_names[s]);
   g_snprintf (n->domain, sizeof n->domain, "d%d", domain);
@@ -623,11 +721,17 @@
 }
 
 static double
-run_case (const HeavyCase *c, const char *policy, double served[CLASSES])
+run_case (const HeavyCase *c,
+          const RateNaming *rates,
+          const char *policy,
+          double served[CLASSES],
+          bool *keeps_rates)
 {
   double goodput = 0;
 
-  sim = (Simulation){ .c = c };
+  *keeps_rates = true;
+
+  sim = (Simulation){ .c = c, .rates = *rates };
   sim.events = g_sequence_new (NULL);
   sim.executions = g_ptr_array_new_with_free_func (g_free);
   sim.requesters = g_ptr_array_new_with_free_func (g_free);
@@ -663,7 +767,11 @@
     }
   g_sequence_free (sim.events);
   for (int i = 0; i < sim.n; i++)
-    bj_kernel_free (sim.nodes[i].kernel);
+    {
+      *keeps_rates = check_rate (&sim.nodes[i]) && *keeps_rates;
+      g_array_free (sim.nodes[i].starts, TRUE);
+      bj_kernel_free (sim.nodes[i].kernel);
+    }
   g_ptr_array_free (sim.executions, TRUE);
   g_ptr_array_free (sim.requesters, TRUE);
   g_rand_free (sim.rand);
@@ -705,6 +813,37 @@
   return goodput;
 }
 
+static bool
+check_case (const HeavyCase *c, const RateNaming *rates)
+{
+  bool good = true;
+  double tested[CLASSES];
+  double baseline[CLASSES];
+  bool keeps_rates;
+  bool baseline_keeps_rates;
+  double goodput = run_case (c, rates, policy_tested, tested, &keeps_rates);
+  double of_best = goodput / offered_weight () / compute_best_share (c);
+  double baseline_goodput = run_case (c, rates, policy_baseline, baseline, &baseline_keeps_rates);
+
+  print_message (
+      "  %s: served accept %.3f preview %.3f lookup %.3f, %.3f of the best goodput; baseline "
+      "%.3f %.3f %.3f, goodput ratio %.2f\n",
+      c->name,
+      tested[ACCEPT],
+      tested[PREVIEW],
+      tested[LOOKUP],
+      of_best,
+      baseline[ACCEPT],
+      baseline[PREVIEW],
+      baseline[LOOKUP],
+      goodput / MAX (1, baseline_goodput));
+  for (int k = 0; k < CLASSES; k++)
+    good = good && tested[k] >= c->min_served[k];
+  good = good && keeps_rates && of_best >= c->min_of_best && goodput >= baseline_goodput
+         && tested[ACCEPT] + 0.05 >= tested[LOOKUP];
+  return good;
+}
+
 static void
 test_cases (void **state)
 {
@@ -712,38 +851,26 @@
 
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    {
-      const HeavyCase *c = &cases[i];
-      double tested[CLASSES];
-      double baseline[CLASSES];
-      double goodput = run_case (c, policy_tested, tested);
-      double of_best = goodput / offered_weight () / compute_best_share (c);
-      double baseline_goodput = run_case (c, policy_baseline, baseline);
-
-      print_message (
-          "  %s: served accept %.3f preview %.3f lookup %.3f, %.3f of the best goodput; baseline "
-          "%.3f %.3f %.3f, goodput ratio %.2f\n",
-          c->name,
-          tested[ACCEPT],
-          tested[PREVIEW],
-          tested[LOOKUP],
-          of_best,
-          baseline[ACCEPT],
-          baseline[PREVIEW],
-          baseline[LOOKUP],
-          goodput / MAX (1, baseline_goodput));
-      for (int k = 0; k < CLASSES; k++)
-        good = good && tested[k] >= c->min_served[k];
-      good = good && of_best >= c->min_of_best && goodput >= baseline_goodput
-             && tested[ACCEPT] + 0.05 >= tested[LOOKUP];
-    }
+    good = check_case (&cases[i], &no_rates) && good;
+  assert_true (good);
+}
+
+static void
+test_named_rates (void **state)
+{
+  bool good = true;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (rate_cases); i++)
+    good = check_case (&rate_cases[i].heavy, &rate_cases[i].rates) && good;
   assert_true (good);
 }
 
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_cases) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_cases), cmocka_unit_test (test_named_rates) };
 
   bj_log_open (BJ_LOG_ERROR);
   return cmocka_run_group_tests (tests, NULL, NULL);
