Refusals and waits for the rate count for the admission level like all others

Cause: they were left out, on the assumption that an upstream that names a rate says nothing about its service, so a front would shed calls for which others have room.

--- a/src/guard.c
+++ b/src/guard.c
@@ -413,9 +413,7 @@
 {
   BjAnswer a = bj_guard_make_refusal (k, now, s, c->klass);
 
-  // A rate is a need of this upstream alone; others of its service may have room.
-  if (!k->guard.rate.is_set)
-    bj_level_count_offered (k, now, true);
+  bj_level_count_offered (k, now, true);
   if (c->irreversible && s == BJ_E_OVERLOAD)
     k->guard.admitted_klass = MIN (k->guard.admitted_klass, c->klass);
   bj_call_refuse (k, now, c, &a);
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -464,8 +464,7 @@
       bj_call_refuse (k, now, c, &a);
       return;
     }
-  // A wait for the rate is no overload of the upstream.
-  bj_level_count_started (k, c->queued > 0 && !k->guard.rate.is_set ? now - c->queued : 0);
+  bj_level_count_started (k, c->queued > 0 ? now - c->queued : 0);
   bj_rate_count_start (&k->guard.rate, now);
   c->state = BJ_CALL_RUNNING;
   c->started = now;
