A very large named rate can't overflow the calls in flight that it sustains

Found by reading: with the largest rate, doubling while it is lifted, bj_guard_capacity converted a double beyond the range of int. The value is bounded before the conversion, and a frame's rate is bounded like that of a header (BJ_RATE_MAX). test_shedding_order names that rate in one event of ten.

--- a/src/config.h
+++ b/src/config.h
@@ -66,6 +66,7 @@
 #define BJ_QUEUE_MAX_LENGTH 4096     // queued calls; only bounds memory
 #define BJ_SPILL_SHARE 0.8   // share of a daemon's spare capacity that other domains may use
 #define BJ_LIMIT_MAX 1000000 // limit, in calls, that the limiter "none" reports
+#define BJ_RATE_MAX 1e9      // calls a second; a larger rate of an upstream is unreadable
 #define BJ_LIMIT_MIN 1       // lowest concurrency limit, in calls
 
 // Configuration tickets
--- a/src/frame.c
+++ b/src/frame.c
@@ -3,7 +3,6 @@
 #include "internal.h"
 #include <arpa/inet.h>
 #include <limits.h>
-#include <math.h>
 #include <string.h>
 
 #define LENGTH_BYTES 4 // length prefix of a frame
@@ -301,7 +300,7 @@
   s->start = bj_field_uint (in, UINT64_MAX);
   s->is_leaving = bj_field_bool (in);
   s->rate = bj_field_double (in);
-  s->has_rate = s->rate >= 0 && isfinite (s->rate);
+  s->has_rate = s->rate >= 0 && s->rate <= BJ_RATE_MAX;
 }
 
 static BjSuspicion
--- a/src/guard.c
+++ b/src/guard.c
@@ -225,7 +225,7 @@
 
   if (!g->rate.is_set)
     return limit;
-  return MIN (limit, MAX (1, (int)ceil (bj_rate_in_force (&g->rate, now) * g->service_ms / 1000)));
+  return (int)CLAMP (ceil (bj_rate_in_force (&g->rate, now) * g->service_ms / 1000), 1, limit);
 }
 
 int
--- a/src/signal.c
+++ b/src/signal.c
@@ -5,7 +5,6 @@
 #include "internal.h"
 #include "kernel.h"
 
-#define RATE_MAX 1e9              // calls a second; a larger rate is treated as unreadable
 #define TOLD_LIFETIME_MS 900000.0 // what a peer's upstream said is forgotten after this
 #define LOG_INTERVAL_MS 1000.0    // between two log lines on a rate that changes, or can't be read
 
@@ -68,7 +67,7 @@
 
   if (!is_rate && !bj_header_name_equal (name, names->leaving))
     return false;
-  if (!bj_str_decimal (value, &n) || (is_rate ? s->has_rate || n > RATE_MAX : n != 0 && n != 1))
+  if (!bj_str_decimal (value, &n) || (is_rate ? s->has_rate || n > BJ_RATE_MAX : n != 0 && n != 1))
     s->is_unreadable = true;
   else if (is_rate)
     {
--- a/tests/test_guard.c
+++ b/tests/test_guard.c
@@ -474,6 +474,9 @@
   BjUpstreamState s
       = { .has_rate = g_rand_boolean (g->rand), .rate = g_rand_double_range (g->rand, 0, 1000) };
 
+  // The largest rate that is read; it rises further once it is no longer named.
+  if (g_rand_int_range (g->rand, 0, 10) == 0)
+    s.rate = BJ_RATE_MAX;
   if (g->running->len > 0)
     bj_kernel_upstream_spoke (g->kernel, g->now, g->running->pdata[0], &s);
 }
