--- a/tests/test_signals.c
+++ b/tests/test_signals.c
@@ -1,5 +1,6 @@
 // What an upstream says of itself in its responses: the rate that it takes from all daemons
-// together, and that it leaves. The daemon must act on both, in each dialect.
+// together, and that it leaves. The daemon must act on both, in each dialect, and on nothing that
+// it can't read.
 
 #include "daemons.h"
 #include <curl/curl.h>
@@ -285,10 +286,89 @@
   assert_int_equal (n_failed, 0);
 }
 
+typedef struct
+{
+  const char *name;
+  const char *rate; // value of the header, NULL if absent
+  const char *second_rate;
+  const char *leaving;
+  double expected_rate; // -1 for none
+  bool is_leaving;
+  bool is_unreadable;
+} HeaderCase;
+
+static const HeaderCase header_cases[] = {
+  { "nothing", NULL, NULL, NULL, -1, false, false },
+  { "whole number", "40", NULL, NULL, 40, false, false },
+  { "fraction", "32.6", NULL, NULL, 32.6, false, false },
+  { "below one", "0.25", NULL, NULL, 0.25, false, false },
+  { "zero", "0", NULL, NULL, 0, false, false },
+  { "empty", "", NULL, NULL, -1, false, true },
+  { "negative", "-1", NULL, NULL, -1, false, true },
+  { "no number", "many", NULL, NULL, -1, false, true },
+  { "number and text", "40/s", NULL, NULL, -1, false, true },
+  { "not finite", "inf", NULL, NULL, -1, false, true },
+  { "not a number", "nan", NULL, NULL, -1, false, true },
+  { "hexadecimal", "0x10", NULL, NULL, -1, false, true },
+  { "exponent", "1e3", NULL, NULL, -1, false, true },
+  { "no digit after the point", "4.", NULL, NULL, -1, false, true },
+  { "too large", "9999999999", NULL, NULL, -1, false, true },
+  { "too long", "0.0000000000000000000000000000000001", NULL, NULL, -1, false, true },
+  { "given twice", "40", "50", NULL, 40, false, true },
+  { "leaving", NULL, NULL, "1", -1, true, false },
+  { "not leaving", NULL, NULL, "0", -1, false, false },
+  { "leaving in another form", NULL, NULL, "yes", -1, false, true },
+  { "rate and leaving", "5", NULL, "1", 5, true, false },
+};
+
+static void
+check_headers (const HeaderCase *c, const char *dialect, const char *rate, const char *leaving)
+{
+  const BjDialectOps *ops = bj_plugin_find (BJ_PLUGIN_DIALECT, bj_str (dialect));
+  BjCall call = { .request = { .id = BJ_STR ("7") } };
+  GString *headers = g_string_new ("X-Request-Id: 7\nX-Response-Seal: s\n");
+  GString *relayed = g_string_new (NULL);
+  BjHead h = { .status = 200 };
+  BjAnswer a = { 0 };
+  const BjUpstreamState *s = &a.upstream;
+
+  if (c->rate != NULL)
+    g_string_append_printf (headers, "%s: %s\n", rate, c->rate);
+  if (c->second_rate != NULL)
+    g_string_append_printf (headers, "%s: %s\n", rate, c->second_rate);
+  if (c->leaving != NULL)
+    g_string_append_printf (headers, "%s: %s\n", leaving, c->leaving);
+  h.headers = (BjStr){ headers->str, headers->len };
+  assert_int_equal (ops->read_run (&call, &h, &a, relayed), BJ_OK);
+  if (s->is_unreadable != c->is_unreadable || s->is_leaving != c->is_leaving
+      || (s->has_rate ? s->rate : -1) != c->expected_rate || strstr (relayed->str, rate) != NULL)
+    fail_msg ("%s, dialect %s: rate %g, leaving %d, unreadable %d",
+              c->name,
+              dialect,
+              s->has_rate ? s->rate : -1,
+              s->is_leaving,
+              s->is_unreadable);
+  g_string_free (headers, TRUE);
+  g_string_free (relayed, TRUE);
+}
+
+// Read alike in both dialects, and not relayed to callers.
+static void
+test_unreadable_signals (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (header_cases); i++)
+    {
+      check_headers (&header_cases[i], "borage", "Bj-Rate-Limit", "Bj-Leaving");
+      check_headers (&header_cases[i], "platform", "server-limit", "SERVER-LEAVING");
+    }
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_upstream_gets_more_than_it_asks_for) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_upstream_gets_more_than_it_asks_for),
+                                      cmocka_unit_test (test_unreadable_signals) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
