Own dialect: a late copy of an earlier response is not taken for the next one

What callers saw: where an upstream sends a response twice, the second copy on a connection that is in use again, the next caller gets it. The platform dialect compares X-Request-Id; in the own dialect nothing told the two apart. Change: an upstream may return Bj-Call, the id of the call that it responds to; another id ends the call as lost and closes the connection. The stand-in upstream returns it. An upstream that does not return it is as exposed as before (docs/PROTOCOL.md).

--- a/src/dialect.c
+++ b/src/dialect.c
@@ -86,9 +86,15 @@
   BjStr name;
   BjStr value;
 
-  (void)c;
   while (bj_header_next (&block, &name, &value))
     {
+      // A late copy of an earlier response on the connection.
+      if (bj_header_name_equal (name, "Bj-Call") && parse_number (value, 0) != (double)c->id)
+        return bj_fail (BJ_E_FORMAT,
+                        "The upstream's response has Bj-Call \"%.*s\", expected "
+                        "%" G_GUINT64_FORMAT ".",
+                        BJ_STR_ARG (value),
+                        c->id);
       if (bj_header_name_equal (name, "Bj-Outcome"))
         a->outcome = parse_outcome (value);
       else if (bj_header_name_equal (name, "Bj-Retry-After-Ms"))
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -577,6 +577,8 @@
     }
   if (leaving != 0)
     MHD_add_response_header (m, "Bj-Leaving", "1");
+  if (request_header (r, "Bj-Call") != NULL)
+    MHD_add_response_header (m, "Bj-Call", request_header (r, "Bj-Call"));
   if (r->attempts_left >= 0)
     {
       g_snprintf (text, sizeof text, "%d", r->attempts_left);
