Soak: upstreams name rates and leave, beside all other faults

The check counts what they get meanwhile: at most 125 requests in 4 s at 20 a second; none later than 2.5 s after a leaving, or one from each caller if the daemon beside was restarted.

--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -1,6 +1,7 @@
 // Soak: injects random, overlapping faults into a fleet of real processes under load. The checker
 // compares the responses to callers with the executions at the upstreams and verifies that no
-// daemon returns to an older ticket.
+// daemon returns to an older ticket. Upstreams also name rates and leave; the check counts what
+// they get meanwhile.
 //
 //   test_soak                        runs the seeds of CI and every seed that has failed
 //   test_soak SEED SECONDS [NODES]   one run; with seed 0 it chooses a seed and prints it
@@ -26,6 +27,9 @@
 #define CI_SECONDS 20             // duration of a run in CI
 #define LARGE_TICKET_ROUTES 4000  // text of several parts between daemons
 #define SERIES_MAX 4              // tickets filed one right after the other
+#define NAMED_RATE 20             // requests a second that an upstream names
+#define RATE_ALLOWED 125          // of them in 4 s: one and a half times the rate, and 5
+#define DRAIN_MS 2500 // from the first response that says so until no request may arrive
 
 static const char ticket_head[]
     = ",\"priorities\":[\"acceptance\",\"lookup\"],\"services\":{"
@@ -50,15 +54,25 @@
 static Fleet fleet;
 static int64_t ticket_number;
 
+static int n_signal_violations;            // requests at upstreams beyond what they asked for
+static int daemon_starts[FLEET_NODES_MAX]; // since the beginning of the run
+
 typedef void (*FaultFunction) (int node, bool begin);
 
+static void
+start_daemon (int node)
+{
+  daemon_starts[node]++;
+  fleet_start_daemon (&fleet, node);
+}
+
 static void
 kill_daemon (int node, bool begin)
 {
   if (begin)
     fleet_end_process (&fleet.members[node].daemon, SIGKILL);
   else
-    fleet_start_daemon (&fleet, node);
+    start_daemon (node);
 }
 
 // Begins by sending SIGTERM twice; ends by waiting at most 40 s for the exit and starting the
@@ -76,7 +90,7 @@
     }
   if (fleet_wait_exit (&m->daemon, 40000) != 0)
     fleet_end_process (&m->daemon, SIGKILL);
-  fleet_start_daemon (&fleet, node);
+  start_daemon (node);
 }
 
 static void
@@ -97,10 +111,105 @@
 {
   if (begin)
     fleet_end_process (&fleet.members[node].upstream, SIGKILL);
-  else
+  else if (fleet.members[node].upstream == 0)
     fleet_start_upstream (&fleet, node);
 }
 
+// What an upstream was told to say, and what it got since.
+typedef struct
+{
+  pid_t upstream; // 0 if it was not running
+  int starts;     // of the daemon beside it
+  BjTime since;
+  int n_before; // requests until DRAIN_MS after since, -1 before that
+} Signal;
+
+static Signal rate_signal, leaving_signal;
+
+static int
+read_arrivals (int node, const char *what)
+{
+  GString *out = g_string_new (NULL);
+  int status
+      = fleet_http ("GET", fleet.members[node].upstream_port, "/control/arrivals", NULL, NULL, out);
+  int n = status == 200 ? (int)fleet_json_number (out->str, what) : -1;
+
+  g_string_free (out, TRUE);
+  return n;
+}
+
+static void
+begin_signal (Signal *s, int node, const char *control)
+{
+  *s = (Signal){ fleet.members[node].upstream, daemon_starts[node], bj_clock_now (), -1 };
+  if (s->upstream != 0)
+    fleet_http ("POST", fleet.members[node].upstream_port, control, NULL, "", NULL);
+}
+
+static void
+report_excess (int node, const char *what, int n, int allowed)
+{
+  if (n <= allowed)
+    return;
+  n_signal_violations++;
+  print_error ("    %s: %s, %d requests where %d are allowed\n",
+               fleet.members[node].node.name,
+               what,
+               n,
+               allowed);
+}
+
+static void
+name_rate (int node, bool begin)
+{
+  char control[64];
+
+  g_snprintf (control, sizeof control, "/control/rate_milli?value=%d", NAMED_RATE * 1000);
+  if (begin)
+    {
+      begin_signal (&rate_signal, node, control);
+      return;
+    }
+  if (rate_signal.upstream == 0 || rate_signal.upstream != fleet.members[node].upstream)
+    return;
+  report_excess (node, "rate", read_arrivals (node, "most"), RATE_ALLOWED);
+  fleet_http (
+      "POST", fleet.members[node].upstream_port, "/control/rate_milli?value=-1", NULL, "", NULL);
+}
+
+// Ends by replacing the upstream. A daemon that was restarted meanwhile may get one call from each
+// caller whose daemon had not heard of the leaving.
+static void
+leave_upstream (int node, bool begin)
+{
+  FleetMember *m = &fleet.members[node];
+
+  if (begin)
+    {
+      begin_signal (&leaving_signal, node, "/control/leaving?value=1");
+      return;
+    }
+  if (leaving_signal.upstream == 0 || leaving_signal.upstream != m->upstream)
+    return;
+  if (leaving_signal.n_before >= 0)
+    report_excess (node,
+                   "leaving",
+                   read_arrivals (node, "requests") - leaving_signal.n_before,
+                   daemon_starts[node] != leaving_signal.starts ? CALLERS : 0);
+  fleet_end_process (&m->upstream, SIGTERM);
+  fleet_start_upstream (&fleet, node);
+}
+
+// Counts the requests that reached the leaving upstream in its drain time.
+static void
+check_drain (int node, BjTime now)
+{
+  if (leaving_signal.n_before < 0 && leaving_signal.upstream != 0
+      && leaving_signal.upstream == fleet.members[node].upstream
+      && now - leaving_signal.since >= DRAIN_MS)
+    leaving_signal.n_before = read_arrivals (node, "requests");
+}
+
 static void
 set_link_fault (int node, const char *mode, double value)
 {
@@ -204,6 +313,8 @@
   { "daemon paused by SIGSTOP", pause_daemon, true, false },
   { "settings reloaded by SIGHUP", reload_settings, true, false },
   { "upstream killed", kill_upstream, true, false },
+  { "upstream names a rate", name_rate, false, true },
+  { "upstream leaves", leave_upstream, false, true },
   { "links cut", cut_links, false, true },
   { "links cut one way", cut_links_one_way, false, true },
   { "links silenced", silence_links, false, true },
@@ -251,6 +362,9 @@
 static void
 end_faults (ActiveFault *active, BjTime now)
 {
+  for (int i = 0; i < FAULTS_MAX; i++)
+    if (active[i].kind != NULL && active[i].kind->set_active == leave_upstream)
+      check_drain (active[i].node, now);
   for (int i = 0; i < FAULTS_MAX; i++)
     if (active[i].kind != NULL && now >= active[i].until)
       {
@@ -308,7 +422,7 @@
 
   g_snprintf (path, sizeof path, "%s/" FLEET_EXECUTIONS_FILE, fleet.dir);
   assert_true (checker_read_executions (callers_record.checker, path));
-  total = checker_finish (callers_record.checker, NULL, out);
+  total = checker_finish (callers_record.checker, NULL, out) + n_signal_violations;
   print_message ("  seed %u: responses: %d done, %d not-run, %d unknown; %d violations\n",
                  seed,
                  callers_record.n_done,
@@ -344,6 +458,7 @@
   g_free (nodes);
   fleet.use_fault = true;
   ticket_number = 0;
+  n_signal_violations = 0;
   assert_true (fleet_start (&fleet));
   assert_true (file_next_ticket (0));
   assert_true (fleet_wait_ticket (&fleet, 1, 10000));
