A leaving counts also beside a rate that can't be read

Cause: a response with one unreadable signal was dropped as a whole. The guard also keeps the queue options that are configured instead of looking them up for each call, and names of relayed headers are looked up without a copy.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -2,6 +2,7 @@
 // source (own upstream or peer) to its sink (caller or peer).
 
 #include "internal.h"
+#include "kernel.h"
 #include <ev.h>
 #include <string.h>
 
@@ -32,6 +33,7 @@
 static void request_claim (BjHost *h, BjCall *c);
 static void release_exchange (BjHost *h, BjCall *c);
 static BjExchange *new_exchange (BjDaemon *d, BjSink *sink);
+static void free_str (gpointer s);
 
 static BjCounter n_rejected_configs
     = { "configs_rejected_total",
@@ -62,7 +64,7 @@
   d->http = bj_http_new (loop);
   d->pool = bj_pool_new (loop);
   d->lost_runs = g_ptr_array_new ();
-  d->relayed_names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  d->relayed_names = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, free_str, NULL);
   d->dialect = bj_plugin_find (BJ_PLUGIN_DIALECT, s->dialect);
   d->watchers = g_new0 (struct BjDaemonWatchers, 1);
   ev_prepare_init (&d->watchers->prepare, on_prepare);
@@ -650,3 +652,10 @@
   x->sink = sink;
   return x;
 }
+
+static void
+free_str (gpointer s)
+{
+  bj_str_free (s);
+  g_free (s);
+}
--- a/src/guard.c
+++ b/src/guard.c
@@ -13,8 +13,7 @@
 #define RATE_RETRY_AFTER_MAX_MS 2000 // longest retry-after time while a rate is in force
 
 static void configure_queue (BjKernel *k, BjTime now, const BjServiceConfig *s);
-static void
-replace_queue (BjKernel *k, BjTime now, const BjServiceConfig *s, const BjQueueOptions *o);
+static void replace_queue (BjKernel *k, BjTime now, const BjQueueOps *ops, const BjQueueOptions *o);
 static void bound_queue (BjKernel *k, BjTime now);
 static void refuse_less_important (BjKernel *k, BjTime now, int klass);
 static BjStatus check_rate_wait (BjKernel *k, BjTime now, const BjCall *c);
@@ -280,24 +279,24 @@
 {
   BjGuard *g = &k->guard;
 
-  g->max_wait_ms = s->queue_options.max_wait_ms;
+  g->queue_options = s->queue_options;
   g->queue_length_max = s->queue_options.max_length;
   if (g->queue != NULL && g->queue->ops == s->queue)
     g->queue->ops->configure (g->queue, &s->queue_options);
   else
-    replace_queue (k, now, s, &s->queue_options);
+    replace_queue (k, now, s->queue, &s->queue_options);
   bound_queue (k, now);
 }
 
 static void
-replace_queue (BjKernel *k, BjTime now, const BjServiceConfig *s, const BjQueueOptions *o)
+replace_queue (BjKernel *k, BjTime now, const BjQueueOps *ops, const BjQueueOptions *o)
 {
   BjGuard *g = &k->guard;
   BjQueue *old = g->queue;
   BjCall *all_refused = NULL; // the least important first
   BjCall *c;
 
-  g->queue = s->queue->create (o);
+  g->queue = ops->create (o);
   while (old != NULL && (c = old->ops->take (old, now)) != NULL)
     {
       BjCall *refused = NULL;
@@ -325,22 +324,18 @@
 bound_queue (BjKernel *k, BjTime now)
 {
   BjGuard *g = &k->guard;
-  const BjServiceConfig *s = bj_config_service (k->config, g->service);
   double rate = bj_rate_in_force (&g->rate, now);
-  BjQueueOptions o;
+  BjQueueOptions o = g->queue_options;
 
-  if (s == NULL)
-    return;
-  o = s->queue_options;
   if (g->rate.is_set)
-    o.max_length = (int)CLAMP (rate * g->max_wait_ms / 1000, 1, o.max_length);
+    o.max_length = (int)CLAMP (rate * o.max_wait_ms / 1000, 1, o.max_length);
   if (o.max_length == g->queue_length_max)
     return;
   g->queue_length_max = o.max_length;
   if (g->queue->ops->length (g->queue) <= o.max_length)
     g->queue->ops->configure (g->queue, &o);
   else
-    replace_queue (k, now, s, &o);
+    replace_queue (k, now, g->queue->ops, &o);
 }
 
 // Refuses the queued calls of all less important classes.
@@ -348,15 +343,13 @@
 refuse_less_important (BjKernel *k, BjTime now, int klass)
 {
   BjGuard *g = &k->guard;
-  const BjServiceConfig *s = bj_config_service (k->config, g->service);
   int n = g->queue->ops->waiting (g->queue, klass);
-  BjQueueOptions o;
+  BjQueueOptions o = g->queue_options;
 
-  if (s == NULL || n == g->queue->ops->length (g->queue))
+  if (n == g->queue->ops->length (g->queue))
     return;
-  o = s->queue_options;
   o.max_length = n;
-  replace_queue (k, now, s, &o);
+  replace_queue (k, now, g->queue->ops, &o);
   o.max_length = g->queue_length_max;
   g->queue->ops->configure (g->queue, &o);
 }
@@ -372,7 +365,7 @@
     return BJ_OK;
   if (now + wait >= c->deadline)
     return BJ_E_DEADLINE;
-  return wait > g->max_wait_ms ? BJ_E_OVERLOAD : BJ_OK;
+  return wait > g->queue_options.max_wait_ms ? BJ_E_OVERLOAD : BJ_OK;
 }
 
 // Refuses all queued calls because the upstream is down.
--- a/src/internal.h
+++ b/src/internal.h
@@ -938,7 +938,7 @@
   BjTime announced;     // time of the last announcement of the upstream
   GPtrArray *lost_runs; // calls whose upstream connection was lost; a probe shows if it crashed
   guint n_probed_runs;  // the first ones of lost_runs, lost before the current probe started
-  GHashTable *relayed_names; // char*: header names of the upstream's responses logged so far
+  GHashTable *relayed_names; // BjStr*: header names of the upstream's responses logged so far
   bool draining;
   bool stopping;
   BjTime stop_deadline;       // while stopping: the daemon exits then, even if calls are open
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -61,14 +61,14 @@
   BjTime spill_smoothed_at;        // when own_smoothed in spill was last updated
   BjHealth health;
   BjRate rate;
-  BjUpstreamState upstream; // what the own upstream last said of itself
-  bool upstream_has_spoken; // to this daemon since its current start
-  BjTime upstream_since;    // when its current start was first announced
-  double service_ms;        // smoothed time of a run, 0 before the first
-  double max_wait_ms;       // longest estimated wait of a queued call
-  int queue_length_max;     // calls in the queue, fewer than configured while a rate is in force
-  BjTime signal_logged_at;  // when a log line on upstream was last written
-  BjTime wake_at;           // when the rate lets the next queued call start, or never
+  BjUpstreamState upstream;     // what the own upstream last said of itself
+  bool upstream_has_spoken;     // to this daemon since its current start
+  BjTime upstream_since;        // when its current start was first announced
+  double service_ms;            // smoothed time of a run, 0 before the first
+  BjQueueOptions queue_options; // as configured
+  int queue_length_max;    // calls in the queue, fewer than configured while a rate is in force
+  BjTime signal_logged_at; // when a log line on upstream was last written
+  BjTime wake_at;          // when the rate lets the next queued call start, or never
   uint64_t n_refused_by_rate;
 } BjGuard;
 
--- a/src/signal.c
+++ b/src/signal.c
@@ -141,14 +141,14 @@
     return;
   log_state (k, now, s);
   n_unreadable.value += s->is_unreadable;
+  if (s->is_leaving)
+    bj_kernel_upstream_leaves (k, now);
   if (s->is_unreadable)
     return;
   g->upstream_has_spoken = true;
   g->upstream.has_rate = s->has_rate;
   g->upstream.rate = s->rate;
   bj_guard_set_rate (k, now, s);
-  if (s->is_leaving)
-    bj_kernel_upstream_leaves (k, now);
 }
 
 const BjUpstreamState *
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -276,13 +276,14 @@
 
   while (bj_header_next (&block, &name, &value))
     {
-      char *key;
+      BjStr *copy;
 
-      if (g_hash_table_size (d->relayed_names) >= RELAYED_NAMES_MAX)
-        return;
-      key = g_ascii_strdown (name.data, (gssize)name.len);
-      if (!g_hash_table_add (d->relayed_names, key))
+      if (g_hash_table_contains (d->relayed_names, &name)
+          || g_hash_table_size (d->relayed_names) >= RELAYED_NAMES_MAX)
         continue;
-      bj_log (BJ_LOG_INFO, "UPSTREAM", "header=%s is relayed to callers", key);
+      copy = g_new (BjStr, 1);
+      *copy = bj_str_dup (name);
+      g_hash_table_add (d->relayed_names, copy);
+      bj_log (BJ_LOG_INFO, "UPSTREAM", "header=%.*s is relayed to callers", BJ_STR_ARG (name));
     }
 }
--- a/tests/test_signals.c
+++ b/tests/test_signals.c
@@ -36,6 +36,11 @@
   { "rate below one a second, platform", "platform", "Server-Limit: 0.4", 0.4, false },
   { "leaving, own dialect", "borage", "Bj-Leaving: 1", 0, true },
   { "leaving, platform", "platform", "Server-Leaving: 1", 0, true },
+  { "leaving beside an unreadable rate",
+    "platform",
+    "Server-Limit: many\r\nServer-Leaving: 1",
+    0,
+    true },
 };
 
 #define N_CASES G_N_ELEMENTS (cases)
