A departed upstream is not used again after a restart of its daemon

What the upstream saw: calls after it had left, if its daemon was restarted while it still ran and announced itself. Cause: a DELETE was known to its daemon, and to others by gossip without the start of the upstream; only a response carried that. Test: test_signals, test_departed_upstream_is_used_again_after_a_restart, 5 of 5 calls reached it before. Change: when an upstream leaves, its daemon sends a PING with what it said on all open connections; earlier versions ignore the fields. A remembered leaving is final for a start. After: 0 of 5. test_decode green.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -825,6 +825,10 @@
                                BjTime now,
                                const BjUpstreamState *s); // What a peer knows of the own upstream,
                                                           // from before a restart of this daemon
+void bj_kernel_remember_upstream (BjKernel *k,
+                                  BjTime now,
+                                  BjStr peer,
+                                  const BjUpstreamState *s); // The upstream of a peer said s
 BjUpstreamState bj_kernel_recall_upstream (
     BjKernel *k,
     BjStr peer); // What the upstream of a peer last said in a response; start 0 if nothing
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -249,7 +249,7 @@
 {
   bj_log (BJ_LOG_INFO, "UPSTREAM", "id=%.*s announced that it stops", BJ_STR_ARG (d->upstream_id));
   bj_kernel_upstream_leaves (d->kernel, now);
-  bj_members_publish (d->members);
+  bj_daemon_publish_leaving (d);
 }
 
 // Hash of what identifies one start of an upstream, not 0.
@@ -332,6 +332,14 @@
   bj_kernel_upstream_down (d->kernel, bj_clock_now ());
 }
 
+void
+bj_daemon_publish_leaving (BjDaemon *d)
+{
+  bj_members_publish (d->members);
+  if (d->links != NULL)
+    bj_links_tell_upstream (d->links);
+}
+
 void
 bj_daemon_set_draining (BjDaemon *d, bool drain)
 {
--- a/src/frame.c
+++ b/src/frame.c
@@ -110,6 +110,9 @@
     case BJ_FRAME_WINDOW:
       msgpack_pack_uint64 (p, f->length);
       break;
+    case BJ_FRAME_PING:
+      pack_upstream (p, &f->upstream);
+      break;
     case BJ_FRAME_NOTICE:
       msgpack_pack_uint64 (p, f->notice.fingerprint);
       msgpack_pack_int (p, f->notice.state);
@@ -190,7 +193,7 @@
     [BJ_FRAME_HELLO] = 3,       [BJ_FRAME_CALL] = 20,  [BJ_FRAME_ANSWER] = 18,
     [BJ_FRAME_DATA] = 1,        [BJ_FRAME_END] = 3,    [BJ_FRAME_WINDOW] = 1,
     [BJ_FRAME_NOTICE] = 3,      [BJ_FRAME_CONFIG] = 1, [BJ_FRAME_CONFIG_REQUEST] = 1,
-    [BJ_FRAME_CONFIG_PART] = 3,
+    [BJ_FRAME_CONFIG_PART] = 3, [BJ_FRAME_PING] = 3,
   };
 
   return counts[k];
@@ -232,6 +235,9 @@
     case BJ_FRAME_WINDOW:
       f->length = bj_field_uint (in, UINT64_MAX);
       break;
+    case BJ_FRAME_PING:
+      read_upstream (in, &f->upstream);
+      break;
     case BJ_FRAME_NOTICE:
       f->notice.fingerprint = bj_field_uint (in, UINT64_MAX);
       f->notice.state = read_suspicion (in);
--- a/src/internal.h
+++ b/src/internal.h
@@ -388,7 +388,8 @@
   BjRequest request;             // CALL
   uint64_t expected_incarnation; // CALL: of the peer if it may have the call already, else 0
   BjAnswer answer;               // ANSWER
-  BjUpstreamState upstream;      // CALL: what the peer's upstream last said; start 0 if nothing
+  BjUpstreamState upstream;      // CALL: what the receiver's upstream last said; PING: what the
+                                 // sender's upstream said; start 0 if nothing
   BjStr data;                    // DATA, CONFIG, CONFIG_PART; HELLO: signature
   uint64_t length;               // END: bytes of the body; WINDOW: bytes granted; CONFIG_PART: all
   uint64_t offset;               // CONFIG_PART: of data in the text
@@ -418,7 +419,8 @@
                               BjPeer *p,
                               int64_t number); // The reply goes to bj_reader_take_part, from a
                                                // peer that sends no parts to the daemon
-void bj_links_send_notices (BjLinks *l);       // Sends new notices on suspect requests to all peers
+void bj_links_tell_upstream (BjLinks *l);    // Sends what the own upstream said on all connections
+void bj_links_send_notices (BjLinks *l);     // Sends new notices on suspect requests to all peers
 void bj_links_flush (BjLinks *l);            // Writes the data queued in this event loop iteration
 bool bj_links_is_flushed (const BjLinks *l); // All queued data is written
 
@@ -972,5 +974,6 @@
                                const BjAnnouncement *a); // BJ_E_CONFLICT if it is out of date
 void bj_daemon_mark_upstream_down (
     BjDaemon *d); // Connection refused: no calls until its next announcement
+void bj_daemon_publish_leaving (BjDaemon *d); // Tells other daemons that the own upstream leaves
 void bj_daemon_set_draining (BjDaemon *d, bool drain);
 void bj_upstream_start (BjDaemon *d, BjExchange *x); // Sends the call to the own upstream
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -243,7 +243,7 @@
   if (c->state == BJ_CALL_SENT)
     {
       bj_peer_update_load (c->target, now, &a->load);
-      bj_signal_remember (k, now, c->target->report.name, &a->upstream);
+      bj_kernel_remember_upstream (k, now, c->target->report.name, &a->upstream);
       if (a->outcome == BJ_DONE)
         bj_peer_add_response_time (c->target, now - c->sent);
       bj_level_learn (k, now, c, a->level);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -289,10 +289,6 @@
 // Signal: what the upstreams of peers said in their responses, kept for these peers
 void bj_signal_init (BjKernel *k);
 void bj_signal_clear (BjKernel *k);
-void bj_signal_remember (BjKernel *k,
-                         BjTime now,
-                         BjStr peer,
-                         const BjUpstreamState *s); // Front: a response of peer says s
 
 // Peers
 void bj_peer_add_response_time (BjPeer *p, double ms);             // Records the time to a response
--- a/src/link.c
+++ b/src/link.c
@@ -164,6 +164,19 @@
   bj_conn_send (c, &f);
 }
 
+void
+bj_links_tell_upstream (BjLinks *l)
+{
+  BjFrame f = { .kind = BJ_FRAME_PING, .upstream = *bj_kernel_upstream (l->daemon->kernel) };
+  GHashTableIter i;
+  gpointer c;
+
+  g_hash_table_iter_init (&i, l->conns);
+  while (g_hash_table_iter_next (&i, &c, NULL))
+    if (((BjConn *)c)->peer_incarnation != 0 && !((BjConn *)c)->is_closing)
+      bj_conn_send (c, &f);
+}
+
 void
 bj_links_send_notices (BjLinks *l)
 {
@@ -638,6 +651,8 @@
       bj_incoming_handle_window (c, f);
       break;
     case BJ_FRAME_PING:
+      bj_kernel_remember_upstream (
+          c->links->daemon->kernel, bj_clock_now (), c->peer, &f->upstream);
       bj_conn_send (c, &pong);
       break;
     case BJ_FRAME_CONFIG_REQUEST:
--- a/src/signal.c
+++ b/src/signal.c
@@ -39,13 +39,21 @@
 }
 
 void
-bj_signal_remember (BjKernel *k, BjTime now, BjStr peer, const BjUpstreamState *s)
+bj_kernel_remember_upstream (BjKernel *k, BjTime now, BjStr peer, const BjUpstreamState *s)
 {
   Told *t = g_hash_table_lookup (k->told, &peer);
+  BjUpstreamState next = *s;
 
   // A daemon that has just started may not know its upstream yet.
-  if (s->start == 0 || (t == NULL && !s->has_rate && !s->is_leaving))
+  if (s->start == 0)
     return;
+  if (t != NULL && t->state.start == s->start)
+    next.is_leaving = next.is_leaving || t->state.is_leaving;
+  if (!next.has_rate && !next.is_leaving)
+    {
+      g_hash_table_remove (k->told, &peer);
+      return;
+    }
   if (t == NULL)
     {
       g_hash_table_foreach_remove (k->told, is_expired, &now);
@@ -53,10 +61,8 @@
       t->peer = bj_str_dup (peer);
       g_hash_table_insert (k->told, &t->peer, t);
     }
-  t->state = *s;
+  t->state = next;
   t->at = now;
-  if (!s->has_rate && !s->is_leaving)
-    g_hash_table_remove (k->told, &peer);
 }
 
 bool
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -136,7 +136,7 @@
   was_leaving = bj_kernel_upstream (d->kernel)->is_leaving;
   bj_kernel_upstream_spoke (d->kernel, bj_clock_now (), r->exchange->call, &a.upstream);
   if (!was_leaving && bj_kernel_upstream (d->kernel)->is_leaving)
-    bj_members_publish (d->members);
+    bj_daemon_publish_leaving (d);
   log_relayed_headers (d, a.headers);
   bj_exchange_begin (r->exchange, &a);
   return BJ_OK;
--- a/tests/test_signals.c
+++ b/tests/test_signals.c
@@ -20,6 +20,7 @@
 #define EXCESS_SHARE 1.5   // calls allowed in a window, as a multiple of the named rate
 #define EXCESS_CALLS 5     // calls allowed beyond that
 #define DRAIN_MS 2500      // from the first response that says so until no call may arrive
+#define STEP_MS 600        // for daemons to hear of each other, and for calls to end
 
 typedef struct
 {
@@ -168,12 +169,13 @@
   bj_daemon_handle_call (s->daemon, &r, &caller->sink);
 }
 
+static const char config[] = "{\"number\":1,\"priorities\":[\"lookup\"],\"services\":{\"s\":{"
+                             "\"limiter\":{\"plugin\":\"slots\"},\"routes\":[{\"prefix\":\"/s/"
+                             "\",\"class\":\"lookup\",\"attempts\":0}]}}}";
+
 static void
 start_site (Site *s, const SignalCase *c, struct ev_loop *loop)
 {
-  static const char config[] = "{\"number\":1,\"priorities\":[\"lookup\"],\"services\":{\"s\":{"
-                               "\"limiter\":{\"plugin\":\"slots\"},\"routes\":[{\"prefix\":\"/s/"
-                               "\",\"class\":\"lookup\",\"attempts\":0}]}}}";
   BjAddress a = daemons_free_address ();
 
   *s = (Site){ .c = c };
@@ -369,11 +371,98 @@
     }
 }
 
+static const SignalCase silent_case = { "departed", "platform", "X-Y: z", 0, false };
+
+static void
+run_for (struct ev_loop *loop, Site *s, double ms)
+{
+  BjTime until = bj_clock_now () + ms;
+
+  while (bj_clock_now () < until)
+    {
+      ev_run (loop, EVRUN_NOWAIT);
+      send_due_responses (s, bj_clock_now ());
+      g_usleep (1000);
+    }
+}
+
+static BjDaemon *
+start_departed (struct ev_loop *loop, const BjSettings *settings, BjAddress upstream)
+{
+  BjDaemon *d = daemons_new (loop, *settings);
+
+  assert_int_equal (bj_daemon_apply_config (d, 1, bj_str (config), "test"), BJ_OK);
+  assert_int_equal (bj_daemon_handle_announcement (d,
+                                                   &(BjAnnouncement){ .id = BJ_STR ("up"),
+                                                                      .service = BJ_STR ("s"),
+                                                                      .address = upstream,
+                                                                      .slots = SLOTS }),
+                    BJ_OK);
+  return d;
+}
+
+// The upstream announces its stop, and no response follows. The daemon beside it is restarted, and
+// the upstream still announces itself. A daemon that had a connection must not send calls there.
+static void
+test_departed_upstream_is_used_again_after_a_restart (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjAddress address = daemons_free_address ();
+  BjSettings guard_settings = { .name = BJ_STR ("guard"),
+                                .front = daemons_free_address (),
+                                .admin = daemons_free_address (),
+                                .link = daemons_free_address (),
+                                .gossip = daemons_free_address (),
+                                .platform_name = BJ_STR ("memory"),
+                                .platform_url = BJ_STR ("departed"),
+                                .dialect = BJ_STR ("platform") };
+  Site s = { .c = &silent_case };
+  BjDaemon *guard;
+  int n_before;
+
+  (void)state;
+  s.arrivals = g_array_new (FALSE, FALSE, sizeof (BjTime));
+  s.responses = g_array_new (FALSE, FALSE, sizeof (Response));
+  assert_int_equal (bj_server_new (loop, "upstream", address, &upstream_ops, &s, &s.upstream),
+                    BJ_OK);
+  guard = start_departed (loop, &guard_settings, address);
+  s.daemon = daemons_new (loop,
+                          (BjSettings){ .name = BJ_STR ("front"),
+                                        .seeds = &guard_settings.gossip,
+                                        .n_seeds = 1,
+                                        .platform_name = BJ_STR ("memory"),
+                                        .platform_url = BJ_STR ("departed"),
+                                        .dialect = BJ_STR ("platform") });
+  assert_int_equal (bj_daemon_apply_config (s.daemon, 1, bj_str (config), "test"), BJ_OK);
+  run_for (loop, &s, STEP_MS);
+  send_call (&s);
+  run_for (loop, &s, STEP_MS);
+  assert_int_equal (s.arrivals->len, 1);
+
+  assert_int_equal (bj_daemon_handle_announcement (
+                        guard, &(BjAnnouncement){ .id = BJ_STR ("up"), .is_shutting_down = true }),
+                    BJ_OK);
+  run_for (loop, &s, STEP_MS);
+  bj_daemon_free (guard);
+  guard = start_departed (loop, &guard_settings, address);
+  run_for (loop, &s, 2 * STEP_MS);
+  n_before = (int)s.arrivals->len;
+  for (int i = 0; i < 5; i++)
+    send_call (&s);
+  run_for (loop, &s, STEP_MS);
+  assert_int_equal (s.arrivals->len - (guint)n_before, 0);
+  bj_daemon_free (guard);
+  free_site (&s);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (test_upstream_gets_more_than_it_asks_for),
-                                      cmocka_unit_test (test_unreadable_signals) };
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_upstream_gets_more_than_it_asks_for),
+          cmocka_unit_test (test_unreadable_signals),
+          cmocka_unit_test (test_departed_upstream_is_used_again_after_a_restart) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
