A domain that is cut off is known to be gone without waiting for random probes

What operators saw: test_fleet_failures (known red), a daemon of a cut domain still listed as up 11 s after the cut, where 10 s are allowed. Cause: one probe in four leaves its domain, in random order, and a suspicion takes 2 s more. Change: after an unanswered probe to another domain, three others of that domain are probed at once.

--- a/src/swim.c
+++ b/src/swim.c
@@ -10,6 +10,7 @@
 #define OTHER_DOMAIN_SHARE 0.25 // fraction of the probes that go to another failure domain
 #define INDIRECT_PROBES 3       // members asked to probe one that did not acknowledge
 #define INDIRECT_TRIES 16       // random picks to find members for indirect probes
+#define DOMAIN_PROBES 3 // members probed in another domain after one of it did not acknowledge
 #define JOIN_MS 5000 // join phase after the start; a predecessor of this name is replaced silently
 #define DEAD_PROBE_INTERVAL_MS 1000 // between probes of dead members
 #define DEAD_KEEP_MS 21600000.0     // a dead member is kept and probed this long
@@ -37,6 +38,8 @@
 static BjMember *next_in_own_domain (BjSwim *s);
 static void probe_member (
     BjSwim *s, BjTime now, BjMember *m, BjStr requester_name, uint64_t requester_sequence);
+static void probe_domain (BjSwim *s, BjTime now, BjStr domain);
+static bool is_probed (const BjSwim *s, const BjMember *m);
 static void ping_address (BjSwim *s, const BjAddress *a);
 static void end_probe (BjProbe *p);
 static void suspect_member (BjSwim *s, BjTime now, BjMember *m);
@@ -273,6 +276,9 @@
           if (m != NULL && is_own)
             suspect_member (s, now, m);
           end_probe (p);
+          // The other domain may be cut off as a whole.
+          if (m != NULL && is_own && !bj_str_equal (m->report.domain, s->self->report.domain))
+            probe_domain (s, now, m->report.domain);
         }
       else if (is_own && !p->is_indirect && now - p->sent >= BJ_PROBE_TIMEOUT_MS)
         request_indirect_probes (s, p, m);
@@ -361,6 +367,36 @@
       }
 }
 
+// Probes some members of a domain that are not suspected and not being probed.
+static void
+probe_domain (BjSwim *s, BjTime now, BjStr domain)
+{
+  guint n = s->roster.all->len;
+  guint first = (guint)g_rand_int_range (s->rand, 0, (gint32)n);
+  int n_probed = 0;
+
+  for (guint i = 0; i < n && n_probed < DOMAIN_PROBES; i++)
+    {
+      BjMember *m = s->roster.all->pdata[(first + i) % n];
+
+      if (m->state != BJ_MEMBER_ALIVE || !bj_str_equal (m->report.domain, domain)
+          || is_probed (s, m))
+        continue;
+      probe_member (s, now, m, BJ_STR_NULL, 0);
+      n_probed++;
+    }
+}
+
+static bool
+is_probed (const BjSwim *s, const BjMember *m)
+{
+  for (int i = 0; i < BJ_SWIM_PROBES_MAX; i++)
+    if (s->probes[i].sequence != 0 && s->probes[i].requester_name.len == 0
+        && bj_str_equal (s->probes[i].target, m->report.name))
+      return true;
+  return false;
+}
+
 static void
 ping_address (BjSwim *s, const BjAddress *a)
 {
