--- a/src/kernel.h
+++ b/src/kernel.h
@@ -153,7 +153,7 @@
   GHashTable *running;    // request id (BjStr*) to the BjCall that runs on the own upstream
   uint64_t n_matched_by_id;      // nested calls whose parent was found by request id
   GHashTable *retry_after_times; // fingerprint of a refused call to the end of its retry-after time
-  GHashTable *told;              // name of a peer (BjStr*) to what its upstream said, in signal.c
+  GHashTable *peer_upstreams;    // name of a peer (BjStr*) to what its upstream said, in signal.c
   GHashTable *share_states;      // BjRoute* to the weighted round-robin state of its shares
   BjGuard guard;
   BjQuarantine *quarantine;
--- a/src/signal.c
+++ b/src/signal.c
@@ -5,8 +5,8 @@
 #include "internal.h"
 #include "kernel.h"
 
-#define TOLD_LIFETIME_MS 900000.0 // what a peer's upstream said is forgotten after this
-#define LOG_INTERVAL_MS 1000.0    // between two log lines on a rate that changes, or can't be read
+#define REMEMBER_MS 900000.0   // what a peer's upstream said is forgotten after this
+#define LOG_INTERVAL_MS 1000.0 // between two log lines on a rate that changes, or can't be read
 
 // What the upstream of a peer last said.
 typedef struct
@@ -14,10 +14,10 @@
   BjStr peer; // owned
   BjUpstreamState state;
   BjTime at;
-} Told;
+} PeerUpstream;
 
-static void free_told (gpointer told);
-static gboolean is_expired (gpointer peer, gpointer told, gpointer now);
+static void free_peer_upstream (gpointer entry);
+static gboolean is_expired (gpointer peer, gpointer entry, gpointer now);
 static void log_state (BjKernel *k, BjTime now, const BjUpstreamState *s);
 
 static BjCounter n_unreadable
@@ -29,19 +29,20 @@
 bj_signal_init (BjKernel *k)
 {
   bj_metric_register (&n_unreadable);
-  k->told = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, free_told);
+  k->peer_upstreams
+      = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, free_peer_upstream);
 }
 
 void
 bj_signal_clear (BjKernel *k)
 {
-  g_hash_table_destroy (k->told);
+  g_hash_table_destroy (k->peer_upstreams);
 }
 
 void
 bj_kernel_remember_upstream (BjKernel *k, BjTime now, BjStr peer, const BjUpstreamState *s)
 {
-  Told *t = g_hash_table_lookup (k->told, &peer);
+  PeerUpstream *t = g_hash_table_lookup (k->peer_upstreams, &peer);
   BjUpstreamState next = *s;
 
   // A daemon that has just started may not know its upstream yet.
@@ -51,15 +52,15 @@
     next.is_leaving = next.is_leaving || t->state.is_leaving;
   if (!next.has_rate && !next.is_leaving)
     {
-      g_hash_table_remove (k->told, &peer);
+      g_hash_table_remove (k->peer_upstreams, &peer);
       return;
     }
   if (t == NULL)
     {
-      g_hash_table_foreach_remove (k->told, is_expired, &now);
-      t = g_new0 (Told, 1);
+      g_hash_table_foreach_remove (k->peer_upstreams, is_expired, &now);
+      t = g_new0 (PeerUpstream, 1);
       t->peer = bj_str_dup (peer);
-      g_hash_table_insert (k->told, &t->peer, t);
+      g_hash_table_insert (k->peer_upstreams, &t->peer, t);
     }
   t->state = next;
   t->at = now;
@@ -132,7 +133,7 @@
 BjUpstreamState
 bj_kernel_recall_upstream (BjKernel *k, BjStr peer)
 {
-  const Told *t = g_hash_table_lookup (k->told, &peer);
+  const PeerUpstream *t = g_hash_table_lookup (k->peer_upstreams, &peer);
 
   return t != NULL ? t->state : (BjUpstreamState){ 0 };
 }
@@ -164,17 +165,17 @@
 }
 
 static void
-free_told (gpointer told)
+free_peer_upstream (gpointer entry)
 {
-  bj_str_free (&((Told *)told)->peer);
-  g_free (told);
+  bj_str_free (&((PeerUpstream *)entry)->peer);
+  g_free (entry);
 }
 
 static gboolean
-is_expired (gpointer peer, gpointer told, gpointer now)
+is_expired (gpointer peer, gpointer entry, gpointer now)
 {
   (void)peer;
-  return *(BjTime *)now - ((Told *)told)->at >= TOLD_LIFETIME_MS;
+  return *(BjTime *)now - ((PeerUpstream *)entry)->at >= REMEMBER_MS;
 }
 
 static void
