--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -33,10 +33,17 @@
   --class "acceptance:/orders/accept:1:key" --class "lookup:/catalogue/prices:4" \
   --class "preview:/estimator/preview:2" >"$work/load" &
 load=$!
+sleep 1
+echo "The upstream of north-b-catalogue names a rate of 20 requests a second for a while."
+limited="http://127.0.0.1:$(field north-b-catalogue 9)/control"
+curl -s -X POST "$limited/rate_milli?value=20000"
+sleep 1.5
+limited_most=$(curl -s "$limited/arrivals" | sed -n 's/.*"most":\([0-9]*\).*/\1/p')
+curl -s -X POST "$limited/rate_milli?value=-1"
 sleep 2
 echo "Killing the upstream of north-a-catalogue."
 kill -9 "$(field north-a-catalogue 11)"
-sleep 2
+sleep 1
 echo "Draining north-b-estimator with a ticket."
 "$build/bjctl" --platform "$platform" drain north-b-estimator
 wait "$load"
@@ -50,6 +57,7 @@
   printf '%-44s %8s\n' "$class: unknown, truncated or missing" "$(($(value ${class}_unknown) + $(value ${class}_broken)))"
   check "$class: wrong responses" "$(value ${class}_wrong)" -eq 0
 done
+check "requests at 20 a second, most in 4 s" "$limited_most" -le 125
 check "most executions of one irreversible action" "$most" -le 1
 check "acceptances executed" "$(wc -l <"$work/executions")" -ge "$(value acceptance_whole)"
 "$build/bjctl" --admin "$admin" in-force
