--- a/src/rate.c
+++ b/src/rate.c
@@ -3,8 +3,8 @@
 // Load: an upstream in need that asks for a fraction of the calls it gets. Its limit of calls in
 // flight says nothing about a rate, so this is a bound beside it. A bucket of few tokens keeps the
 // pace even: a longer one would let a burst through each time the upstream had been idle. The rate
-// holds until responses that name none have come for a while; it then rises in steps, so that an
-// upstream that has just recovered does not get everything at once.
+// holds until responses that name none have come for a while. It then rises gradually, so that an
+// upstream that has just recovered does not get all calls at once.
 
 #include "kernel.h"
 #include <math.h>
