test_fleet_signals: the load lasts 9 s again

Shortening it to 6 s weakened the two cases that stop the daemon by SIGTERM: a stop takes two seconds, so less than 4 s of load followed the restart, and the 21 requests counted there said little.

--- a/tests/test_fleet_signals.c
+++ b/tests/test_fleet_signals.c
@@ -22,7 +22,7 @@
 #define DRAIN_US 2500000 // from the first response that says so until no request may arrive
 #define DOWN_US 500000   // between the end of a daemon and its start
 #define AFTER_US 4500000 // load goes on after the daemon is back
-#define LOAD_SECONDS "6"
+#define LOAD_SECONDS "9"
 #define SERVED_SHARE 0.99 // of the requests, while another upstream has room for all of them
 
 typedef struct
