--- a/src/admin.c
+++ b/src/admin.c
@@ -185,6 +185,7 @@
   (void)path;
   (void)body;
   bj_kernel_metrics (d->kernel, bj_clock_now (), out);
+  bj_reader_metrics (d->reader, out);
   bj_metric_print (out);
   return 200;
 }
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -143,8 +143,12 @@
   uint64_t value;
 } BjCounter;
 
-void bj_metric_register (BjCounter *c); // Adds c to /metrics; c must not be freed
-void bj_metric_print (GString *out);    // Appends all counters in the text exposition format
+void bj_metric_register (BjCounter *c);   // Adds c to /metrics; c must not be freed
+void bj_metric_print (GString *out);      // Appends all counters in the text exposition format
+void bj_metric_print_gauge (GString *out, // Appends one value in that format; name without "bj_"
+                            const char *name,
+                            const char *help,
+                            double value);
 
 // ---------------------------------------------------------------------------------------------
 // Plugin: implementations that register themselves and are selected by name
--- a/src/client.c
+++ b/src/client.c
@@ -107,6 +107,7 @@
   q->status = h->status;
   q->era = h->number;
   q->head_at = bj_clock_now ();
+  q->client->platform->heard_at = q->head_at;
 }
 
 static size_t
@@ -114,6 +115,7 @@
 {
   Request *q = data;
 
+  q->client->platform->heard_at = bj_clock_now ();
   g_string_append_len (q->body, part.data, (gssize)part.len);
   return part.len;
 }
--- a/src/count.c
+++ b/src/count.c
@@ -8,7 +8,6 @@
 static void print_latency (const BjKernel *k, GString *out);
 static void print_codes (const BjKernel *k, GString *out);
 static int64_t newest_config (const BjKernel *k);
-static void print_gauge (GString *out, const char *name, const char *help, double value);
 
 void
 bj_count_answer (BjKernel *k, BjTime now, const BjCall *c, BjStatus code, BjOutcome o)
@@ -30,45 +29,49 @@
   print_answers (k, out);
   print_codes (k, out);
   print_latency (k, out);
-  print_gauge (out, "open_calls", "Calls that have not ended.", bj_kernel_open_calls (k));
-  print_gauge (out, "in_flight", "Calls running on the own upstream.", self.in_flight);
-  print_gauge (out, "limit", "Calls that may run at once on the own upstream.", self.limit);
+  bj_metric_print_gauge (out, "open_calls", "Calls that have not ended.", bj_kernel_open_calls (k));
+  bj_metric_print_gauge (out, "in_flight", "Calls running on the own upstream.", self.in_flight);
+  bj_metric_print_gauge (
+      out, "limit", "Calls that may run at once on the own upstream.", self.limit);
   g_string_append_printf (out,
                           "# HELP bj_upstream_starts_total Calls sent to the own upstream.\n"
                           "# TYPE bj_upstream_starts_total counter\n"
                           "bj_upstream_starts_total %" G_GUINT64_FORMAT "\n",
                           k->guard.n_started);
-  print_gauge (out,
-               "upstream_rate_limit",
-               "Calls a second that the own upstream takes, -1 if it names no rate.",
-               k->guard.rate.is_set ? bj_rate_in_force (&k->guard.rate, now) : -1);
-  print_gauge (out,
-               "upstream_leaving",
-               "1 if the own upstream said that it leaves.",
-               k->guard.upstream.is_leaving);
+  bj_metric_print_gauge (out,
+                         "upstream_rate_limit",
+                         "Calls a second that the own upstream takes, -1 if it names no rate.",
+                         k->guard.rate.is_set ? bj_rate_in_force (&k->guard.rate, now) : -1);
+  bj_metric_print_gauge (out,
+                         "upstream_leaving",
+                         "1 if the own upstream said that it leaves.",
+                         k->guard.upstream.is_leaving);
   g_string_append_printf (out,
                           "# HELP bj_rate_refusals_total Calls refused because of that rate.\n"
                           "# TYPE bj_rate_refusals_total counter\n"
                           "bj_rate_refusals_total %" G_GUINT64_FORMAT "\n",
                           k->guard.n_refused_by_rate);
-  print_gauge (out, "queued", "Calls queued for the own upstream.", self.queued);
-  print_gauge (out, "level", "Admission level of this guard, 0 admits all calls.", self.level);
-  print_gauge (out,
-               "failing",
-               "Runs per 1000 that failed through a fault of the own upstream.",
-               self.failure_permille);
-  print_gauge (
+  bj_metric_print_gauge (out, "queued", "Calls queued for the own upstream.", self.queued);
+  bj_metric_print_gauge (
+      out, "level", "Admission level of this guard, 0 admits all calls.", self.level);
+  bj_metric_print_gauge (out,
+                         "failing",
+                         "Runs per 1000 that failed through a fault of the own upstream.",
+                         self.failure_permille);
+  bj_metric_print_gauge (
       out, "ticket", "Number of the ticket in force, 0 if none.", (double)self.config_number);
-  print_gauge (out,
-               "ticket_newest",
-               "Highest ticket number received or reported by a peer; above bj_ticket: not yet in "
-               "force here.",
-               (double)newest_config (k));
-  print_gauge (out, "members", "Known daemons, this one included.", g_hash_table_size (k->peers));
-  print_gauge (out,
-               "log_dropped",
-               "Log lines lost to a full buffer or to the limit per second.",
-               (double)bj_log_dropped ());
+  bj_metric_print_gauge (
+      out,
+      "ticket_newest",
+      "Highest ticket number received or reported by a peer; above bj_ticket: not yet in "
+      "force here.",
+      (double)newest_config (k));
+  bj_metric_print_gauge (
+      out, "members", "Known daemons, this one included.", g_hash_table_size (k->peers));
+  bj_metric_print_gauge (out,
+                         "log_dropped",
+                         "Log lines lost to a full buffer or to the limit per second.",
+                         (double)bj_log_dropped ());
 }
 
 static void
@@ -115,13 +118,6 @@
   return newest;
 }
 
-static void
-print_gauge (GString *out, const char *name, const char *help, double value)
-{
-  g_string_append_printf (
-      out, "# HELP bj_%s %s\n# TYPE bj_%s gauge\nbj_%s %.15g\n", name, help, name, name, value);
-}
-
 static void
 print_latency (const BjKernel *k, GString *out)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -686,6 +686,7 @@
   const BjPlatformOps *ops;
   int64_t era; // rises when the store comes back from an older copy; 0 if unknown. A version of one
                // era means nothing in another
+  BjTime heard_at; // last bytes of any response, 0 before the first
 };
 
 // ---------------------------------------------------------------------------------------------
@@ -742,6 +743,7 @@
 BjReader *bj_reader_new (BjDaemon *d);
 void bj_reader_free (BjReader *r);
 void bj_reader_check_peer (BjReader *r, BjPeer *p); // Fetches if p reports a newer configuration
+void bj_reader_metrics (const BjReader *r, GString *out);
 bool bj_reader_take_part (BjReader *r,
                           BjStr peer,
                           const BjFrame *f); // CONFIG_PART; false if it is not the next part
--- a/src/memory.c
+++ b/src/memory.c
@@ -221,9 +221,11 @@
   char version[32];
   guint at;
   BjPlatformReply r = { .code = q->code, .spec = q->spec };
+  BjPlatform *p = &q->memory->base;
 
   (void)loop;
   (void)events;
+  p->heard_at = bj_clock_now ();
   g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT, q->version);
   if (q->spec != NULL)
     r.version = bj_str (version);
--- a/src/metric.c
+++ b/src/metric.c
@@ -77,6 +77,13 @@
     }
 }
 
+void
+bj_metric_print_gauge (GString *out, const char *name, const char *help, double value)
+{
+  g_string_append_printf (
+      out, "# HELP bj_%s %s\n# TYPE bj_%s gauge\nbj_%s %.15g\n", name, help, name, name, value);
+}
+
 static int
 bucket_of (double ms)
 {
--- a/src/reader.c
+++ b/src/reader.c
@@ -23,6 +23,7 @@
   BjStr version;  // of the object last read, empty before the first read
   BjStr stored;   // configuration last read, kept until it is applied or dropped
   BjTime started;
+  BjTime asked_at;   // when the open or last store request was sent
   BjTime not_before; // earliest time of the next store request
   double backoff_ms;
   bool is_store_failing; // the last store request failed
@@ -68,6 +69,7 @@
 static void on_watched (void *data, const BjPlatformReply *reply);
 static void keep_stored (BjReader *r, const BjPlatformReply *reply);
 static void apply_stored (BjReader *r);
+static double silence_ms (const BjReader *r);
 static void record_failure (BjReader *r);
 static void record_success (BjReader *r);
 static int64_t own_number (const BjReader *r);
@@ -120,6 +122,20 @@
   g_free (r);
 }
 
+void
+bj_reader_metrics (const BjReader *r, GString *out)
+{
+  bool is_waiting = r->watching || r->filer != NULL;
+
+  bj_metric_print_gauge (
+      out, "reader", "1 if this daemon has a request for the configuration open.", is_waiting);
+  bj_metric_print_gauge (out,
+                         "reader_silence_ms",
+                         "Time since the store last sent any byte while such a request is open; a "
+                         "watch without a change is silent too.",
+                         is_waiting ? silence_ms (r) : 0);
+}
+
 void
 bj_reader_check_peer (BjReader *r, BjPeer *p)
 {
@@ -338,6 +354,7 @@
   if (bj_filing_new (&o, &f) != BJ_OK)
     return;
   n_reads.value++;
+  r->asked_at = bj_clock_now ();
   r->filer = bj_filer_new (r->daemon->loop, p, f, on_read_done, r);
 }
 
@@ -346,6 +363,7 @@
 {
   BjPlatform *p = r->daemon->platform;
 
+  r->asked_at = bj_clock_now ();
   r->watching = true;
   r->is_list = version.len == 0;
   p->ops->watch (p, p->ops->config_name, version, on_watched, r);
@@ -391,13 +409,15 @@
       return;
     }
   if (reply->code == BJ_OK)
-    bj_log (BJ_LOG_INFO,
-            "TICKET",
-            "read from=store as=%s bytes=%zu transfer_ms=%.0f in_force=%" G_GINT64_FORMAT,
-            r->is_list ? "list" : "event",
-            reply->bytes,
-            reply->transfer_ms,
-            own_number (r));
+    bj_log (
+        BJ_LOG_INFO,
+        "TICKET",
+        "read from=store as=%s bytes=%zu asked_ms=%.0f transfer_ms=%.0f in_force=%" G_GINT64_FORMAT,
+        r->is_list ? "list" : "event",
+        reply->bytes,
+        bj_clock_now () - r->asked_at,
+        reply->transfer_ms,
+        own_number (r));
   r->is_list = false;
   r->era = r->daemon->platform->era;
   if (reply->code == BJ_OK)
@@ -470,12 +490,25 @@
   bj_str_set (&r->stored, BJ_STR_NULL);
 }
 
+static double
+silence_ms (const BjReader *r)
+{
+  return bj_clock_now () - MAX (r->asked_at, r->daemon->platform->heard_at);
+}
+
 static void
 record_failure (BjReader *r)
 {
   n_failures.value++;
   if (!r->is_store_failing)
-    bj_log (BJ_LOG_WARNING, "TICKET", "The store can't be read, trying on: %s", bj_last_message ());
+    bj_log (BJ_LOG_WARNING,
+            "TICKET",
+            "The store can't be read, trying on: asked_ms=%.0f silent_ms=%.0f "
+            "in_force=%" G_GINT64_FORMAT ": %s",
+            bj_clock_now () - r->asked_at,
+            silence_ms (r),
+            own_number (r),
+            bj_last_message ());
   r->is_store_failing = true;
   r->not_before = bj_clock_now () + g_random_double_range (r->backoff_ms / 2, r->backoff_ms);
   r->backoff_ms = MIN (r->backoff_ms * 2, BJ_READER_BACKOFF_MAX_MS);
--- a/tests/daemons.c
+++ b/tests/daemons.c
@@ -48,7 +48,8 @@
       *all[i] = daemons_free_address ();
   if (s.name.len == 0)
     s.name = BJ_STR ("one");
-  s.domain = BJ_STR ("a");
+  if (s.domain.len == 0)
+    s.domain = BJ_STR ("a");
   s.region = BJ_STR ("r");
   s.heartbeat_ms = 10000;
   s.drain_ms = 100;
