--- /dev/null
+++ b/tests/test_reader.c
@@ -0,0 +1,468 @@
+// Daemons whose readers the store turns away or leaves without an answer while it serves the others
+// and the operator: the daemons that it serves have each configuration in force in time.
+
+#include "daemons.h"
+#include "kernel.h"
+#include <curl/curl.h>
+#include <ev.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define DAEMONS_MAX 8
+#define STORE_PORT 19761       // of the first daemon, the others follow
+#define APPLY_MS 2500          // until a configuration is in force at all daemons in touch
+#define CONTACT_MS 4000        // after the end of a fault, until daemons are in touch again
+#define SETTLE_MS 8000         // until the daemons know each other and the first configuration
+#define CHANGE_INTERVAL_MS 500 // between two changes while the daemons settle
+#define GIVE_BACK_MS 5000      // after a refusal, until only the readers by rank watch
+#define READERS BJ_READERS_PER_DOMAIN
+
+// What the store does with the requests of one daemon.
+typedef enum
+{
+  SERVED,
+  BUSY,    // 503
+  LIMITED, // 429
+  RESET,   // the connection closes
+  SILENT,  // no response, also not later
+} Treatment;
+
+static int next_port = STORE_PORT; // a failed test leaves its ports open
+
+typedef struct Store Store;
+
+typedef struct
+{
+  Store *store;
+  BjServer *server;
+  int number; // on 127.0.0.1
+  Treatment treatment;
+  BjServerConn *watch; // waiting, NULL if none
+  int64_t from;        // revision of that watch
+  bool is_lost;        // it gets no response
+  int n_requests;
+} Port;
+
+struct Store
+{
+  struct ev_loop *loop;
+  ev_prepare prepare;
+  int64_t revision; // and number of the configuration
+  Port ports[DAEMONS_MAX];
+  int n_ports;
+};
+
+typedef struct
+{
+  const char *name;
+  Treatment treatment;
+  int n_daemons;
+  int n_domains;
+  int n_turned_away; // daemons of each domain, those with the highest rank
+  double before_ms;  // from then to the change
+} RefusalCase;
+
+static const RefusalCase refusal_cases[] = {
+  { "both readers get 503", BUSY, 4, 1, 2, 0 },
+  { "both readers get 429", LIMITED, 4, 1, 2, 0 },
+  { "both readers are reset", RESET, 4, 1, 2, 0 },
+  { "both readers get no response", SILENT, 4, 1, 2, 0 },
+  { "both readers have had no response for a second", SILENT, 4, 1, 2, 1000 },
+  { "all but one get 503", BUSY, 8, 1, 7, 0 },
+  { "all but two get no response", SILENT, 8, 1, 6, 0 },
+  { "the readers of both domains get 503", BUSY, 8, 2, 2, 0 },
+  { "the readers of both domains get no response", SILENT, 8, 2, 2, 0 },
+  { "all of one domain, the readers of the other get no response", SILENT, 8, 2, 4, 0 },
+};
+
+static void
+send_response (BjServerConn *c, int status, const char *body)
+{
+  bj_server_begin (c, status, BJ_STR ("Store-Era: 1\r\n"), (int64_t)strlen (body));
+  bj_server_data (c, bj_str (body));
+  bj_server_end (c, true);
+}
+
+static void
+send_config (Port *p, BjServerConn *c, bool is_event)
+{
+  char *body = g_strdup_printf (
+      "{\"%s\":[%s{\"metadata\":{\"name\":\"main\",\"revision\":%" G_GINT64_FORMAT
+      "},\"spec\":{\"version\":\"r%" G_GINT64_FORMAT
+      "\",\"routes\":{\"columns\":[\"host\",\"pathPrefix\",\"kind\",\"service\"],\"rows\":[[\"h\","
+      "\"/s/"
+      "\",\"idempotent\",\"s\"]]},\"services\":{\"columns\":[\"name\"],\"rows\":[[\"s\"]]}}}%s]"
+      ",\"hasMore\":false,\"storeRevision\":%" G_GINT64_FORMAT "}",
+      is_event ? "events" : "items",
+      is_event ? "{\"deleted\":false,\"object\":" : "",
+      p->store->revision,
+      p->store->revision,
+      is_event ? "}" : "",
+      p->store->revision);
+
+  send_response (c, 200, body);
+  g_free (body);
+}
+
+// Returns true if the request gets its answer from the store.
+static bool
+treat (Port *p, BjServerConn *c)
+{
+  switch (p->treatment)
+    {
+    case SERVED:
+      return true;
+    case BUSY:
+      send_response (c, 503, "{}");
+      return false;
+    case LIMITED:
+      send_response (c, 429, "{}");
+      return false;
+    case RESET:
+      bj_server_end (c, false);
+      return false;
+    case SILENT:
+      bj_server_set_call (c, NULL);
+      return false;
+    }
+  return false;
+}
+
+static void
+on_request (void *data, BjServerConn *c, const BjHead *h, BjStr body)
+{
+  Port *p = data;
+  BjStr prefix = BJ_STR ("/objects/config?watch=");
+  int64_t from;
+
+  (void)body;
+  if (!treat (p, c))
+    return;
+  if (bj_str_starts (h->path, BJ_STR ("/objects/members")))
+    {
+      send_response (
+          c, 200, "{\"metadata\":{\"name\":\"a\",\"revision\":1},\"spec\":{\"gossip\":[]}}");
+      return;
+    }
+  p->n_requests++;
+  if (!bj_str_starts (h->path, prefix))
+    {
+      send_config (p, c, false);
+      return;
+    }
+  from = g_ascii_strtoll (h->path.data + prefix.len, NULL, 10);
+  if (from < p->store->revision)
+    {
+      send_config (p, c, true);
+      return;
+    }
+  p->watch = c;
+  p->from = from;
+  p->is_lost = false;
+  bj_server_set_call (c, p);
+}
+
+static void
+on_disconnected (void *call)
+{
+  ((Port *)call)->watch = NULL;
+}
+
+static void
+on_drained (void *call, size_t n)
+{
+  (void)call;
+  (void)n;
+}
+
+static const BjServerOps store_ops = { on_request, on_disconnected, on_drained };
+
+static void
+flush_store (struct ev_loop *loop, ev_prepare *w, int events)
+{
+  Store *s = w->data;
+
+  (void)loop;
+  (void)events;
+  for (int i = 0; i < s->n_ports; i++)
+    bj_server_flush (s->ports[i].server);
+}
+
+static void
+open_store (Store *s, struct ev_loop *loop, int n_ports)
+{
+  *s = (Store){ .loop = loop, .revision = 1, .n_ports = n_ports };
+  for (int i = 0; i < n_ports; i++)
+    {
+      s->ports[i].store = s;
+      s->ports[i].number = next_port++;
+      assert_int_equal (bj_server_new (loop,
+                                       "store",
+                                       (BjAddress){ BJ_STR ("127.0.0.1"), s->ports[i].number },
+                                       &store_ops,
+                                       &s->ports[i],
+                                       &s->ports[i].server),
+                        BJ_OK);
+    }
+  ev_prepare_init (&s->prepare, flush_store);
+  s->prepare.data = s;
+  ev_prepare_start (loop, &s->prepare);
+}
+
+static void
+close_store (Store *s)
+{
+  ev_prepare_stop (s->loop, &s->prepare);
+  for (int i = 0; i < s->n_ports; i++)
+    bj_server_free (s->ports[i].server);
+}
+
+static void
+set_treatment (Port *p, Treatment t)
+{
+  BjServerConn *watch = p->watch;
+
+  p->treatment = t;
+  if (watch == NULL || t == SERVED)
+    return;
+  p->watch = NULL;
+  bj_server_set_call (watch, NULL);
+  treat (p, watch);
+}
+
+// The operator writes a configuration; waiting watches get an event.
+static void
+write_config (Store *s)
+{
+  s->revision++;
+  for (int i = 0; i < s->n_ports; i++)
+    {
+      BjServerConn *watch = s->ports[i].watch;
+
+      if (watch == NULL || s->ports[i].is_lost)
+        continue;
+      s->ports[i].watch = NULL;
+      bj_server_set_call (watch, NULL);
+      send_config (&s->ports[i], watch, true);
+    }
+}
+
+// Daemons in order of rank: a lower index has a higher rank among those of its domain.
+static void
+start_daemons (struct ev_loop *loop, const Store *s, BjDaemon **all, int n_domains)
+{
+  static const char *const domains[] = { "a", "b" };
+  static char names[DAEMONS_MAX][8];
+  int n = s->n_ports;
+  int next = 0;
+
+  for (int i = 0; i < n; i++)
+    {
+      BjStr domain = bj_str (domains[i * n_domains / n]);
+      bool is_first = i == 0 || i * n_domains / n != (i - 1) * n_domains / n;
+      uint64_t above = is_first ? UINT64_MAX : bj_reader_rank (bj_str (names[i - 1]), domain);
+      char url[64];
+
+      // Each name ranks below the one before it, in steps that leave room for all.
+      do
+        g_snprintf (names[i], sizeof names[i], "n%d", next++);
+      while (bj_reader_rank (bj_str (names[i]), domain) >= above
+             || bj_reader_rank (bj_str (names[i]), domain) < above - above / 4);
+      g_snprintf (url, sizeof url, "http://127.0.0.1:%d", s->ports[i].number);
+      all[i] = daemons_new (loop,
+                            (BjSettings){ .name = bj_str (names[i]),
+                                          .domain = domain,
+                                          .seeds = i > 0 ? &all[0]->settings.gossip : NULL,
+                                          .n_seeds = i > 0 ? 1 : 0,
+                                          .platform_name = BJ_STR ("objects"),
+                                          .platform_url = bj_str (url),
+                                          .dialect = BJ_STR ("platform") });
+    }
+}
+
+static void
+run_for (struct ev_loop *loop, double ms)
+{
+  for (BjTime until = bj_clock_now () + ms; bj_clock_now () < until;)
+    ev_run (loop, EVRUN_ONCE);
+}
+
+static bool
+have_in_force (BjDaemon **all, int n, int64_t number)
+{
+  for (int i = 0; i < n; i++)
+    if (daemons_config_number (all[i]) < number)
+      return false;
+  return true;
+}
+
+// True if the first by rank of each domain watch and no others.
+static bool
+is_watched_by_rank (const Store *s, int n_domains)
+{
+  int per_domain = s->n_ports / n_domains;
+
+  for (int i = 0; i < s->n_ports; i++)
+    if ((s->ports[i].watch != NULL) != (i % per_domain < READERS))
+      return false;
+  return true;
+}
+
+static void
+run_until_settled (struct ev_loop *loop, Store *s, BjDaemon **all, int n_domains)
+{
+  BjTime until = bj_clock_now () + SETTLE_MS;
+  BjTime next_write = 0;
+  bool is_acquainted = false;
+
+  while (!is_acquainted || !have_in_force (all, s->n_ports, s->revision)
+         || !is_watched_by_rank (s, n_domains))
+    {
+      if (bj_clock_now () > until)
+        fail_msg ("not settled after %d ms", SETTLE_MS);
+      ev_run (loop, EVRUN_ONCE);
+      is_acquainted = have_in_force (all, s->n_ports, s->revision);
+      for (int i = 0; i < s->n_ports; i++)
+        is_acquainted
+            = is_acquainted && g_hash_table_size (all[i]->kernel->peers) == (guint)s->n_ports;
+      // Ends the watches of daemons that were readers before they knew the others.
+      if (is_acquainted && bj_clock_now () >= next_write)
+        {
+          write_config (s);
+          next_write = bj_clock_now () + CHANGE_INTERVAL_MS;
+        }
+    }
+}
+
+// Prints the time until all daemons have the newest configuration in force; returns false if that
+// takes too long.
+static bool
+check_in_force (struct ev_loop *loop, const Store *s, BjDaemon **all, int n, const char *name)
+{
+  BjTime began = bj_clock_now ();
+  bool is_in_time;
+
+  while (!have_in_force (all, n, s->revision) && bj_clock_now () - began < APPLY_MS)
+    ev_run (loop, EVRUN_ONCE);
+  is_in_time = have_in_force (all, n, s->revision);
+  print_message ("  %s: %.0f ms%s\n",
+                 name,
+                 bj_clock_now () - began,
+                 is_in_time ? "" : " and not in force everywhere");
+  return is_in_time;
+}
+
+static void
+free_daemons (BjDaemon **all, int n)
+{
+  for (int i = 0; i < n; i++)
+    bj_daemon_free (all[i]);
+}
+
+static bool
+run_refusal_case (const RefusalCase *c)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  int per_domain = c->n_daemons / c->n_domains;
+  BjDaemon *all[DAEMONS_MAX];
+  bool is_in_time;
+  Store s;
+
+  open_store (&s, loop, c->n_daemons);
+  start_daemons (loop, &s, all, c->n_domains);
+  run_until_settled (loop, &s, all, c->n_domains);
+  for (int i = 0; i < c->n_daemons; i++)
+    if (i % per_domain
+        < (i < per_domain || c->n_turned_away < per_domain ? c->n_turned_away : READERS))
+      set_treatment (&s.ports[i], c->treatment);
+  run_for (loop, c->before_ms);
+  write_config (&s);
+  is_in_time = check_in_force (loop, &s, all, c->n_daemons, c->name);
+  // A second change meets the daemons that took over.
+  run_for (loop, APPLY_MS);
+  write_config (&s);
+  is_in_time = check_in_force (loop, &s, all, c->n_daemons, "  next change") && is_in_time;
+  free_daemons (all, c->n_daemons);
+  close_store (&s);
+  ev_loop_destroy (loop);
+  return is_in_time;
+}
+
+static void
+test_readers_turned_away_by_the_store (void **state)
+{
+  bool are_in_time = true;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (refusal_cases); i++)
+    are_in_time = run_refusal_case (&refusal_cases[i]) && are_in_time;
+  assert_true (are_in_time);
+}
+
+// The connections of all watches go silent for good, new ones work.
+static void
+test_all_watches_silent (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *all[3];
+  bool is_in_time;
+  Store s;
+
+  (void)state;
+  open_store (&s, loop, G_N_ELEMENTS (all));
+  start_daemons (loop, &s, all, 1);
+  run_until_settled (loop, &s, all, 1);
+  for (int i = 0; i < s.n_ports; i++)
+    s.ports[i].is_lost = true;
+  write_config (&s);
+  run_for (loop, CONTACT_MS - APPLY_MS);
+  is_in_time = check_in_force (loop, &s, all, G_N_ELEMENTS (all), "all watches are silent");
+  free_daemons (all, G_N_ELEMENTS (all));
+  close_store (&s);
+  ev_loop_destroy (loop);
+  assert_true (is_in_time);
+}
+
+static void
+test_role_is_given_back (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *all[6];
+  BjTime until;
+  Store s;
+
+  (void)state;
+  open_store (&s, loop, G_N_ELEMENTS (all));
+  start_daemons (loop, &s, all, 1);
+  run_until_settled (loop, &s, all, 1);
+  for (int i = 0; i < READERS; i++)
+    set_treatment (&s.ports[i], BUSY);
+  run_for (loop, APPLY_MS);
+  for (int i = 0; i < READERS; i++)
+    set_treatment (&s.ports[i], SERVED);
+  until = bj_clock_now () + GIVE_BACK_MS;
+  while (bj_clock_now () < until && !is_watched_by_rank (&s, 1))
+    ev_run (loop, EVRUN_ONCE);
+  assert_true (is_watched_by_rank (&s, 1));
+  free_daemons (all, G_N_ELEMENTS (all));
+  close_store (&s);
+  ev_loop_destroy (loop);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_readers_turned_away_by_the_store),
+    cmocka_unit_test (test_all_watches_silent),
+    cmocka_unit_test (test_role_is_given_back),
+  };
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  bj_log_open (BJ_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
