--- a/src/config.h
+++ b/src/config.h
@@ -44,7 +44,8 @@
 #define BJ_SWIM_SUSPECT_MIN_MS 2000 // shortest time to refute a suspicion
 #define BJ_SWIM_PAUSE_MS 1000       // a longer gap between ticks means that this process was paused
 #define BJ_PEER_SKIP_MS 500         // a failed peer gets no call for this long; p2c-load doubles it
-#define BJ_WATCH_TIMEOUT_MS 10000   // duration of one long poll at the platform
+#define BJ_WATCH_TIMEOUT_MS 1000    // time without a change until the platform answers a watch
+#define BJ_WATCH_GRACE_MS 500       // for that answer to arrive; after it the watch counts as lost
 #define BJ_FAILURE_RATE_SCALE 1000  // failure rates are reported as failed runs per this many runs
 #define BJ_DRAIN_MS 30000           // longest time a stopping daemon waits for open calls
 #define BJ_DRAIN_ACCEPT_MS 1000     // time from a stop to the notice to peers; calls are accepted
@@ -77,6 +78,7 @@
 #define BJ_READER_TICK_MS 100         // interval between checks of reader role and peers' versions
 #define BJ_READER_START_DELAY_MS 3000 // time to find peers by seeds before the first store read
 #define BJ_READER_PEERS_DELAY_MS 1000 // the same when the peers found so far have no configuration
+#define BJ_READER_READ_MS 10000       // between reads that complete filings which were given up
 #define BJ_READER_BACKOFF_MAX_MS 2000 // longest backoff of a reader while the store fails
 #define BJ_FETCH_RETRY_MS 300         // time for a response to a fetch before it is sent again
 #define BJ_FETCH_STALL_MS 1000        // pause between two parts before the fetch is sent again
--- a/src/platform.c
+++ b/src/platform.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #define URL_ROOT "/apis/boragejunction/v1/"
-#define WATCH_GRACE_MS 2000 // client time-out of a watch beyond that of the store
 
 typedef struct
 {
@@ -100,7 +99,7 @@
                  name,
                  query,
                  (BjStoreRequestOptions){ .method = "GET",
-                                          .timeout_ms = BJ_WATCH_TIMEOUT_MS + WATCH_GRACE_MS,
+                                          .timeout_ms = BJ_WATCH_TIMEOUT_MS + BJ_WATCH_GRACE_MS,
                                           .is_watch = true,
                                           .done = done,
                                           .data = data });
--- a/src/reader.c
+++ b/src/reader.c
@@ -24,6 +24,7 @@
   BjStr stored;   // configuration last read, kept until it is applied or dropped
   BjTime started;
   BjTime asked_at;   // when the open or last store request was sent
+  BjTime read_at;    // when the configuration was last read otherwise than by a watch
   BjTime not_before; // earliest time of the next store request
   double backoff_ms;
   bool is_store_failing; // the last store request failed
@@ -67,6 +68,7 @@
 static void send_watch (BjReader *r, BjStr version);
 static void on_read_done (void *data, const BjFiling *f);
 static void on_watched (void *data, const BjPlatformReply *reply);
+static bool has_timed_out (const BjReader *r);
 static void keep_stored (BjReader *r, const BjPlatformReply *reply);
 static void apply_stored (BjReader *r);
 static double silence_ms (const BjReader *r);
@@ -393,7 +395,10 @@
   if (s != BJ_OK)
     record_failure (r);
   else
-    record_success (r);
+    {
+      r->read_at = bj_clock_now ();
+      record_success (r);
+    }
   g_clear_pointer (&r->filer, bj_filer_free);
 }
 
@@ -435,11 +440,26 @@
       record_success (r);
       return;
     }
+  if (reply->code == BJ_E_NOT_FOUND && has_timed_out (r))
+    {
+      // A filing that was given up is completed by a read.
+      r->must_read = bj_clock_now () - r->read_at >= BJ_READER_READ_MS;
+      record_success (r);
+      return;
+    }
   r->must_read = true;
   if (reply->code != BJ_E_GONE && reply->code != BJ_E_NOT_FOUND)
     record_failure (r);
 }
 
+// Tells the end of a watch without a change from the absence of the object, which is answered at
+// once.
+static bool
+has_timed_out (const BjReader *r)
+{
+  return r->version.len > 0 && bj_clock_now () - r->asked_at >= BJ_WATCH_TIMEOUT_MS / 2.0;
+}
+
 // Keeps the configuration read from the store, converted to the format of this library.
 static void
 keep_stored (BjReader *r, const BjPlatformReply *reply)
