Members that the store answers take over the reading from those that it turns away

Callers saw: 404 for a route acknowledged 2.5 s before and more, and requests run as an older configuration says, at daemons in touch all the while. Cause: the readers of a domain were its two live members of the highest rank; whether the store answered them was not asked, so the others, which it would have served, never read. Class: a role given by being alive instead of by being able. A suspected member counts as turned away. The report has a new field: protocol 3.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -637,6 +637,15 @@
 // Peer: another daemon and the upstream beside it
 // ---------------------------------------------------------------------------------------------
 
+// Whether the platform's store answers a daemon, as far as that has tried
+typedef enum
+{
+  BJ_STORE_UNKNOWN,
+  BJ_STORE_ANSWERS,
+  BJ_STORE_FAILS, // refuses its requests or leaves them without a response
+  BJ_STORE_ACCESSES,
+} BjStoreAccess;
+
 typedef struct
 {
   BjStr name; // unique in the deployment
@@ -657,6 +666,7 @@
   int failure_permille;  // counts only runs that failed through a fault of the upstream itself
   bool draining;
   int64_t config_number; // number of the ticket in force there
+  BjStoreAccess store_access;
 } BjPeerReport;
 
 struct BjPeer
@@ -859,6 +869,7 @@
     BjKernel *k,
     BjTime now,
     BjPeerReport *r); // Fills in identity and current load; strings are borrowed
+void bj_kernel_set_store_access (BjKernel *k, BjStoreAccess access); // Of the own report
 int bj_kernel_open_calls (const BjKernel *k); // Number of calls that have not ended
 void bj_kernel_explain (const BjKernel *k,
                         BjStr key,
--- a/src/config.h
+++ b/src/config.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #define BJ_VERSION "0.1.0"
-#define BJ_PROTOCOL_VERSION 2 // version of the frames between daemons; other versions are refused
+#define BJ_PROTOCOL_VERSION 3 // version of the frames between daemons; other versions are refused
 
 // Sizes
 #define BJ_CLASSES 8                      // number of priority classes; class 0 is refused last
--- a/src/datagram.c
+++ b/src/datagram.c
@@ -4,7 +4,7 @@
 #include <arpa/inet.h>
 
 #define DATAGRAM_FIELDS 11 // fields of a datagram
-#define FULL_FIELDS 21     // fields of a full update
+#define FULL_FIELDS 22     // fields of a full update
 #define STATE_FIELDS 6     // of a state update
 #define LOAD_FIELDS 9      // of a load update
 #define PORT_MAX 65535
@@ -119,7 +119,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
     n += BIN_HEADER_BYTES + texts[i].len;
   return n + uint_size ((uint64_t)r->link_port) + uint_size ((uint64_t)r->gossip_port)
-         + uint_size ((uint64_t)r->config_number) + 1;
+         + uint_size ((uint64_t)r->config_number) + 2;
 }
 
 static void
@@ -171,6 +171,7 @@
   pack_str (p, r->gossip_host);
   msgpack_pack_int (p, r->gossip_port);
   msgpack_pack_uint64 (p, (uint64_t)r->config_number);
+  msgpack_pack_int (p, r->store_access);
   r->draining ? msgpack_pack_true (p) : msgpack_pack_false (p);
   msgpack_pack_uint64 (p, r->load_version);
   msgpack_pack_int (p, r->limit);
@@ -242,6 +243,7 @@
   r->gossip_host = read_ip (in);
   r->gossip_port = (int)bj_field_uint (in, PORT_MAX);
   r->config_number = (int64_t)bj_field_uint (in, INT64_MAX);
+  r->store_access = (BjStoreAccess)bj_field_uint (in, BJ_STORE_ACCESSES - 1);
   o = bj_field_next (in, MSGPACK_OBJECT_BOOLEAN);
   r->draining = o != NULL && o->via.boolean;
   read_load (in, r);
--- a/src/internal.h
+++ b/src/internal.h
@@ -631,7 +631,8 @@
 BjStatus bj_members_new (BjDaemon *d, BjMembers **m); // BJ_E_IO if the port is in use
 void bj_members_free (BjMembers *m);
 void bj_members_publish (BjMembers *m); // Announces own changes now; ignores NULL
-void bj_members_leave (BjMembers *m);   // Announces the planned stop of this daemon
+const BjMember *bj_members_at (const BjMembers *m, guint i); // NULL past the last member
+void bj_members_leave (BjMembers *m); // Announces the planned stop of this daemon
 
 // ---------------------------------------------------------------------------------------------
 // Platform: client of the object store (plug-in)
@@ -734,6 +735,40 @@
                        void *data); // Takes ownership of f; never calls done before it returns
 void bj_filer_free (BjFiler *f);    // Ignores NULL; may be called from done
 
+// ---------------------------------------------------------------------------------------------
+// Role: decides which members of a failure domain ask the store for the configuration
+// ---------------------------------------------------------------------------------------------
+
+// The members of the own domain, seen from one of them
+typedef struct
+{
+  int n_answered; // of higher rank, answered by the store
+  int n_failed;   // of higher rank, not answered by the store, or suspected to be down
+  int n_unknown;  // of higher rank, have not asked
+  int n_members;  // of any rank, this one included
+} BjRoleView;
+
+typedef struct
+{
+  BjStoreAccess access; // to report to the other members
+  BjTime access_since;
+  BjTime not_before;  // earliest time of the next request
+  double backoff_ms;  // after the next failure
+  int n_retries_left; // while above 0, a member that was answered continues to read
+} BjRole;
+
+void bj_role_init (BjRole *r, BjTime now);
+bool bj_role_reads (const BjRole *r, const BjRoleView *v); // Its turn to watch the store
+bool bj_role_asks (const BjRole *r,
+                   const BjRoleView *v,
+                   BjTime now,
+                   double random); // Send a request now; call every BJ_READER_TICK_MS while none is
+                                   // open, with a random number from 0 to 1
+void bj_role_answered (BjRole *r, BjTime now); // A request was answered
+void bj_role_silent (BjRole *r, BjTime now);   // The open request has had no response for too long
+void bj_role_failed (BjRole *r, BjTime now, double random);     // A request failed
+void bj_role_rest (BjRole *r, const BjRoleView *v, BjTime now); // No request is open
+
 // ---------------------------------------------------------------------------------------------
 // Reader: fetches the current configuration from the platform and from peers
 // ---------------------------------------------------------------------------------------------
--- a/src/member.c
+++ b/src/member.c
@@ -128,6 +128,12 @@
   bj_swim_tick (m->swim, bj_clock_now ());
 }
 
+const BjMember *
+bj_members_at (const BjMembers *m, guint i)
+{
+  return bj_swim_member (m->swim, i);
+}
+
 void
 bj_members_leave (BjMembers *m)
 {
--- a/src/peer.c
+++ b/src/peer.c
@@ -190,6 +190,12 @@
   *r = *self;
 }
 
+void
+bj_kernel_set_store_access (BjKernel *k, BjStoreAccess access)
+{
+  k->self->report.store_access = access;
+}
+
 guint
 bj_str_key_hash (gconstpointer s)
 {
--- a/src/reader.c
+++ b/src/reader.c
@@ -1,15 +1,16 @@
 // Reader: fetches the current configuration from the platform and from peers.
 //
-// In each domain the BJ_READERS_PER_DOMAIN live members with the highest rendezvous hash watch the
-// store. The others learn the configuration number by gossip and fetch the text from a peer, in
-// parts. A wrong view of the live members only changes the number of reads.
+// In each domain BJ_READERS_PER_DOMAIN members watch the store: of those that it answers, the ones
+// with the highest rendezvous hash (role.c). The others learn the configuration number by gossip
+// and fetch the text from a peer, in parts. A wrong view of the members only changes the number of
+// reads.
 
 #include "internal.h"
 #include <ev.h>
 #include <xxhash.h>
 
-#define BACKOFF_MIN_MS 100 // first pause after a failed store request; doubles
-#define READER_TRIES 3     // retries of store requests within one read before the backoff
+#define READER_TRIES 3 // retries of store requests within one read before the backoff
+#define SILENCE_MS 500 // without any byte from the store until others are to read it too
 
 struct BjReader
 {
@@ -23,28 +24,25 @@
   BjStr version;  // of the object last read, empty before the first read
   BjStr stored;   // configuration last read, kept until it is applied or dropped
   BjTime started;
-  BjTime asked_at;   // when the open or last store request was sent
-  BjTime read_at;    // when the configuration was last read otherwise than by a watch
-  BjTime not_before; // earliest time of the next store request
-  double backoff_ms;
-  bool is_store_failing; // the last store request failed
-  BjTime behind_since;   // since when a peer has a newer configuration, BJ_TIME_NEVER if none has
-  BjTime fetched_at;     // last request to a peer, or last part of its response
-  GString *part;         // text received in parts so far
-  BjStr part_peer;       // the peer that sends it
+  BjTime asked_at; // when the open or last store request was sent
+  BjTime read_at;  // when the configuration was last read otherwise than by a watch
+  BjRole role;
+  BjStoreAccess access_reported; // to the other members
+  bool is_store_failing;         // the last store request failed
+  BjTime behind_since; // since when a peer has a newer configuration, BJ_TIME_NEVER if none has
+  BjTime fetched_at;   // last request to a peer, or last part of its response
+  GString *part;       // text received in parts so far
+  BjStr part_peer;     // the peer that sends it
   uint64_t part_number;
   int64_t rejected_number; // last configuration of a peer that was rejected; not fetched again
 };
 
 typedef struct
 {
-  BjReader *reader;
-  uint64_t own_hash;
-  bool has_config;
-  int n_higher;  // members of the own domain with a higher hash
-  int n_peers;   // in all domains
-  int n_holders; // of these, with a configuration
-} RankCount;
+  BjRoleView view; // of the own domain
+  int n_peers;     // in all domains
+  int n_holders;   // of these, with a configuration
+} MemberCount;
 
 typedef struct
 {
@@ -57,9 +55,12 @@
 } HolderSearch;
 
 static void on_tick (struct ev_loop *loop, ev_timer *w, int events);
-static bool is_reader (BjReader *r);
-static double first_read_delay_ms (BjReader *r);
-static void count_higher (BjPeer *p, void *data);
+static bool is_reader (const BjReader *r);
+static MemberCount count_members (const BjReader *r);
+static void add_to_view (const BjReader *r, const BjMember *m, BjRoleView *v);
+static double first_read_delay_ms (const BjReader *r, const MemberCount *count);
+static void check_silence (BjReader *r, BjTime now);
+static void report_access (BjReader *r);
 static HolderSearch find_holders (BjReader *r);
 static void consider_holder (BjPeer *p, void *data);
 static void fetch_from_peer (BjReader *r, bool reads_store, BjTime now);
@@ -101,7 +102,7 @@
   r->daemon = d;
   r->started = bj_clock_now ();
   r->must_read = true;
-  r->backoff_ms = BACKOFF_MIN_MS;
+  bj_role_init (&r->role, r->started);
   r->behind_since = BJ_TIME_NEVER;
   r->fetched_at = -BJ_TIME_NEVER;
   r->part = g_string_new (NULL);
@@ -191,12 +192,18 @@
 {
   BjReader *r = w->data;
   BjTime now = bj_clock_now ();
-  bool reads_store = is_reader (r);
+  MemberCount count = count_members (r);
+  bool is_waiting = r->filer != NULL || r->watching;
 
   (void)loop;
   (void)events;
   apply_stored (r);
-  fetch_from_peer (r, reads_store, now);
+  fetch_from_peer (r, bj_role_reads (&r->role, &count.view), now);
+  if (is_waiting)
+    check_silence (r, now);
+  else
+    bj_role_rest (&r->role, &count.view, now);
+  report_access (r);
   // A daemon that is no longer a reader keeps its open watch: those that took its place may still
   // be reading, and a configuration may be under way to it.
   if (r->watching && has_old_version (r))
@@ -205,56 +212,103 @@
       r->daemon->platform->ops->cancel_requests (r->daemon->platform, r);
       r->watching = false;
     }
-  if (own_number (r) == 0 && now - r->started < first_read_delay_ms (r))
+  if (own_number (r) == 0 && now - r->started < first_read_delay_ms (r, &count))
     return;
-  if (reads_store && r->filer == NULL && !r->watching && now >= r->not_before)
+  if (r->filer == NULL && !r->watching
+      && bj_role_asks (&r->role, &count.view, now, g_random_double ()))
     read_store (r);
 }
 
 static bool
-is_reader (BjReader *r)
+is_reader (const BjReader *r)
+{
+  MemberCount count = count_members (r);
+
+  return bj_role_reads (&r->role, &count.view);
+}
+
+static MemberCount
+count_members (const BjReader *r)
+{
+  const BjMembers *all = r->daemon->members;
+  MemberCount count = { .view = { .n_members = 1 } };
+  const BjMember *m;
+
+  for (guint i = 0; (m = bj_members_at (all, i)) != NULL; i++)
+    {
+      if (m->is_self || m->state > BJ_MEMBER_SUSPECT)
+        continue;
+      count.n_peers++;
+      count.n_holders += m->report.config_number > 0;
+      if (bj_str_equal (m->report.domain, r->daemon->settings.domain))
+        add_to_view (r, m, &count.view);
+    }
+  return count;
+}
+
+static void
+add_to_view (const BjReader *r, const BjMember *m, BjRoleView *v)
 {
   const BjSettings *s = &r->daemon->settings;
-  RankCount count = { .reader = r,
-                      .own_hash = bj_reader_rank (s->name, s->domain),
-                      .has_config = own_number (r) > 0 };
 
-  bj_kernel_each_peer (r->daemon->kernel, count_higher, &count);
-  return count.n_higher < BJ_READERS_PER_DOMAIN;
+  v->n_members++;
+  // A member that is still reading its first configuration does not take the place of one that has
+  // a configuration.
+  if ((own_number (r) > 0 && m->report.config_number == 0)
+      || bj_reader_rank (m->report.name, s->domain) <= bj_reader_rank (s->name, s->domain))
+    return;
+  if (m->state == BJ_MEMBER_SUSPECT || m->report.store_access == BJ_STORE_FAILS)
+    v->n_failed++;
+  else if (m->report.store_access == BJ_STORE_ANSWERS)
+    v->n_answered++;
+  else
+    v->n_unknown++;
 }
 
 // The store may have been restored from an older copy. A daemon that starts first gives its peers
 // time to report a newer configuration.
 static double
-first_read_delay_ms (BjReader *r)
+first_read_delay_ms (const BjReader *r, const MemberCount *count)
 {
-  RankCount count = { .reader = r };
-
-  if (r->daemon->settings.n_seeds == 0)
-    return 0;
-  bj_kernel_each_peer (r->daemon->kernel, count_higher, &count);
-  if (count.n_holders > 0)
+  if (r->daemon->settings.n_seeds == 0 || count->n_holders > 0)
     return 0;
-  return count.n_peers > 0 ? BJ_READER_PEERS_DELAY_MS : BJ_READER_START_DELAY_MS;
+  return count->n_peers > 0 ? BJ_READER_PEERS_DELAY_MS : BJ_READER_START_DELAY_MS;
 }
 
 static void
-count_higher (BjPeer *p, void *data)
+check_silence (BjReader *r, BjTime now)
 {
-  RankCount *count = data;
-  BjStr domain = count->reader->daemon->settings.domain;
+  bool is_long_poll = r->watching && !r->is_list;
 
-  if (p->is_self)
-    return;
-  count->n_peers++;
-  count->n_holders += p->report.config_number > 0;
-  // A member that is still reading its first configuration does not take the place of one that has
-  // a configuration.
-  if (count->has_config && p->report.config_number == 0)
+  if (silence_ms (r) > SILENCE_MS + (is_long_poll ? BJ_WATCH_TIMEOUT_MS : 0))
+    bj_role_silent (&r->role, now);
+}
+
+// Tells the other members at once when the store begins or ceases to answer this daemon.
+static void
+report_access (BjReader *r)
+{
+  static const char *const names[BJ_STORE_ACCESSES] = { "not asked", "answers", "fails" };
+
+  MemberCount count;
+
+  if (r->role.access == r->access_reported)
     return;
-  if (bj_str_equal (p->report.domain, domain)
-      && bj_reader_rank (p->report.name, domain) > count->own_hash)
-    count->n_higher++;
+  count = count_members (r);
+  bj_log (BJ_LOG_INFO,
+          "TICKET",
+          "store=\"%s\" before=\"%s\" silent_ms=%.0f reads=%d above: answered=%d failed=%d "
+          "unknown=%d",
+          names[r->role.access],
+          names[r->access_reported],
+          silence_ms (r),
+          bj_role_reads (&r->role, &count.view),
+          count.view.n_answered,
+          count.view.n_failed,
+          count.view.n_unknown);
+  r->access_reported = r->role.access;
+  bj_kernel_set_store_access (r->daemon->kernel, r->role.access);
+  bj_members_publish (r->daemon->members);
 }
 
 static HolderSearch
@@ -530,8 +584,8 @@
             own_number (r),
             bj_last_message ());
   r->is_store_failing = true;
-  r->not_before = bj_clock_now () + g_random_double_range (r->backoff_ms / 2, r->backoff_ms);
-  r->backoff_ms = MIN (r->backoff_ms * 2, BJ_READER_BACKOFF_MAX_MS);
+  bj_role_failed (&r->role, bj_clock_now (), g_random_double ());
+  report_access (r);
 }
 
 static void
@@ -540,7 +594,8 @@
   if (r->is_store_failing)
     bj_log (BJ_LOG_INFO, "TICKET", "The store can be read again.");
   r->is_store_failing = false;
-  r->backoff_ms = BACKOFF_MIN_MS;
+  bj_role_answered (&r->role, bj_clock_now ());
+  report_access (r);
 }
 
 static int64_t
--- a/src/swim.c
+++ b/src/swim.c
@@ -206,9 +206,11 @@
   BjPeerReport r = *self;
   bool was_draining = self->draining;
   bool has_new_config;
+  bool has_new_access;
 
   s->host->ops->refresh (s->host, &r);
   has_new_config = r.config_number != self->config_number;
+  has_new_access = r.store_access != self->store_access;
   if (r.limit != self->limit || r.in_flight != self->in_flight || r.queued != self->queued
       || r.level != self->level || r.failure_permille != self->failure_permille || has_new_config)
     {
@@ -216,18 +218,20 @@
       self->config_number = r.config_number;
       self->load_version++;
     }
-  // A new configuration number or a changed failure rate raises the version, so that it is
-  // disseminated and repaired by anti-entropy in all domains. Load updates stay in the own domain.
+  // A new configuration number, access to the store or failure rate raises the version, so that it
+  // is disseminated and repaired by anti-entropy in all domains. Load updates stay in the own
+  // domain.
   if (bj_str_equal (r.service, self->service) && r.draining == self->draining && !has_new_config
-      && !must_announce_failure_rate (s, now))
+      && !has_new_access && !must_announce_failure_rate (s, now))
     return;
   s->announced_failure_permille = self->failure_permille;
   s->failure_permille_announced_at = now;
   bj_str_set (&self->service, r.service);
   self->draining = r.draining;
+  self->store_access = r.store_access;
   self->version++;
   bj_roster_update_digest (&s->roster, now, s->self);
-  if (self->draining && !was_draining)
+  if ((self->draining && !was_draining) || has_new_access)
     bj_spread_self (s);
   else
     bj_spread_queue (s, s->self);
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -43,6 +43,7 @@
   Treatment treatment;
   BjServerConn *watch; // waiting, NULL if none
   int64_t from;        // revision of that watch
+  ev_timer timer;      // until it ends without a change
   bool is_lost;        // it gets no response
   int n_requests;
 } Port;
@@ -132,11 +133,34 @@
   return false;
 }
 
+// Ends a watch without a change.
+static void
+on_wait_over (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Port *p = w->data;
+  BjServerConn *c = p->watch;
+  char body[96];
+
+  (void)loop;
+  (void)events;
+  if (c == NULL || p->is_lost)
+    return;
+  p->watch = NULL;
+  bj_server_set_call (c, NULL);
+  g_snprintf (body,
+              sizeof body,
+              "{\"events\":[],\"hasMore\":false,\"storeRevision\":%" G_GINT64_FORMAT "}",
+              p->store->revision);
+  send_response (c, 200, body);
+}
+
 static void
 on_request (void *data, BjServerConn *c, const BjHead *h, BjStr body)
 {
   Port *p = data;
   BjStr prefix = BJ_STR ("/objects/config?watch=");
+  char *end;
+  double wait_ms;
   int64_t from;
 
   (void)body;
@@ -154,7 +178,8 @@
       send_config (p, c, false);
       return;
     }
-  from = g_ascii_strtoll (h->path.data + prefix.len, NULL, 10);
+  from = g_ascii_strtoll (h->path.data + prefix.len, &end, 10);
+  wait_ms = g_ascii_strtod (end + strlen ("&waitMs="), NULL);
   if (from < p->store->revision)
     {
       send_config (p, c, true);
@@ -164,6 +189,9 @@
   p->from = from;
   p->is_lost = false;
   bj_server_set_call (c, p);
+  ev_timer_stop (p->store->loop, &p->timer);
+  ev_timer_set (&p->timer, wait_ms / 1000.0, 0);
+  ev_timer_start (p->store->loop, &p->timer);
 }
 
 static void
@@ -200,6 +228,8 @@
     {
       s->ports[i].store = s;
       s->ports[i].number = next_port++;
+      ev_timer_init (&s->ports[i].timer, on_wait_over, 0, 0);
+      s->ports[i].timer.data = &s->ports[i];
       assert_int_equal (bj_server_new (loop,
                                        "store",
                                        (BjAddress){ BJ_STR ("127.0.0.1"), s->ports[i].number },
@@ -218,7 +248,10 @@
 {
   ev_prepare_stop (s->loop, &s->prepare);
   for (int i = 0; i < s->n_ports; i++)
-    bj_server_free (s->ports[i].server);
+    {
+      ev_timer_stop (s->loop, &s->ports[i].timer);
+      bj_server_free (s->ports[i].server);
+    }
 }
 
 static void
