--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -460,6 +460,35 @@
   assert_true (is_in_time);
 }
 
+// All daemons that watch the store end without notice at the moment of a change.
+static void
+test_all_readers_lost_at_once (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *all[DAEMONS_MAX];
+  BjDaemon *left[DAEMONS_MAX];
+  int per_domain = DAEMONS_MAX / 2;
+  int n_left = 0;
+  bool is_in_time;
+  Store s;
+
+  (void)state;
+  open_store (&s, loop, DAEMONS_MAX);
+  start_daemons (loop, &s, all, 2);
+  run_until_settled (loop, &s, all, 2);
+  for (int i = 0; i < DAEMONS_MAX; i++)
+    if (i % per_domain < READERS)
+      bj_daemon_free (all[i]);
+    else
+      left[n_left++] = all[i];
+  write_config (&s);
+  is_in_time = check_in_force (loop, &s, left, n_left, "all readers are lost");
+  free_daemons (left, n_left);
+  close_store (&s);
+  ev_loop_destroy (loop);
+  assert_true (is_in_time);
+}
+
 static void
 test_role_is_given_back (void **state)
 {
@@ -487,15 +516,18 @@
 }
 
 int
-main (void)
+main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_readers_turned_away_by_the_store),
     cmocka_unit_test (test_all_watches_silent),
+    cmocka_unit_test (test_all_readers_lost_at_once),
     cmocka_unit_test (test_role_is_given_back),
   };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
