An entry beyond our limits does not cost the whole configuration

Now hosts and prefixes may have 8 KiB and a route 256 shares, and an entry that still can't be served is left out alone, logged and counted. A ticket with such an entry is refused as before. test_platform test_manifest_with_entries_beyond_limits failed on 'a long prefix' before.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -533,11 +533,13 @@
   int n_services;
   BjUpstreamConfig *upstreams;
   int n_upstreams;
-  GPtrArray *classes;         // char*, index is the class
-  GHashTable *hosts;          // BjStr* in BjRoute to the routes of that host, by prefix
-  BjCallerLimits callers;     // limits for connections and requests of callers
-  bool allows_missing_routes; // accepts services without routes, which a ticket must not contain
-  BjStr text;                 // canonical JSON of the whole configuration
+  GPtrArray *classes;     // char*, index is the class
+  GHashTable *hosts;      // BjStr* in BjRoute to the routes of that host, by prefix
+  BjCallerLimits callers; // limits for connections and requests of callers
+  bool is_in_force; // the store has accepted it: an entry that a ticket must not contain is left
+                    // out instead of rejecting the whole, and services may have no routes
+  int n_left_out; // such entries
+  BjStr text;     // canonical JSON of the whole configuration
 } BjConfig;
 
 BjStatus bj_config_parse (
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -40,6 +40,11 @@
         "Configurations from the store or a peer that were rejected as a whole.",
         0 };
 
+static BjCounter n_left_out
+    = { "config_entries_left_out_total",
+        "Routes and services of configurations that are not served, see the log.",
+        0 };
+
 static const BjHostOps host_ops
     = { send_peer, start_upstream, cancel_source, send_answer, request_claim, release_exchange };
 
@@ -52,6 +57,7 @@
   BjStatus status;
 
   bj_metric_register (&n_rejected_configs);
+  bj_metric_register (&n_left_out);
   d->host.ops = &host_ops;
   d->loop = loop;
   d->settings = *s;
@@ -166,11 +172,13 @@
     }
   bj_log (BJ_LOG_INFO,
           "TICKET",
-          "received number=%" G_GINT64_FORMAT " from=%s bytes=%zu parse_ms=%.0f",
+          "received number=%" G_GINT64_FORMAT " from=%s bytes=%zu parse_ms=%.0f left_out=%d",
           c->number,
           source,
           text.len,
-          bj_clock_now () - began);
+          bj_clock_now () - began,
+          c->n_left_out);
+  n_left_out.value += (uint64_t)c->n_left_out;
   bj_kernel_note_config (d->kernel, c->number);
   bj_kernel_set_config (d->kernel, bj_clock_now (), c);
   if (d->front != NULL)
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -8,7 +8,8 @@
 
 #define NAME_MAX_BYTES 64
 #define ROUTES_MAX 262144 // BJ_CONFIG_MAX / 16, more than a configuration has room for
-#define SHARES_MAX 16
+#define SHARES_MAX 256
+#define ROUTE_TEXT_MAX 8192 // bytes of a host or prefix; longer than the head of most requests
 #define WEIGHT_MAX 1000000
 #define NUMBER_MAX 9007199254740991.0 // largest ticket number, exact as a double
 #define MINUTE_MS 60000
@@ -51,11 +52,11 @@
   { "prefer", BJ_JSON_STR, false, 0, 0 },
 };
 static const BjJsonKey route_keys[] = {
-  { "prefix", BJ_JSON_STR, true, 1, 256 },
+  { "prefix", BJ_JSON_STR, true, 1, ROUTE_TEXT_MAX },
   { "class", BJ_JSON_STR, true, 1, NAME_MAX_BYTES },
   { "irreversible", BJ_JSON_BOOL, false, 0, 0 },
   { "deadline_ms", BJ_JSON_NUMBER, false, 1, 10 * MINUTE_MS },
-  { "host", BJ_JSON_STR, false, 1, 256 },
+  { "host", BJ_JSON_STR, false, 1, ROUTE_TEXT_MAX },
   { "objective_ms", BJ_JSON_NUMBER, false, 1, 10 * MINUTE_MS },
   { "claim", BJ_JSON_BOOL, false, 0, 0 },
   { "shares", BJ_JSON_ARRAY, false, 1, SHARES_MAX },
@@ -110,13 +111,15 @@
   GArray *lengths;       // of the prefixes, size_t, each once, the longest first
 } HostRoutes;
 
-static BjStatus
-parse_config (BjStr text, BjStr defaults, bool allows_missing_routes, BjConfig **config);
+static BjStatus parse_config (BjStr text, BjStr defaults, bool is_in_force, BjConfig **config);
 static BjStatus add_service_defaults (struct json_object *config, BjStr defaults);
+static void free_service (BjServiceConfig *s);
 static void free_route (BjRoute *r);
 static BjStatus read_config (struct json_object *o, BjConfig *c);
+static bool leave_out (BjConfig *c, BjStatus s);
 static BjStatus check_name (const char *section, const char *name);
-static BjStatus check_prefixes (const BjConfig *c);
+static BjStatus check_prefixes (BjConfig *c);
+static void remove_route (BjServiceConfig *s, int at);
 static BjStatus read_classes (struct json_object *o, BjConfig *c);
 static BjStatus read_services (struct json_object *o, BjConfig *c);
 static BjStatus
@@ -156,7 +159,7 @@
 }
 
 static BjStatus
-parse_config (BjStr text, BjStr defaults, bool allows_missing_routes, BjConfig **config)
+parse_config (BjStr text, BjStr defaults, bool is_in_force, BjConfig **config)
 {
   struct json_object *o;
   BjStatus s;
@@ -166,7 +169,7 @@
   if (s != BJ_OK)
     return s;
   *config = g_new0 (BjConfig, 1);
-  (*config)->allows_missing_routes = allows_missing_routes;
+  (*config)->is_in_force = is_in_force;
   s = add_service_defaults (o, defaults);
   if (s == BJ_OK)
     s = read_config (o, *config);
@@ -209,12 +212,7 @@
   if (c == NULL)
     return;
   for (int i = 0; i < c->n_services; i++)
-    {
-      for (int j = 0; j < c->services[i].n_routes; j++)
-        free_route (&c->services[i].routes[j]);
-      g_free (c->services[i].routes);
-      bj_str_free (&c->services[i].name);
-    }
+    free_service (&c->services[i]);
   g_free (c->services);
   for (int i = 0; i < c->n_upstreams; i++)
     bj_str_free (&c->upstreams[i].name);
@@ -351,14 +349,37 @@
   c->services = g_new0 (BjServiceConfig, json_object_object_length (all));
   json_object_object_foreach (all, name, value)
   {
-    BjStatus s = read_service (name, value, c, &c->services[c->n_services++]);
+    BjServiceConfig *service = &c->services[c->n_services++];
+    BjStatus s = read_service (name, value, c, service);
 
-    if (s != BJ_OK)
+    if (leave_out (c, s))
+      {
+        free_service (service);
+        *service = (BjServiceConfig){ 0 };
+        c->n_services--;
+      }
+    else if (s != BJ_OK)
       return s;
   }
   return check_prefixes (c);
 }
 
+// True if an entry with this status is left out and the rest of the configuration is used.
+static bool
+leave_out (BjConfig *c, BjStatus s)
+{
+  if (s == BJ_OK || !c->is_in_force)
+    return false;
+  if (c->n_left_out++ == 0)
+    bj_log (BJ_LOG_WARNING,
+            "TICKET",
+            "number=%" G_GINT64_FORMAT
+            ": an entry is not served, further ones are only counted: %s",
+            c->number,
+            bj_last_message ());
+  return true;
+}
+
 // Names appear in log lines, URLs and metric labels, so their characters are restricted.
 static BjStatus
 check_name (const char *section, const char *name)
@@ -380,7 +401,7 @@
 
 // A prefix may occur only once per host; otherwise its calls could go to either service.
 static BjStatus
-check_prefixes (const BjConfig *c)
+check_prefixes (BjConfig *c)
 {
   GHashTable *seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   BjStatus status = BJ_OK;
@@ -391,16 +412,29 @@
         const BjRoute *r = &c->services[i].routes[j];
         const char *prefix = r->prefix.data;
 
-        if (!g_hash_table_add (seen, g_strdup_printf ("%.*s%s", BJ_STR_ARG (r->host), prefix)))
-          status = bj_fail (BJ_E_TICKET,
-                            "services.%s: prefix \"%s\" stands twice, one service may have it.",
-                            c->services[i].name.data,
-                            prefix);
+        if (g_hash_table_add (seen, g_strdup_printf ("%.*s%s", BJ_STR_ARG (r->host), prefix)))
+          continue;
+        status = bj_fail (BJ_E_TICKET,
+                          "services.%s: prefix \"%.256s\" stands twice, one service may have it.",
+                          c->services[i].name.data,
+                          prefix);
+        if (!leave_out (c, status))
+          continue;
+        remove_route (&c->services[i], j--);
+        status = BJ_OK;
       }
   g_hash_table_destroy (seen);
   return status;
 }
 
+static void
+remove_route (BjServiceConfig *s, int at)
+{
+  free_route (&s->routes[at]);
+  s->n_routes--;
+  memmove (&s->routes[at], &s->routes[at + 1], (size_t)(s->n_routes - at) * sizeof *s->routes);
+}
+
 static BjStatus
 read_service (const char *name, struct json_object *o, BjConfig *c, BjServiceConfig *s)
 {
@@ -418,14 +452,21 @@
   if (status != BJ_OK)
     return status;
   s->number = bj_json_int (o, "number");
-  if (!json_object_object_get_ex (o, "routes", &routes) && !c->allows_missing_routes)
+  if (!json_object_object_get_ex (o, "routes", &routes) && !c->is_in_force)
     return bj_fail (BJ_E_TICKET, "%s.routes: is missing, a service needs a route.", path);
   n = routes != NULL ? json_object_array_length (routes) : 0;
   s->routes = g_new0 (BjRoute, n);
   for (size_t i = 0; i < n && status == BJ_OK; i++)
     {
-      s->n_routes++;
-      status = read_route (path, json_object_array_get_idx (routes, i), c, &s->routes[i]);
+      BjRoute *r = &s->routes[s->n_routes++];
+
+      status = read_route (path, json_object_array_get_idx (routes, i), c, r);
+      if (!leave_out (c, status))
+        continue;
+      free_route (r);
+      *r = (BjRoute){ 0 };
+      s->n_routes--;
+      status = BJ_OK;
     }
   if (status == BJ_OK)
     status = read_prefer (path, o, s);
@@ -572,6 +613,15 @@
   return NULL;
 }
 
+static void
+free_service (BjServiceConfig *s)
+{
+  for (int i = 0; i < s->n_routes; i++)
+    free_route (&s->routes[i]);
+  g_free (s->routes);
+  bj_str_free (&s->name);
+}
+
 static void
 free_route (BjRoute *r)
 {
