A damaged copy of a configuration at one peer does not keep it from being fetched from others

Callers would have seen an older configuration for good: a number whose text was rejected once, from whichever peer, was not fetched again. Also a copy with an older number inside was fetched again without a pause. Now the peers whose copy was not used are remembered, at most three a number. test_reader test_other_holders_are_asked_after_a_damaged_copy: 0 more fetches before, one now.

--- a/src/reader.c
+++ b/src/reader.c
@@ -9,8 +9,9 @@
 #include <ev.h>
 #include <xxhash.h>
 
-#define READER_TRIES 3 // retries of store requests within one read before the backoff
-#define SILENCE_MS 500 // without any byte from the store until others are to read it too
+#define READER_TRIES 3        // retries of store requests within one read before the backoff
+#define REJECTED_COPIES_MAX 3 // peers whose copy of one configuration is tried
+#define SILENCE_MS 500        // without any byte from the store until others are to read it too
 
 struct BjReader
 {
@@ -34,7 +35,8 @@
   GString *part;       // text received in parts so far
   BjStr part_peer;     // the peer that sends it
   uint64_t part_number;
-  int64_t rejected_number; // last configuration of a peer that was rejected; not fetched again
+  int64_t rejected_number;   // last configuration of a peer that was rejected
+  GHashTable *rejected_from; // char*: names of the peers whose copy of it was rejected
 };
 
 typedef struct
@@ -64,6 +66,8 @@
 static HolderSearch find_holders (BjReader *r);
 static void consider_holder (BjPeer *p, void *data);
 static void fetch_from_peer (BjReader *r, bool reads_store, BjTime now);
+static void reject_copy (BjReader *r, int64_t number);
+static bool is_rejected (const BjReader *r, const BjPeerReport *p);
 static bool has_old_version (const BjReader *r);
 static void read_store (BjReader *r);
 static void send_watch (BjReader *r, BjStr version);
@@ -106,6 +110,7 @@
   r->behind_since = BJ_TIME_NEVER;
   r->fetched_at = -BJ_TIME_NEVER;
   r->part = g_string_new (NULL);
+  r->rejected_from = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   ev_timer_init (&r->tick, on_tick, 0, BJ_READER_TICK_MS / 1000.0);
   r->tick.data = r;
   ev_timer_start (d->loop, &r->tick);
@@ -121,6 +126,7 @@
   bj_str_free (&r->version);
   bj_str_free (&r->stored);
   g_string_free (r->part, TRUE);
+  g_hash_table_destroy (r->rejected_from);
   bj_str_free (&r->part_peer);
   g_free (r);
 }
@@ -171,10 +177,10 @@
   g_string_append_len (r->part, f->data.data, (gssize)f->data.len);
   if (r->part->len < f->length)
     return true;
-  if (bj_daemon_apply_config (
-          r->daemon, (int64_t)f->id, (BjStr){ r->part->str, r->part->len }, r->part_peer.data)
-      != BJ_OK)
-    r->rejected_number = (int64_t)f->id;
+  bj_daemon_apply_config (
+      r->daemon, (int64_t)f->id, (BjStr){ r->part->str, r->part->len }, r->part_peer.data);
+  if (own_number (r) < (int64_t)f->id)
+    reject_copy (r, (int64_t)f->id);
   g_string_truncate (r->part, 0);
   r->fetched_at = -BJ_TIME_NEVER;
   fetch_from_peer (r, is_reader (r), bj_clock_now ());
@@ -314,7 +320,7 @@
 static HolderSearch
 find_holders (BjReader *r)
 {
-  HolderSearch h = { .reader = r, .own = MAX (own_number (r), r->rejected_number), .best_rank = 3 };
+  HolderSearch h = { .reader = r, .own = own_number (r), .best_rank = 3 };
 
   bj_kernel_each_peer (r->daemon->kernel, consider_holder, &h);
   return h;
@@ -328,7 +334,7 @@
   const BjSettings *s = &h->reader->daemon->settings;
   int rank = 2;
 
-  if (p->is_self || p->report.config_number <= h->own)
+  if (p->is_self || p->report.config_number <= h->own || is_rejected (h->reader, &p->report))
     return;
   h->highest = MAX (h->highest, p->report.config_number);
   if (bj_str_equal (p->report.domain, s->domain))
@@ -375,6 +381,31 @@
   bj_links_request_config (r->daemon->links, h.best, h.best->report.config_number);
 }
 
+// The copy of one peer may be damaged. Other peers are asked, but a configuration that several of
+// them hold alike is not transferred again and again.
+static void
+reject_copy (BjReader *r, int64_t number)
+{
+  if (number != r->rejected_number)
+    g_hash_table_remove_all (r->rejected_from);
+  r->rejected_number = number;
+  g_hash_table_add (r->rejected_from, g_strdup (r->part_peer.data));
+  bj_log (BJ_LOG_WARNING,
+          "TICKET",
+          "copy of number=%" G_GINT64_FORMAT " from=%s not used, rejected_copies=%u",
+          number,
+          r->part_peer.data,
+          g_hash_table_size (r->rejected_from));
+}
+
+static bool
+is_rejected (const BjReader *r, const BjPeerReport *p)
+{
+  return p->config_number == r->rejected_number
+         && (g_hash_table_size (r->rejected_from) >= REJECTED_COPIES_MAX
+             || g_hash_table_contains (r->rejected_from, p->name.data));
+}
+
 // True if the open or next watch is from a version that the store issued before it was restored.
 // The store may since have issued that version for another change, which the watch would not
 // report.
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -515,6 +515,70 @@
   ev_loop_destroy (loop);
 }
 
+static uint64_t
+count_fetches (void)
+{
+  GString *text = g_string_new (NULL);
+  uint64_t n;
+
+  bj_metric_print (text);
+  n = g_ascii_strtoull (strstr (text->str, "\nbj_reader_fetches_total ")
+                            + strlen ("\nbj_reader_fetches_total "),
+                        NULL,
+                        10);
+  g_string_free (text, TRUE);
+  return n;
+}
+
+static void
+test_other_holders_are_asked_after_a_damaged_copy (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *copy;
+  } cases[] = {
+    { "no JSON", "{\"number\":2" },
+    { "an older configuration under the new number", "{\"number\":1}" },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct ev_loop *loop = ev_loop_new (0);
+      BjDaemon *d = daemons_new (loop,
+                                 (BjSettings){ .platform_name = BJ_STR ("memory"),
+                                               .platform_url = bj_str (cases[i].name),
+                                               .dialect = BJ_STR ("platform") });
+      BjStr names[] = { BJ_STR ("damaged"), BJ_STR ("sound") };
+      BjFrame part = { .kind = BJ_FRAME_CONFIG_PART, .id = 2, .data = bj_str (cases[i].copy) };
+      uint64_t n_fetches;
+
+      part.length = part.data.len;
+      for (size_t n = 0; n < G_N_ELEMENTS (names); n++)
+        bj_kernel_update_peer (d->kernel,
+                               bj_clock_now (),
+                               &(BjPeerReport){ .name = names[n],
+                                                .domain = BJ_STR ("a"),
+                                                .region = BJ_STR ("r"),
+                                                .host = BJ_STR ("127.0.0.1"),
+                                                .link_port = daemons_free_address ().port,
+                                                .config_number = 2 });
+      assert_true (bj_reader_take_part (d->reader, names[0], &part));
+      n_fetches = count_fetches ();
+      run_for (loop, 2.0 * BJ_FETCH_RETRY_MS);
+      print_message ("  %s: %d more fetches\n", cases[i].name, (int)(count_fetches () - n_fetches));
+      assert_true (count_fetches () > n_fetches);
+      assert_true (count_fetches () - n_fetches < 10);
+      part.data = BJ_STR ("{\"number\":2}");
+      part.length = part.data.len;
+      assert_true (bj_reader_take_part (d->reader, names[1], &part));
+      assert_int_equal (daemons_config_number (d), 2);
+      bj_daemon_free (d);
+      ev_loop_destroy (loop);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -523,6 +587,7 @@
     cmocka_unit_test (test_all_watches_silent),
     cmocka_unit_test (test_all_readers_lost_at_once),
     cmocka_unit_test (test_role_is_given_back),
+    cmocka_unit_test (test_other_holders_are_asked_after_a_damaged_copy),
   };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
