A SIGHUP during the start does not end the daemon

It is blocked from the start of main until the handler is set, and delivered then. test_fleet_settings test_hangup_during_the_start, whose settings are a FIFO that holds the start up: ended by the signal before, alive now. Between exec and main the default remains.

--- a/src/boraged/main.c
+++ b/src/boraged/main.c
@@ -37,7 +37,12 @@
   void *table[] = { config, check, help, version, end };
   int n_errors = arg_parse (argc, argv, table);
   int code = 0;
+  sigset_t hangup;
 
+  // A SIGHUP before the handler is set would end the process; it is delivered afterwards.
+  sigemptyset (&hangup);
+  sigaddset (&hangup, SIGHUP);
+  sigprocmask (SIG_BLOCK, &hangup, NULL);
   if (help->count > 0)
     print_help (table);
   else if (version->count > 0)
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -538,8 +538,8 @@
   BjCallerLimits callers; // limits for connections and requests of callers
   bool is_in_force; // the store has accepted it: an entry that a ticket must not contain is left
                     // out instead of rejecting the whole, and services may have no routes
-  int n_left_out; // such entries
-  BjStr text;     // canonical JSON of the whole configuration
+  int n_left_out;   // such entries
+  BjStr text;       // canonical JSON of the whole configuration
 } BjConfig;
 
 BjStatus bj_config_parse (
--- a/tests/test_fleet_settings.c
+++ b/tests/test_fleet_settings.c
@@ -1,19 +1,28 @@
 // Start of real daemons. Guards against invalid settings or busy ports that are not reported by
 // exit code 2 and one line on stderr, and against a start that fails while the platform is
-// unreachable.
+// unreachable or a SIGHUP arrives early.
 
 #include "fleet.h"
 #include <arpa/inet.h>
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <setjmp.h>
+#include <signal.h>
+#include <spawn.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <cmocka.h>
 
+#define START_MS 200 // for a signal to end the process
+
+extern char **environ;
+
 typedef struct
 {
   const char *name;
@@ -156,12 +165,38 @@
   fleet_stop (&f);
 }
 
+// The settings are a FIFO, which holds the start up until it is opened for writing.
+static void
+test_hangup_during_the_start (void **state)
+{
+  char *path = g_strdup_printf ("/tmp/bj-settings-%d", (int)getpid ());
+  char *argv[] = { BJ_BUILD_DIR "/boraged", "--config", path, NULL };
+  int status = 0;
+  pid_t pid;
+  int fd;
+
+  (void)state;
+  assert_int_equal (mkfifo (path, 0600), 0);
+  assert_int_equal (posix_spawn (&pid, argv[0], NULL, NULL, argv, environ), 0);
+  fd = open (path, O_WRONLY);
+  assert_true (fd >= 0);
+  kill (pid, SIGHUP);
+  g_usleep (START_MS * 1000);
+  assert_int_equal (waitpid (pid, &status, WNOHANG), 0);
+  kill (pid, SIGKILL);
+  waitpid (pid, &status, 0);
+  close (fd);
+  unlink (path);
+  g_free (path);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_rejected_starts),
     cmocka_unit_test (test_start_without_platform),
+    cmocka_unit_test (test_hangup_during_the_start),
   };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
