--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -564,7 +564,7 @@
                           "  \"link\": \"%s:%d\", \"gossip\": \"%s:%d\",\n"
                           "%s"
                           "  \"seeds\": [%s],\n"
-                          "  \"platform\": { \"url\": \"http://127.0.0.1:%d\" },\n"
+                          "  \"platform\": { \"url\": \"http://127.0.0.1:%d/as/%s\" },\n"
                           "  \"log_level\": \"%s\"%s\n"
                           "}\n",
                           m->node.name,
@@ -580,6 +580,7 @@
                           seeds,
                           f->use_fault ? f->fault_platform_port + domain_index (f, m->node.domain)
                                        : f->platform_port,
+                          m->node.name,
                           f->log_level,
                           f->extra_settings);
   g_file_set_contents (path, text, -1, NULL);
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1,5 +1,6 @@
 // bj-platform: stand-in for the platform's object API. Each path under /apis/boragejunction/v1/ is
-// one versioned object with conditional updates and watches as long polls. GET /control/stats
+// one versioned object with conditional updates and watches as long polls, also under
+// /as/CALLER/apis/..., where CALLER names who asks. GET /control/stats
 // prints counters. POST /control/NAME?value=N sets a fault:
 //
 //   outage        1 closes every connection without a response, 0 ends the outage
@@ -7,6 +8,9 @@
 //   lose_answers  the next N writes take effect but get no response; with &name=PREFIX this applies
 //                 only to writes of objects whose name starts with PREFIX
 //   stale         the next N reads return the previous version of the object
+//   turn_away     with &name=CALLER: what requests under /as/CALLER get, 0 the object, 1 status
+//   503,
+//                 2 status 429, 3 a closed connection, 4 no response
 //   rate          limits requests to N per second, 0 for no limit
 //   snapshot      copies all objects
 //   restore       restores the copied objects and their versions; open watches end with status 410
@@ -22,6 +26,7 @@
 #include <string.h>
 
 #define ROOT_PATH "/apis/boragejunction/v1/"
+#define CALLER_PATH "/as/"
 #define BODY_BYTES_MAX (1024 * 1024) // parts of a request body beyond it are dropped
 #define POLL_MS 5
 
@@ -33,6 +38,15 @@
   char *previous; // spec before the last write, NULL if none
 } Object;
 
+typedef enum
+{
+  SERVED,
+  BUSY,
+  LIMITED,
+  CLOSED,
+  UNANSWERED,
+} Treatment;
+
 typedef struct
 {
   struct MHD_Connection *conn;
@@ -41,6 +55,8 @@
   gint64 deadline_us; // monotonic time at which a watch times out or a delay ends
   GString *body;
   gint64 restores_at_start; // n_restores when the watch started
+  char *caller;             // in the path, NULL if it names none
+  bool is_unanswered;
   bool is_watch;
   bool is_suspended;
   bool is_delayed;
@@ -51,9 +67,10 @@
 static int64_t last_version;
 static GHashTable *snapshot_objects; // objects of the snapshot
 static int64_t snapshot_version;
-static gint64 n_restores; // restores so far
-static GList *suspended;  // Request*
-static gint64 outage;     // not 0 while object requests get no response
+static gint64 n_restores;       // restores so far
+static GList *suspended;        // Request*
+static GHashTable *turned_away; // char* name of a caller to Treatment
+static gint64 outage;           // not 0 while object requests get no response
 static gint64 delay_ms;
 static gint64 lose_answers;       // number of further writes without a response
 static char *lose_answers_prefix; // lose_answers applies to names with this prefix; NULL: all
@@ -77,6 +94,8 @@
                           void **request,
                           enum MHD_RequestTerminationCode code);
 static enum MHD_Result handle_request (Request *q, const char *url, const char *method);
+static const char *read_caller (Request *q, const char *url);
+static Treatment treatment_of (const Request *q);
 static enum MHD_Result handle_control (Request *q, const char *what);
 static enum MHD_Result handle_read (Request *q);
 static enum MHD_Result handle_write (Request *q, bool is_create);
@@ -108,6 +127,7 @@
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
   objects = g_hash_table_new (g_str_hash, g_str_equal);
+  turned_away = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   d = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
                         0,
                         NULL,
@@ -186,6 +206,7 @@
   if (q == NULL)
     return;
   suspended = g_list_remove (suspended, q);
+  g_free (q->caller);
   g_free (q->name);
   g_string_free (q->body, TRUE);
   g_free (q);
@@ -196,10 +217,26 @@
 {
   if (g_str_has_prefix (url, "/control/"))
     return handle_control (q, url + strlen ("/control/"));
+  url = read_caller (q, url);
   if (!g_str_has_prefix (url, ROOT_PATH))
     return reply (q, 404, "{}");
   if (outage)
     return MHD_NO;
+  switch (treatment_of (q))
+    {
+    case SERVED:
+      break;
+    case BUSY:
+      return reply (q, 503, "{}");
+    case LIMITED:
+      return reply (q, 429, "{}");
+    case CLOSED:
+      return MHD_NO;
+    case UNANSWERED:
+      q->is_unanswered = true;
+      suspend_request (q, G_MAXINT64);
+      return MHD_YES;
+    }
   if (delay_ms > 0 && !q->is_delayed)
     {
       q->is_delayed = true;
@@ -220,6 +257,27 @@
   return handle_write (q, strcmp (method, "POST") == 0);
 }
 
+// Returns the path without the name of the caller.
+static const char *
+read_caller (Request *q, const char *url)
+{
+  const char *rest
+      = g_str_has_prefix (url, CALLER_PATH) ? strchr (url + strlen (CALLER_PATH), '/') : NULL;
+
+  if (rest == NULL)
+    return url;
+  if (q->caller == NULL)
+    q->caller = g_strndup (url + strlen (CALLER_PATH), (gsize)(rest - url) - strlen (CALLER_PATH));
+  return rest;
+}
+
+static Treatment
+treatment_of (const Request *q)
+{
+  return q->caller != NULL ? GPOINTER_TO_INT (g_hash_table_lookup (turned_away, q->caller))
+                           : SERVED;
+}
+
 static enum MHD_Result
 handle_control (Request *q, const char *what)
 {
@@ -247,6 +305,13 @@
           }
         return reply (q, 200, "{}");
       }
+  if (strcmp (what, "turn_away") == 0 && value != NULL && query_argument (q, "name") != NULL)
+    {
+      g_hash_table_replace (turned_away,
+                            g_strdup (query_argument (q, "name")),
+                            GINT_TO_POINTER ((int)g_ascii_strtoll (value, NULL, 10)));
+      return reply (q, 200, "{}");
+    }
   if (strcmp (what, "snapshot") == 0 || (strcmp (what, "restore") == 0 && snapshot_objects != NULL))
     {
       (*what == 's' ? take_snapshot : restore_snapshot) ();
@@ -394,7 +459,11 @@
       const Object *o = q->name != NULL ? g_hash_table_lookup (objects, q->name) : NULL;
 
       next = l->next;
-      if (now < q->deadline_us && !outage && !(q->is_watch && q->restores_at_start != n_restores)
+      // A request without a response stays so, also when its caller is served again.
+      if (q->is_unanswered)
+        continue;
+      if (treatment_of (q) == SERVED && now < q->deadline_us && !outage
+          && !(q->is_watch && q->restores_at_start != n_restores)
           && !(q->is_watch && o != NULL && o->version > q->version))
         continue;
       suspended = g_list_delete_link (suspended, l);
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -26,6 +26,7 @@
 #define RECOVERY_TIMEOUT_MS 15000 // time-out for full recovery after the last fault
 #define CI_SECONDS 20             // duration of a run in CI
 #define LARGE_TICKET_ROUTES 4000  // text of several parts between daemons
+#define STORE_TREATMENTS 4        // ways in which the store turns a daemon away
 #define SERIES_MAX 4              // tickets filed one right after the other
 #define NAMED_RATE 20             // requests a second that an upstream names
 #define RATE_ALLOWED 125          // of them in 4 s: one and a half times the rate, and 5
@@ -299,6 +300,27 @@
   control_store ("lose_answers", begin ? 10 : 0);
 }
 
+// Turns away the daemon or, at every second one, all but its neighbour, each in one of the ways.
+static void
+turn_away (int node, bool begin)
+{
+  bool are_many = node % 2 == 0;
+
+  for (int i = 0; i < fleet.n; i++)
+    {
+      char path[128];
+
+      if (begin && i != node && (!are_many || i == (node + 1) % fleet.n))
+        continue;
+      g_snprintf (path,
+                  sizeof path,
+                  "/control/turn_away?value=%d&name=%s",
+                  begin ? 1 + (node + i) % STORE_TREATMENTS : 0,
+                  fleet.members[i].node.name);
+      fleet_http ("POST", fleet.platform_port, path, NULL, "", NULL);
+    }
+}
+
 typedef struct
 {
   const char *name;
@@ -323,6 +345,7 @@
   { "responses of the upstream lost", lose_upstream_responses, false, true },
   { "store unreachable from the domain", cut_store, false, true },
   { "store outage", set_store_outage, false, true },
+  { "daemons turned away by the store", turn_away, false, true },
   { "store responses delayed", delay_store_responses, false, true },
   { "store responses lost", lose_store_responses, false, true },
 };
