Members objects are maintained by members that the store does not turn away

The same cause as in the reading of configurations, in the other duty by rank of the living: with its two maintainers turned away, a domain's object was not written, so a daemon that starts with stale seeds found nobody. test_reader test_members_object_while_its_maintainers_are_turned_away: no write within 5 s before. Claims are written by the daemon that needs them, nothing else goes by rank.

--- a/src/seeds.c
+++ b/src/seeds.c
@@ -271,14 +271,22 @@
   s->next_write = s->next_read + g_random_double_range (0, CONFLICT_PAUSE_MAX_MS);
 }
 
+// One of the first members that the store does not turn away; of the first ones, if it turns all
+// away.
 static bool
 is_maintainer (const BjSeeds *s)
 {
   GArray *own_domain = rank_members (s, true);
   bool found = false;
+  guint n_able = 0;
 
-  for (guint i = 0; i < MIN (own_domain->len, MAINTAINERS); i++)
-    found = found || g_array_index (own_domain, RankedMember, i).member->is_self;
+  for (guint i = 0; i < own_domain->len && !found && n_able < MAINTAINERS; i++)
+    {
+      const BjMember *m = g_array_index (own_domain, RankedMember, i).member;
+
+      found = m->is_self && (i < MAINTAINERS || m->report.store_access != BJ_STORE_FAILS);
+      n_able += m->report.store_access != BJ_STORE_FAILS;
+    }
   g_array_free (own_domain, TRUE);
   return found;
 }
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -18,6 +18,7 @@
 #define CONTACT_MS 4000        // after the end of a fault, until daemons are in touch again
 #define SETTLE_MS 8000         // until the daemons know each other and the first configuration
 #define CHANGE_INTERVAL_MS 500 // between two changes while the daemons settle
+#define MAINTAIN_MS 5000       // until another daemon maintains the members object
 #define GIVE_BACK_MS 5000      // after a refusal, until only the readers by rank watch
 #define READERS BJ_READERS_PER_DOMAIN
 
@@ -45,7 +46,7 @@
   int64_t from;        // revision of that watch
   ev_timer timer;      // until it ends without a change
   bool is_lost;        // it gets no response
-  int n_requests;
+  int n_member_writes;
 } Port;
 
 struct Store
@@ -168,11 +169,11 @@
     return;
   if (bj_str_starts (h->path, BJ_STR ("/objects/members")))
     {
+      p->n_member_writes += !bj_str_equal (h->method, BJ_STR ("GET"));
       send_response (
           c, 200, "{\"metadata\":{\"name\":\"a\",\"revision\":1},\"spec\":{\"gossip\":[]}}");
       return;
     }
-  p->n_requests++;
   if (!bj_str_starts (h->path, prefix))
     {
       send_config (p, c, false);
@@ -489,6 +490,31 @@
   assert_true (is_in_time);
 }
 
+// The stand-in's members object never lists anybody, so each maintainer writes it.
+static void
+test_members_object_while_its_maintainers_are_turned_away (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *all[4];
+  BjTime until;
+  Store s;
+
+  (void)state;
+  open_store (&s, loop, G_N_ELEMENTS (all));
+  start_daemons (loop, &s, all, 1);
+  run_until_settled (loop, &s, all, 1);
+  for (int i = 0; i < READERS; i++)
+    set_treatment (&s.ports[i], BUSY);
+  s.ports[READERS].n_member_writes = 0;
+  until = bj_clock_now () + MAINTAIN_MS;
+  while (bj_clock_now () < until && s.ports[READERS].n_member_writes == 0)
+    ev_run (loop, EVRUN_ONCE);
+  assert_true (s.ports[READERS].n_member_writes > 0);
+  free_daemons (all, G_N_ELEMENTS (all));
+  close_store (&s);
+  ev_loop_destroy (loop);
+}
+
 static void
 test_role_is_given_back (void **state)
 {
@@ -586,6 +612,7 @@
     cmocka_unit_test (test_readers_turned_away_by_the_store),
     cmocka_unit_test (test_all_watches_silent),
     cmocka_unit_test (test_all_readers_lost_at_once),
+    cmocka_unit_test (test_members_object_while_its_maintainers_are_turned_away),
     cmocka_unit_test (test_role_is_given_back),
     cmocka_unit_test (test_other_holders_are_asked_after_a_damaged_copy),
   };
