--- a/src/internal.h
+++ b/src/internal.h
@@ -645,6 +645,7 @@
   BjStatus code; // BJ_OK, BJ_E_NOT_FOUND, BJ_E_EXISTS, BJ_E_CONFLICT, BJ_E_GONE, BJ_E_PLATFORM
   BjStr version; // opaque resourceVersion
   struct json_object *spec; // content of the object, borrowed; NULL on failure
+  BjStr list_continues;     // name after which a list goes on, empty at its end; for plug-ins
   size_t bytes;             // of the response body, 0 if not known
   double transfer_ms;       // from the head of the response to its end, 0 if not known
 } BjPlatformReply;
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -49,8 +49,13 @@
   int n_member_writes;
 } Port;
 
+// Of a list with another object before the configuration.
+static const char first_page[] = "{\"items\":[{\"metadata\":{\"name\":\"a b\",\"revision\":1},"
+                                 "\"spec\":{}}],\"hasMore\":true,\"storeRevision\":1}";
+
 struct Store
 {
+  bool is_paged;
   struct ev_loop *loop;
   ev_prepare prepare;
   int64_t revision; // and number of the configuration
@@ -176,7 +181,10 @@
     }
   if (!bj_str_starts (h->path, prefix))
     {
-      send_config (p, c, false);
+      if (p->store->is_paged && bj_str_equal (h->path, BJ_STR ("/objects/config")))
+        send_response (c, 200, first_page);
+      else
+        send_config (p, c, false);
       return;
     }
   from = g_ascii_strtoll (h->path.data + prefix.len, &end, 10);
@@ -515,6 +523,25 @@
   ev_loop_destroy (loop);
 }
 
+static void
+test_configuration_on_a_later_page (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *d;
+  Store s;
+
+  (void)state;
+  open_store (&s, loop, 1);
+  s.is_paged = true;
+  start_daemons (loop, &s, &d, 1);
+  assert_true (check_in_force (loop, &s, &d, 1, "the list has two pages"));
+  write_config (&s);
+  assert_true (check_in_force (loop, &s, &d, 1, "change after it"));
+  bj_daemon_free (d);
+  close_store (&s);
+  ev_loop_destroy (loop);
+}
+
 static void
 test_role_is_given_back (void **state)
 {
@@ -613,6 +640,7 @@
     cmocka_unit_test (test_all_watches_silent),
     cmocka_unit_test (test_all_readers_lost_at_once),
     cmocka_unit_test (test_members_object_while_its_maintainers_are_turned_away),
+    cmocka_unit_test (test_configuration_on_a_later_page),
     cmocka_unit_test (test_role_is_given_back),
     cmocka_unit_test (test_other_holders_are_asked_after_a_damaged_copy),
   };
