A call sent again on another connection is known by its sender's start, not by an incarnation that may change

Requests that may run once ran twice, sent by daemons that had been restarted with a stepped clock to daemons that stood still. Cause: a receiver keeps the calls of a sender under name and incarnation; a sender that learns within 5 s of its start that others know a later incarnation takes the next one, so its next connection looks like another sender's: the call is not recognized, and the older connection is not closed as superseded. HELLO now has a random number of the process, signed too. test_fleet_input test_call_sent_again_on_another_connection, trial on with its HELLO: 1, 2 and 1 runs where 1, 1 and 2 are right, the third being a new start that got the response of another call; now as expected.

--- a/src/auth.c
+++ b/src/auth.c
@@ -13,7 +13,7 @@
   size_t key_bytes; // 0: no key
 };
 
-static GString *format_hello (uint64_t incarnation, BjStr from, BjStr to);
+static GString *format_hello (uint64_t incarnation, uint64_t start, BjStr from, BjStr to);
 static BjStr trim_line_end (BjStr text);
 
 BjStatus
@@ -79,19 +79,24 @@
 }
 
 void
-bj_auth_sign_hello (
-    const BjAuth *a, uint64_t incarnation, BjStr from, BjStr to, uint8_t tag[BJ_TAG_BYTES])
+bj_auth_sign_hello (const BjAuth *a,
+                    uint64_t incarnation,
+                    uint64_t start,
+                    BjStr from,
+                    BjStr to,
+                    uint8_t tag[BJ_TAG_BYTES])
 {
-  GString *text = format_hello (incarnation, from, to);
+  GString *text = format_hello (incarnation, start, from, to);
 
   bj_auth_sign (a, (BjStr){ text->str, text->len }, tag);
   g_string_free (text, TRUE);
 }
 
 BjStatus
-bj_auth_check_hello (const BjAuth *a, uint64_t incarnation, BjStr from, BjStr to, BjStr tag)
+bj_auth_check_hello (
+    const BjAuth *a, uint64_t incarnation, uint64_t start, BjStr from, BjStr to, BjStr tag)
 {
-  GString *text = format_hello (incarnation, from, to);
+  GString *text = format_hello (incarnation, start, from, to);
   BjStatus s = bj_auth_check (a, (BjStr){ text->str, text->len }, tag);
 
   g_string_free (text, TRUE);
@@ -113,14 +118,15 @@
 }
 
 static GString *
-format_hello (uint64_t incarnation, BjStr from, BjStr to)
+format_hello (uint64_t incarnation, uint64_t start, BjStr from, BjStr to)
 {
   GString *text = g_string_new ("hello");
 
   g_string_append_printf (text,
-                          " %d %" G_GUINT64_FORMAT " %zu %.*s %.*s",
+                          " %d %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " %zu %.*s %.*s",
                           BJ_PROTOCOL_VERSION,
                           incarnation,
+                          start,
                           from.len,
                           BJ_STR_ARG (from),
                           BJ_STR_ARG (to));
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -34,6 +34,7 @@
 static void release_exchange (BjHost *h, BjCall *c);
 static BjExchange *new_exchange (BjDaemon *d, BjSink *sink);
 static void free_str (gpointer s);
+static uint64_t new_start (void);
 
 static BjCounter n_rejected_configs
     = { "configs_rejected_total",
@@ -65,6 +66,7 @@
   d->settings.service = bj_str_dup (s->service);
   d->settings.upstream.host = bj_str_dup (s->upstream.host);
   d->incarnation = (uint64_t)bj_clock_wall ();
+  d->start = new_start ();
   o = (BjKernelOptions){ .self = own_report (d), .host = &d->host, .seed = g_random_int () };
   d->kernel = bj_kernel_new (&o, now);
   d->http = bj_http_new (loop);
@@ -675,3 +677,11 @@
   bj_str_free (s);
   g_free (s);
 }
+
+// Unlike the incarnation it stays the same when other members know a later one, and does not repeat
+// when the wall clock steps back.
+static uint64_t
+new_start (void)
+{
+  return ((uint64_t)g_random_int () << 32 | g_random_int ()) | 1;
+}
--- a/src/frame.c
+++ b/src/frame.c
@@ -82,6 +82,7 @@
     case BJ_FRAME_HELLO:
       msgpack_pack_int (p, f->protocol);
       pack_str (p, f->name);
+      msgpack_pack_uint64 (p, f->start);
       pack_str (p, f->data);
       break;
     case BJ_FRAME_CALL:
@@ -190,7 +191,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 3,       [BJ_FRAME_CALL] = 20,  [BJ_FRAME_ANSWER] = 18,
+    [BJ_FRAME_HELLO] = 4,       [BJ_FRAME_CALL] = 20,  [BJ_FRAME_ANSWER] = 18,
     [BJ_FRAME_DATA] = 1,        [BJ_FRAME_END] = 3,    [BJ_FRAME_WINDOW] = 1,
     [BJ_FRAME_NOTICE] = 3,      [BJ_FRAME_CONFIG] = 1, [BJ_FRAME_CONFIG_REQUEST] = 1,
     [BJ_FRAME_CONFIG_PART] = 3, [BJ_FRAME_PING] = 3,
@@ -207,6 +208,7 @@
     case BJ_FRAME_HELLO:
       f->protocol = (int)bj_field_int (in, 0, INT_MAX);
       f->name = bj_field_bytes (in);
+      f->start = bj_field_uint (in, UINT64_MAX);
       f->data = bj_field_bytes (in);
       break;
     case BJ_FRAME_CALL:
--- a/src/incoming.c
+++ b/src/incoming.c
@@ -1,5 +1,5 @@
-// Incoming: calls received from peers. Open and completed calls are kept per sender incarnation, so
-// that a call resent on a new connection is matched to the first one and does not run twice.
+// Incoming: calls received from peers. Open and completed calls are kept per start of their sender,
+// so that a call resent on a new connection is matched to the first one and does not run twice.
 
 #include "link.h"
 #include <xxhash.h>
@@ -12,7 +12,6 @@
 typedef struct
 {
   BjStr name;
-  uint64_t incarnation;
   GHashTable *open;        // call id to IncomingCall
   GHashTable *completed;   // call id to CompletedCall
   GQueue order;            // CompletedCall*, oldest first
@@ -44,7 +43,7 @@
 struct BjIncoming
 {
   BjDaemon *daemon;
-  GHashTable *senders; // "incarnation name" to Sender
+  GHashTable *senders; // "start name" to Sender
 };
 
 static Sender *find_sender (BjConn *c);
@@ -191,8 +190,7 @@
 find_sender (BjConn *c)
 {
   GHashTable *all = c->links->incoming->senders;
-  char *key
-      = g_strdup_printf ("%" G_GUINT64_FORMAT " %.*s", c->peer_incarnation, BJ_STR_ARG (c->peer));
+  char *key = g_strdup_printf ("%" G_GUINT64_FORMAT " %.*s", c->peer_start, BJ_STR_ARG (c->peer));
   Sender *s = g_hash_table_lookup (all, key);
 
   if (s != NULL)
@@ -202,7 +200,6 @@
     }
   s = g_new0 (Sender, 1);
   s->name = bj_str_dup (c->peer);
-  s->incarnation = c->peer_incarnation;
   s->open = g_hash_table_new (g_int64_hash, g_int64_equal);
   s->completed = g_hash_table_new (g_int64_hash, g_int64_equal);
   g_queue_init (&s->order);
--- a/src/internal.h
+++ b/src/internal.h
@@ -363,7 +363,7 @@
 
 typedef enum
 {
-  BJ_FRAME_HELLO = 1, // protocol, name, incarnation, signature
+  BJ_FRAME_HELLO = 1, // protocol, name, incarnation, start, signature
   BJ_FRAME_CALL,
   BJ_FRAME_ANSWER,
   BJ_FRAME_DATA,
@@ -385,6 +385,7 @@
   uint64_t id;                   // call id; HELLO: incarnation; CONFIG_*: number
   BjStr name;                    // HELLO: daemon; CALL: service
   int protocol;                  // HELLO
+  uint64_t start;                // HELLO: random number of the sender's process, not 0
   BjRequest request;             // CALL
   uint64_t expected_incarnation; // CALL: of the peer if it may have the call already, else 0
   BjAnswer answer;               // ANSWER
@@ -536,11 +537,13 @@
 void bj_auth_sign (const BjAuth *a, BjStr data, uint8_t tag[BJ_TAG_BYTES]); // Zeros without a key
 void bj_auth_sign_hello (const BjAuth *a,
                          uint64_t incarnation,
+                         uint64_t start,
                          BjStr from,
                          BjStr to,
                          uint8_t tag[BJ_TAG_BYTES]); // For the HELLO frame of a link
 BjStatus bj_auth_check_hello (const BjAuth *a,
                               uint64_t incarnation,
+                              uint64_t start,
                               BjStr from,
                               BjStr to,
                               BjStr tag); // BJ_E_AUTH if missing or wrong
@@ -958,6 +961,7 @@
   struct ev_loop *loop;
   BjSettings settings;
   uint64_t incarnation;
+  uint64_t start; // random number of this process; identifies the sender of a call
   BjKernel *kernel;
   const BjDialectOps *dialect;
   BjHttp *http; // client for the platform
--- a/src/link.c
+++ b/src/link.c
@@ -173,7 +173,7 @@
 
   g_hash_table_iter_init (&i, l->conns);
   while (g_hash_table_iter_next (&i, &c, NULL))
-    if (((BjConn *)c)->peer_incarnation != 0 && !((BjConn *)c)->is_closing)
+    if (((BjConn *)c)->peer_start != 0 && !((BjConn *)c)->is_closing)
       bj_conn_send (c, &f);
 }
 
@@ -492,12 +492,13 @@
   BjFrame hello = {
     .kind = BJ_FRAME_HELLO,
     .id = d->incarnation,
+    .start = d->start,
     .protocol = BJ_PROTOCOL_VERSION,
     .name = d->settings.name,
     .data = { (const char *)tag, sizeof tag },
   };
 
-  bj_auth_sign_hello (d->auth, d->incarnation, d->settings.name, c->peer, tag);
+  bj_auth_sign_hello (d->auth, d->incarnation, d->start, d->settings.name, c->peer, tag);
   bj_conn_send (c, &hello);
 }
 
@@ -575,8 +576,7 @@
   const BjConfig *config = bj_kernel_config (c->links->daemon->kernel);
   size_t body_bytes = config != NULL ? config->callers.body_bytes : 0;
 
-  return c->peer_incarnation == 0 ? BJ_FRAME_MAX
-                                  : MAX (BJ_FRAME_MAX, body_bytes + BJ_FRAME_OVERHEAD);
+  return c->peer_start == 0 ? BJ_FRAME_MAX : MAX (BJ_FRAME_MAX, body_bytes + BJ_FRAME_OVERHEAD);
 }
 
 static bool
@@ -630,7 +630,7 @@
 {
   BjFrame pong = { .kind = BJ_FRAME_PONG };
 
-  if (c->peer_incarnation == 0)
+  if (c->peer_start == 0)
     return handle_hello (c, f);
   switch (f->kind)
     {
@@ -696,7 +696,7 @@
 {
   const BjDaemon *d = c->links->daemon;
 
-  if (bj_auth_check_hello (d->auth, f->id, f->name, d->settings.name, f->data) == BJ_OK)
+  if (bj_auth_check_hello (d->auth, f->id, f->start, f->name, d->settings.name, f->data) == BJ_OK)
     return true;
   n_forged.value++;
   bj_log (BJ_LOG_WARNING,
@@ -710,7 +710,7 @@
 handle_hello (BjConn *c, const BjFrame *f)
 {
   if (f->kind != BJ_FRAME_HELLO || f->protocol != BJ_PROTOCOL_VERSION || f->name.len == 0
-      || f->id == 0)
+      || f->id == 0 || f->start == 0)
     {
       n_malformed.value++;
       bj_log (BJ_LOG_WARNING,
@@ -724,7 +724,7 @@
     }
   if (!check_signature (c, f))
     return false;
-  c->peer_incarnation = f->id;
+  c->peer_start = f->start;
   if (c->is_dialled && !bj_str_equal (c->peer, f->name))
     return false;
   if (!c->is_dialled)
@@ -749,7 +749,7 @@
     {
       BjConn *other = i->data;
 
-      if (other != c && !other->is_dialled && other->peer_incarnation == c->peer_incarnation
+      if (other != c && !other->is_dialled && other->peer_start == c->peer_start
           && bj_str_equal (other->peer, c->peer) && !other->is_retired)
         {
           if (bj_incoming_has_unreplayable (other))
--- a/src/link.h
+++ b/src/link.h
@@ -33,20 +33,20 @@
   bool is_connected;
   bool is_dirty; // in links->dirty
   bool is_closing;
-  bool is_retired;           // replaced by a newer connection; only its begun responses go on
-  BjStr peer;                // name, owned; empty on an accepted connection before its HELLO
-  uint64_t peer_incarnation; // 0 before the peer's HELLO
-  BjTime last_received_at;   // last bytes from the peer
-  BjTime last_ping_at;       // last ping sent
-  int n_unanswered_pings;    // sent since the last bytes from the peer
-  GString *in;               // received bytes that are not a complete frame yet
-  msgpack_sbuffer out;       // encoded frames to write
-  size_t out_written;        // bytes of out already written
-  uint64_t n_queued;         // bytes queued since the connection was opened
-  uint64_t n_written;        // bytes written since the connection was opened
-  GHashTable *outgoing;      // call id to BjOutgoing, calls sent to the peer
-  GHashTable *incoming;      // call id to IncomingCall, calls received from the peer
-  GBytes *config;            // configuration being sent to the peer in parts, NULL if none
+  bool is_retired;         // replaced by a newer connection; only its begun responses go on
+  BjStr peer;              // name, owned; empty on an accepted connection before its HELLO
+  uint64_t peer_start;     // of its process, 0 before the peer's HELLO
+  BjTime last_received_at; // last bytes from the peer
+  BjTime last_ping_at;     // last ping sent
+  int n_unanswered_pings;  // sent since the last bytes from the peer
+  GString *in;             // received bytes that are not a complete frame yet
+  msgpack_sbuffer out;     // encoded frames to write
+  size_t out_written;      // bytes of out already written
+  uint64_t n_queued;       // bytes queued since the connection was opened
+  uint64_t n_written;      // bytes written since the connection was opened
+  GHashTable *outgoing;    // call id to BjOutgoing, calls sent to the peer
+  GHashTable *incoming;    // call id to IncomingCall, calls received from the peer
+  GBytes *config;          // configuration being sent to the peer in parts, NULL if none
   int64_t config_number;
   size_t config_sent; // bytes of config in frames so far
 };
--- a/tests/test_fleet_input.c
+++ b/tests/test_fleet_input.c
@@ -21,6 +21,7 @@
 #define RESPONSE_TIMEOUT_MS 3000
 #define RANDOM_SEED 20261203
 #define RANDOM_INPUTS 200
+#define RESEND_PAUSE_MS 300
 #define QUEUED_CALLS 20 // more than the 16 slots of the upstream
 
 typedef enum
@@ -445,6 +446,7 @@
   static const char zero_signature[BJ_TAG_BYTES];
   BjFrame hello = { .kind = BJ_FRAME_HELLO,
                     .id = 1,
+                    .start = 1,
                     .protocol = BJ_PROTOCOL_VERSION,
                     .name = BJ_STR ("peer"),
                     .data = { zero_signature, sizeof zero_signature } };
@@ -477,6 +479,73 @@
       "POST", fleet.members[0].upstream_port, "/control/service_us?value=1000", NULL, "", NULL);
 }
 
+typedef struct
+{
+  const char *name;
+  uint64_t starts[2]; // of the sender, on the first and on the second connection
+  uint64_t incarnations[2];
+  int n_runs; // of a call that is sent under one id on both connections
+} ResendCase;
+
+static const ResendCase resend_cases[] = {
+  { "the same start", { 7, 7 }, { 10, 10 }, 1 },
+  { "an incarnation raised in between", { 7, 7 }, { 10, 11 }, 1 },
+  { "another start under the same incarnation", { 7, 8 }, { 10, 10 }, 2 },
+};
+
+static int
+send_hello_and_call (const char *peer, uint64_t start, uint64_t incarnation)
+{
+  static const char zero_signature[BJ_TAG_BYTES];
+  BjFrame hello = { .kind = BJ_FRAME_HELLO,
+                    .id = incarnation,
+                    .start = start,
+                    .protocol = BJ_PROTOCOL_VERSION,
+                    .name = bj_str (peer),
+                    .data = { zero_signature, sizeof zero_signature } };
+  BjFrame call = { .kind = BJ_FRAME_CALL,
+                   .id = 1,
+                   .name = BJ_STR ("catalogue"),
+                   .request = { .method = BJ_STR ("POST"),
+                                .path = BJ_STR ("/catalogue/x?id=1"),
+                                .irreversible = true,
+                                .deadline_ms = 5000 } };
+  msgpack_sbuffer out;
+  int fd = connect_to (LINK);
+
+  msgpack_sbuffer_init (&out);
+  bj_frame_encode (&out, &hello);
+  bj_frame_encode (&out, &call);
+  assert_int_equal (send (fd, out.data, out.size, MSG_NOSIGNAL), out.size);
+  msgpack_sbuffer_destroy (&out);
+  return fd;
+}
+
+// Guards against a second run of a call that its sender sends again on another connection.
+static void
+test_call_sent_again_on_another_connection (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (resend_cases); i++)
+    {
+      const ResendCase *c = &resend_cases[i];
+      char peer[16];
+      int before = (int)read_counter ("bj_upstream_starts_total");
+      int fds[2];
+
+      g_snprintf (peer, sizeof peer, "peer-%zu", i);
+      for (int n = 0; n < 2; n++)
+        {
+          fds[n] = send_hello_and_call (peer, c->starts[n], c->incarnations[n]);
+          g_usleep (RESEND_PAUSE_MS * 1000);
+        }
+      print_message ("  %s\n", c->name);
+      assert_int_equal ((int)read_counter ("bj_upstream_starts_total") - before, c->n_runs);
+      close (fds[0]);
+      close (fds[1]);
+    }
+}
+
 // Guards against idle connections that use up the file descriptors: the daemon must close some of
 // them in order to serve the next caller.
 static void
@@ -511,8 +580,11 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_malformed_input),        cmocka_unit_test (test_random_bytes),
-    cmocka_unit_test (test_cancel_of_queued_calls), cmocka_unit_test (test_idle_callers_are_closed),
+    cmocka_unit_test (test_malformed_input),
+    cmocka_unit_test (test_random_bytes),
+    cmocka_unit_test (test_cancel_of_queued_calls),
+    cmocka_unit_test (test_idle_callers_are_closed),
+    cmocka_unit_test (test_call_sent_again_on_another_connection),
     cmocka_unit_test (test_exits_cleanly),
   };
 
--- a/tests/test_fleet_member.c
+++ b/tests/test_fleet_member.c
@@ -303,6 +303,7 @@
   struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   BjFrame hello = { .kind = BJ_FRAME_HELLO,
                     .id = 1,
+                    .start = 1,
                     .protocol = BJ_PROTOCOL_VERSION,
                     .name = BJ_STR ("up-9"),
                     .data = BJ_STR ("sixteen bytes...") };
