A call that was answered is withdrawn from the queue of a connection that stays open

A caller could be told not-run (503) and the request ran later: a connection whose peer stops reading is kept open for responses that have begun, the calls behind it whose frames were not written counted as not sent, and the frames stayed in its queue until the peer read again. The same after a deadline or a caller that left: CALL and CANCEL were both written later. Now an unwritten CALL frame is taken out of the queue when its call is cancelled or moved, and one that was written in part counts as possibly received. test_resend: answered as not-run and received by the peer before; not received now.

--- a/src/frame.c
+++ b/src/frame.c
@@ -37,6 +37,15 @@
   memcpy (out->data + start, &length, LENGTH_BYTES);
 }
 
+size_t
+bj_frame_size (const char *frame)
+{
+  uint32_t length;
+
+  memcpy (&length, frame, LENGTH_BYTES);
+  return LENGTH_BYTES + ntohl (length);
+}
+
 BjStatus
 bj_frame_decode (BjStr bytes, msgpack_unpacked *unpacked, BjFrame *f)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -400,6 +400,7 @@
   BjNotice notice;               // NOTICE
 } BjFrame;
 
+size_t bj_frame_size (const char *frame); // Of an encoded frame, its length prefix included
 void bj_frame_encode (msgpack_sbuffer *out,
                       const BjFrame *f); // Appends length prefix and frame
 BjStatus bj_frame_decode (BjStr bytes,
--- a/src/outgoing.c
+++ b/src/outgoing.c
@@ -2,6 +2,7 @@
 // resent under the same id; the peer matches it to the running call, so it does not run twice.
 
 #include "link.h"
+#include <string.h>
 #include <xxhash.h>
 
 #define SENDS_MAX 3                              // of one call, the first one included
@@ -24,6 +25,7 @@
 };
 
 static void send_call (BjConn *c, BjOutgoing *o);
+static bool withdraw_call (BjOutgoing *o);
 static void fail_call (BjOutgoing *o, BjStatus s);
 static bool may_resend (const BjOutgoing *o, const BjPeer *p, BjStatus s);
 static void handle_answer (BjOutgoing *o, const BjFrame *f);
@@ -110,6 +112,10 @@
   GHashTableIter i;
   gpointer o;
 
+  g_hash_table_iter_init (&i, c->outgoing);
+  while (g_hash_table_iter_next (&i, NULL, &o))
+    if (!((BjOutgoing *)o)->begun && !withdraw_call (o))
+      ((BjOutgoing *)o)->expected_incarnation = ((BjOutgoing *)o)->incarnation;
   g_hash_table_iter_init (&i, c->outgoing);
   while (g_hash_table_iter_next (&i, NULL, &o))
     if (!((BjOutgoing *)o)->begun)
@@ -117,7 +123,8 @@
         g_hash_table_insert (unbegun, &((BjOutgoing *)o)->id, o);
         g_hash_table_iter_remove (&i);
       }
-  bj_outgoing_handle_disconnect (c->links, c->peer, unbegun, c->n_written, BJ_E_LOST);
+  // Calls that were written are marked above; the offsets of withdrawn ones mean nothing any more.
+  bj_outgoing_handle_disconnect (c->links, c->peer, unbegun, 0, BJ_E_LOST);
   g_hash_table_destroy (unbegun);
 }
 
@@ -169,6 +176,32 @@
   bj_conn_send (c, &f);
 }
 
+// Removes the CALL frame from the queue of a connection that stays open, so that the call is not
+// sent after its caller was answered. Returns false if the peer may receive a part of the frame.
+static bool
+withdraw_call (BjOutgoing *o)
+{
+  BjConn *c = o->conn;
+  uint64_t first_queued = c->n_queued - c->out.size;
+  GHashTableIter i;
+  gpointer other;
+  char *frame;
+  size_t n;
+
+  if (o->queue_offset < c->n_written)
+    return false;
+  frame = c->out.data + (o->queue_offset - first_queued);
+  n = bj_frame_size (frame);
+  memmove (frame, frame + n, (size_t)(c->out.data + c->out.size - frame) - n);
+  c->out.size -= n;
+  c->n_queued -= n;
+  g_hash_table_iter_init (&i, c->outgoing);
+  while (g_hash_table_iter_next (&i, NULL, &other))
+    if (((BjOutgoing *)other)->queue_offset > o->queue_offset)
+      ((BjOutgoing *)other)->queue_offset -= n;
+  return true;
+}
+
 static void
 fail_call (BjOutgoing *o, BjStatus s)
 {
@@ -242,7 +275,8 @@
   BjOutgoing *o = (BjOutgoing *)s;
   BjFrame f = { .kind = BJ_FRAME_CANCEL, .id = o->id };
 
-  bj_conn_send (o->conn, &f);
+  if (!withdraw_call (o))
+    bj_conn_send (o->conn, &f);
   g_hash_table_remove (o->conn->outgoing, &o->id);
   free_outgoing (o);
 }
