A farther holder of a configuration is asked when the near one does not send

Callers would have seen an older configuration until the death of the near holder is known: while any daemon of the own domain reports the new number, only these are asked, also one that is dark or cut one way.

--- a/src/reader.c
+++ b/src/reader.c
@@ -31,6 +31,7 @@
   BjStoreAccess access_reported; // to the other members
   bool is_store_failing;         // the last store request failed
   BjTime behind_since; // since when a peer has a newer configuration, BJ_TIME_NEVER if none has
+  int n_asked;         // fetches since then
   BjTime fetched_at;   // last request to a peer, or last part of its response
   GString *part;       // text received in parts so far
   BjStr part_peer;     // the peer that sends it
@@ -50,6 +51,7 @@
 {
   BjReader *reader;
   int64_t own;     // number of the own configuration
+  bool any_domain; // near holders are not preferred
   int64_t highest; // number of the newest configuration of all peers
   BjPeer *best;    // peer to fetch from, NULL if none has a newer one
   int best_rank;   // 0: own domain, 1: own region, 2: other region
@@ -320,7 +322,13 @@
 static HolderSearch
 find_holders (BjReader *r)
 {
-  HolderSearch h = { .reader = r, .own = own_number (r), .best_rank = 3 };
+  // A near holder that does not send must not keep farther ones from being asked.
+  HolderSearch h
+      = { .reader = r,
+          .own = own_number (r),
+          .best_rank = 3,
+          .any_domain
+          = r->n_asked % 2 == 1 && bj_clock_now () - r->behind_since >= BJ_FETCH_REMOTE_DELAY_MS };
 
   bj_kernel_each_peer (r->daemon->kernel, consider_holder, &h);
   return h;
@@ -337,7 +345,7 @@
   if (p->is_self || p->report.config_number <= h->own || is_rejected (h->reader, &p->report))
     return;
   h->highest = MAX (h->highest, p->report.config_number);
-  if (bj_str_equal (p->report.domain, s->domain))
+  if (h->any_domain || bj_str_equal (p->report.domain, s->domain))
     rank = 0;
   else if (bj_str_equal (p->report.region, s->region))
     rank = 1;
@@ -359,6 +367,7 @@
   if (h.best == NULL)
     {
       r->behind_since = BJ_TIME_NEVER;
+      r->n_asked = 0;
       return;
     }
   r->behind_since = MIN (r->behind_since, now);
@@ -367,6 +376,7 @@
   if (h.best_rank > 0 && !reads_store && now - r->behind_since < BJ_FETCH_REMOTE_DELAY_MS)
     return;
   r->fetched_at = now;
+  r->n_asked++;
   g_string_truncate (r->part, 0);
   n_fetches.value++;
   bj_log (BJ_LOG_INFO,
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -5,10 +5,12 @@
 #include "kernel.h"
 #include <curl/curl.h>
 #include <ev.h>
+#include <poll.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -632,6 +634,40 @@
     }
 }
 
+// The only holder of the own domain accepts connections and sends nothing.
+static void
+test_farther_holder_is_asked_when_the_near_one_is_silent (void **state)
+{
+  static const char *const domains[] = { "a", "b" };
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *d = daemons_new (loop,
+                             (BjSettings){ .platform_name = BJ_STR ("memory"),
+                                           .platform_url = BJ_STR ("farther"),
+                                           .dialect = BJ_STR ("platform") });
+  struct pollfd far = { .events = POLLIN };
+  int near;
+  BjTime until;
+
+  (void)state;
+  for (size_t n = 0; n < G_N_ELEMENTS (domains); n++)
+    bj_kernel_update_peer (d->kernel,
+                           bj_clock_now (),
+                           &(BjPeerReport){ .name = bj_str (domains[n]),
+                                            .domain = bj_str (domains[n]),
+                                            .region = BJ_STR ("r"),
+                                            .host = BJ_STR ("127.0.0.1"),
+                                            .link_port = daemons_listen (n == 0 ? &near : &far.fd),
+                                            .config_number = 2 });
+  until = bj_clock_now () + APPLY_MS / 2.0;
+  while (bj_clock_now () < until && poll (&far, 1, 0) == 0)
+    ev_run (loop, EVRUN_ONCE);
+  assert_true (far.revents & POLLIN);
+  bj_daemon_free (d);
+  close (near);
+  close (far.fd);
+  ev_loop_destroy (loop);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -643,6 +679,7 @@
     cmocka_unit_test (test_configuration_on_a_later_page),
     cmocka_unit_test (test_role_is_given_back),
     cmocka_unit_test (test_other_holders_are_asked_after_a_damaged_copy),
+    cmocka_unit_test (test_farther_holder_is_asked_when_the_near_one_is_silent),
   };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
