--- a/src/reader.c
+++ b/src/reader.c
@@ -31,7 +31,7 @@
   BjStoreAccess access_reported; // to the other members
   bool is_store_failing;         // the last store request failed
   BjTime behind_since; // since when a peer has a newer configuration, BJ_TIME_NEVER if none has
-  int n_asked;         // fetches since then
+  BjStr asked;         // name of the peer that was asked last
   BjTime fetched_at;   // last request to a peer, or last part of its response
   GString *part;       // text received in parts so far
   BjStr part_peer;     // the peer that sends it
@@ -51,7 +51,7 @@
 {
   BjReader *reader;
   int64_t own;     // number of the own configuration
-  bool any_domain; // near holders are not preferred
+  BjStr except;    // name of a holder that is not considered
   int64_t highest; // number of the newest configuration of all peers
   BjPeer *best;    // peer to fetch from, NULL if none has a newer one
   int best_rank;   // 0: own domain, 1: own region, 2: other region
@@ -65,7 +65,7 @@
 static double first_read_delay_ms (const BjReader *r, const MemberCount *count);
 static void check_silence (BjReader *r, BjTime now);
 static void report_access (BjReader *r);
-static HolderSearch find_holders (BjReader *r);
+static HolderSearch find_holders (BjReader *r, BjStr except);
 static void consider_holder (BjPeer *p, void *data);
 static void fetch_from_peer (BjReader *r, bool reads_store, BjTime now);
 static void reject_copy (BjReader *r, int64_t number);
@@ -130,6 +130,7 @@
   g_string_free (r->part, TRUE);
   g_hash_table_destroy (r->rejected_from);
   bj_str_free (&r->part_peer);
+  bj_str_free (&r->asked);
   g_free (r);
 }
 
@@ -320,15 +321,9 @@
 }
 
 static HolderSearch
-find_holders (BjReader *r)
+find_holders (BjReader *r, BjStr except)
 {
-  // A near holder that does not send must not keep farther ones from being asked.
-  HolderSearch h
-      = { .reader = r,
-          .own = own_number (r),
-          .best_rank = 3,
-          .any_domain
-          = r->n_asked % 2 == 1 && bj_clock_now () - r->behind_since >= BJ_FETCH_REMOTE_DELAY_MS };
+  HolderSearch h = { .reader = r, .own = own_number (r), .best_rank = 3, .except = except };
 
   bj_kernel_each_peer (r->daemon->kernel, consider_holder, &h);
   return h;
@@ -342,10 +337,11 @@
   const BjSettings *s = &h->reader->daemon->settings;
   int rank = 2;
 
-  if (p->is_self || p->report.config_number <= h->own || is_rejected (h->reader, &p->report))
+  if (p->is_self || p->report.config_number <= h->own || is_rejected (h->reader, &p->report)
+      || bj_str_equal (p->report.name, h->except))
     return;
   h->highest = MAX (h->highest, p->report.config_number);
-  if (h->any_domain || bj_str_equal (p->report.domain, s->domain))
+  if (bj_str_equal (p->report.domain, s->domain))
     rank = 0;
   else if (bj_str_equal (p->report.region, s->region))
     rank = 1;
@@ -362,12 +358,15 @@
 static void
 fetch_from_peer (BjReader *r, bool reads_store, BjTime now)
 {
-  HolderSearch h = find_holders (r);
+  // A near holder that did not send must not keep farther ones from being asked.
+  HolderSearch h = find_holders (r, r->asked);
 
+  if (h.best == NULL)
+    h = find_holders (r, BJ_STR_NULL);
   if (h.best == NULL)
     {
       r->behind_since = BJ_TIME_NEVER;
-      r->n_asked = 0;
+      bj_str_set (&r->asked, BJ_STR_NULL);
       return;
     }
   r->behind_since = MIN (r->behind_since, now);
@@ -376,7 +375,7 @@
   if (h.best_rank > 0 && !reads_store && now - r->behind_since < BJ_FETCH_REMOTE_DELAY_MS)
     return;
   r->fetched_at = now;
-  r->n_asked++;
+  bj_str_set (&r->asked, h.best->report.name);
   g_string_truncate (r->part, 0);
   n_fetches.value++;
   bj_log (BJ_LOG_INFO,
@@ -598,7 +597,7 @@
   number = bj_json_int (o, "number");
   json_object_put (o);
   if (r->daemon->platform->ops->read_config == NULL && number > own_number (r)
-      && number < find_holders (r).highest)
+      && number < find_holders (r, BJ_STR_NULL).highest)
     return;
   if (number > own_number (r))
     bj_daemon_apply_config (r->daemon, number, r->stored, "store");
