--- a/tests/test_fleet_settings.c
+++ b/tests/test_fleet_settings.c
@@ -21,8 +21,6 @@
 
 #define START_MS 200 // for a signal to end the process
 
-extern char **environ;
-
 typedef struct
 {
   const char *name;
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -24,7 +24,6 @@
 #endif
 #define APPLY_LIMIT_MS ((double)APPLY_MS * SLOWDOWN)
 #define SETTLE_MS 8000 // until the daemons know each other and the first configuration
-#define STORE_PORT 19741
 #define PACE_MS 10
 #define RANKED_NAMES 16
 #define SLOW_BYTES_PER_MS 250.0 // rate of a slow store
@@ -35,6 +34,8 @@
   "\"columns\":[\"name\",\"host\",\"pathPrefix\",\"kind\",\"timeoutS\",\"objectiveS\","            \
   "\"priority\",\"service\",\"maxAttempts\",\"weightedServices\"],\"rows\":["
 
+static BjAddress store_address;
+
 typedef struct
 {
   struct ev_loop *loop;
@@ -205,15 +206,10 @@
 static void
 open_store (Store *s, struct ev_loop *loop)
 {
+  store_address = daemons_free_address ();
   *s = (Store){ .loop = loop, .spec = g_string_new (NULL) };
   s->responses = g_ptr_array_new_with_free_func (free_response);
-  assert_int_equal (bj_server_new (loop,
-                                   "store",
-                                   (BjAddress){ BJ_STR ("127.0.0.1"), STORE_PORT },
-                                   &store_ops,
-                                   s,
-                                   &s->server),
-                    BJ_OK);
+  assert_int_equal (bj_server_new (loop, "store", store_address, &store_ops, s, &s->server), BJ_OK);
   ev_prepare_init (&s->prepare, flush_store);
   s->prepare.data = s;
   ev_prepare_start (loop, &s->prepare);
@@ -234,7 +230,7 @@
 {
   char url[64];
 
-  g_snprintf (url, sizeof url, "http://127.0.0.1:%d", STORE_PORT);
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d", store_address.port);
   return daemons_new (loop,
                       (BjSettings){ .name = name,
                                     .seeds = seed != NULL ? &seed->settings.gossip : NULL,
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -409,7 +409,7 @@
 {
   struct ev_loop *loop = ev_loop_new (0);
   int per_domain = c->n_daemons / c->n_domains;
-  BjDaemon *all[DAEMONS_MAX];
+  BjDaemon *all[DAEMONS_MAX] = { 0 };
   bool is_in_time;
   Store s;
 
@@ -449,7 +449,7 @@
 test_all_watches_silent (void **state)
 {
   struct ev_loop *loop = ev_loop_new (0);
-  BjDaemon *all[3];
+  BjDaemon *all[3] = { 0 };
   bool is_in_time;
   Store s;
 
@@ -473,8 +473,8 @@
 test_all_readers_lost_at_once (void **state)
 {
   struct ev_loop *loop = ev_loop_new (0);
-  BjDaemon *all[DAEMONS_MAX];
-  BjDaemon *left[DAEMONS_MAX];
+  BjDaemon *all[DAEMONS_MAX] = { 0 };
+  BjDaemon *left[DAEMONS_MAX] = { 0 };
   int per_domain = DAEMONS_MAX / 2;
   int n_left = 0;
   bool is_in_time;
@@ -502,7 +502,7 @@
 test_members_object_while_its_maintainers_are_turned_away (void **state)
 {
   struct ev_loop *loop = ev_loop_new (0);
-  BjDaemon *all[4];
+  BjDaemon *all[4] = { 0 };
   BjTime until;
   Store s;
 
@@ -545,7 +545,7 @@
 test_role_is_given_back (void **state)
 {
   struct ev_loop *loop = ev_loop_new (0);
-  BjDaemon *all[6];
+  BjDaemon *all[6] = { 0 };
   BjTime until;
   Store s;
 
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -15,7 +15,6 @@
 
 #define SETTLE_MS 3000  // until the daemon has read the store and written its object
 #define RESTORE_MS 2000 // until everything is there again after the restore
-#define STORE_PORT 19731
 #define WATCHES_MAX 8
 #define HOLDER_DELAY_MS 400 // before the holder of the newer configuration is heard
 #define LATE_DELAY_S 0.3    // of a response from before the restore
@@ -247,24 +246,19 @@
   Store s = { .loop = loop, .era = 1, .now = { .number = 1, .config_revision = 1, .revision = 1 } };
   int64_t before = 4;
   int64_t expected = MAX (before, c->rewritten);
+  BjAddress store_address = daemons_free_address ();
   ev_prepare prepare;
   char url[64];
   BjDaemon *d;
 
-  assert_int_equal (bj_server_new (loop,
-                                   "store",
-                                   (BjAddress){ BJ_STR ("127.0.0.1"), STORE_PORT },
-                                   &store_ops,
-                                   &s,
-                                   &s.server),
-                    BJ_OK);
+  assert_int_equal (bj_server_new (loop, "store", store_address, &store_ops, &s, &s.server), BJ_OK);
   ev_prepare_init (&prepare, flush_store);
   ev_timer_init (&s.late, on_late, 0, 0);
   prepare.data = &s;
   s.late.data = &s;
   ev_prepare_start (loop, &prepare);
   s.copy = s.now;
-  g_snprintf (url, sizeof url, "http://127.0.0.1:%d", STORE_PORT);
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d", store_address.port);
   d = daemons_new (loop,
                    (BjSettings){ .platform_name = BJ_STR ("objects"),
                                  .platform_url = bj_str (url),
