While a near holder sends, the next configuration of a series is asked of it

The name of the holder asked last is forgotten once it sends. test_reader test_near_holder_is_preferred_while_it_sends: the far one was asked before.

--- a/src/reader.c
+++ b/src/reader.c
@@ -31,7 +31,7 @@
   BjStoreAccess access_reported; // to the other members
   bool is_store_failing;         // the last store request failed
   BjTime behind_since; // since when a peer has a newer configuration, BJ_TIME_NEVER if none has
-  BjStr asked;         // name of the peer that was asked last
+  BjStr asked;         // name of the peer that was asked last, empty once it sends
   BjTime fetched_at;   // last request to a peer, or last part of its response
   GString *part;       // text received in parts so far
   BjStr part_peer;     // the peer that sends it
@@ -180,6 +180,7 @@
            || f->offset != r->part->len)
     return false;
   r->fetched_at = bj_clock_now ();
+  bj_str_set (&r->asked, BJ_STR_NULL);
   g_string_append_len (r->part, f->data.data, (gssize)f->data.len);
   if (r->part->len < f->length)
     return true;
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -631,30 +631,50 @@
     }
 }
 
-// The only holder of the own domain accepts connections and sends nothing.
+// Makes two peers, one in the domain of the daemon, report this configuration.
 static void
-test_farther_holder_is_asked_when_the_near_one_is_silent (void **state)
+report_holders (BjDaemon *d, const int *ports, int64_t number)
 {
   static const char *const domains[] = { "a", "b" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (domains); i++)
+    bj_kernel_update_peer (d->kernel,
+                           bj_clock_now (),
+                           &(BjPeerReport){ .name = bj_str (domains[i]),
+                                            .domain = bj_str (domains[i]),
+                                            .region = BJ_STR ("r"),
+                                            .host = BJ_STR ("127.0.0.1"),
+                                            .link_port = ports[i],
+                                            .load_version = (uint64_t)number,
+                                            .config_number = number });
+}
+
+// While a series of configurations comes, the near holder sends one and then nothing more.
+static void
+test_near_holder_is_preferred_while_it_sends (void **state)
+{
   struct ev_loop *loop = ev_loop_new (0);
   BjDaemon *d = daemons_new (loop,
                              (BjSettings){ .platform_name = BJ_STR ("memory"),
                                            .platform_url = BJ_STR ("farther"),
                                            .dialect = BJ_STR ("platform") });
+  BjFrame part = { .kind = BJ_FRAME_CONFIG_PART, .id = 2, .data = BJ_STR ("{\"number\":2}") };
   struct pollfd far = { .events = POLLIN };
   int near;
+  int ports[] = { daemons_listen (&near), daemons_listen (&far.fd) };
+  uint64_t n_fetches = count_fetches ();
   BjTime until;
 
   (void)state;
-  for (size_t n = 0; n < G_N_ELEMENTS (domains); n++)
-    bj_kernel_update_peer (d->kernel,
-                           bj_clock_now (),
-                           &(BjPeerReport){ .name = bj_str (domains[n]),
-                                            .domain = bj_str (domains[n]),
-                                            .region = BJ_STR ("r"),
-                                            .host = BJ_STR ("127.0.0.1"),
-                                            .link_port = daemons_listen (n == 0 ? &near : &far.fd),
-                                            .config_number = 2 });
+  report_holders (d, ports, 2);
+  run_for (loop, 2.0 * BJ_READER_TICK_MS);
+  assert_int_equal (count_fetches () - n_fetches, 1);
+  report_holders (d, ports, 3);
+  part.length = part.data.len;
+  assert_true (bj_reader_take_part (d->reader, BJ_STR ("a"), &part));
+  assert_int_equal (count_fetches () - n_fetches, 2);
+  run_for (loop, BJ_READER_TICK_MS);
+  assert_int_equal (poll (&far, 1, 0), 0);
   until = bj_clock_now () + APPLY_MS / 2.0;
   while (bj_clock_now () < until && poll (&far, 1, 0) == 0)
     ev_run (loop, EVRUN_ONCE);
@@ -676,7 +696,7 @@
     cmocka_unit_test (test_configuration_on_a_later_page),
     cmocka_unit_test (test_role_is_given_back),
     cmocka_unit_test (test_other_holders_are_asked_after_a_damaged_copy),
-    cmocka_unit_test (test_farther_holder_is_asked_when_the_near_one_is_silent),
+    cmocka_unit_test (test_near_holder_is_preferred_while_it_sends),
   };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
