--- a/src/seeds.c
+++ b/src/seeds.c
@@ -271,8 +271,8 @@
   s->next_write = s->next_read + g_random_double_range (0, CONFLICT_PAUSE_MAX_MS);
 }
 
-// One of the first members that the store does not turn away; of the first ones, if it turns all
-// away.
+// One of the first members whose requests the store does not reject, or of the first ones if it
+// rejects all.
 static bool
 is_maintainer (const BjSeeds *s)
 {
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -8,7 +8,7 @@
 //   lose_answers  the next N writes take effect but get no response; with &name=PREFIX this applies
 //                 only to writes of objects whose name starts with PREFIX
 //   stale         the next N reads return the previous version of the object
-//   turn_away     with &name=CALLER: what requests under /as/CALLER get, 0 the object, 1 status
+//   reject     with &name=CALLER: what requests under /as/CALLER get, 0 the object, 1 status
 //   503,
 //                 2 status 429, 3 a closed connection, 4 no response
 //   rate          limits requests to N per second, 0 for no limit
@@ -67,10 +67,10 @@
 static int64_t last_version;
 static GHashTable *snapshot_objects; // objects of the snapshot
 static int64_t snapshot_version;
-static gint64 n_restores;       // restores so far
-static GList *suspended;        // Request*
-static GHashTable *turned_away; // char* name of a caller to Treatment
-static gint64 outage;           // not 0 while object requests get no response
+static gint64 n_restores;    // restores so far
+static GList *suspended;     // Request*
+static GHashTable *rejected; // char* name of a caller to Treatment
+static gint64 outage;        // not 0 while object requests get no response
 static gint64 delay_ms;
 static gint64 lose_answers;       // number of further writes without a response
 static char *lose_answers_prefix; // lose_answers applies to names with this prefix; NULL: all
@@ -127,7 +127,7 @@
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
   objects = g_hash_table_new (g_str_hash, g_str_equal);
-  turned_away = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  rejected = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   d = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
                         0,
                         NULL,
@@ -274,8 +274,7 @@
 static Treatment
 treatment_of (const Request *q)
 {
-  return q->caller != NULL ? GPOINTER_TO_INT (g_hash_table_lookup (turned_away, q->caller))
-                           : SERVED;
+  return q->caller != NULL ? GPOINTER_TO_INT (g_hash_table_lookup (rejected, q->caller)) : SERVED;
 }
 
 static enum MHD_Result
@@ -305,9 +304,9 @@
           }
         return reply (q, 200, "{}");
       }
-  if (strcmp (what, "turn_away") == 0 && value != NULL && query_argument (q, "name") != NULL)
+  if (strcmp (what, "reject") == 0 && value != NULL && query_argument (q, "name") != NULL)
     {
-      g_hash_table_replace (turned_away,
+      g_hash_table_replace (rejected,
                             g_strdup (query_argument (q, "name")),
                             GINT_TO_POINTER ((int)g_ascii_strtoll (value, NULL, 10)));
       return reply (q, 200, "{}");
--- a/tests/test_fleet_reader.c
+++ b/tests/test_fleet_reader.c
@@ -1,4 +1,4 @@
-// Real daemons whose readers the store turns away while it serves the others: each ticket of a
+// Real daemons whose readers the store rejects while it serves the others: each ticket of a
 // series is in force everywhere in time, also beside a restart of the daemons that took over.
 
 #include "fleet.h"
@@ -30,8 +30,8 @@
 {
   const char *name;
   Treatment treatment;
-  int n_turned_away; // of each domain, by rank
-  bool is_in_turn;   // the daemons next in rank are turned away after each ticket
+  int n_rejected;    // of each domain, by rank
+  bool is_in_turn;   // the daemons next in rank are rejected after each ticket
   bool is_restarted; // so is one of them
 } ReaderCase;
 
@@ -74,8 +74,7 @@
 {
   char path[128];
 
-  g_snprintf (
-      path, sizeof path, "/control/turn_away?value=%d&name=%s", t, fleet.members[i].node.name);
+  g_snprintf (path, sizeof path, "/control/reject?value=%d&name=%s", t, fleet.members[i].node.name);
   assert_int_equal (fleet_http ("POST", fleet.platform_port, path, NULL, "", NULL), 200);
 }
 
@@ -101,13 +100,13 @@
 
   for (int t = 0; t < TICKETS; t++)
     {
-      int first = c->is_in_turn ? t % 2 * c->n_turned_away : 0;
+      int first = c->is_in_turn ? t % 2 * c->n_rejected : 0;
       BjTime began;
 
       for (int i = 0; i < NODES; i++)
         treat (by_rank[i],
-               i % per_domain >= first && i % per_domain < first + c->n_turned_away ? c->treatment
-                                                                                    : SERVED);
+               i % per_domain >= first && i % per_domain < first + c->n_rejected ? c->treatment
+                                                                                 : SERVED);
       if (c->is_restarted)
         {
           fleet_end_process (&fleet.members[by_rank[per_domain - 1]].daemon, SIGKILL);
@@ -125,7 +124,7 @@
 }
 
 static void
-test_tickets_while_readers_are_turned_away (void **state)
+test_tickets_while_readers_are_rejected (void **state)
 {
   FleetNode nodes[NODES] = { 0 };
   int64_t number = 0;
@@ -153,8 +152,7 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_tickets_while_readers_are_turned_away) };
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_tickets_while_readers_are_rejected) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -1,4 +1,4 @@
-// Daemons whose readers the store turns away or leaves without an answer while it serves the others
+// Daemons whose readers the store rejects or leaves without an answer while it serves the others
 // and the operator: the daemons that it serves have each configuration in force in time.
 
 #include "daemons.h"
@@ -68,8 +68,8 @@
   Treatment treatment;
   int n_daemons;
   int n_domains;
-  int n_turned_away; // daemons of each domain, those with the highest rank
-  double before_ms;  // from then to the change
+  int n_rejected;   // daemons of each domain, those with the highest rank
+  double before_ms; // from then to the change
 } RefusalCase;
 
 static const RefusalCase refusal_cases[] = {
@@ -417,8 +417,7 @@
   start_daemons (loop, &s, all, c->n_domains);
   run_until_settled (loop, &s, all, c->n_domains);
   for (int i = 0; i < c->n_daemons; i++)
-    if (i % per_domain
-        < (i < per_domain || c->n_turned_away < per_domain ? c->n_turned_away : READERS))
+    if (i % per_domain < (i < per_domain || c->n_rejected < per_domain ? c->n_rejected : READERS))
       set_treatment (&s.ports[i], c->treatment);
   run_for (loop, c->before_ms);
   write_config (&s);
@@ -434,7 +433,7 @@
 }
 
 static void
-test_readers_turned_away_by_the_store (void **state)
+test_readers_rejected_by_the_store (void **state)
 {
   bool are_in_time = true;
 
@@ -499,7 +498,7 @@
 
 // The stand-in's members object never lists anybody, so each maintainer writes it.
 static void
-test_members_object_while_its_maintainers_are_turned_away (void **state)
+test_members_object_while_its_maintainers_are_rejected (void **state)
 {
   struct ev_loop *loop = ev_loop_new (0);
   BjDaemon *all[4] = { 0 };
@@ -689,10 +688,10 @@
 main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_readers_turned_away_by_the_store),
+    cmocka_unit_test (test_readers_rejected_by_the_store),
     cmocka_unit_test (test_all_watches_silent),
     cmocka_unit_test (test_all_readers_lost_at_once),
-    cmocka_unit_test (test_members_object_while_its_maintainers_are_turned_away),
+    cmocka_unit_test (test_members_object_while_its_maintainers_are_rejected),
     cmocka_unit_test (test_configuration_on_a_later_page),
     cmocka_unit_test (test_role_is_given_back),
     cmocka_unit_test (test_other_holders_are_asked_after_a_damaged_copy),
--- a/tests/test_role.c
+++ b/tests/test_role.c
@@ -211,7 +211,7 @@
 }
 
 static void
-test_change_is_read_while_most_members_are_turned_away (void **state)
+test_change_is_read_while_most_members_are_rejected (void **state)
 {
   (void)state;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -281,7 +281,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_change_is_read_while_most_members_are_turned_away),
+    cmocka_unit_test (test_change_is_read_while_most_members_are_rejected),
     cmocka_unit_test (test_requests_to_a_store_that_refuses_all_do_not_grow_with_the_fleet),
   };
 
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -301,9 +301,9 @@
   control_store ("lose_answers", begin ? 10 : 0);
 }
 
-// Turns away the daemon or, at every second one, all but its neighbour, each in one of the ways.
+// Rejects the daemon or, at every second one, all but its neighbour, each in one of the ways.
 static void
-turn_away (int node, bool begin)
+reject_daemons (int node, bool begin)
 {
   bool are_many = node % 2 == 0;
 
@@ -315,7 +315,7 @@
         continue;
       g_snprintf (path,
                   sizeof path,
-                  "/control/turn_away?value=%d&name=%s",
+                  "/control/reject?value=%d&name=%s",
                   begin ? 1 + (node + i) % STORE_TREATMENTS : 0,
                   fleet.members[i].node.name);
       fleet_http ("POST", fleet.platform_port, path, NULL, "", NULL);
@@ -346,7 +346,7 @@
   { "responses of the upstream lost", lose_upstream_responses, false, true },
   { "store unreachable from the domain", cut_store, false, true },
   { "store outage", set_store_outage, false, true },
-  { "daemons turned away by the store", turn_away, false, true },
+  { "daemons rejected by the store", reject_daemons, false, true },
   { "store responses delayed", delay_store_responses, false, true },
   { "store responses lost", lose_store_responses, false, true },
 };
