Interface of the table of client accounts, result codes 24 and 25

The parts that are built side by side share these declarations: the account table, the key and account of a request, and the codes of calls refused for their key or rate. Nothing uses them yet.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -57,35 +57,37 @@
 typedef enum
 {
   BJ_OK = 0,
-  BJ_E_ARGUMENT = 1,     // a command line or function argument is invalid
-  BJ_E_SETTINGS = 2,     // the settings have an unknown key, a wrong type or a value out of range
-  BJ_E_IO = 3,           // the operating system refused an operation
-  BJ_E_FORMAT = 4,       // received bytes can't be decoded
-  BJ_E_TOO_LARGE = 5,    // a body, header block, frame or ticket exceeds its size limit
-  BJ_E_AUTH = 6,         // a peer's signature is missing or wrong
-  BJ_E_NO_ROUTE = 10,    // no route matches the path
-  BJ_E_NO_UPSTREAM = 11, // no upstream of the service is reachable
-  BJ_E_OVERLOAD = 12,    // refused because of load
-  BJ_E_DEADLINE = 13,    // the deadline has passed or can't be met
-  BJ_E_DRAINING = 14,    // the upstream is draining and takes no new calls
-  BJ_E_CANCELLED = 15,   // the caller closed its connection or cancelled the call
-  BJ_E_LOST = 16,        // the connection to a peer or upstream was lost
-  BJ_E_BROKEN = 17,      // a response was truncated or corrupt
-  BJ_E_KEY = 18,         // the Idempotency-Key is missing or malformed
-  BJ_E_DUPLICATE = 19,   // the action has been claimed already
-  BJ_E_QUARANTINED = 20, // the request is in quarantine because it crashed upstreams
-  BJ_E_SHED = 21,        // the upstream itself refused the call without running it
-  BJ_E_HOME = 22,        // the action id was issued by another daemon
-  BJ_E_CRASHED = 23,     // the upstream crashed while it ran the call
-  BJ_E_EXISTS = 30,      // the object exists already
-  BJ_E_CONFLICT = 31,    // a conditional update failed because the object had changed
-  BJ_E_NOT_FOUND = 32,   // the object does not exist
-  BJ_E_PLATFORM = 33,    // the platform is unreachable, timed out or refused the request
-  BJ_E_TICKET = 34,      // a ticket is malformed or refers to something unknown
-  BJ_E_BASE = 35,        // a value that the ticket changes was changed after the ticket's base
-  BJ_E_GONE = 36,        // the watched version is no longer available; read the object again
-  BJ_E_GAP = 37,         // the ticket's number is not the next in sequence
-  BJ_E_PENDING = 38,     // the ticket was, or may have been, filed and is not decided yet
+  BJ_E_ARGUMENT = 1,      // a command line or function argument is invalid
+  BJ_E_SETTINGS = 2,      // the settings have an unknown key, a wrong type or a value out of range
+  BJ_E_IO = 3,            // the operating system refused an operation
+  BJ_E_FORMAT = 4,        // received bytes can't be decoded
+  BJ_E_TOO_LARGE = 5,     // a body, header block, frame or ticket exceeds its size limit
+  BJ_E_AUTH = 6,          // a peer's signature is missing or wrong
+  BJ_E_NO_ROUTE = 10,     // no route matches the path
+  BJ_E_NO_UPSTREAM = 11,  // no upstream of the service is reachable
+  BJ_E_OVERLOAD = 12,     // refused because of load
+  BJ_E_DEADLINE = 13,     // the deadline has passed or can't be met
+  BJ_E_DRAINING = 14,     // the upstream is draining and takes no new calls
+  BJ_E_CANCELLED = 15,    // the caller closed its connection or cancelled the call
+  BJ_E_LOST = 16,         // the connection to a peer or upstream was lost
+  BJ_E_BROKEN = 17,       // a response was truncated or corrupt
+  BJ_E_KEY = 18,          // the Idempotency-Key is missing or malformed
+  BJ_E_DUPLICATE = 19,    // the action has been claimed already
+  BJ_E_QUARANTINED = 20,  // the request is in quarantine because it crashed upstreams
+  BJ_E_SHED = 21,         // the upstream itself refused the call without running it
+  BJ_E_HOME = 22,         // the action id was issued by another daemon
+  BJ_E_CRASHED = 23,      // the upstream crashed while it ran the call
+  BJ_E_UNAUTHORIZED = 24, // the key of a client account is missing, unknown or withdrawn
+  BJ_E_RATE = 25,         // the client account is above its rate
+  BJ_E_EXISTS = 30,       // the object exists already
+  BJ_E_CONFLICT = 31,     // a conditional update failed because the object had changed
+  BJ_E_NOT_FOUND = 32,    // the object does not exist
+  BJ_E_PLATFORM = 33,     // the platform is unreachable, timed out or refused the request
+  BJ_E_TICKET = 34,       // a ticket is malformed or refers to something unknown
+  BJ_E_BASE = 35,         // a value that the ticket changes was changed after the ticket's base
+  BJ_E_GONE = 36,         // the watched version is no longer available; read the object again
+  BJ_E_GAP = 37,          // the ticket's number is not the next in sequence
+  BJ_E_PENDING = 38,      // the ticket was, or may have been, filed and is not decided yet
 } BjStatus;
 
 #define BJ_CODES_MAX 64 // upper bound on result codes, exclusive
@@ -198,6 +200,8 @@
   BjStr key;            // Idempotency-Key, empty if none
   BjStr content_type;   // of the body
   BjStr headers;        // other headers to relay, "Name: value" lines, each ended by a line feed
+  BjStr api_key;        // key of a client account as the caller sent it; never sent on or logged
+  BjStr account;        // name of the client account, empty if none
   BjStr body;           // complete body
   int klass;            // requested class, -1 if none; can only lower the route's priority
   double deadline_ms;   // time left until the deadline, 0 if none
--- a/src/call.c
+++ b/src/call.c
@@ -88,6 +88,8 @@
   to->key = bj_str_dup (from->key);
   to->content_type = bj_str_dup (from->content_type);
   to->headers = bj_str_dup (from->headers);
+  to->api_key = bj_str_dup (from->api_key);
+  to->account = bj_str_dup (from->account);
   to->body = bj_str_dup (from->body);
 }
 
@@ -101,5 +103,7 @@
   bj_str_free (&r->key);
   bj_str_free (&r->content_type);
   bj_str_free (&r->headers);
+  bj_str_free (&r->api_key);
+  bj_str_free (&r->account);
   bj_str_free (&r->body);
 }
--- a/src/status.c
+++ b/src/status.c
@@ -37,6 +37,8 @@
       NAME (BJ_E_SHED);
       NAME (BJ_E_HOME);
       NAME (BJ_E_CRASHED);
+      NAME (BJ_E_UNAUTHORIZED);
+      NAME (BJ_E_RATE);
       NAME (BJ_E_EXISTS);
       NAME (BJ_E_CONFLICT);
       NAME (BJ_E_NOT_FOUND);
