No connection in the backlog is reset when a daemon stops accepting

Ruled out: kept-alive connections (the test opens one for each request). Change: new handshakes are dropped by a socket filter for 20 ms, then all completed connections are accepted and the socket is closed. Where the filter is not supported, the backlog is accepted as a whole and the socket closed at once.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -543,7 +543,7 @@
 static bool
 has_unfinished_work (const BjDaemon *d)
 {
-  return bj_kernel_open_calls (d->kernel) > 0
+  return bj_kernel_open_calls (d->kernel) > 0 || bj_server_is_accepting (bj_front_server (d->front))
          || bj_server_open_requests (bj_front_server (d->front)) > 0
          || !bj_links_is_flushed (d->links);
 }
--- a/src/internal.h
+++ b/src/internal.h
@@ -140,7 +140,8 @@
                               int n); // Sets the connection limit; at the limit, a new connection
                                       // replaces the one idle longest
 void bj_server_disable_keep_alive (BjServer *s); // Closes each connection after its next response
-void bj_server_stop_accepting (BjServer *s);     // Stops accepting connections
+void bj_server_stop_accepting (BjServer *s);     // Stops accepting connections, a little later
+bool bj_server_is_accepting (const BjServer *s); // False once the listening socket is closed
 int bj_server_open_requests (const BjServer *s); // Number of requests without a complete response
 void bj_server_flush (BjServer *s); // Writes the data queued in this event loop iteration
 void bj_server_set_call (BjServerConn *c, void *call); // Argument of disconnected and drained
--- a/src/server.c
+++ b/src/server.c
@@ -2,6 +2,7 @@
 // at a time; bytes of later requests are buffered until the current response is written.
 
 #include "internal.h"
+#include "listen.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <ev.h>
@@ -16,6 +17,7 @@
 #define BACKLOG 1024
 #define ACCEPTS_PER_EVENT 64 // connections accepted before other events are handled
 #define READ_BYTES 65536     // per recv call
+#define HANDSHAKE_MS 20      // for connections whose handshake has begun when accepting stops
 #define PIPELINED_MAX 65536  // buffered bytes of later requests at which reading stops
 #define TIMEOUT_CHECK_INTERVAL_MS 100
 #define LINGER_BYTES 262144    // read after a final response before the connection is closed
@@ -66,6 +68,7 @@
   struct ev_loop *loop;
   int fd; // listening socket, -1 once closed
   ev_io accept;
+  ev_timer close_timer; // closes the listening socket
   ev_timer timeout_timer;
   const BjServerOps *ops;
   void *data; // argument of ops->request
@@ -79,6 +82,9 @@
 };
 
 static void on_accept (struct ev_loop *loop, ev_io *w, int events);
+static bool accept_conn (BjServer *s);
+static void on_close_timer (struct ev_loop *loop, ev_timer *w, int events);
+static void close_listener (BjServer *s);
 static void evict_idle_conn (BjServer *s);
 static void add_conn (BjServer *s, int fd);
 static void on_read (struct ev_loop *loop, ev_io *w, int events);
@@ -162,7 +168,9 @@
                  on_timeout_timer,
                  TIMEOUT_CHECK_INTERVAL_MS / 1000.0,
                  TIMEOUT_CHECK_INTERVAL_MS / 1000.0);
+  ev_timer_init (&s->close_timer, on_close_timer, HANDSHAKE_MS / 1000.0, 0);
   s->accept.data = s;
+  s->close_timer.data = s;
   s->timeout_timer.data = s;
   ev_io_start (loop, &s->accept);
   ev_timer_start (loop, &s->timeout_timer);
@@ -178,7 +186,7 @@
 
   if (s == NULL)
     return;
-  bj_server_stop_accepting (s);
+  close_listener (s);
   all = g_hash_table_get_keys (s->conns);
   for (GList *i = all; i != NULL; i = i->next)
     close_conn (i->data);
@@ -209,16 +217,23 @@
   s->is_closing = true;
 }
 
-// Accepts the connections in the listen backlog, then closes the listening socket.
+// Accepts the connections in the listen backlog and those whose handshake has begun, then closes
+// the listening socket.
 void
 bj_server_stop_accepting (BjServer *s)
 {
-  if (s->fd < 0)
+  if (s->fd < 0 || ev_is_active (&s->close_timer))
     return;
-  on_accept (s->loop, &s->accept, EV_READ);
-  ev_io_stop (s->loop, &s->accept);
-  close (s->fd);
-  s->fd = -1;
+  if (bj_listen_drop_new (s->fd))
+    ev_timer_start (s->loop, &s->close_timer);
+  else
+    close_listener (s);
+}
+
+bool
+bj_server_is_accepting (const BjServer *s)
+{
+  return s->fd >= 0;
 }
 
 int
@@ -310,22 +325,44 @@
 static void
 on_accept (struct ev_loop *loop, ev_io *w, int events)
 {
-  BjServer *s = w->data;
+  (void)loop;
+  (void)events;
+  for (int i = 0; i < ACCEPTS_PER_EVENT && accept_conn (w->data); i++)
+    continue;
+}
 
+// Returns false when no connection is left to accept.
+static bool
+accept_conn (BjServer *s)
+{
+  int fd = accept4 (s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  if (fd >= 0)
+    add_conn (s, fd);
+  else if (errno == EMFILE || errno == ENFILE)
+    bj_log (BJ_LOG_WARNING, "FRONT", "Cannot accept a caller: out of file descriptors; retrying.");
+  return fd >= 0;
+}
+
+static void
+on_close_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
   (void)loop;
   (void)events;
-  for (int i = 0; i < ACCEPTS_PER_EVENT; i++)
-    {
-      int fd = accept4 (s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  close_listener (w->data);
+}
 
-      if (fd >= 0)
-        add_conn (s, fd);
-      else if (errno == EMFILE || errno == ENFILE)
-        bj_log (
-            BJ_LOG_WARNING, "FRONT", "Cannot accept a caller: out of file descriptors; retrying.");
-      if (fd < 0)
-        return;
-    }
+static void
+close_listener (BjServer *s)
+{
+  if (s->fd < 0)
+    return;
+  while (accept_conn (s))
+    continue;
+  ev_io_stop (s->loop, &s->accept);
+  ev_timer_stop (s->loop, &s->close_timer);
+  close (s->fd);
+  s->fd = -1;
 }
 
 // When conns_max connections are open, closes the one idle longest, to leave descriptors for links,
