Soak: the drain time of a leaving upstream is measured by the clock at the end too

Cause of test_soak_leaving in KNOWN-RED.txt, traced: at the end of a run all faults are ended with the time set to never, so the count after the drain time was taken at once, and a request between that count and the next one, a millisecond later, was reported. Requests are allowed until 2.5 s after the first response that says that the upstream leaves.

--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -382,12 +382,14 @@
   k->set_active (node, true);
 }
 
+// now is BJ_TIME_NEVER to end all faults; the drain time of a leaving upstream is still measured by
+// the clock.
 static void
 end_faults (ActiveFault *active, BjTime now)
 {
   for (int i = 0; i < FAULTS_MAX; i++)
     if (active[i].kind != NULL && active[i].kind->set_active == leave_upstream)
-      check_drain (active[i].node, now);
+      check_drain (active[i].node, bj_clock_now ());
   for (int i = 0; i < FAULTS_MAX; i++)
     if (active[i].kind != NULL && now >= active[i].until)
       {
