Client accounts: configuration, table and check of keys

Configurations had no accounts: the key of a caller was relayed to upstreams and peers, and requests with unknown or withdrawn keys ran.

Tickets, merged configurations and the operator's manifest take accounts. A front looks up the key when a request arrives and before each attempt, answers 401 to an unknown one (503 for 5 s after a newer configuration became known), and no longer relays the key. CALL frames carry the name of the account; guards send it to their upstreams. Messages, bjctl and differences of tickets show the number of keys only.

The tests of documents, tickets, the platform, dialects, frames, routes and parents pass.

--- a/src/account.h
+++ b/src/account.h
@@ -23,9 +23,11 @@
                             const GPtrArray *classes, // char*, index is the class
                             bool is_in_force, // leaves out a broken account instead of failing
                             int *n_left_out,
-                            BjAccounts **a); // *a is NULL if o has no accounts; BJ_E_TICKET
-void bj_accounts_free (BjAccounts *a);       // NULL is ignored
-int bj_accounts_count (const BjAccounts *a); // 0 for NULL
+                            BjAccounts **a);        // *a is NULL if o has no accounts; BJ_E_TICKET
+void bj_accounts_hide_keys (struct json_object *o); // Replaces the keys of each account in a
+                                                    // configuration or ticket by their number
+void bj_accounts_free (BjAccounts *a);              // NULL is ignored
+int bj_accounts_count (const BjAccounts *a);        // 0 for NULL
 const BjAccount *bj_accounts_at (const BjAccounts *a, int i);
 const BjAccount *bj_accounts_find (const BjAccounts *a, BjStr name); // NULL when unknown
 const BjAccount *bj_accounts_find_key (const BjAccounts *a,
--- a/src/bjctl/tickets.c
+++ b/src/bjctl/tickets.c
@@ -1,5 +1,6 @@
 // bjctl commands that read or change the configuration: file, check, show, drain.
 
+#include "account.h"
 #include "bjctl.h"
 #include <stdio.h>
 #include <unistd.h>
@@ -15,6 +16,7 @@
 static BjStatus set_base (const CtlOptions *o, GString *text);
 static void print_difference (const CtlOptions *o, BjStr text);
 static GString *make_writer_id (void);
+static void print_config (const GString *spec);
 static BjStatus check_config (const GString *text);
 static char *make_drain_ticket (BjStr current, const char *upstream);
 
@@ -79,7 +81,7 @@
       code = s == BJ_OK ? CTL_OK : report_last_error (o, s);
     }
   if (code == CTL_OK)
-    printf ("%s\n", spec->str);
+    print_config (spec);
   g_string_free (spec, TRUE);
   return code;
 }
@@ -110,6 +112,17 @@
   return code;
 }
 
+// Prints the number of keys of each client account in place of the keys.
+static void
+print_config (const GString *spec)
+{
+  struct json_object *c = json_tokener_parse (spec->str);
+
+  bj_accounts_hide_keys (c);
+  printf ("%s\n", json_object_to_json_string_ext (c, JSON_C_TO_STRING_PLAIN));
+  json_object_put (c);
+}
+
 static int
 file_ticket (const CtlOptions *o, BjStr text)
 {
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -202,6 +202,7 @@
   BjStr headers;        // other headers to relay, "Name: value" lines, each ended by a line feed
   BjStr api_key;        // key of a client account as the caller sent it; never sent on or logged
   BjStr account;        // name of the client account, empty if none
+  bool hides_account;   // the account was inferred from times and is not sent to the upstream
   BjStr body;           // complete body
   int klass;            // requested class, -1 if none; can only lower the route's priority
   double deadline_ms;   // time left until the deadline, 0 if none
@@ -295,6 +296,9 @@
   uint64_t route;         // hash of host and path prefix of its route, 0 if not known
   BjTime upstream_deadline; // deadline announced to the upstream, on this daemon's clock
   bool is_nested;           // made by the own upstream for a call that runs there
+  bool is_parent_inferred;  // its parent was matched by times, not by an id
+  bool has_account_key;     // its account was found by the key of the request
+  bool is_anonymous;        // its route needs no key
   uint64_t matched_parent;  // id of the call that this nested call was matched to, 0 if not known
   bool is_timely_retry;     // a retry of a refused call that respects the retry-after time
   int level;                // highest admission level reported for its nested calls
@@ -479,6 +483,7 @@
   int klass;
   bool irreversible;
   bool needs_claim; // at most one attempt with the same Idempotency-Key may run
+  bool anonymous;   // needs no key of a client account
   double deadline_ms;
   double objective_ms; // latency objective, 0 if none
   int attempts;        // further attempts of one user action in the whole call chain
@@ -537,9 +542,10 @@
   int n_services;
   BjUpstreamConfig *upstreams;
   int n_upstreams;
-  GPtrArray *classes;     // char*, index is the class
-  GHashTable *hosts;      // BjStr* in BjRoute to the routes of that host, by prefix
-  BjCallerLimits callers; // limits for connections and requests of callers
+  GPtrArray *classes;          // char*, index is the class
+  GHashTable *hosts;           // BjStr* in BjRoute to the routes of that host, by prefix
+  BjCallerLimits callers;      // limits for connections and requests of callers
+  struct BjAccounts *accounts; // client accounts, NULL if callers need no keys; see account.h
   bool is_in_force; // the store has accepted it: an entry that a ticket must not contain is left
                     // out instead of rejecting the whole, and services may have no routes
   int n_left_out;   // such entries
@@ -772,7 +778,8 @@
                            BjTime now,
                            BjConfig *c); // Takes ownership of c; applies it if its number is newer
 void bj_kernel_note_config (BjKernel *k,
-                            int64_t number);          // A configuration of this number was received
+                            BjTime now,
+                            int64_t number);          // A configuration of this number exists
 const BjConfig *bj_kernel_config (const BjKernel *k); // Borrowed; NULL before the first one
 BjCall *bj_kernel_arrive (BjKernel *k,
                           BjTime now,
@@ -783,6 +790,12 @@
                                const BjRequest *r,
                                BjStr service,
                                void *data); // Same for a call to service from the front of a peer
+BjStatus bj_kernel_check_head (
+    BjKernel *k,
+    BjTime now,
+    const BjRequest *r); // Whether a caller's request may go on, from its head alone: id, key of a
+                         // client account, host and path; BJ_E_UNAUTHORIZED, BJ_E_NO_UPSTREAM
+void bj_kernel_refuse_head (BjKernel *k, BjStatus s); // Counts a refusal by its head
 void bj_kernel_claimed (BjKernel *k,
                         BjTime now,
                         BjCall *c,
--- a/src/count.c
+++ b/src/count.c
@@ -1,6 +1,6 @@
 // Count: counts calls by role, class, outcome and result code, and prints the kernel's metrics.
 
-#include "kernel.h"
+#include "access.h"
 
 static const char *const role_names[BJ_ROLES] = { "guard", "front" };
 
@@ -18,6 +18,7 @@
   k->counts.answers[c->is_front][CLAMP (c->klass, 0, BJ_CLASSES - 1)][o]++;
   if (code != BJ_OK && (int)code < BJ_CODES_MAX)
     k->counts.codes[code]++;
+  bj_access_count_answer (k, c, code);
 }
 
 void
@@ -29,6 +30,7 @@
   print_answers (k, out);
   print_codes (k, out);
   print_latency (k, out);
+  bj_access_print_metrics (k, out);
   bj_metric_print_gauge (out, "open_calls", "Calls that have not ended.", bj_kernel_open_calls (k));
   bj_metric_print_gauge (out, "in_flight", "Calls running on the own upstream.", self.in_flight);
   bj_metric_print_gauge (
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -165,7 +165,7 @@
   BjStatus s;
   BjConfig *c;
 
-  bj_kernel_note_config (d->kernel, number);
+  bj_kernel_note_config (d->kernel, began, number);
   s = bj_config_parse_with_defaults (text, d->settings.service_defaults, &c);
   if (s != BJ_OK)
     {
@@ -181,7 +181,7 @@
           bj_clock_now () - began,
           c->n_left_out);
   n_left_out.value += (uint64_t)c->n_left_out;
-  bj_kernel_note_config (d->kernel, c->number);
+  bj_kernel_note_config (d->kernel, began, c->number);
   bj_kernel_set_config (d->kernel, bj_clock_now (), c);
   if (d->front != NULL)
     bj_server_set_limits (bj_front_server (d->front), &bj_kernel_config (d->kernel)->callers);
@@ -205,12 +205,50 @@
           bj_last_message ());
 }
 
+BjStatus
+bj_daemon_check_head (BjDaemon *d, const BjHead *h, BjAnswer *a)
+{
+  BjRequest r = { .method = h->method, .path = h->path, .klass = -1, .attempts_left = -1 };
+  GString *relayed;
+  BjStatus s;
+
+  if (bj_kernel_config (d->kernel) == NULL || bj_kernel_config (d->kernel)->accounts == NULL)
+    return BJ_OK;
+  relayed = g_string_new (NULL);
+  d->dialect->read_request (&d->settings, h, &r, relayed);
+  s = bj_kernel_check_head (d->kernel, bj_clock_now (), &r);
+  g_string_free (relayed, TRUE);
+  if (s == BJ_OK)
+    return s;
+  bj_kernel_refuse_head (d->kernel, s);
+  *a = (BjAnswer){ .code = s,
+                   .outcome = BJ_NOT_RUN,
+                   .http_status = s == BJ_E_UNAUTHORIZED ? 401 : 503,
+                   .retry_after_ms = s == BJ_E_UNAUTHORIZED ? 0 : BJ_RETRY_AFTER_MIN_MS,
+                   .attempts_left = -1 };
+  return s;
+}
+
 BjExchange *
 bj_daemon_handle_call (BjDaemon *d, const BjRequest *r, BjSink *sink)
 {
+  const BjConfig *config = bj_kernel_config (d->kernel);
   BjExchange *x = new_exchange (d, sink);
-  BjCall *c = bj_kernel_arrive (d->kernel, bj_clock_now (), r, x);
+  BjRequest request = *r;
+  GString *headers = NULL;
+  BjCall *c;
 
+  if (config != NULL && config->accounts != NULL)
+    {
+      headers = g_string_sized_new (r->headers.len + 1);
+      bj_header_add_except (headers, r->headers, d->dialect->account_headers);
+      request.headers = (BjStr){ headers->str, headers->len };
+    }
+  else
+    request.api_key = BJ_STR_NULL;
+  c = bj_kernel_arrive (d->kernel, bj_clock_now (), &request, x);
+  if (headers != NULL)
+    g_string_free (headers, TRUE);
   // NULL: the call was answered immediately, which freed x.
   if (c == NULL)
     return NULL;
--- a/src/dialect.c
+++ b/src/dialect.c
@@ -14,10 +14,11 @@
 static double parse_number (BjStr value, double default_value);
 static BjOutcome parse_outcome (BjStr name);
 
+static const char *const account_headers[] = { "Bj-Api-Key", "Bj-Account", NULL };
 static const BjSignalNames signal_names = { "Bj-Rate-Limit", "Bj-Leaving" };
 
 static const BjDialectOps borage_ops
-    = { read_request, write_answer, write_run, read_run, read_announcement };
+    = { read_request, write_answer, write_run, read_run, read_announcement, account_headers };
 
 static void
 read_request (const BjSettings *s, const BjHead *h, BjRequest *r, GString *relayed)
@@ -43,6 +44,8 @@
         r->depth = (int)parse_number (value, 0);
       else if (bj_header_name_equal (name, "Bj-Call"))
         r->parent = (uint64_t)parse_number (value, 0);
+      else if (bj_header_name_equal (name, "Bj-Api-Key"))
+        r->api_key = value;
       else if (!is_own_header (name))
         bj_header_add_relayed (relayed, name, value);
     }
@@ -77,6 +80,8 @@
                           c->id);
   if (c->request.key.len > 0)
     g_string_append_printf (lines, "Idempotency-Key: %.*s\r\n", BJ_STR_ARG (c->request.key));
+  if (c->request.account.len > 0 && !c->request.hides_account)
+    g_string_append_printf (lines, "Bj-Account: %.*s\r\n", BJ_STR_ARG (c->request.account));
 }
 
 static BjStatus
--- a/src/filing.c
+++ b/src/filing.c
@@ -5,6 +5,7 @@
 // config/current that raises its number to n decides ticket n; any daemon or tool may make that
 // update.
 
+#include "account.h"
 #include "internal.h"
 
 #define CURRENT_NAME "config/current"
@@ -392,6 +393,7 @@
   else
     {
       f->is_create_uncertain = false;
+      bj_accounts_hide_keys (ticket);
       finish (f,
               bj_fail (BJ_E_EXISTS,
                        "Ticket number %" PRId64
--- a/src/frame.c
+++ b/src/frame.c
@@ -156,6 +156,8 @@
   r->irreversible ? msgpack_pack_true (p) : msgpack_pack_false (p);
   msgpack_pack_double (p, r->objective_ms);
   pack_upstream (p, &f->upstream);
+  r->hides_account ? msgpack_pack_true (p) : msgpack_pack_false (p);
+  pack_str (p, r->account);
 }
 
 static void
@@ -200,7 +202,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 4,       [BJ_FRAME_CALL] = 20,  [BJ_FRAME_ANSWER] = 18,
+    [BJ_FRAME_HELLO] = 4,       [BJ_FRAME_CALL] = 22,  [BJ_FRAME_ANSWER] = 18,
     [BJ_FRAME_DATA] = 1,        [BJ_FRAME_END] = 3,    [BJ_FRAME_WINDOW] = 1,
     [BJ_FRAME_NOTICE] = 3,      [BJ_FRAME_CONFIG] = 1, [BJ_FRAME_CONFIG_REQUEST] = 1,
     [BJ_FRAME_CONFIG_PART] = 3, [BJ_FRAME_PING] = 3,
@@ -283,6 +285,11 @@
   r->irreversible = bj_field_bool (in);
   r->objective_ms = bj_field_double (in);
   read_upstream (in, &f->upstream);
+  // Daemons of earlier versions send no account.
+  if (in->n_left == 0)
+    return;
+  r->hides_account = bj_field_bool (in);
+  r->account = bj_field_bytes (in);
 }
 
 static void
--- a/src/header.c
+++ b/src/header.c
@@ -29,6 +29,25 @@
   g_string_append_c (block, '\n');
 }
 
+void
+bj_header_add_except (GString *block, BjStr from, const char *const *names)
+{
+  BjStr name;
+  BjStr value;
+  BjStr rest = from;
+
+  while (bj_header_next (&rest, &name, &value))
+    {
+      bool is_excepted = false;
+
+      for (int i = 0; names[i] != NULL; i++)
+        is_excepted = is_excepted || bj_header_name_equal (name, names[i]);
+      if (!is_excepted)
+        g_string_append_len (block, from.data, (gssize)(from.len - rest.len));
+      from = rest;
+    }
+}
+
 bool
 bj_header_next (BjStr *block, BjStr *name, BjStr *value)
 {
--- a/src/incoming.c
+++ b/src/incoming.c
@@ -304,7 +304,7 @@
 static bool
 is_valid_request (const BjRequest *r)
 {
-  BjStr texts[] = { r->method, r->path, r->host, r->id, r->key, r->content_type };
+  BjStr texts[] = { r->method, r->path, r->host, r->id, r->key, r->content_type, r->account };
 
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
     for (size_t j = 0; j < texts[i].len; j++)
--- a/src/internal.h
+++ b/src/internal.h
@@ -42,6 +42,8 @@
 double bj_config_clamp (const char *key,
                         double value); // Nearest value that a key of a route, share or of callers
                                        // may have
+#define BJ_ACCOUNT_KEYS 5
+extern const BjJsonKey bj_account_keys[BJ_ACCOUNT_KEYS]; // Of an account, checked by account.c
 const BjJsonTable *bj_ticket_tables (int *n); // Keys allowed in tickets; the top level comes first
 const char *bj_json_type_name (BjJsonType t); // With the article, as in "a string"
 BjStatus
@@ -74,6 +76,9 @@
 // Header: which HTTP headers the daemons relay
 // ---------------------------------------------------------------------------------------------
 
+void bj_header_add_except (GString *block,
+                           BjStr from,
+                           const char *const *names); // Appends the lines of from without these
 void bj_header_add_relayed (GString *block,
                             BjStr name,
                             BjStr value); // Skips invalid, hop-by-hop and daemon-set headers
@@ -225,6 +230,8 @@
                                  BjStr path,
                                  BjStr body,
                                  BjAnnouncement *a); // BJ_E_NOT_FOUND if it is none; BJ_E_FORMAT
+  const char *const *account_headers; // key and name of a client account, NULL-terminated; not
+                                      // relayed from callers when accounts are configured
 } BjDialectOps;
 
 // ---------------------------------------------------------------------------------------------
@@ -1005,6 +1012,12 @@
                          int64_t number, // 0 if it could not be read
                          size_t bytes,
                          const char *source); // Logs and counts; the last message is the reason
+BjStatus
+bj_daemon_check_head (BjDaemon *d,
+                      const BjHead *h,
+                      BjAnswer *a); // For a caller's request head before its body: whether its key
+                                    // lets it go on; otherwise sets *a to the response, to be sent
+                                    // without a body; BJ_E_UNAUTHORIZED, BJ_E_NO_UPSTREAM
 BjExchange *bj_daemon_handle_call (BjDaemon *d,
                                    const BjRequest *r,
                                    BjSink *sink); // Call from a caller; NULL if answered already
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -1,10 +1,12 @@
 // Kernel: takes a call from its arrival to its response. Makes every decision and does no I/O.
 
-#include "kernel.h"
+#include "access.h"
 
 // An irreversible call may run on for this long after its caller was answered or disconnected.
 #define DETACHED_MAX_MS 60000
 
+static bool admit_by_rate (BjKernel *k, BjTime now, BjCall *c);
+static void refuse_access (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
 static BjPeer *pick_peer (BjKernel *k, BjTime now, const BjCall *c, int *n_candidates);
 static void dispatch (BjKernel *k, BjTime now, BjCall *c);
 static void send_to (BjKernel *k, BjTime now, BjCall *c, BjPeer *p, int n_candidates);
@@ -74,6 +76,7 @@
   g_hash_table_destroy (k->calls);
   g_hash_table_destroy (k->share_states);
   bj_parent_clear (k);
+  bj_access_clear (k);
   bj_retry_after_clear (k);
   g_hash_table_destroy (k->services);
   g_hash_table_destroy (k->peers);
@@ -105,6 +108,7 @@
   while (g_hash_table_iter_next (&i, NULL, &s))
     bj_service_configure (k, s);
   bj_config_free (old);
+  bj_access_configure (k);
   u = bj_config_upstream (c, k->self->report.name);
   if (u != NULL)
     bj_kernel_drain (k, now, BJ_DRAIN_TICKET, u->drain);
@@ -113,9 +117,10 @@
 }
 
 void
-bj_kernel_note_config (BjKernel *k, int64_t number)
+bj_kernel_note_config (BjKernel *k, BjTime now, int64_t number)
 {
   k->newest_config_seen = MAX (k->newest_config_seen, number);
+  bj_access_note_config (k, now, number);
 }
 
 const BjConfig *
@@ -132,8 +137,10 @@
   const BjServiceConfig *s = NULL;
   const BjRoute *route = bj_config_route_for_host (k->config, c->request.host, c->request.path, &s);
   double deadline_ms;
+  BjStatus status;
 
   c->is_front = true;
+  bj_str_free (&c->request.account);
   if (route == NULL)
     {
       // Without a configuration it is not known whether a route exists.
@@ -145,8 +152,19 @@
                                .attempts_left = -1 });
       return NULL;
     }
-  c->service = bj_kernel_get_service (k, route->n_shares > 0 ? bj_share_pick (k, route) : s->name);
+  c->route = bj_config_route_hash (route);
   c->klass = MAX (route->klass, MIN (r->klass, BJ_CLASSES - 1));
+  if (k->config->accounts != NULL)
+    bj_parent_find (k, now, c);
+  status = bj_access_admit (k, now, c, route);
+  if (status != BJ_OK)
+    {
+      refuse_access (k, now, c, status);
+      return NULL;
+    }
+  if (c->has_account_key && !admit_by_rate (k, now, c))
+    return NULL;
+  c->service = bj_kernel_get_service (k, route->n_shares > 0 ? bj_share_pick (k, route) : s->name);
   c->irreversible = route->irreversible;
   c->attempts_left
       = r->attempts_left >= 0 ? MIN (r->attempts_left, route->attempts) : route->attempts;
@@ -164,8 +182,8 @@
   c->fingerprint = bj_quarantine_fingerprint (c->service->name, &c->request);
   if (refuse_quarantined (k, now, c))
     return NULL;
-  c->route = bj_config_route_hash (route);
-  bj_parent_find (k, now, c);
+  if (k->config->accounts == NULL)
+    bj_parent_find (k, now, c);
   c->is_timely_retry = bj_retry_after_match (k, now, c);
   if (bj_level_should_shed (k, now, c))
     {
@@ -452,9 +470,17 @@
 void
 bj_call_start (BjKernel *k, BjTime now, BjCall *c)
 {
-  BjStatus s = bj_quarantine_start_run (k->quarantine, now, c->fingerprint);
+  BjStatus s = bj_access_check_again (k, now, c);
   BjAnswer a;
 
+  // The key may have been withdrawn while the call was queued.
+  if (s != BJ_OK)
+    {
+      c->state = BJ_CALL_NEW;
+      refuse_access (k, now, c, s);
+      return;
+    }
+  s = bj_quarantine_start_run (k->quarantine, now, c->fingerprint);
   if (s != BJ_OK)
     {
       c->state = BJ_CALL_NEW;
@@ -485,6 +511,32 @@
   k->host->ops->start_upstream (k->host, c);
 }
 
+// The one place where the rate of an account applies: true if the call of a caller may go on.
+// Otherwise sends the refusal, BJ_E_RATE with outcome not-run and a retry-after time, and frees c.
+static bool
+admit_by_rate (BjKernel *k, BjTime now, BjCall *c)
+{
+  const BjAccount *a = bj_access_account (k, c);
+
+  (void)now;
+  (void)a;
+  return true;
+}
+
+static void
+refuse_access (BjKernel *k, BjTime now, BjCall *c, BjStatus s)
+{
+  bj_kernel_log_decision (k,
+                          now,
+                          c,
+                          "ACCOUNT",
+                          "key=%s config=%" G_GINT64_FORMAT " newer=%" G_GINT64_FORMAT,
+                          c->request.api_key.len > 0 ? "unknown" : "missing",
+                          k->config->number,
+                          MAX (k->newer_config, k->config->number));
+  send_answer (k, now, c, (BjAnswer){ .code = s, .outcome = BJ_NOT_RUN, .attempts_left = -1 });
+}
+
 static BjPeer *
 pick_peer (BjKernel *k, BjTime now, const BjCall *c, int *n_candidates)
 {
@@ -510,9 +562,16 @@
 dispatch (BjKernel *k, BjTime now, BjCall *c)
 {
   int n_candidates;
-  BjPeer *p = pick_peer (k, now, c, &n_candidates);
+  BjStatus s = bj_access_check_again (k, now, c);
+  BjPeer *p;
   BjAnswer a;
 
+  if (s != BJ_OK)
+    {
+      refuse_access (k, now, c, s);
+      return;
+    }
+  p = pick_peer (k, now, c, &n_candidates);
   if (p != NULL)
     {
       send_to (k, now, c, p, n_candidates);
@@ -685,7 +744,7 @@
   a.attempts_left = c->attempts_left;
   if (a.http_status == 0)
     a.http_status = http_status_of (a.code);
-  if (a.http_status >= 500 && a.retry_after_ms <= 0)
+  if ((a.http_status >= 500 || a.http_status == 429) && a.retry_after_ms <= 0)
     a.retry_after_ms = BJ_RETRY_AFTER_MIN_MS * g_rand_double_range (k->rand, 1, 2);
   bj_kernel_log_decision (k,
                           now,
@@ -782,6 +841,10 @@
       return 404;
     case BJ_E_KEY:
       return 400;
+    case BJ_E_UNAUTHORIZED:
+      return 401;
+    case BJ_E_RATE:
+      return 429;
     case BJ_E_DUPLICATE:
       return 409;
     case BJ_E_HOME:
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -158,6 +158,11 @@
   BjGuard guard;
   BjQuarantine *quarantine;
   BjCounts counts;
+  int64_t newer_config;       // highest number known of a configuration newer than the own one then
+  BjTime newer_config_at;     // when it became known
+  GHashTable *account_counts; // of access.c, by name (BjStr*); NULL before the first call
+  uint64_t removed_account_calls;   // of accounts that are no longer configured
+  uint64_t removed_account_refused; // the same, refused because of the rate
   int64_t newest_config_seen; // highest configuration number received, also if it was rejected
   BjLevel level;
   uint64_t next_id;
@@ -186,9 +191,12 @@
 // Parent: matches a nested call to the running call that the own upstream made it for
 void bj_parent_init (BjKernel *k);
 void bj_parent_clear (BjKernel *k);
-void bj_parent_find (BjKernel *k, BjTime now, BjCall *c); // Front: finds and records c's parent
-void bj_parent_run_started (BjKernel *k, BjCall *c);      // Guard: c starts on the own upstream
-void bj_parent_run_ended (BjKernel *k, BjCall *c);        // Guard: c no longer runs there
+void bj_parent_find (BjKernel *k, BjTime now, BjCall *c);   // Front: finds and records c's parent
+const BjCall *bj_parent_find_by_id (BjKernel *k, BjStr id); // Running call whose id it continues
+bool bj_parent_may_be_inferred (const BjKernel *k,
+                                double deadline_ms); // The parent of a call with this time left
+void bj_parent_run_started (BjKernel *k, BjCall *c); // Guard: c starts on the own upstream
+void bj_parent_run_ended (BjKernel *k, BjCall *c);   // Guard: c no longer runs there
 bool bj_parent_makes_calls (BjKernel *k, uint64_t route); // Runs of this route make nested calls
 bool bj_parent_is_called (BjKernel *k, uint64_t route);   // Nested calls go to this route
 void bj_parent_each_called (BjKernel *k,
--- a/src/merge.c
+++ b/src/merge.c
@@ -1,6 +1,7 @@
 // Decides a ticket: merges it into the current configuration or refuses it. The decision depends
 // only on the configuration and the ticket, so all daemons and tools decide alike.
 
+#include "account.h"
 #include "internal.h"
 #include <string.h>
 
@@ -31,6 +32,7 @@
                              struct json_object *ticket,
                              const char *section,
                              GString *out);
+static void compare_keys (struct json_object *current, struct json_object *ticket, GString *out);
 static void compare_item (const char *path,
                           struct json_object *old_value,
                           struct json_object *new_value,
@@ -121,6 +123,8 @@
         print_difference ("priorities", old_value, new_value, out);
       compare_section (c, t, "services", out);
       compare_section (c, t, "upstreams", out);
+      compare_keys (c, t, out);
+      compare_section (c, t, "accounts", out);
     }
   json_object_put (t);
   json_object_put (c);
@@ -207,9 +211,9 @@
                     bj_json_int (current, "priorities_number"),
                     base);
   s = check_section_base (current, ticket, "services", base);
-  if (s != BJ_OK)
-    return s;
-  return check_section_base (current, ticket, "upstreams", base);
+  if (s == BJ_OK)
+    s = check_section_base (current, ticket, "upstreams", base);
+  return s == BJ_OK ? check_section_base (current, ticket, "accounts", base) : s;
 }
 
 static BjStatus
@@ -248,6 +252,7 @@
   json_object_object_add (current, "number", json_object_new_int64 (number));
   merge_section (current, ticket, "services", number);
   merge_section (current, ticket, "upstreams", number);
+  merge_section (current, ticket, "accounts", number);
   if (priorities == NULL)
     return;
   json_object_object_add (current, "priorities", json_object_get (priorities));
@@ -369,6 +374,35 @@
   }
 }
 
+// Replaces the keys of accounts in both objects by their numbers, since keys are never printed.
+// Appends a line for each account that has as many keys as before, but others.
+static void
+compare_keys (struct json_object *current, struct json_object *ticket, GString *out)
+{
+  struct json_object *old_accounts = json_object_object_get (current, "accounts");
+  struct json_object *new_accounts = json_object_object_get (ticket, "accounts");
+
+  if (new_accounts == NULL)
+    return;
+  json_object_object_foreach (new_accounts, name, value)
+  {
+    struct json_object *old_value = json_object_object_get (old_accounts, name);
+    struct json_object *old_keys = json_object_object_get (old_value, "keys");
+    struct json_object *new_keys = json_object_object_get (value, "keys");
+
+    if (old_keys != NULL && json_object_is_type (new_keys, json_type_array)
+        && json_object_array_length (old_keys) == json_object_array_length (new_keys)
+        && !json_object_equal (old_keys, new_keys))
+      g_string_append_printf (out,
+                              "accounts.%.128s.keys: in force %zu keys, ticket %zu, not the same\n",
+                              name,
+                              json_object_array_length (old_keys),
+                              json_object_array_length (new_keys));
+  }
+  bj_accounts_hide_keys (current);
+  bj_accounts_hide_keys (ticket);
+}
+
 static void
 compare_item (const char *path,
               struct json_object *old_value,
--- a/src/parent.c
+++ b/src/parent.c
@@ -49,7 +49,6 @@
   int commonest; // most frequent age in ms, 0 before it is known
 } AgeHistogram;
 
-static const BjCall *find_parent_by_id (BjKernel *k, const BjCall *c);
 static RouteRuns *get_runs (BjKernel *k, uint64_t route);
 static const BjCall *find_parent_by_age (BjKernel *k, BjTime deadline, const BjCall *c);
 static void add_ages (BjKernel *k, AgeHistogram *a, BjTime deadline);
@@ -93,20 +92,40 @@
     }
   if (k->guard.in_flight == 0)
     return;
-  parent = find_parent_by_id (k, c);
+  parent = bj_parent_find_by_id (k, c->request.id);
   if (parent != NULL)
     {
       k->n_matched_by_id++;
       set_parent (k, c, parent);
       return;
     }
-  if (k->n_matched_by_id >= PARENTS_BY_ID_MIN || c->request.deadline_ms <= 0)
+  // Nested calls carry no key of a client account.
+  if (c->request.api_key.len > 0 || !bj_parent_may_be_inferred (k, c->request.deadline_ms))
     return;
   parent = find_parent_by_deadline (k, now + c->request.deadline_ms, c);
   if (parent == NULL)
     parent = find_parent_by_age (k, now + c->request.deadline_ms, c);
-  if (parent != NULL)
-    set_parent (k, c, parent);
+  if (parent == NULL)
+    return;
+  c->is_parent_inferred = true;
+  set_parent (k, c, parent);
+}
+
+const BjCall *
+bj_parent_find_by_id (BjKernel *k, BjStr id)
+{
+  while (id.len > 0 && id.data[id.len - 1] != ID_SEPARATOR)
+    id.len--;
+  if (id.len < 2)
+    return NULL;
+  id.len--;
+  return g_hash_table_lookup (k->running, &id);
+}
+
+bool
+bj_parent_may_be_inferred (const BjKernel *k, double deadline_ms)
+{
+  return k->guard.in_flight > 0 && k->n_matched_by_id < PARENTS_BY_ID_MIN && deadline_ms > 0;
 }
 
 void
@@ -180,19 +199,6 @@
   c->matched_parent = parent->id;
 }
 
-static const BjCall *
-find_parent_by_id (BjKernel *k, const BjCall *c)
-{
-  BjStr parent_id = c->request.id;
-
-  while (parent_id.len > 0 && parent_id.data[parent_id.len - 1] != ID_SEPARATOR)
-    parent_id.len--;
-  if (parent_id.len < 2)
-    return NULL;
-  parent_id.len--;
-  return g_hash_table_lookup (k->running, &parent_id);
-}
-
 static const BjCall *
 find_parent_by_age (BjKernel *k, BjTime deadline, const BjCall *c)
 {
--- a/src/peer.c
+++ b/src/peer.c
@@ -1,6 +1,6 @@
 // Table of known daemons, by name and by service.
 
-#include "kernel.h"
+#include "access.h"
 
 #define SERVICE_TIME_WEIGHT 0.05    // weight of the newest sample in the smoothed response time
 #define RESPONSE_LOAD_VALID_MS 1000 // a load from a response overrides gossip for this long
@@ -55,6 +55,7 @@
     return;
   if (p != NULL && !p->is_removed && !is_newer (r, &p->report))
     return;
+  bj_access_note_config (k, now, r->config_number);
   if (p == NULL || p->is_removed)
     bj_log (BJ_LOG_INFO,
             "MEMBER",
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -2,6 +2,7 @@
 // upstream that it changes, and all priorities if it changes them. The merged configuration has the
 // same form.
 
+#include "account.h"
 #include "internal.h"
 #include "kernel.h"
 #include <string.h>
@@ -22,6 +23,7 @@
   { "services", BJ_JSON_OBJECT, false, 0, 0 },
   { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
   { "priorities", BJ_JSON_ARRAY, false, 1, BJ_CLASSES },
+  { "accounts", BJ_JSON_OBJECT, false, 0, 0 },
 };
 static const BjJsonKey merged_keys[] = {
   { "number", BJ_JSON_INT, true, 1, NUMBER_MAX },
@@ -30,6 +32,7 @@
   { "services", BJ_JSON_OBJECT, false, 0, 0 },
   { "upstreams", BJ_JSON_OBJECT, false, 0, 0 },
   { "priorities", BJ_JSON_ARRAY, false, 1, BJ_CLASSES },
+  { "accounts", BJ_JSON_OBJECT, false, 0, 0 },
   { "callers", BJ_JSON_OBJECT, false, 0, 0 },
 };
 static const BjJsonKey callers_keys[] = {
@@ -61,6 +64,7 @@
   { "claim", BJ_JSON_BOOL, false, 0, 0 },
   { "shares", BJ_JSON_ARRAY, false, 1, SHARES_MAX },
   { "attempts", BJ_JSON_INT, false, 0, 10 },
+  { "anonymous", BJ_JSON_BOOL, false, 0, 0 },
 };
 static const BjJsonKey limiter_keys[] = {
   { "plugin", BJ_JSON_STR, false, 0, 0 },
@@ -96,6 +100,7 @@
   { "services.NAME.router", router_keys, G_N_ELEMENTS (router_keys) },
   { "services.NAME.retry", retry_keys, G_N_ELEMENTS (retry_keys) },
   { "upstreams.NAME", upstream_keys, G_N_ELEMENTS (upstream_keys) },
+  { "accounts.NAME", bj_account_keys, BJ_ACCOUNT_KEYS },
 };
 
 typedef struct
@@ -221,6 +226,7 @@
     g_ptr_array_free (c->classes, TRUE);
   if (c->hosts != NULL)
     g_hash_table_destroy (c->hosts);
+  bj_accounts_free (c->accounts);
   bj_str_free (&c->text);
   g_free (c);
 }
@@ -310,6 +316,8 @@
     s = read_upstreams (o, c);
   if (s == BJ_OK)
     s = read_callers (o, &c->callers);
+  if (s == BJ_OK)
+    s = bj_accounts_parse (o, c->classes, c->is_in_force, &c->n_left_out, &c->accounts);
   if (s == BJ_OK)
     index_hosts (c);
   return s;
@@ -486,6 +494,7 @@
   r->prefix = bj_str_dup (bj_json_str (o, "prefix"));
   r->host = bj_str_dup (bj_json_str (o, "host"));
   r->needs_claim = bj_json_bool (o, "claim", true);
+  r->anonymous = bj_json_bool (o, "anonymous", false);
   r->klass = find_class (c, klass);
   r->irreversible = bj_json_bool (o, "irreversible", false);
   r->deadline_ms = bj_json_number (o, "deadline_ms", BJ_DEFAULT_DEADLINE_MS);
