--- a/src/access.c
+++ b/src/access.c
@@ -41,7 +41,8 @@
       set_account (c, a);
       c->has_account_key = true;
       if (!c->is_nested)
-        c->klass = MAX (a->klass >= 0 ? a->klass : r->klass, MIN (c->request.klass, BJ_CLASSES - 1));
+        c->klass
+            = MAX (a->klass >= 0 ? a->klass : r->klass, MIN (c->request.klass, BJ_CLASSES - 1));
       return BJ_OK;
     }
   parent = c->request.api_key.len == 0 ? find_parent (k, c) : NULL;
@@ -221,8 +222,9 @@
 static const BjCall *
 find_parent (BjKernel *k, const BjCall *c)
 {
-  const BjCall *parent = c->request.parent != 0 ? bj_call_parent (k, &c->request)
-                                                : g_hash_table_lookup (k->calls, &c->matched_parent);
+  const BjCall *parent = c->request.parent != 0
+                             ? bj_call_parent (k, &c->request)
+                             : g_hash_table_lookup (k->calls, &c->matched_parent);
 
   return parent != NULL && parent->state == BJ_CALL_RUNNING ? parent : NULL;
 }
--- a/src/account.c
+++ b/src/account.c
@@ -302,9 +302,8 @@
 index_names (BjAccounts *all)
 {
   for (guint i = 0; i < all->all->len; i++)
-    g_hash_table_insert (all->by_name,
-                         &g_array_index (all->all, BjAccount, i).hash,
-                         GINT_TO_POINTER ((int)i + 1));
+    g_hash_table_insert (
+        all->by_name, &g_array_index (all->all, BjAccount, i).hash, GINT_TO_POINTER ((int)i + 1));
 }
 
 static void
--- a/src/admin.c
+++ b/src/admin.c
@@ -1,5 +1,6 @@
 // Admin: requests from operators and the own upstream to one daemon.
 
+#include "access.h"
 #include "internal.h"
 #include <string.h>
 
@@ -34,6 +35,7 @@
 static int get_members (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int get_metrics (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int get_config (BjDaemon *d, BjStr path, BjStr body, GString *out);
+static int get_accounts (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static int get_explain (BjDaemon *d, BjStr path, BjStr body, GString *out);
 static struct json_object *report_to_json (const BjPeerReport *r);
 static void add_member (BjPeer *p, void *array);
@@ -43,13 +45,10 @@
 static void add_int (struct json_object *o, const char *key, int64_t value);
 
 static const Endpoint endpoints[] = {
-  { "POST", "/v1/announce", post_announce },
-  { "GET", "/v1/status", get_status },
-  { "GET", "/v1/members", get_members },
-  { "GET", "/metrics", get_metrics },
-  { "GET", "/v1/config", get_config },
-  { "GET", "/v1/explain/", get_explain },
-  { "GET", "/ready", get_ready },
+  { "POST", "/v1/announce", post_announce }, { "GET", "/v1/status", get_status },
+  { "GET", "/v1/members", get_members },     { "GET", "/metrics", get_metrics },
+  { "GET", "/v1/config", get_config },       { "GET", "/v1/accounts", get_accounts },
+  { "GET", "/v1/explain/", get_explain },    { "GET", "/ready", get_ready },
 };
 
 int
@@ -207,6 +206,32 @@
   return 200;
 }
 
+static int
+get_accounts (BjDaemon *d, BjStr path, BjStr body, GString *out)
+{
+  const BjConfig *c = bj_kernel_config (d->kernel);
+  struct json_object *array = json_object_new_array ();
+
+  (void)path;
+  (void)body;
+  for (int i = 0; c != NULL && i < bj_accounts_count (c->accounts); i++)
+    {
+      const BjAccount *a = bj_accounts_at (c->accounts, i);
+      struct json_object *o = json_object_new_object ();
+
+      add_str (o, "name", a->name);
+      add_str (o, "class", a->klass >= 0 ? bj_str (c->classes->pdata[a->klass]) : BJ_STR_NULL);
+      json_object_object_add (o, "rate_per_s", json_object_new_double (a->rate_per_s));
+      json_object_object_add (o, "burst", json_object_new_double (a->burst));
+      add_int (o, "calls", (int64_t)bj_access_calls (d->kernel, a->name));
+      add_int (o, "refused", (int64_t)bj_access_refused (d->kernel, a->name));
+      add_int (o, "keys", a->n_keys);
+      json_object_array_add (array, o);
+    }
+  append_json (out, array);
+  return 200;
+}
+
 static int
 get_explain (BjDaemon *d, BjStr path, BjStr body, GString *out)
 {
--- a/src/bjctl/bjctl.h
+++ b/src/bjctl/bjctl.h
@@ -31,6 +31,7 @@
 int ctl_show_config (const CtlOptions *o);
 int ctl_show_in_force (const CtlOptions *o);
 int ctl_show_status (const CtlOptions *o);
+int ctl_show_accounts (const CtlOptions *o);
 int ctl_drain_upstream (const CtlOptions *o);
 int ctl_explain_action (const CtlOptions *o);
 
--- a/src/bjctl/daemons.c
+++ b/src/bjctl/daemons.c
@@ -118,6 +118,45 @@
   return n_lagging > 0 ? CTL_LAGGING : CTL_OK;
 }
 
+int
+ctl_show_accounts (const CtlOptions *o)
+{
+  GString *out = g_string_new (NULL);
+  int code = ctl_get_from_admin (o, "/v1/accounts", out);
+  struct json_object *all = code == CTL_OK ? json_tokener_parse (out->str) : NULL;
+
+  if (code == CTL_OK && o->json)
+    printf ("%s\n", json_object_to_json_string_ext (all, JSON_C_TO_STRING_PLAIN));
+  else if (code == CTL_OK)
+    {
+      printf ("%-32s %-8s %10s %10s %10s %10s %6s\n",
+              "account",
+              "class",
+              "rate",
+              "burst",
+              "calls",
+              "refused",
+              "keys");
+      for (size_t i = 0; i < json_object_array_length (all); i++)
+        {
+          struct json_object *a = json_object_array_get_idx (all, i);
+          BjStr klass = bj_json_str (a, "class");
+
+          printf ("%-32.*s %-8.*s %10g %10g %10.0f %10.0f %6.0f\n",
+                  BJ_STR_ARG (bj_json_str (a, "name")),
+                  BJ_STR_ARG (klass.len > 0 ? klass : BJ_STR ("-")),
+                  bj_json_number (a, "rate_per_s", 0),
+                  bj_json_number (a, "burst", 0),
+                  bj_json_number (a, "calls", 0),
+                  bj_json_number (a, "refused", 0),
+                  bj_json_number (a, "keys", 0));
+        }
+    }
+  json_object_put (all);
+  g_string_free (out, TRUE);
+  return code;
+}
+
 int
 ctl_explain_action (const CtlOptions *o)
 {
--- a/src/console.c
+++ b/src/console.c
@@ -7,8 +7,10 @@
 #include <ev.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <string.h>
 #include <sys/socket.h>
 
+#define CONFIG_PATH "/v1/config"
 #define CONNECTIONS_MAX 1024
 #define IDLE_TIMEOUT_S 30
 #define CONNECTION_MEMORY (2 * BJ_HEADER_MAX)
@@ -239,7 +241,10 @@
   struct MHD_Response *response;
   enum MHD_Result result;
 
-  if (!r->is_too_large)
+  // Configurations contain the keys of client accounts, and the ready address is open to more.
+  if (c == c->daemon->ready && strncmp (r->path, CONFIG_PATH, strlen (CONFIG_PATH)) == 0)
+    status = MHD_HTTP_NOT_FOUND;
+  else if (!r->is_too_large)
     status = bj_admin_handle (
         c->daemon, bj_str (method), bj_str (r->path), (BjStr){ r->body->str, r->body->len }, out);
   response = MHD_create_response_from_buffer (out->len, out->str, MHD_RESPMEM_MUST_COPY);
