--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -2,6 +2,7 @@
 // key, valid requests that are answered 401, forged accounts, and keys that get into messages,
 // metrics or frames.
 
+#include "../platform/platform.h"
 #include "access.h"
 #include "internal.h"
 #include <setjmp.h>
@@ -592,6 +593,147 @@
   bj_config_free (config);
 }
 
+#define MANIFEST_ROUTES                                                                            \
+  "\"routes\":{\"columns\":[\"pathPrefix\",\"allowAnonymous\",\"service\",\"priority\"],\"rows\":" \
+  "["                                                                                              \
+  "[\"/shut\",false,\"s\",1],[\"/open\",true,\"s\",1],[\"/null\",null,\"s\",1]]}"
+#define MANIFEST(tenants) "{\"version\":\"r7\"," MANIFEST_ROUTES tenants "}"
+#define TENANTS(columns, rows) ",\"tenants\":{\"columns\":[" columns "],\"rows\":[" rows "]}"
+#define ALL_COLUMNS "\"name\",\"apiKeys\",\"priority\",\"ratePerS\",\"burst\""
+
+typedef struct
+{
+  const char *name;
+  const char *manifest;
+  bool checks_keys;
+  int n_accounts;
+  int n_left_out;
+  // of account "a", if there is one
+  int klass;
+  double rate_per_s;
+  double burst;
+  int n_keys;
+} ManifestCase;
+
+static const ManifestCase manifest_cases[] = {
+  { "no table", MANIFEST (""), false, 0, 0, 0, 0, 0, 0 },
+  { "table without rows", MANIFEST (TENANTS (ALL_COLUMNS, "")), false, 0, 0, 0, 0, 0, 0 },
+  { "all columns",
+    MANIFEST (TENANTS (ALL_COLUMNS, "[\"a\",[\"key-1\",\"key-2\"],3,2.5,9]")),
+    true,
+    1,
+    0,
+    3,
+    2.5,
+    9,
+    2 },
+  { "other order, unknown column",
+    MANIFEST (TENANTS ("\"burst\",\"x\",\"ratePerS\",\"apiKeys\",\"priority\",\"name\"",
+                       "[9,\"x\",2.5,[\"key-1\"],0,\"a\"]")),
+    true,
+    1,
+    0,
+    0,
+    2.5,
+    9,
+    1 },
+  { "null values are omitted",
+    MANIFEST (TENANTS (ALL_COLUMNS, "[\"a\",[\"key-1\"],null,null,null]")),
+    true,
+    1,
+    0,
+    -1,
+    0,
+    0,
+    1 },
+  { "missing columns, no burst",
+    MANIFEST (TENANTS ("\"name\",\"ratePerS\",\"apiKeys\"", "[\"a\",30,[\"key-1\"]]")),
+    true,
+    1,
+    0,
+    -1,
+    30,
+    30,
+    1 },
+  { "no keys", MANIFEST (TENANTS (ALL_COLUMNS, "[\"a\",null,1,1,1]")), true, 1, 0, 1, 1, 1, 0 },
+  { "priority above 7",
+    MANIFEST (TENANTS (ALL_COLUMNS, "[\"a\",[\"key-1\"],70,1,1]")),
+    true,
+    1,
+    0,
+    7,
+    1,
+    1,
+    1 },
+  { "name twice, the first is used",
+    MANIFEST (TENANTS (ALL_COLUMNS, "[\"a\",[\"key-1\"],1,1,1],[\"a\",[\"key-2\"],2,2,2]")),
+    true,
+    1,
+    0,
+    1,
+    1,
+    1,
+    1 },
+  { "key twice, the second is left out",
+    MANIFEST (TENANTS (ALL_COLUMNS, "[\"a\",[\"key-1\"],1,1,1],[\"b\",[\"key-1\"],2,2,2]")),
+    true,
+    1,
+    1,
+    1,
+    1,
+    1,
+    1 },
+  { "only broken rows: keys are checked",
+    MANIFEST (TENANTS (
+        ALL_COLUMNS, "[null,[\"key-1\"],1,1,1],[\"b\",[\"\"],2,2,2],[\"c\",[\"key-3\"],1,-1,1],7")),
+    true,
+    0,
+    4,
+    0,
+    0,
+    0,
+    0 },
+};
+
+static void
+test_manifests (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (manifest_cases); i++)
+    {
+      const ManifestCase *c = &manifest_cases[i];
+      struct json_object *manifest = json_tokener_parse (c->manifest);
+      GString *text = g_string_new (NULL);
+      const BjServiceConfig *s;
+      const BjAccount *a;
+      BjConfig *config;
+
+      print_message ("  %s\n", c->name);
+      assert_non_null (manifest);
+      assert_int_equal (platform_convert_manifest (manifest, text), BJ_OK);
+      assert_int_equal (
+          bj_config_parse_with_defaults ((BjStr){ text->str, text->len }, BJ_STR_NULL, &config),
+          BJ_OK);
+      assert_true ((config->accounts != NULL) == c->checks_keys);
+      assert_int_equal (bj_accounts_count (config->accounts), c->n_accounts);
+      assert_int_equal (config->n_left_out, c->n_left_out);
+      a = bj_accounts_find (config->accounts, BJ_STR ("a"));
+      assert_true ((a != NULL) == (c->n_accounts > 0));
+      if (a != NULL)
+        {
+          assert_int_equal (a->klass, c->klass);
+          assert_true (a->rate_per_s == c->rate_per_s && a->burst == c->burst);
+          assert_int_equal (a->n_keys, c->n_keys);
+        }
+      assert_true (bj_config_route (config, BJ_STR ("/open"), &s)->anonymous);
+      assert_false (bj_config_route (config, BJ_STR ("/shut"), &s)->anonymous);
+      assert_false (bj_config_route (config, BJ_STR ("/null"), &s)->anonymous);
+      bj_config_free (config);
+      g_string_free (text, TRUE);
+      json_object_put (manifest);
+    }
+}
+
 // Differences of tickets are printed to operators, with the number of keys only.
 static void
 test_ticket_changes_accounts (void **state)
@@ -870,6 +1012,7 @@
     cmocka_unit_test (test_configuration_errors),
     cmocka_unit_test (test_broken_tables),
     cmocka_unit_test (test_values),
+    cmocka_unit_test (test_manifests),
     cmocka_unit_test (test_ticket_changes_accounts),
     cmocka_unit_test (test_frames),
     cmocka_unit_test (test_headers),
