Client accounts: headers of older fronts, class of a keyed call, refusals by the head

A front of an earlier version relays the key and account headers of a caller, so guards leave them out too. A call with its own key takes the class of its account also if its id continues that of a running call.

--- a/src/access.c
+++ b/src/access.c
@@ -40,9 +40,7 @@
     {
       set_account (c, a);
       c->has_account_key = true;
-      if (!c->is_nested)
-        c->klass
-            = MAX (a->klass >= 0 ? a->klass : r->klass, MIN (c->request.klass, BJ_CLASSES - 1));
+      c->klass = MAX (a->klass >= 0 ? a->klass : r->klass, MIN (c->request.klass, BJ_CLASSES - 1));
       return BJ_OK;
     }
   parent = c->request.api_key.len == 0 ? find_parent (k, c) : NULL;
@@ -97,9 +95,17 @@
 }
 
 void
-bj_kernel_refuse_head (BjKernel *k, BjStatus s)
+bj_kernel_refuse_head (BjKernel *k, BjTime now, const BjRequest *r, BjStatus s)
 {
   k->counts.codes[s]++;
+  if (bj_log_enabled (BJ_LOG_INFO) && bj_log_allow_call_line (now))
+    bj_log (BJ_LOG_INFO,
+            "ACCOUNT",
+            "req=%.*s key=%s answered=%s by its head",
+            r->id.len > 0 ? (int)r->id.len : 1,
+            r->id.len > 0 ? r->id.data : "-",
+            r->api_key.len > 0 ? "unknown" : "missing",
+            bj_status_name (s));
 }
 
 const BjAccount *
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -795,7 +795,10 @@
     BjTime now,
     const BjRequest *r); // Whether a caller's request may go on, from its head alone: id, key of a
                          // client account, host and path; BJ_E_UNAUTHORIZED, BJ_E_NO_UPSTREAM
-void bj_kernel_refuse_head (BjKernel *k, BjStatus s); // Counts a refusal by its head
+void bj_kernel_refuse_head (BjKernel *k,
+                            BjTime now,
+                            const BjRequest *r,
+                            BjStatus s); // Counts and logs that r was refused by its head
 void bj_kernel_claimed (BjKernel *k,
                         BjTime now,
                         BjCall *c,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -32,6 +32,7 @@
 static void send_answer (BjHost *h, BjCall *c, const BjAnswer *a);
 static void request_claim (BjHost *h, BjCall *c);
 static void release_exchange (BjHost *h, BjCall *c);
+static BjStr trim_end (BjStr s);
 static BjExchange *new_exchange (BjDaemon *d, BjSink *sink);
 static void free_str (gpointer s);
 static uint64_t new_start (void);
@@ -43,7 +44,7 @@
 
 static BjCounter n_left_out
     = { "config_entries_left_out_total",
-        "Routes and services of configurations that are not served, see the log.",
+        "Routes, services and accounts of configurations that are left out, see the log.",
         0 };
 
 static const BjHostOps host_ops
@@ -216,15 +217,19 @@
     return BJ_OK;
   relayed = g_string_new (NULL);
   d->dialect->read_request (&d->settings, h, &r, relayed);
+  r.api_key = trim_end (r.api_key);
   s = bj_kernel_check_head (d->kernel, bj_clock_now (), &r);
+  if (s != BJ_OK)
+    bj_kernel_refuse_head (d->kernel, bj_clock_now (), &r, s);
   g_string_free (relayed, TRUE);
   if (s == BJ_OK)
     return s;
-  bj_kernel_refuse_head (d->kernel, s);
   *a = (BjAnswer){ .code = s,
                    .outcome = BJ_NOT_RUN,
                    .http_status = s == BJ_E_UNAUTHORIZED ? 401 : 503,
-                   .retry_after_ms = s == BJ_E_UNAUTHORIZED ? 0 : BJ_RETRY_AFTER_MIN_MS,
+                   .retry_after_ms = s == BJ_E_UNAUTHORIZED
+                                         ? 0
+                                         : BJ_RETRY_AFTER_MIN_MS * g_random_double_range (1, 2),
                    .attempts_left = -1 };
   return s;
 }
@@ -243,6 +248,7 @@
       headers = g_string_sized_new (r->headers.len + 1);
       bj_header_add_except (headers, r->headers, d->dialect->account_headers);
       request.headers = (BjStr){ headers->str, headers->len };
+      request.api_key = trim_end (r->api_key);
     }
   else
     request.api_key = BJ_STR_NULL;
@@ -699,6 +705,15 @@
     sink->ops->end (sink, false);
 }
 
+// Spaces may follow the value of a header.
+static BjStr
+trim_end (BjStr s)
+{
+  while (s.len > 0 && (s.data[s.len - 1] == ' ' || s.data[s.len - 1] == '\t'))
+    s.len--;
+  return s;
+}
+
 static BjExchange *
 new_exchange (BjDaemon *d, BjSink *sink)
 {
--- a/src/header.c
+++ b/src/header.c
@@ -38,11 +38,7 @@
 
   while (bj_header_next (&rest, &name, &value))
     {
-      bool is_excepted = false;
-
-      for (int i = 0; names[i] != NULL; i++)
-        is_excepted = is_excepted || bj_header_name_equal (name, names[i]);
-      if (!is_excepted)
+      if (!bj_header_is_among (name, names))
         g_string_append_len (block, from.data, (gssize)(from.len - rest.len));
       from = rest;
     }
@@ -70,6 +66,15 @@
   return name.len == strlen (other) && strncasecmp (name.data, other, name.len) == 0;
 }
 
+bool
+bj_header_is_among (BjStr name, const char *const *names)
+{
+  for (int i = 0; names[i] != NULL; i++)
+    if (bj_header_name_equal (name, names[i]))
+      return true;
+  return false;
+}
+
 BjStr
 bj_header_find (BjStr block, const char *name)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -85,7 +85,8 @@
 bool bj_header_next (BjStr *block,
                      BjStr *name,
                      BjStr *value); // Splits off the first line; false at the end
-bool bj_header_name_equal (BjStr name, const char *other); // Case-insensitive
+bool bj_header_name_equal (BjStr name, const char *other);      // Case-insensitive
+bool bj_header_is_among (BjStr name, const char *const *names); // names is NULL-terminated
 BjStr bj_header_find (BjStr block, const char *name); // Value of the first match, empty if none
 bool bj_header_is_valid (BjStr block); // Every line is a name, a colon and printable text
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -74,6 +74,9 @@
   const BjRequest *r = &c->request;
   BjTime now = bj_clock_now ();
   double left = MAX (1, floor (c->deadline - now - BJ_HOP_DEADLINE_MARGIN_MS));
+  const BjConfig *config = bj_kernel_config (d->kernel);
+  // A front of an earlier version relays these headers of a caller.
+  bool has_accounts = config != NULL && config->accounts != NULL;
   BjStr block = r->headers;
   BjStr name;
   BjStr value;
@@ -92,7 +95,8 @@
     g_string_append_printf (head, "Content-Length: %zu\r\n", r->body.len);
   d->dialect->write_run (c, d->upstream_id, left, head);
   while (bj_header_next (&block, &name, &value))
-    g_string_append_printf (head, "%.*s: %.*s\r\n", BJ_STR_ARG (name), BJ_STR_ARG (value));
+    if (!has_accounts || !bj_header_is_among (name, d->dialect->account_headers))
+      g_string_append_printf (head, "%.*s: %.*s\r\n", BJ_STR_ARG (name), BJ_STR_ARG (value));
   g_string_append (head, "\r\n");
 }
 
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -7,7 +7,8 @@
 //
 // A request for any path outside /control/ is executed. Its query sets the response: bytes=N the
 // body size, status=N the status, id=TEXT a text that fills the body, by which a caller recognizes
-// its own response. The header X-Echo is returned. A path that contains "poison" ends the process.
+// its own response. The header X-Echo is returned; X-Saw-Account is the value of Bj-Account, and
+// X-Saw-Key is set if there was a Bj-Api-Key. A path that contains "poison" ends the process.
 //
 // GET /control/executions prints one line per action: key, number of executions. GET /control/stats
 // prints the numbers of executed and refused requests. GET /control/arrivals prints, since
@@ -588,6 +589,10 @@
     MHD_add_response_header (m, "X-Echo", request_header (r, "X-Echo"));
   if (request_header (r, "Connection") != NULL)
     MHD_add_response_header (m, "X-Saw-Connection", "yes");
+  if (request_header (r, "Bj-Account") != NULL)
+    MHD_add_response_header (m, "X-Saw-Account", request_header (r, "Bj-Account"));
+  if (request_header (r, "Bj-Api-Key") != NULL)
+    MHD_add_response_header (m, "X-Saw-Key", "yes");
   MHD_add_response_header (m, "Content-Type", "application/octet-stream");
   result = MHD_queue_response (r->conn, (unsigned int)r->status, m);
   MHD_destroy_response (m);
--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -278,14 +278,16 @@
                         .gossip_host = BJ_STR ("127.0.0.1"),
                         .incarnation = 1,
                         .limit = 10 };
+  BjCall *sent;
   BjRequest r;
 
   (void)state;
   bj_kernel_update_peer (k, 0, &peer);
-  assert_non_null (arrive (k, &h, 0, make_request ("/shut", "key-small", "")));
-  assert_non_null (h.sent);
+  sent = arrive (k, &h, 0, make_request ("/shut", "key-small", ""));
+  assert_non_null (sent);
+  assert_ptr_equal (h.sent, sent);
   r = make_request ("/shut", "", "");
-  r.parent = h.sent->id;
+  r.parent = sent->id;
   assert_null (arrive (k, &h, 0, r));
   assert_int_equal (h.answer.code, BJ_E_UNAUTHORIZED);
   r.parent = 999;
--- a/tests/test_fleet_account.c
+++ b/tests/test_fleet_account.c
@@ -70,6 +70,23 @@
     fail_msg ("%s contains a key", what);
 }
 
+// The upstream gets the name of the account whose key was sent, also from a front of another
+// daemon, and neither the key nor an account that the caller names.
+static void
+check_upstream_headers (CURL *easy, int member)
+{
+  const char *const headers[]
+      = { "Bj-Api-Key: " SECRET "1 ", "BJ-ACCOUNT: two", "Bj-Account: two", NULL };
+
+  assert_int_equal (
+      fleet_http_on (
+          easy, "GET", fleet.members[member].front_port, "/plans/x", headers, NULL, NULL),
+      200);
+  assert_non_null (strstr (fleet_last_response_head (), "X-Saw-Account: one\r\n"));
+  assert_null (strstr (fleet_last_response_head (), "two"));
+  assert_null (strstr (fleet_last_response_head (), "X-Saw-Key"));
+}
+
 static void
 check_outputs (void)
 {
@@ -145,6 +162,7 @@
       assert_int_equal (request (easy[i], i, "Bj-Api-Key: " SECRET "3", "/plans/x"), 401);
       assert_int_equal (request (easy[i], i, "Bj-Account: one", "/plans/x"), 401);
       assert_int_equal (request (easy[i], i, NULL, "/rates/x"), 401);
+      check_upstream_headers (easy[i], i);
     }
   check_outputs ();
   assert_true (fleet_file_ticket (&fleet, second_ticket));
