Type of accounts is checked before other keys, messages of settings stay as they were

The check of types in json.c had lost the value in messages of settings, which test_settings requires. Only accounts are checked apart now, whose values must not be shown. test_settings and test_account pass.

--- a/src/account.c
+++ b/src/account.c
@@ -52,6 +52,18 @@
 // that share a hash.
 static uint64_t hash_seed;
 
+BjStatus
+bj_accounts_check_type (struct json_object *o)
+{
+  struct json_object *members;
+
+  if (!json_object_is_type (o, json_type_object)
+      || !json_object_object_get_ex (o, "accounts", &members)
+      || json_object_is_type (members, json_type_object))
+    return BJ_OK;
+  return bj_fail (BJ_E_TICKET, "accounts: must be an object.");
+}
+
 BjStatus
 bj_accounts_parse (struct json_object *o,
                    const GPtrArray *classes,
@@ -66,8 +78,8 @@
   *accounts = NULL;
   if (!json_object_object_get_ex (o, "accounts", &members))
     return BJ_OK;
-  if (!json_object_is_type (members, json_type_object))
-    return bj_fail (BJ_E_TICKET, "accounts: must be an object.");
+  if (bj_accounts_check_type (o) != BJ_OK)
+    return BJ_E_TICKET;
   if (json_object_object_length (members) == 0)
     return BJ_OK;
   if (json_object_object_length (members) > ACCOUNTS_MAX)
--- a/src/account.h
+++ b/src/account.h
@@ -19,6 +19,9 @@
 
 struct json_object;
 
+BjStatus bj_accounts_check_type (
+    struct json_object *o); // Call before other checks of a configuration or ticket, whose messages
+                            // show a value of a wrong type; BJ_E_TICKET
 BjStatus bj_accounts_parse (struct json_object *o,
                             const GPtrArray *classes, // char*, index is the class
                             bool is_in_force, // leaves out a broken account instead of failing
--- a/src/json.c
+++ b/src/json.c
@@ -260,10 +260,6 @@
 check_value (
     const char *name, const char *path, const BjJsonKey *k, struct json_object *v, BjStatus code)
 {
-  // The content of a value in place of an object or array is not shown: it may be a secret.
-  if (!has_type (v, k->type) && (k->type == BJ_JSON_OBJECT || k->type == BJ_JSON_ARRAY))
-    return bj_fail (
-        code, "%s: %s.%s: must be %s.", name, path, k->key, bj_json_type_name (k->type));
   if (!has_type (v, k->type))
     return bj_fail (code,
                     "%s: %s.%s: %.60s is not %s.",
--- a/src/merge.c
+++ b/src/merge.c
@@ -150,8 +150,9 @@
 {
   int n;
   const BjJsonTable *t = bj_ticket_tables (&n);
+  BjStatus s = bj_accounts_check_type (o);
 
-  return bj_json_check ("ticket", t->path, o, BJ_E_TICKET, t->keys, t->n);
+  return s != BJ_OK ? s : bj_json_check ("ticket", t->path, o, BJ_E_TICKET, t->keys, t->n);
 }
 
 static BjStatus
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -304,9 +304,11 @@
 static BjStatus
 read_config (struct json_object *o, BjConfig *c)
 {
-  BjStatus s = bj_json_check (
-      "configuration", "configuration", o, BJ_E_TICKET, merged_keys, G_N_ELEMENTS (merged_keys));
+  BjStatus s = bj_accounts_check_type (o);
 
+  if (s == BJ_OK)
+    s = bj_json_check (
+        "configuration", "configuration", o, BJ_E_TICKET, merged_keys, G_N_ELEMENTS (merged_keys));
   c->number = bj_json_int (o, "number");
   if (s == BJ_OK)
     s = read_classes (o, c);
--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -557,6 +557,7 @@
 test_broken_tables (void **state)
 {
   BjConfig *config;
+  int64_t number;
 
   (void)state;
   assert_int_equal (bj_config_parse (BJ_STR (CONFIG ("1", SMALL "," SMALL)), &config), BJ_E_TICKET);
@@ -564,6 +565,10 @@
   assert_int_equal (bj_config_parse (BJ_STR ("{\"number\":1,\"accounts\":[\"key-x\"]}"), &config),
                     BJ_E_TICKET);
   assert_null (strstr (bj_last_message (), SECRET));
+  assert_int_equal (
+      bj_ticket_check (BJ_STR ("{\"number\":1,\"base\":0,\"accounts\":\"key-x\"}"), &number),
+      BJ_E_TICKET);
+  assert_null (strstr (bj_last_message (), SECRET));
   assert_int_equal (bj_config_parse (BJ_STR (CONFIG ("1", "\"a \":{\"keys\":[]}")), &config),
                     BJ_E_TICKET);
   assert_int_equal (
