--- a/src/header.c
+++ b/src/header.c
@@ -29,6 +29,21 @@
   g_string_append_c (block, '\n');
 }
 
+void
+bj_header_add_except (GString *block, BjStr from, const char *const *names)
+{
+  BjStr name;
+  BjStr value;
+  BjStr rest = from;
+
+  while (bj_header_next (&rest, &name, &value))
+    {
+      if (!bj_header_is_among (name, names))
+        g_string_append_len (block, from.data, (gssize)(from.len - rest.len));
+      from = rest;
+    }
+}
+
 bool
 bj_header_next (BjStr *block, BjStr *name, BjStr *value)
 {
@@ -51,6 +66,15 @@
   return name.len == strlen (other) && strncasecmp (name.data, other, name.len) == 0;
 }
 
+bool
+bj_header_is_among (BjStr name, const char *const *names)
+{
+  for (int i = 0; names[i] != NULL; i++)
+    if (bj_header_name_equal (name, names[i]))
+      return true;
+  return false;
+}
+
 BjStr
 bj_header_find (BjStr block, const char *name)
 {
