A parent inferred from times does not replace a key

Review of the key check: a request without a key passed on a route that needs one if its deadline matched that of a running call. Only a parent known by its number or id counts there now; on anonymous routes an inferred parent still gives the account, which stays hidden from the upstream.

--- a/src/access.c
+++ b/src/access.c
@@ -44,7 +44,8 @@
       return BJ_OK;
     }
   parent = c->request.api_key.len == 0 ? find_parent (k, c) : NULL;
-  if (parent == NULL)
+  // A parent that was inferred from times may be wrong, so it does not replace a key.
+  if (parent == NULL || (c->is_parent_inferred && !r->anonymous))
     return r->anonymous ? BJ_OK : refuse (k, now);
   if (parent->request.account.len == 0)
     return BJ_OK;
@@ -87,9 +88,8 @@
   if (route == NULL || k->config->accounts == NULL || route->anonymous
       || bj_accounts_find_key (k->config->accounts, r->api_key) != NULL)
     return BJ_OK;
-  // Without a key, the call may be a nested one whose parent is found when it arrives.
-  if (r->api_key.len == 0
-      && (is_nested_by_id (k, r) || bj_parent_may_be_inferred (k, r->deadline_ms)))
+  // Nested calls carry no key.
+  if (r->api_key.len == 0 && is_nested_by_id (k, r))
     return BJ_OK;
   return refuse (k, now);
 }
--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -188,11 +188,12 @@
   BjStatus expected;
   const char *account;
   bool hides_account; // from the upstream
+  const char *path;   // of the nested call, NULL for a route that needs a key
 } NestedCase;
 
 static const NestedCase nested_cases[] = {
-  { "parent by its number", "key-big", true, "", "", 0, BJ_OK, "big", false },
-  { "parent by id", "key-big", false, "7.1", "", 0, BJ_OK, "big", false },
+  { "parent by its number", "key-big", true, "", "", 0, BJ_OK, "big", false, NULL },
+  { "parent by id", "key-big", false, "7.1", "", 0, BJ_OK, "big", false, NULL },
   { "id continues that of no running call",
     "key-big",
     false,
@@ -201,9 +202,28 @@
     0,
     BJ_E_UNAUTHORIZED,
     NULL,
-    false },
-  { "parent inferred from its deadline", "key-big", false, "", "", 900, BJ_OK, "big", true },
-  { "deadline of no parent", "key-big", false, "", "", 500, BJ_E_UNAUTHORIZED, NULL, false },
+    false,
+    NULL },
+  { "a parent inferred from its deadline does not replace a key",
+    "key-big",
+    false,
+    "",
+    "",
+    900,
+    BJ_E_UNAUTHORIZED,
+    NULL,
+    false,
+    NULL },
+  { .name = "parent inferred from its deadline, open route",
+    .parent_key = "key-big",
+    .id = "",
+    .key = "",
+    .deadline_ms = 900,
+    .expected = BJ_OK,
+    .account = "big",
+    .hides_account = true,
+    .path = "/open" },
+  { "deadline of no parent", "key-big", false, "", "", 500, BJ_E_UNAUTHORIZED, NULL, false, NULL },
   { "unknown key is not a nested call",
     "key-big",
     false,
@@ -212,7 +232,8 @@
     0,
     BJ_E_UNAUTHORIZED,
     NULL,
-    false },
+    false,
+    NULL },
   { "unknown key with a parent's deadline",
     "key-big",
     false,
@@ -221,8 +242,18 @@
     900,
     BJ_E_UNAUTHORIZED,
     NULL,
-    false },
-  { "own key has precedence", "key-big", false, "7.1", "key-small", 0, BJ_OK, "small", false },
+    false,
+    NULL },
+  { "own key has precedence",
+    "key-big",
+    false,
+    "7.1",
+    "key-small",
+    0,
+    BJ_OK,
+    "small",
+    false,
+    NULL },
 };
 
 static void
@@ -242,7 +273,7 @@
       r.deadline_ms = 902;
       parent = arrive (k, &h, 0, r);
       assert_non_null (parent);
-      r = make_request ("/shut", c->key, c->id);
+      r = make_request (c->path != NULL ? c->path : "/shut", c->key, c->id);
       r.parent = c->by_header ? parent->id : 0;
       r.deadline_ms = c->deadline_ms;
       // Without a key the head alone may not be enough to decide.
