Serve pipelined requests of a connection concurrently

Cause: requests behind another one on a connection were buffered until its response was written, so six of 300 ms took 2 s. Irreversible routes run alone. The setting pipelined_max (default 16) limits the open requests of a connection. A hook on the request head may refuse a request before its body is read. The tests with a stand-in on bj_server use the new handle type.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -205,6 +205,7 @@
   BjStr body;           // complete body
   int klass;            // requested class, -1 if none; can only lower the route's priority
   double deadline_ms;   // time left until the deadline, 0 if none
+  double waited_ms;     // time since it was read, behind others of its connection
   int attempts_left;    // further attempts allowed in the whole call chain, -1 if not given
   int depth;            // hops so far
   uint64_t parent;      // id of the call on the own upstream that made this one, 0 if none
@@ -929,6 +930,7 @@
   BjLogLevel log_level;
   double drain_ms;     // longest time a stopping daemon waits for open calls
   double heartbeat_ms; // interval between two announcements of the own upstream
+  int pipelined_max;   // requests served at once for one connection of a caller
 } BjSettings;
 
 BjStatus
--- a/src/call.c
+++ b/src/call.c
@@ -13,7 +13,7 @@
 
   c->id = ++k->next_id;
   c->state = BJ_CALL_NEW;
-  c->arrived = now;
+  c->arrived = now - r->waited_ms;
   c->retry_cost = 1;
   c->data = data;
   copy_request (&c->request, r);
--- a/src/config.h
+++ b/src/config.h
@@ -13,6 +13,7 @@
 #define BJ_FRAME_MAX (BJ_REQUEST_BODY_MAX + BJ_FRAME_OVERHEAD) // bytes of a frame after its length
 #define BJ_FRAME_DATA_MAX 65536      // bytes of response body in one frame
 #define BJ_WINDOW_BYTES (256 * 1024) // flow control window of a response body, per call
+#define BJ_PIPELINED_MAX 16          // requests served at once for one connection of a caller
 #define BJ_HEADER_MAX 16384          // bytes of a request head from a caller
 #define BJ_TICKET_MAX (1024 * 1024)  // bytes of one ticket, and of config/current
 #define BJ_CONFIG_MAX                                                                              \
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -1,8 +1,8 @@
 // Daemon: runs the kernel on a libev loop. Connects the modules and relays each response from its
 // source (own upstream or peer) to its sink (caller or peer).
 
-#include "internal.h"
 #include "kernel.h"
+#include "server.h"
 #include <ev.h>
 #include <string.h>
 
@@ -104,6 +104,8 @@
   own->upstream.port = s->upstream.port;
   own->drain_ms = s->drain_ms;
   own->heartbeat_ms = s->heartbeat_ms;
+  own->pipelined_max = s->pipelined_max;
+  bj_front_reload (d->front);
   own->log_level = s->log_level;
   bj_log_open (s->log_level);
   bj_log (
--- a/src/front.c
+++ b/src/front.c
@@ -1,7 +1,7 @@
 // Front: ingress for callers. Turns complete HTTP requests into calls and sends their responses
 // with the headers of the configured dialect.
 
-#include "internal.h"
+#include "server.h"
 #include <limits.h>
 #include <string.h>
 #include <sys/resource.h>
@@ -19,12 +19,15 @@
 {
   BjSink sink; // first member, cast from BjSink*
   BjFront *front;
-  BjServerConn *conn;
+  BjServerRequest *request;
   BjExchange *exchange; // NULL when the call was answered immediately
 } Caller;
 
 static int max_caller_conns (void);
-static void on_request (void *front, BjServerConn *conn, const BjHead *h, BjStr body);
+static BjServerVerdict on_head (void *front, const BjHead *h);
+static void on_refused (void *front, BjServerRequest *r, const BjHead *h, int status);
+static void on_request (void *front, BjServerRequest *request, const BjHead *h, BjStr body);
+static bool is_action_path (const BjHead *h);
 static void on_disconnected (void *caller);
 static void on_drained (void *caller, size_t n);
 static void send_action_id (Caller *c);
@@ -33,7 +36,8 @@
 static void on_data (BjSink *s, BjStr part);
 static void on_end (BjSink *s, bool is_complete);
 
-static const BjServerOps server_ops = { on_request, on_disconnected, on_drained };
+static const BjServerOps server_ops
+    = { on_head, on_refused, on_request, on_disconnected, on_drained };
 static const BjSinkOps caller_ops = { on_begin, on_room, on_data, on_end };
 
 BjStatus
@@ -50,6 +54,7 @@
       return s;
     }
   bj_server_set_conns_max (f->server, max_caller_conns ());
+  bj_server_set_pipelined_max (f->server, d->settings.pipelined_max);
   *front = f;
   return BJ_OK;
 }
@@ -73,25 +78,62 @@
   g_free (f);
 }
 
+void
+bj_front_reload (BjFront *f)
+{
+  bj_server_set_pipelined_max (f->server, f->daemon->settings.pipelined_max);
+}
+
 BjServer *
 bj_front_server (BjFront *f)
 {
   return f->server;
 }
 
+static BjServerVerdict
+on_head (void *front, const BjHead *h)
+{
+  BjDaemon *d = ((BjFront *)front)->daemon;
+  BjServerVerdict v = { 0, false };
+  GString *relayed;
+  BjRequest r = { .path = h->path };
+  const BjServiceConfig *s;
+  const BjRoute *route;
+
+  if (is_action_path (h) || bj_kernel_config (d->kernel) == NULL)
+    return v;
+  relayed = g_string_new (NULL);
+  d->dialect->read_request (&d->settings, h, &r, relayed);
+  route = bj_config_route_for_host (bj_kernel_config (d->kernel), r.host, r.path, &s);
+  v.runs_alone = route != NULL && route->irreversible;
+  g_string_free (relayed, TRUE);
+  return v;
+}
+
 static void
-on_request (void *front, BjServerConn *conn, const BjHead *h, BjStr body)
+on_refused (void *front, BjServerRequest *r, const BjHead *h, int status)
+{
+  (void)front;
+  (void)h;
+  bj_server_begin (r, status, BJ_STR_NULL, 0);
+  bj_server_end (r, true);
+}
+
+static void
+on_request (void *front, BjServerRequest *request, const BjHead *h, BjStr body)
 {
   BjFront *f = front;
   Caller *c = g_new0 (Caller, 1);
   GString *relayed = g_string_new (NULL);
-  BjRequest r = { .method = h->method, .path = h->path, .body = body, .klass = -1 };
+  BjRequest r = {
+    .method = h->method, .path = h->path, .body = body, .klass = -1, .waited_ms = h->waited_ms
+  };
 
   c->sink.ops = &caller_ops;
   c->front = f;
-  c->conn = conn;
-  bj_server_set_call (conn, c);
-  if (bj_str_equal (h->method, BJ_STR ("POST")) && bj_str_equal (h->path, BJ_STR (ACTIONS_PATH)))
+  c->request = request;
+  bj_server_set_call (request, c);
+  if (is_action_path (h))
     send_action_id (c);
   else
     {
@@ -108,6 +150,12 @@
   g_string_free (relayed, TRUE);
 }
 
+static bool
+is_action_path (const BjHead *h)
+{
+  return bj_str_equal (h->method, BJ_STR ("POST")) && bj_str_equal (h->path, BJ_STR (ACTIONS_PATH));
+}
+
 static void
 on_disconnected (void *caller)
 {
@@ -161,30 +209,28 @@
     g_string_append_printf (lines, "Content-Type: %.*s\r\n", BJ_STR_ARG (a->content_type));
   while (bj_header_next (&block, &name, &value))
     g_string_append_printf (lines, "%.*s: %.*s\r\n", BJ_STR_ARG (name), BJ_STR_ARG (value));
-  bj_server_begin (c->conn, copy.http_status, (BjStr){ lines->str, lines->len }, a->length);
+  bj_server_begin (c->request, copy.http_status, (BjStr){ lines->str, lines->len }, a->length);
   g_string_free (lines, TRUE);
 }
 
 static size_t
 on_room (BjSink *s)
 {
-  size_t unsent = bj_server_unsent_bytes (((Caller *)s)->conn);
-
-  return unsent < BJ_WINDOW_BYTES ? BJ_WINDOW_BYTES - unsent : 0;
+  return bj_server_room (((Caller *)s)->request);
 }
 
 static void
 on_data (BjSink *s, BjStr part)
 {
-  bj_server_data (((Caller *)s)->conn, part);
+  bj_server_data (((Caller *)s)->request, part);
 }
 
 static void
 on_end (BjSink *s, bool is_complete)
 {
   Caller *c = (Caller *)s;
-  BjServerConn *conn = c->conn;
+  BjServerRequest *request = c->request;
 
   g_free (c);
-  bj_server_end (conn, is_complete);
+  bj_server_end (request, is_complete);
 }
--- a/src/internal.h
+++ b/src/internal.h
@@ -90,11 +90,12 @@
 
 typedef struct
 {
-  int status;     // of a response, 0 for a request
-  BjStr method;   // of a request
-  BjStr path;     // of a request, with the query
-  BjStr headers;  // "Name: value" lines, each terminated by a line feed
-  int64_t length; // bytes of the body, -1 if unknown
+  int status;       // of a response, 0 for a request
+  BjStr method;     // of a request
+  BjStr path;       // of a request, with the query
+  BjStr headers;    // "Name: value" lines, each terminated by a line feed
+  int64_t length;   // bytes of the body, -1 if unknown
+  double waited_ms; // of a request that begins, since it was read
 } BjHead;
 
 typedef struct
@@ -111,47 +112,6 @@
 void bj_message_value (BjMessage *m, const char *data, size_t n);
 BjStr bj_message_headers (BjMessage *m); // All header lines; valid once the head is complete
 
-// ---------------------------------------------------------------------------------------------
-// Server: HTTP/1.1 connections from callers
-// ---------------------------------------------------------------------------------------------
-
-typedef struct BjServer BjServer;
-typedef struct BjServerConn BjServerConn;
-
-typedef struct
-{
-  void (*request) (void *data,
-                   BjServerConn *c,
-                   const BjHead *h,
-                   BjStr body);      // A complete request arrived
-  void (*disconnected) (void *call); // The caller disconnected before the response was complete
-  void (*drained) (void *call, size_t n); // n bytes of the response body were written
-} BjServerOps;
-
-BjStatus bj_server_new (struct ev_loop *loop,
-                        const char *name, // of the setting, for messages
-                        BjAddress a,
-                        const BjServerOps *ops,
-                        void *data,
-                        BjServer **s); // BJ_E_IO if the port is in use
-void bj_server_free (BjServer *s);
-void bj_server_set_limits (BjServer *s, const BjCallerLimits *l); // Applies from now on
-void bj_server_set_conns_max (BjServer *s,
-                              int n); // Sets the connection limit; at the limit, a new connection
-                                      // replaces the one idle longest
-void bj_server_disable_keep_alive (BjServer *s); // Closes each connection after its next response
-void bj_server_stop_accepting (BjServer *s);     // Stops accepting connections
-int bj_server_open_requests (const BjServer *s); // Number of requests without a complete response
-void bj_server_flush (BjServer *s); // Writes the data queued in this event loop iteration
-void bj_server_set_call (BjServerConn *c, void *call); // Argument of disconnected and drained
-void bj_server_begin (BjServerConn *c,
-                      int status,
-                      BjStr lines,     // "Name: value" lines, each terminated by CR LF
-                      int64_t length); // -1 for chunked encoding
-size_t bj_server_unsent_bytes (const BjServerConn *c); // Bytes queued but not yet written
-void bj_server_data (BjServerConn *c, BjStr part);
-void bj_server_end (BjServerConn *c, bool is_complete); // Resets the connection if not complete
-
 // ---------------------------------------------------------------------------------------------
 // Pool: HTTP/1.1 connections to the own upstream, one call at a time on each
 // ---------------------------------------------------------------------------------------------
@@ -434,7 +394,8 @@
 
 BjStatus bj_front_new (BjDaemon *d, BjFront **f); // BJ_E_IO if the port is in use
 void bj_front_free (BjFront *f);
-BjServer *bj_front_server (BjFront *f);
+struct BjServer *bj_front_server (BjFront *f);
+void bj_front_reload (BjFront *f); // Applies settings that may change while it runs
 
 // ---------------------------------------------------------------------------------------------
 // Console: HTTP server for operators and the own upstream, through libmicrohttpd
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -152,7 +152,7 @@
       = r->attempts_left >= 0 ? MIN (r->attempts_left, route->attempts) : route->attempts;
   bj_allowance_take_from_parent (k, c);
   deadline_ms = r->deadline_ms > 0 ? MIN (r->deadline_ms, route->deadline_ms) : route->deadline_ms;
-  bj_call_set_deadline (k, c, now + deadline_ms);
+  bj_call_set_deadline (k, c, c->arrived + deadline_ms);
   c->objective_ms = route->objective_ms;
   c->needs_claim = c->irreversible && route->needs_claim;
   if (c->needs_claim && c->request.key.len == 0)
--- a/src/server.c
+++ b/src/server.c
@@ -1,23 +1,28 @@
-// Server: HTTP/1.1 connections from callers, parsed by http-parser. A connection serves one request
-// at a time; bytes of later requests are buffered until the current response is written.
+// Server: HTTP/1.1 connections from callers, parsed by http-parser. Requests begin as soon as they
+// are read, unless the pipeline of their connection makes them wait; meanwhile received bytes are
+// buffered.
 
-#include "internal.h"
+#include "server.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <ev.h>
 #include <http_parser.h>
 #include <limits.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define BACKLOG 1024
 #define ACCEPTS_PER_EVENT 64 // connections accepted before other events are handled
 #define READ_BYTES 65536     // per recv call
-#define PIPELINED_MAX 65536  // buffered bytes of later requests at which reading stops
+#define UNPARSED_MAX 65536   // buffered bytes of later requests at which reading stops
 #define TIMEOUT_CHECK_INTERVAL_MS 100
+#define PIPELINED_DEFAULT 1    // open requests of a connection unless set
+#define WAITING_BYTES 262144   // of responses that wait for an earlier one
 #define LINGER_BYTES 262144    // read after a final response before the connection is closed
 #define BODY_MAX_MS 120000     // longest time of a request body
 #define BODY_FACTOR_MAX 8      // bytes of a chunked body per byte of its limit
@@ -29,11 +34,13 @@
   IDLE,      // between requests
   HEAD,      // reading a request's head
   BODY,      // reading a request's body
-  ANSWERING, // request complete, response not yet written
+  WAITING,   // a complete request waits until it may begin
+  BLOCKED,   // no request is parsed until a response is written
+  BREAKING,  // a response broke off; earlier ones are being acknowledged before the reset
   LINGERING, // last response written or queued; received bytes are discarded
 } ConnState;
 
-struct BjServerConn
+typedef struct
 {
   BjServer *server;
   int fd;
@@ -41,25 +48,24 @@
   ev_io write;
   http_parser parser;
   ConnState state;
-  BjTime since; // last state change, body bytes read or bytes written
+  BjTime since;      // last change of state or body bytes read
+  BjTime written_at; // bytes were written last, or became pending
+  BjTime read_at;    // when the request that waits was complete
   BjMessage head;
-  GString *body;          // of the request
-  BjTime body_since;      // when its body began
-  size_t n_encoded;       // bytes of its body with chunk headers
-  size_t n_lingering;     // bytes discarded while LINGERING
-  GString *pipelined;     // received bytes behind the current request
-  GString *out;           // bytes to write
-  size_t out_written;     // bytes of out already written
-  size_t body_unreported; // body bytes in out not yet reported by ops->drained
-  void *call;       // argument of ops->disconnected and ops->drained, NULL when no response is due
-  int error_status; // HTTP status that rejects the request, 0 for none
-  bool keep_alive;  // the connection stays open after the response
-  bool is_chunked;  // chunked transfer encoding
-  bool no_body;     // response to HEAD
-  bool is_dirty;    // in server->dirty
-  bool is_complete; // the whole response is in out
+  GString *body;           // of the request
+  BjTime body_since;       // when its body began
+  size_t n_encoded;        // bytes of its body with chunk headers
+  size_t n_lingering;      // bytes discarded while LINGERING or BREAKING
+  GString *unparsed;       // received bytes behind the last parsed request, NULL for none
+  BjPipeline pipeline;     // responses
+  int n_counted;           // requests of pipeline included in server->n_open_requests
+  int error_status;        // HTTP status that rejects the request, 0 for none
+  BjServerVerdict verdict; // on the request that is being read
+  bool is_verdict_old;     // other events were handled since the verdict
+  bool is_continue_due;    // 100 Continue is sent when the responses before it are written
+  bool is_dirty;           // in server->dirty
   bool is_closed;
-};
+} BjServerConn;
 
 struct BjServer
 {
@@ -70,10 +76,11 @@
   const BjServerOps *ops;
   void *data; // argument of ops->request
   BjCallerLimits limits;
+  BjPipelineOps pipeline_ops;
+  BjPipelineLimits pipeline_limits;
   GHashTable *conns;   // set of BjServerConn*
   GPtrArray *dirty;    // BjServerConn* with bytes to write
   GPtrArray *closed;   // BjServerConn* to free at the end of the loop iteration
-  bool is_closing;     // every response ends its connection
   int n_open_requests; // requests whose response is not completely written
   int conns_max;       // at this number, a new connection evicts the one idle longest
 };
@@ -85,8 +92,11 @@
 static void on_write (struct ev_loop *loop, ev_io *w, int events);
 static void on_timeout_timer (struct ev_loop *loop, ev_timer *w, int events);
 static void check_timeouts (BjServerConn *c, BjTime now);
-static void parse_request (BjServerConn *c, const char *data, size_t n);
-static void parse_pipelined (BjServerConn *c);
+static void discard_bytes (BjServerConn *c, size_t n);
+static void receive_bytes (BjServerConn *c, const char *data, size_t n);
+static bool is_parsing (const BjServerConn *c);
+static size_t parse_request (BjServerConn *c, const char *data, size_t n);
+static void parse_unparsed (BjServerConn *c);
 static int on_begin (http_parser *p);
 static int check_head_size (BjServerConn *c);
 static int on_url (http_parser *p, const char *data, size_t n);
@@ -95,12 +105,21 @@
 static int on_headers (http_parser *p);
 static int on_body (http_parser *p, const char *data, size_t n);
 static int on_complete (http_parser *p);
+static BjHead request_head (BjServerConn *c);
 static void dispatch_request (BjServerConn *c);
+static BjServerRequest *begin_request (BjServerConn *c, const BjPipelineOptions *o);
+static void refuse_request (BjServerConn *c, bool has_body);
 static void reject_request (BjServerConn *c, int status);
 static void set_state (BjServerConn *c, ConnState state);
-static void finish_response (BjServerConn *c);
+static void resume_reading (BjServerConn *c);
+static void send_continue (BjServerConn *c);
+static void count_open (BjServerConn *c);
+static BjServerConn *conn_of (const BjServerRequest *r);
 static void mark_dirty (BjServerConn *c);
+static void flush_conn (BjServerConn *c);
 static bool write_pending (BjServerConn *c);
+static void break_conn (BjServerConn *c);
+static void reset_conn (BjServerConn *c);
 static void close_conn (BjServerConn *c);
 static void free_conn (BjServerConn *c);
 
@@ -153,6 +172,10 @@
   s->ops = ops;
   s->data = data;
   s->limits = (BjCallerLimits)BJ_CALLER_LIMITS_DEFAULT;
+  s->pipeline_ops = (BjPipelineOps){ ops->drained, ops->disconnected };
+  s->pipeline_limits = (BjPipelineLimits){ .requests_max = PIPELINED_DEFAULT,
+                                           .room_bytes = BJ_WINDOW_BYTES,
+                                           .waiting_max = WAITING_BYTES };
   s->conns_max = INT_MAX;
   s->conns = g_hash_table_new (NULL, NULL);
   s->dirty = g_ptr_array_new ();
@@ -197,6 +220,12 @@
   s->limits = *l;
 }
 
+void
+bj_server_set_pipelined_max (BjServer *s, int n)
+{
+  s->pipeline_limits.requests_max = n;
+}
+
 void
 bj_server_set_conns_max (BjServer *s, int n)
 {
@@ -206,7 +235,7 @@
 void
 bj_server_disable_keep_alive (BjServer *s)
 {
-  s->is_closing = true;
+  s->pipeline_limits.is_stopping = true;
 }
 
 // Accepts the connections in the listen backlog, then closes the listening socket.
@@ -235,76 +264,48 @@
       BjServerConn *c = g_ptr_array_steal_index_fast (s->dirty, s->dirty->len - 1);
 
       c->is_dirty = false;
-      if (!c->is_closed && !write_pending (c))
-        close_conn (c);
+      if (!c->is_closed)
+        flush_conn (c);
     }
   while (s->closed->len > 0)
     free_conn (g_ptr_array_steal_index_fast (s->closed, s->closed->len - 1));
 }
 
 void
-bj_server_set_call (BjServerConn *c, void *call)
+bj_server_set_call (BjServerRequest *r, void *call)
 {
-  c->call = call;
+  r->call = call;
 }
 
 void
-bj_server_begin (BjServerConn *c, int status, BjStr lines, int64_t length)
-{
-  if (c->server->is_closing)
-    c->keep_alive = false;
-  c->is_chunked = length < 0 && !c->no_body && c->parser.http_minor > 0;
-  if (length < 0 && !c->is_chunked && !c->no_body)
-    c->keep_alive = false;
-  g_string_append_printf (
-      c->out, "HTTP/1.1 %d %s\r\n", status, http_status_str ((enum http_status)status));
-  if (lines.len > 0)
-    g_string_append_len (c->out, lines.data, (gssize)lines.len);
-  if (c->is_chunked)
-    g_string_append (c->out, "Transfer-Encoding: chunked\r\n");
-  else if (length >= 0)
-    g_string_append_printf (c->out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
-  g_string_append (c->out, c->keep_alive ? "\r\n" : "Connection: close\r\n\r\n");
+bj_server_begin (BjServerRequest *r, int status, BjStr lines, int64_t length)
+{
+  BjServerConn *c = conn_of (r);
+
   mark_dirty (c);
+  bj_pipeline_head (r, status, lines, length);
 }
 
 size_t
-bj_server_unsent_bytes (const BjServerConn *c)
+bj_server_room (const BjServerRequest *r)
 {
-  return c->out->len - c->out_written;
+  return bj_pipeline_room (r);
 }
 
 void
-bj_server_data (BjServerConn *c, BjStr part)
+bj_server_data (BjServerRequest *r, BjStr part)
 {
-  if (part.len == 0 || c->no_body)
-    return;
-  if (c->is_chunked)
-    g_string_append_printf (c->out, "%zx\r\n", part.len);
-  g_string_append_len (c->out, part.data, (gssize)part.len);
-  if (c->is_chunked)
-    g_string_append (c->out, "\r\n");
-  c->body_unreported += part.len;
-  mark_dirty (c);
+  mark_dirty (conn_of (r));
+  bj_pipeline_data (r, part);
 }
 
+// A response that broke off resets the connection in the next flush, where no call is being
+// handled.
 void
-bj_server_end (BjServerConn *c, bool is_complete)
+bj_server_end (BjServerRequest *r, bool is_complete)
 {
-  struct linger reset = { 1, 0 };
-
-  c->call = NULL;
-  if (!is_complete)
-    {
-      // A response without a length would look complete if the connection closed with a FIN.
-      setsockopt (c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-      close_conn (c);
-      return;
-    }
-  if (c->is_chunked)
-    g_string_append (c->out, "0\r\n\r\n");
-  c->is_complete = true;
-  mark_dirty (c);
+  mark_dirty (conn_of (r));
+  bj_pipeline_end (r, is_complete);
 }
 
 static void
@@ -344,7 +345,8 @@
     {
       BjServerConn *c = key;
 
-      if (c->state == IDLE && (oldest == NULL || c->since < oldest->since))
+      if (c->state == IDLE && c->pipeline.first == NULL
+          && (oldest == NULL || c->since < oldest->since))
         oldest = c;
     }
   if (oldest != NULL)
@@ -363,8 +365,7 @@
   c->fd = fd;
   c->since = bj_clock_now ();
   c->body = g_string_new (NULL);
-  c->pipelined = g_string_new (NULL);
-  c->out = g_string_new (NULL);
+  bj_pipeline_init (&c->pipeline, &s->pipeline_ops, &s->pipeline_limits, c);
   bj_message_init (&c->head);
   http_parser_init (&c->parser, HTTP_REQUEST);
   c->parser.data = c;
@@ -383,6 +384,7 @@
   BjServerConn *c = w->data;
   ssize_t n = recv (c->fd, buffer, sizeof buffer, 0);
 
+  (void)loop;
   (void)events;
   if (n < 0 && (errno == EAGAIN || errno == EINTR))
     return;
@@ -391,21 +393,11 @@
       close_conn (c);
       return;
     }
-  if (c->state == LINGERING)
-    {
-      c->n_lingering += (size_t)n;
-      if (c->n_lingering > LINGER_BYTES)
-        ev_io_stop (loop, &c->read);
-      return;
-    }
-  if (c->state != ANSWERING)
-    {
-      parse_request (c, buffer, (size_t)n);
-      return;
-    }
-  g_string_append_len (c->pipelined, buffer, n);
-  if (c->pipelined->len >= PIPELINED_MAX)
-    ev_io_stop (loop, &c->read);
+  c->is_verdict_old = true;
+  if (c->state == LINGERING || c->state == BREAKING)
+    discard_bytes (c, (size_t)n);
+  else
+    receive_bytes (c, buffer, (size_t)n);
 }
 
 static void
@@ -438,39 +430,84 @@
   g_ptr_array_free (all, TRUE);
 }
 
+// A request that is not read in time is rejected behind the responses before it; a connection on
+// which a response is due is not idle.
 static void
 check_timeouts (BjServerConn *c, BjTime now)
 {
   const BjCallerLimits *l = &c->server->limits;
+  bool is_answering = c->pipeline.first != NULL;
   double age = now - c->since;
 
-  if (c->state == HEAD && age > l->header_timeout_ms)
-    reject_request (c, HTTP_STATUS_REQUEST_TIMEOUT);
-  else if (c->state == BODY && now - c->body_since > BODY_MAX_MS)
-    reject_request (c, HTTP_STATUS_REQUEST_TIMEOUT);
-  else if ((c->state == IDLE || c->state == BODY) && age > l->idle_timeout_ms)
+  if (c->is_closed)
+    return;
+  if (c->state == BREAKING)
+    break_conn (c);
+  else if (c->state == LINGERING && now - MAX (c->since, c->written_at) > LINGER_MS)
     close_conn (c);
-  else if (c->state == LINGERING && age > LINGER_MS)
+  else if (c->state != LINGERING && is_answering && bj_pipeline_unsent (&c->pipeline) > 0
+           && now - c->written_at > WRITE_TIMEOUT_MS)
     close_conn (c);
-  else if (c->state == ANSWERING && bj_server_unsent_bytes (c) > 0 && age > WRITE_TIMEOUT_MS)
+  else if (c->state == HEAD && age > l->header_timeout_ms)
+    reject_request (c, HTTP_STATUS_REQUEST_TIMEOUT);
+  else if (c->state == BODY && !c->is_continue_due
+           && (now - c->body_since > BODY_MAX_MS || (is_answering && age > l->idle_timeout_ms)))
+    reject_request (c, HTTP_STATUS_REQUEST_TIMEOUT);
+  else if ((c->state == IDLE || c->state == BODY) && !is_answering && age > l->idle_timeout_ms)
     close_conn (c);
 }
 
 static void
+discard_bytes (BjServerConn *c, size_t n)
+{
+  c->n_lingering += n;
+  if (c->n_lingering > LINGER_BYTES)
+    ev_io_stop (c->server->loop, &c->read);
+}
+
+// Parses the bytes up to a request that stops the parsing, and buffers the others.
+static void
+receive_bytes (BjServerConn *c, const char *data, size_t n)
+{
+  while (n > 0 && is_parsing (c))
+    {
+      size_t used = parse_request (c, data, n);
+
+      data += used;
+      n -= used;
+    }
+  if (n == 0 || c->is_closed || c->state == LINGERING)
+    return;
+  if (c->unparsed == NULL)
+    c->unparsed = g_string_new (NULL);
+  g_string_append_len (c->unparsed, data, (gssize)n);
+  if (c->unparsed->len >= UNPARSED_MAX)
+    ev_io_stop (c->server->loop, &c->read);
+}
+
+static bool
+is_parsing (const BjServerConn *c)
+{
+  return !c->is_closed && (c->state == IDLE || c->state == HEAD || c->state == BODY);
+}
+
+// Returns the number of bytes used.
+static size_t
 parse_request (BjServerConn *c, const char *data, size_t n)
 {
   size_t used = http_parser_execute (&c->parser, &parser_settings, data, n);
   enum http_errno e = HTTP_PARSER_ERRNO (&c->parser);
 
   if (c->is_closed || c->state == LINGERING)
-    return;
+    return n;
   if (e == HPE_PAUSED)
     {
       http_parser_pause (&c->parser, 0);
-      if (used < n)
-        g_string_append_len (c->pipelined, data + used, (gssize)(n - used));
       dispatch_request (c);
+      return used;
     }
+  if (e == HPE_CB_headers_complete && c->verdict.refuse_status != 0)
+    refuse_request (c, true);
   else if (e != HPE_OK || c->parser.upgrade)
     reject_request (c, c->error_status != 0 ? c->error_status : HTTP_STATUS_BAD_REQUEST);
   else if (c->state == BODY)
@@ -479,18 +516,18 @@
       if (c->n_encoded > BODY_FACTOR_MAX * c->server->limits.body_bytes + READ_BYTES)
         reject_request (c, HTTP_STATUS_PAYLOAD_TOO_LARGE);
     }
+  return n;
 }
 
 static void
-parse_pipelined (BjServerConn *c)
+parse_unparsed (BjServerConn *c)
 {
-  GString *bytes;
+  GString *bytes = c->unparsed;
 
-  if (c->pipelined->len == 0 || c->is_closed)
+  if (bytes == NULL || c->is_closed)
     return;
-  bytes = c->pipelined;
-  c->pipelined = g_string_new (NULL);
-  parse_request (c, bytes->str, bytes->len);
+  c->unparsed = NULL;
+  receive_bytes (c, bytes->str, bytes->len);
   g_string_free (bytes, TRUE);
 }
 
@@ -502,6 +539,9 @@
   bj_message_reset (&c->head);
   g_string_truncate (c->body, 0);
   c->error_status = 0;
+  c->verdict = (BjServerVerdict){ 0, false };
+  c->is_verdict_old = false;
+  c->is_continue_due = false;
   set_state (c, HEAD);
   return 0;
 }
@@ -576,11 +616,23 @@
   set_state (c, BODY);
   c->body_since = c->since;
   c->n_encoded = 0;
-  if (bj_header_name_equal (bj_header_find (headers, "Expect"), "100-continue"))
+  c->is_verdict_old = false;
+  if (c->server->ops->head != NULL)
+    {
+      BjHead h = request_head (c);
+
+      h.length = (p->flags & F_CONTENTLENGTH) != 0 ? (int64_t)p->content_length : -1;
+      c->verdict = c->server->ops->head (c->server->data, &h);
+    }
+  if (c->verdict.refuse_status != 0)
     {
-      g_string_append (c->out, "HTTP/1.1 100 Continue\r\n\r\n");
-      mark_dirty (c);
+      bool has_length = (p->flags & F_CONTENTLENGTH) != 0 && p->content_length > 0;
+
+      return has_length || (p->flags & F_CHUNKED) != 0 ? -1 : 0;
     }
+  c->is_continue_due = bj_header_name_equal (bj_header_find (headers, "Expect"), "100-continue");
+  if (c->is_continue_due && c->pipeline.first == NULL)
+    send_continue (c);
   return 0;
 }
 
@@ -606,42 +658,108 @@
   return 0;
 }
 
-static void
-dispatch_request (BjServerConn *c)
+static BjHead
+request_head (BjServerConn *c)
 {
-  BjHead h = {
+  return (BjHead){
     .method = bj_str (http_method_str ((enum http_method)c->parser.method)),
     .path = { c->head.path->str, c->head.path->len },
-    .headers = { c->head.headers->str, c->head.headers->len },
+    .headers = bj_message_headers (&c->head),
     .length = (int64_t)c->body->len,
   };
+}
+
+// Begins the complete request, or makes it wait for those before it.
+static void
+dispatch_request (BjServerConn *c)
+{
+  BjServer *s = c->server;
+  BjHead h = request_head (c);
+  BjPipelineOptions o = { .keep_alive = http_should_keep_alive (&c->parser) != 0,
+                          .no_body = c->parser.method == HTTP_HEAD,
+                          .is_chunked = c->parser.http_minor > 0 };
+  BjTime now = bj_clock_now ();
+  BjServerRequest *r;
 
-  c->keep_alive = http_should_keep_alive (&c->parser) != 0;
-  c->no_body = c->parser.method == HTTP_HEAD;
   if (c->error_status != 0)
     {
       reject_request (c, c->error_status);
       return;
     }
-  set_state (c, ANSWERING);
-  c->server->n_open_requests++;
-  c->server->ops->request (c->server->data, c, &h, (BjStr){ c->body->str, c->body->len });
+  c->is_continue_due = false;
+  if (c->state != WAITING)
+    c->read_at = now;
+  if (c->is_verdict_old && s->ops->head != NULL)
+    c->verdict = s->ops->head (s->data, &h);
+  c->is_verdict_old = false;
+  o.runs_alone = c->verdict.runs_alone;
+  if (!bj_pipeline_may_begin (&c->pipeline, o.runs_alone))
+    {
+      c->state = WAITING;
+      c->is_verdict_old = true;
+      return;
+    }
+  if (c->verdict.refuse_status != 0)
+    {
+      refuse_request (c, false);
+      return;
+    }
+  r = begin_request (c, &o);
+  h.waited_ms = MAX (0, now - c->read_at);
+  s->ops->request (s->data, r, &h, (BjStr){ c->body->str, c->body->len });
+}
+
+static BjServerRequest *
+begin_request (BjServerConn *c, const BjPipelineOptions *o)
+{
+  BjServerRequest *r = bj_pipeline_begin (&c->pipeline, o);
+
+  set_state (c, bj_pipeline_may_begin (&c->pipeline, false) ? IDLE : BLOCKED);
+  count_open (c);
+  return r;
+}
+
+// Answers a request that ops->head refused. A body that was not read ends the connection.
+static void
+refuse_request (BjServerConn *c, bool has_body)
+{
+  BjHead h = request_head (c);
+  BjPipelineOptions o = { .keep_alive = !has_body && http_should_keep_alive (&c->parser) != 0,
+                          .no_body = c->parser.method == HTTP_HEAD,
+                          .is_chunked = c->parser.http_minor > 0 };
+
+  if (c->pipeline.is_last_begun)
+    {
+      set_state (c, BLOCKED);
+      return;
+    }
+  c->server->ops->refused (c->server->data, begin_request (c, &o), &h, c->verdict.refuse_status);
 }
 
 // Rejects the request and ends the connection, because the bytes that follow cannot be parsed.
+// Behind a response that ends the connection, nothing is answered.
 static void
 reject_request (BjServerConn *c, int status)
 {
+  BjPipelineOptions o = { .is_chunked = c->parser.http_minor > 0 };
+  bool is_first = c->pipeline.first == NULL;
+  BjServerRequest *r;
+
   bj_log (BJ_LOG_INFO,
           "FRONT",
           "Request rejected with HTTP status %d; closing the connection.",
           status);
   n_rejected.value++;
-  if (c->state == ANSWERING)
-    return;
-  c->keep_alive = false;
-  set_state (c, LINGERING);
-  bj_server_begin (c, status, BJ_STR_NULL, 0);
+  if (c->pipeline.is_last_begun)
+    {
+      set_state (c, BLOCKED);
+      return;
+    }
+  r = begin_request (c, &o);
+  if (is_first)
+    set_state (c, LINGERING);
+  bj_server_begin (r, status, BJ_STR_NULL, 0);
+  bj_server_end (r, true);
 }
 
 static void
@@ -651,21 +769,47 @@
   c->since = bj_clock_now ();
 }
 
-// Called when the whole response is written.
+// Called when responses were written: begins the request that waits and parses further ones.
 static void
-finish_response (BjServerConn *c)
-{
-  c->is_complete = false;
-  c->server->n_open_requests--;
-  if (!c->keep_alive)
-    {
-      shutdown (c->fd, SHUT_WR);
-      set_state (c, LINGERING);
-      return;
-    }
-  set_state (c, IDLE);
+resume_reading (BjServerConn *c)
+{
+  bool is_answered = c->pipeline.first == NULL;
+
+  if (c->state == IDLE && is_answered)
+    c->since = bj_clock_now ();
+  if (c->is_continue_due && is_answered)
+    send_continue (c);
+  if (c->state == WAITING && bj_pipeline_may_begin (&c->pipeline, c->verdict.runs_alone))
+    dispatch_request (c);
+  if (c->state == BLOCKED && bj_pipeline_may_begin (&c->pipeline, false))
+    set_state (c, IDLE);
+  if (!is_parsing (c))
+    return;
   ev_io_start (c->server->loop, &c->read);
-  parse_pipelined (c);
+  parse_unparsed (c);
+}
+
+// The caller waits for this before it sends the body, so the time for the body starts now.
+static void
+send_continue (BjServerConn *c)
+{
+  c->is_continue_due = false;
+  c->since = c->body_since = bj_clock_now ();
+  bj_pipeline_interim (&c->pipeline, BJ_STR ("HTTP/1.1 100 Continue\r\n\r\n"));
+  mark_dirty (c);
+}
+
+static void
+count_open (BjServerConn *c)
+{
+  c->server->n_open_requests += c->pipeline.n_open - c->n_counted;
+  c->n_counted = c->pipeline.n_open;
+}
+
+static BjServerConn *
+conn_of (const BjServerRequest *r)
+{
+  return r->pipeline->data;
 }
 
 static void
@@ -674,18 +818,46 @@
   if (c->is_dirty || c->is_closed)
     return;
   c->is_dirty = true;
+  if (bj_pipeline_unsent (&c->pipeline) == 0)
+    c->written_at = bj_clock_now ();
   g_ptr_array_add (c->server->dirty, c);
 }
 
+static void
+flush_conn (BjServerConn *c)
+{
+  if (!write_pending (c))
+    {
+      close_conn (c);
+      return;
+    }
+  count_open (c);
+  if (bj_pipeline_is_broken (&c->pipeline))
+    break_conn (c);
+  else if (c->pipeline.is_ended)
+    {
+      shutdown (c->fd, SHUT_WR);
+      if (c->state != LINGERING)
+        set_state (c, LINGERING);
+    }
+  else
+    resume_reading (c);
+}
+
+// Returns false if the connection failed.
 static bool
 write_pending (BjServerConn *c)
 {
-  ssize_t n;
-  size_t drained;
+  BjPipeline *p = &c->pipeline;
 
-  while (c->out_written < c->out->len)
+  for (;;)
     {
-      n = send (c->fd, c->out->str + c->out_written, c->out->len - c->out_written, MSG_NOSIGNAL);
+      BjStr out = bj_pipeline_pending (p);
+      ssize_t n;
+
+      if (out.len == 0)
+        return true;
+      n = send (c->fd, out.data, out.len, MSG_NOSIGNAL);
       if (n < 0 && (errno == EAGAIN || errno == EINTR))
         {
           ev_io_start (c->server->loop, &c->write);
@@ -693,41 +865,50 @@
         }
       if (n <= 0)
         return false;
-      c->out_written += (size_t)n;
-      c->since = bj_clock_now ();
-      drained = MIN ((size_t)n, c->body_unreported);
-      c->body_unreported -= drained;
-      if (c->call != NULL && drained > 0)
-        c->server->ops->drained (c->call, drained);
+      c->written_at = bj_clock_now ();
+      bj_pipeline_written (p, (size_t)n);
     }
-  g_string_truncate (c->out, 0);
-  c->out_written = 0;
-  if (c->is_complete)
-    finish_response (c);
-  else if (c->state == LINGERING)
-    shutdown (c->fd, SHUT_WR);
-  return true;
+}
+
+// Resets the connection, because a response without a length would look complete if it closed with
+// a FIN. A reset drops bytes in flight, so responses before the broken one are acknowledged first.
+static void
+break_conn (BjServerConn *c)
+{
+  int n_unacknowledged = 0;
+
+  if (c->state != BREAKING)
+    set_state (c, BREAKING);
+  if (c->pipeline.first != NULL && c->pipeline.first->is_behind)
+    ioctl (c->fd, SIOCOUTQ, &n_unacknowledged);
+  if (n_unacknowledged == 0 || bj_clock_now () - c->since > LINGER_MS)
+    reset_conn (c);
+}
+
+static void
+reset_conn (BjServerConn *c)
+{
+  struct linger reset = { 1, 0 };
+
+  setsockopt (c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close_conn (c);
 }
 
 static void
 close_conn (BjServerConn *c)
 {
   BjServer *s = c->server;
-  void *call = c->call;
 
   if (c->is_closed)
     return;
   c->is_closed = true;
-  c->call = NULL;
-  if (c->state == ANSWERING)
-    s->n_open_requests--;
   ev_io_stop (s->loop, &c->read);
   ev_io_stop (s->loop, &c->write);
   close (c->fd);
   g_hash_table_remove (s->conns, c);
   g_ptr_array_add (s->closed, c);
-  if (call != NULL)
-    s->ops->disconnected (call);
+  bj_pipeline_clear (&c->pipeline);
+  count_open (c);
 }
 
 static void
@@ -737,7 +918,7 @@
     g_ptr_array_remove_fast (c->server->dirty, c);
   bj_message_clear (&c->head);
   g_string_free (c->body, TRUE);
-  g_string_free (c->pipelined, TRUE);
-  g_string_free (c->out, TRUE);
+  if (c->unparsed != NULL)
+    g_string_free (c->unparsed, TRUE);
   g_free (c);
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -8,8 +8,9 @@
 
 #define NAME_MAX_BYTES 64 // of a daemon, domain, region or service name
 #define PORT_MAX 65535
-#define SEEDS_MAX 64    // entries in settings.seeds
-#define DOMAINS_MAX 256 // entries in settings.domains
+#define SEEDS_MAX 64        // entries in settings.seeds
+#define DOMAINS_MAX 256     // entries in settings.domains
+#define PIPELINED_LIMIT 256 // highest settings.pipelined_max
 
 static const BjJsonKey setting_keys[] = {
   { "name", BJ_JSON_STR, true, 1, NAME_MAX_BYTES },
@@ -28,6 +29,7 @@
   { "ready", BJ_JSON_STR, false, 0, 0 },
   { "domains", BJ_JSON_ARRAY, false, 0, DOMAINS_MAX },
   { "heartbeat_ms", BJ_JSON_NUMBER, false, 10, 600000 },
+  { "pipelined_max", BJ_JSON_NUMBER, false, 1, PIPELINED_LIMIT },
   { "service", BJ_JSON_STR, false, 0, NAME_MAX_BYTES },
   { "upstream", BJ_JSON_STR, false, 0, 0 },
   { "dialect", BJ_JSON_STR, false, 0, 0 },
@@ -162,6 +164,7 @@
   s->key_file = bj_str_dup (bj_json_str (o, "key_file"));
   s->drain_ms = bj_json_number (o, "drain_ms", BJ_DRAIN_MS);
   s->heartbeat_ms = bj_json_number (o, "heartbeat_ms", BJ_HEARTBEAT_MS);
+  s->pipelined_max = (int)bj_json_number (o, "pipelined_max", BJ_PIPELINED_MAX);
   if (json_object_object_get_ex (o, "service_defaults", &defaults))
     s->service_defaults = bj_str_dup (bj_str (json_object_to_json_string (defaults)));
   s->service = bj_str_dup (bj_json_str (o, "service"));
--- a/tests/daemons.c
+++ b/tests/daemons.c
@@ -65,6 +65,7 @@
     s.domain = BJ_STR ("a");
   s.region = BJ_STR ("r");
   s.heartbeat_ms = 10000;
+  s.pipelined_max = BJ_PIPELINED_MAX;
   s.drain_ms = 100;
   s.advertised_link = s.link;
   s.advertised_gossip = s.gossip;
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -3,6 +3,7 @@
 
 #include "daemons.h"
 #include "kernel.h"
+#include "server.h"
 #include <curl/curl.h>
 #include <ev.h>
 #include <setjmp.h>
@@ -51,7 +52,7 @@
 typedef struct
 {
   Store *store;
-  BjServerConn *conn;
+  BjServerRequest *conn;
   bool is_watch;
   char *body; // NULL while a watch waits
   size_t n_sent;
@@ -71,7 +72,7 @@
 };
 
 static void
-send_body (BjServerConn *c, const char *body)
+send_body (BjServerRequest *c, const char *body)
 {
   bj_server_begin (c, 200, BJ_STR ("Store-Era: 1\r\n"), (int64_t)strlen (body));
   bj_server_data (c, bj_str (body));
@@ -95,7 +96,7 @@
   size_t left = strlen (r->body) - r->n_sent;
   size_t n
       = r->store->bytes_per_ms > 0 ? MIN (left, (size_t)(r->store->bytes_per_ms * PACE_MS)) : left;
-  BjServerConn *c = r->conn;
+  BjServerRequest *c = r->conn;
 
   (void)loop;
   (void)events;
@@ -130,7 +131,7 @@
 }
 
 static void
-on_request (void *data, BjServerConn *c, const BjHead *h, BjStr body)
+on_request (void *data, BjServerRequest *c, const BjHead *h, BjStr body)
 {
   Store *s = data;
   BjStr prefix = BJ_STR ("/objects/config?watch=");
@@ -165,7 +166,8 @@
   (void)n;
 }
 
-static const BjServerOps store_ops = { on_request, on_disconnected, on_drained };
+static const BjServerOps store_ops
+    = { .request = on_request, .disconnected = on_disconnected, .drained = on_drained };
 
 // Replaces the manifest; n_routes 0 fills an object.
 static void
--- a/tests/test_large_request.c
+++ b/tests/test_large_request.c
@@ -2,6 +2,7 @@
 
 #include "daemons.h"
 #include "kernel.h"
+#include "server.h"
 #include <curl/curl.h>
 #include <ev.h>
 #include <setjmp.h>
@@ -66,7 +67,7 @@
 static const BjSinkOps caller_ops = { on_begin, on_room, on_data, on_end };
 
 static void
-on_request (void *data, BjServerConn *c, const BjHead *h, BjStr body)
+on_request (void *data, BjServerRequest *c, const BjHead *h, BjStr body)
 {
   (void)h;
   ((Upstream *)data)->body_bytes = body.len;
@@ -87,7 +88,8 @@
   (void)n;
 }
 
-static const BjServerOps upstream_ops = { on_request, on_disconnected, on_drained };
+static const BjServerOps upstream_ops
+    = { .request = on_request, .disconnected = on_disconnected, .drained = on_drained };
 
 static void
 flush_upstream (struct ev_loop *loop, ev_prepare *w, int events)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -3,6 +3,7 @@
 
 #include "../platform/platform.h"
 #include "kernel.h"
+#include "server.h"
 #include <curl/curl.h>
 #include <ev.h>
 #include <setjmp.h>
@@ -481,7 +482,7 @@
   char method[16];
   char path[128];
   char body[512];
-  BjServerConn *waiting;
+  BjServerRequest *waiting;
 } Store;
 
 typedef struct
@@ -494,7 +495,7 @@
 } Reply;
 
 static void
-store_request (void *data, BjServerConn *c, const BjHead *h, BjStr body)
+store_request (void *data, BjServerRequest *c, const BjHead *h, BjStr body)
 {
   Store *s = data;
 
@@ -524,7 +525,8 @@
   (void)n;
 }
 
-static const BjServerOps store_ops = { store_request, ignore_disconnected, ignore_drained };
+static const BjServerOps store_ops
+    = { .request = store_request, .disconnected = ignore_disconnected, .drained = ignore_drained };
 
 static void
 on_reply (void *data, const BjPlatformReply *r)
--- a/tests/test_reader.c
+++ b/tests/test_reader.c
@@ -3,6 +3,7 @@
 
 #include "daemons.h"
 #include "kernel.h"
+#include "server.h"
 #include <curl/curl.h>
 #include <ev.h>
 #include <poll.h>
@@ -41,10 +42,10 @@
   BjServer *server;
   int number; // on 127.0.0.1
   Treatment treatment;
-  BjServerConn *watch; // waiting, NULL if none
-  int64_t from;        // revision of that watch
-  ev_timer timer;      // until it ends without a change
-  bool is_lost;        // it gets no response
+  BjServerRequest *watch; // waiting, NULL if none
+  int64_t from;           // revision of that watch
+  ev_timer timer;         // until it ends without a change
+  bool is_lost;           // it gets no response
   int n_member_writes;
 } Port;
 
@@ -86,7 +87,7 @@
 };
 
 static void
-send_response (BjServerConn *c, int status, const char *body)
+send_response (BjServerRequest *c, int status, const char *body)
 {
   bj_server_begin (c, status, BJ_STR ("Store-Era: 1\r\n"), (int64_t)strlen (body));
   bj_server_data (c, bj_str (body));
@@ -94,7 +95,7 @@
 }
 
 static void
-send_config (Port *p, BjServerConn *c, bool is_event)
+send_config (Port *p, BjServerRequest *c, bool is_event)
 {
   char *body = g_strdup_printf (
       "{\"%s\":[%s{\"metadata\":{\"name\":\"main\",\"revision\":%" G_GINT64_FORMAT
@@ -116,7 +117,7 @@
 
 // Returns true if the request gets its answer from the store.
 static bool
-treat (Port *p, BjServerConn *c)
+treat (Port *p, BjServerRequest *c)
 {
   switch (p->treatment)
     {
@@ -143,7 +144,7 @@
 on_wait_over (struct ev_loop *loop, ev_timer *w, int events)
 {
   Port *p = w->data;
-  BjServerConn *c = p->watch;
+  BjServerRequest *c = p->watch;
   char body[96];
 
   (void)loop;
@@ -160,7 +161,7 @@
 }
 
 static void
-on_request (void *data, BjServerConn *c, const BjHead *h, BjStr body)
+on_request (void *data, BjServerRequest *c, const BjHead *h, BjStr body)
 {
   Port *p = data;
   BjStr prefix = BJ_STR ("/objects/config?watch=");
@@ -215,7 +216,8 @@
   (void)n;
 }
 
-static const BjServerOps store_ops = { on_request, on_disconnected, on_drained };
+static const BjServerOps store_ops
+    = { .request = on_request, .disconnected = on_disconnected, .drained = on_drained };
 
 static void
 flush_store (struct ev_loop *loop, ev_prepare *w, int events)
@@ -265,7 +267,7 @@
 static void
 set_treatment (Port *p, Treatment t)
 {
-  BjServerConn *watch = p->watch;
+  BjServerRequest *watch = p->watch;
 
   p->treatment = t;
   if (watch == NULL || t == SERVED)
@@ -282,7 +284,7 @@
   s->revision++;
   for (int i = 0; i < s->n_ports; i++)
     {
-      BjServerConn *watch = s->ports[i].watch;
+      BjServerRequest *watch = s->ports[i].watch;
 
       if (watch == NULL || s->ports[i].is_lost)
         continue;
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -4,6 +4,7 @@
 // configuration that goes back, and against a members object that stays lost.
 
 #include "daemons.h"
+#include "server.h"
 #include <curl/curl.h>
 #include <ev.h>
 #include <setjmp.h>
@@ -59,15 +60,15 @@
   Content now;
   Content copy;
   int64_t era;
-  BjServerConn *watches[WATCHES_MAX];
+  BjServerRequest *watches[WATCHES_MAX];
   int64_t from[WATCHES_MAX]; // revision of each watch
   int n_watches;
   ev_timer late;
-  BjServerConn *late_conn;
+  BjServerRequest *late_conn;
 } Store;
 
 static void
-send_response (BjServerConn *c, int status, int64_t era, const char *body)
+send_response (BjServerRequest *c, int status, int64_t era, const char *body)
 {
   char *lines = g_strdup_printf ("Store-Era: %" G_GINT64_FORMAT "\r\n", era);
 
@@ -92,7 +93,7 @@
 }
 
 static void
-send_list (Store *s, BjServerConn *c, const char *key)
+send_list (Store *s, BjServerRequest *c, const char *key)
 {
   char *config = s->now.number > 0 ? format_config (&s->now) : g_strdup ("");
   bool is_event = strcmp (key, "events") == 0;
@@ -110,7 +111,7 @@
 }
 
 static void
-send_members (Store *s, BjServerConn *c)
+send_members (Store *s, BjServerRequest *c)
 {
   char *body = g_strdup_printf ("{\"metadata\":{\"name\":\"a\",\"revision\":%" G_GINT64_FORMAT
                                 "},\"spec\":{\"gossip\":[]}}",
@@ -121,7 +122,7 @@
 }
 
 static void
-on_request (void *data, BjServerConn *c, const BjHead *h, BjStr body)
+on_request (void *data, BjServerRequest *c, const BjHead *h, BjStr body)
 {
   Store *s = data;
   BjStr prefix = BJ_STR ("/objects/config?watch=");
@@ -171,7 +172,8 @@
   (void)n;
 }
 
-static const BjServerOps store_ops = { on_request, on_disconnected, on_drained };
+static const BjServerOps store_ops
+    = { .request = on_request, .disconnected = on_disconnected, .drained = on_drained };
 
 // The operator writes a configuration; watches from before it get an event.
 static void
--- a/tests/test_signals.c
+++ b/tests/test_signals.c
@@ -3,6 +3,7 @@
 // it can't read.
 
 #include "daemons.h"
+#include "server.h"
 #include <curl/curl.h>
 #include <ev.h>
 #include <setjmp.h>
@@ -48,7 +49,7 @@
 
 typedef struct
 {
-  BjServerConn *conn;
+  BjServerRequest *conn;
   BjTime due;
   char id[32];
 } Response;
@@ -71,7 +72,7 @@
 } Caller;
 
 static void
-on_request (void *data, BjServerConn *conn, const BjHead *h, BjStr body)
+on_request (void *data, BjServerRequest *conn, const BjHead *h, BjStr body)
 {
   Site *s = data;
   BjTime now = bj_clock_now ();
@@ -97,7 +98,8 @@
   (void)n;
 }
 
-static const BjServerOps upstream_ops = { on_request, ignore_disconnected, ignore_drained };
+static const BjServerOps upstream_ops
+    = { .request = on_request, .disconnected = ignore_disconnected, .drained = ignore_drained };
 
 static void
 send_due_responses (Site *s, BjTime now)
