--- a/tests/test_fleet_pipeline.c
+++ b/tests/test_fleet_pipeline.c
@@ -4,16 +4,13 @@
 // is gone.
 
 #include "fleet.h"
-#include <arpa/inet.h>
+#include "pipecaller.h"
 #include <curl/curl.h>
-#include <http_parser.h>
-#include <netinet/in.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -21,26 +18,12 @@
 #define OWN 0  // front with its own upstream
 #define PEER 1 // the other daemon with an upstream
 #define GATE 2 // front without an upstream
-#define RESPONSES_MAX 32
 #define RESPONSE_TIMEOUT_MS 5000
 #define WAIT_TIMEOUT_MS 15000
 #define SETTLE_US 100000 // for sent requests to begin
 #define STOP_REQUESTS 6
 #define LATE_REQUESTS 3 // sent after the stop
 
-typedef struct
-{
-  int fd;
-  http_parser parser;
-  const char *methods; // one letter a response, "H" for HEAD; NULL: none is HEAD
-  int n;               // complete responses
-  int statuses[RESPONSES_MAX];
-  bool closes[RESPONSES_MAX];
-  GString *bodies[RESPONSES_MAX];
-  bool is_ended; // closed with a FIN
-  bool is_reset;
-} Caller;
-
 typedef struct
 {
   const char *name;
@@ -61,7 +44,7 @@
 {
   const char *name;
   const char *requests;
-  const char *methods;  // as in Caller
+  const char *methods;  // as in PipeCaller
   const char *statuses; // of all responses, separated by spaces
   bool is_closed;       // by the front after the last one
 } MixCase;
@@ -169,116 +152,21 @@
   return 0;
 }
 
-static Caller *
-caller_of (http_parser *p)
-{
-  return p->data;
-}
-
-static int
-on_headers (http_parser *p)
-{
-  Caller *c = caller_of (p);
-  bool is_head = c->methods != NULL && c->methods[c->n] == 'H';
-
-  if (p->status_code == 100)
-    return 0;
-  c->statuses[c->n] = (int)p->status_code;
-  c->closes[c->n] = http_should_keep_alive (p) == 0;
-  return is_head ? 1 : 0;
-}
-
-static int
-on_body (http_parser *p, const char *data, size_t n)
-{
-  Caller *c = caller_of (p);
-
-  g_string_append_len (c->bodies[c->n], data, (gssize)n);
-  return 0;
-}
-
-static int
-on_complete (http_parser *p)
-{
-  Caller *c = caller_of (p);
-
-  c->n += p->status_code != 100;
-  return c->n >= RESPONSES_MAX ? -1 : 0;
-}
-
-static const http_parser_settings response_settings = {
-  .on_headers_complete = on_headers,
-  .on_body = on_body,
-  .on_message_complete = on_complete,
-};
-
-static void
-caller_open (Caller *c, int member)
-{
-  struct sockaddr_in addr
-      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)fleet.members[member].front_port) };
-  struct timeval timeout = { RESPONSE_TIMEOUT_MS / 1000, 0 };
-
-  memset (c, 0, sizeof *c);
-  c->fd = socket (AF_INET, SOCK_STREAM, 0);
-  inet_pton (AF_INET, "127.0.0.1", &addr.sin_addr);
-  assert_int_equal (connect (c->fd, (struct sockaddr *)&addr, sizeof addr), 0);
-  setsockopt (c->fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-  http_parser_init (&c->parser, HTTP_RESPONSE);
-  c->parser.data = c;
-  for (int i = 0; i < RESPONSES_MAX; i++)
-    c->bodies[i] = g_string_new (NULL);
-}
-
 static void
-caller_close (Caller *c)
+caller_open (PipeCaller *c, int member)
 {
-  close (c->fd);
-  for (int i = 0; i < RESPONSES_MAX; i++)
-    g_string_free (c->bodies[i], TRUE);
+  pipecaller_open (c, fleet.members[member].front_port, RESPONSE_TIMEOUT_MS);
+  assert_true (c->fd >= 0);
 }
 
 static void
-caller_send (Caller *c, const char *text)
+caller_send_ids (PipeCaller *c, int first, int n)
 {
-  assert_int_equal (send (c->fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t)strlen (text));
-}
-
-// Sends n requests with ids from first at once.
-static void
-caller_send_ids (Caller *c, int first, int n)
-{
-  GString *text = g_string_new (NULL);
-
-  for (int i = first; i < first + n; i++)
-    g_string_append_printf (text,
-                            "GET /plans/x?id=r%02d HTTP/1.1\r\nHost: x\r\n"
-                            "Idempotency-Key: k%02d\r\n\r\n",
-                            i,
-                            i);
-  caller_send (c, text->str);
-  g_string_free (text, TRUE);
-}
-
-// Reads until n responses are complete or the connection has ended.
-static void
-caller_read (Caller *c, int n)
-{
-  char buffer[4096];
-
-  while (c->n < n && !c->is_ended && !c->is_reset)
-    {
-      ssize_t got = recv (c->fd, buffer, sizeof buffer, 0);
-
-      c->is_ended = got == 0;
-      c->is_reset = got < 0;
-      if (got > 0)
-        http_parser_execute (&c->parser, &response_settings, buffer, (size_t)got);
-    }
+  assert_true (pipecaller_send_gets (c, "/plans/x?id=r%02d", "k%02d", first, n));
 }
 
 static bool
-has_id (const Caller *c, int i)
+has_id (const PipeCaller *c, int i)
 {
   char id[16];
 
@@ -287,7 +175,7 @@
 }
 
 static void
-assert_served (const Caller *c, int i)
+assert_served (const PipeCaller *c, int i)
 {
   if (c->statuses[i] != 200 || !has_id (c, i))
     fail_msg ("response %d has status %d, body %.20s", i, c->statuses[i], c->bodies[i]->str);
@@ -302,7 +190,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (latency_cases); i++)
     {
       const LatencyCase *l = &latency_cases[i];
-      Caller c;
+      PipeCaller c;
       BjTime began;
       double took;
 
@@ -310,14 +198,14 @@
       caller_open (&c, l->member);
       began = bj_clock_now ();
       caller_send_ids (&c, 0, l->n);
-      caller_read (&c, l->n);
+      pipecaller_read (&c, l->n);
       took = bj_clock_now () - began;
       print_message ("  %s: %.0f ms\n", l->name, took);
       assert_int_equal (c.n, l->n);
       for (int k = 0; k < l->n; k++)
         assert_served (&c, k);
       n_slow += took >= l->limit_ms;
-      caller_close (&c);
+      pipecaller_close (&c);
     }
   set_service_ms (20);
   assert_int_equal (n_slow, 0);
@@ -329,14 +217,14 @@
   char **expected = g_strsplit (m->statuses, " ", -1);
   int n = (int)g_strv_length (expected);
   GString *statuses = g_string_new (NULL);
-  Caller c;
+  PipeCaller c;
 
   caller_open (&c, member);
   c.methods = m->methods;
-  caller_send (&c, m->requests);
-  caller_read (&c, n);
+  assert_true (pipecaller_send (&c, m->requests));
+  pipecaller_read (&c, n);
   if (m->is_closed)
-    caller_read (&c, n + 1);
+    pipecaller_read (&c, n + 1);
   for (int i = 0; i < c.n; i++)
     g_string_append_printf (statuses, "%s%d", i > 0 ? " " : "", c.statuses[i]);
   if (strcmp (statuses->str, m->statuses) != 0 || c.is_ended != m->is_closed || c.is_reset
@@ -350,7 +238,7 @@
                    c.is_reset);
       ++*n_wrong;
     }
-  caller_close (&c);
+  pipecaller_close (&c);
   g_string_free (statuses, TRUE);
   g_strfreev (expected);
 }
@@ -381,7 +269,7 @@
 test_planned_stop (void **state)
 {
   int runs[STOP_REQUESTS + LATE_REQUESTS];
-  Caller c;
+  PipeCaller c;
 
   (void)state;
   for (int i = 0; i < STOP_REQUESTS + LATE_REQUESTS; i++)
@@ -393,7 +281,7 @@
   kill (fleet.members[GATE].daemon, SIGTERM);
   g_usleep (SETTLE_US);
   caller_send_ids (&c, STOP_REQUESTS, LATE_REQUESTS);
-  caller_read (&c, RESPONSES_MAX);
+  pipecaller_read (&c, PIPECALLER_RESPONSES_MAX);
   print_message ("  %d answered, ended %d, reset %d\n", c.n, c.is_ended, c.is_reset);
   assert_int_equal (c.n, STOP_REQUESTS);
   assert_true (c.is_ended);
@@ -405,7 +293,7 @@
     }
   for (int i = STOP_REQUESTS; i < STOP_REQUESTS + LATE_REQUESTS; i++)
     assert_int_equal (count_runs (i) - runs[i], 0);
-  caller_close (&c);
+  pipecaller_close (&c);
   set_service_ms (20);
   assert_int_equal (fleet_wait_exit (&fleet.members[GATE].daemon, WAIT_TIMEOUT_MS), 0);
   fleet_start_daemon (&fleet, GATE);
@@ -439,7 +327,7 @@
 static void
 test_killed_front (void **state)
 {
-  Caller c;
+  PipeCaller c;
 
   (void)state;
   set_service_ms (1500);
@@ -447,17 +335,17 @@
   caller_send_ids (&c, 0, STOP_REQUESTS);
   g_usleep (SETTLE_US);
   fleet_end_process (&fleet.members[GATE].daemon, SIGKILL);
-  caller_read (&c, 1);
+  pipecaller_read (&c, 1);
   assert_int_equal (c.n, 0);
   assert_true (c.is_ended || c.is_reset);
-  caller_close (&c);
+  pipecaller_close (&c);
   set_service_ms (20);
   assert_true (fleet_wait_until (are_upstreams_idle, NULL, WAIT_TIMEOUT_MS));
   caller_open (&c, OWN);
   caller_send_ids (&c, 0, STOP_REQUESTS);
-  caller_read (&c, STOP_REQUESTS);
+  pipecaller_read (&c, STOP_REQUESTS);
   assert_int_equal (c.n, STOP_REQUESTS);
-  caller_close (&c);
+  pipecaller_close (&c);
   fleet_start_daemon (&fleet, GATE);
   assert_true (fleet_wait_ticket (&fleet, 1, WAIT_TIMEOUT_MS));
   assert_true (fleet_wait_members (&fleet, PEER + 1, WAIT_TIMEOUT_MS));
@@ -468,7 +356,7 @@
 test_lost_upstream (void **state)
 {
   int n_served = 0;
-  Caller c;
+  PipeCaller c;
 
   (void)state;
   set_service_ms (400);
@@ -476,7 +364,7 @@
   caller_send_ids (&c, 0, STOP_REQUESTS);
   g_usleep (SETTLE_US);
   fleet_end_process (&fleet.members[PEER].upstream, SIGKILL);
-  caller_read (&c, STOP_REQUESTS);
+  pipecaller_read (&c, STOP_REQUESTS);
   assert_int_equal (c.n, STOP_REQUESTS);
   for (int i = 0; i < STOP_REQUESTS; i++)
     {
@@ -485,7 +373,7 @@
     }
   print_message ("  %d of %d served\n", n_served, STOP_REQUESTS);
   assert_true (n_served >= 1);
-  caller_close (&c);
+  pipecaller_close (&c);
   fleet_start_upstream (&fleet, PEER);
   assert_true (fleet_wait_members (&fleet, PEER + 1, WAIT_TIMEOUT_MS));
 }
@@ -502,7 +390,7 @@
 test_caller_leaves (void **state)
 {
   BjTime left;
-  Caller c;
+  PipeCaller c;
 
   (void)state;
   set_service_ms (3000);
@@ -511,7 +399,7 @@
   caller_send_ids (&c, STOP_REQUESTS, STOP_REQUESTS);
   g_usleep (SETTLE_US);
   assert_int_equal ((int)read_metric (GATE, "\nbj_open_calls "), STOP_REQUESTS);
-  caller_close (&c);
+  pipecaller_close (&c);
   left = bj_clock_now ();
   assert_true (fleet_wait_until (is_gate_idle, NULL, WAIT_TIMEOUT_MS));
   print_message ("  idle after %.0f ms\n", bj_clock_now () - left);
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -205,20 +205,28 @@
   bj_server_set_call (r, p);
 }
 
+// Element free function of Site.open.
 static void
-free_response (Response *p)
+free_response (gpointer response)
 {
-  p->site->n_alone -= strcmp (p->name, "alone") == 0;
-  g_ptr_array_remove_fast (p->site->open, p);
+  Response *p = response;
+
   g_free (p->name);
   g_free (p);
 }
 
+static void
+end_response (Response *p)
+{
+  p->site->n_alone -= strcmp (p->name, "alone") == 0;
+  g_ptr_array_remove_fast (p->site->open, p);
+}
+
 static void
 on_disconnected (void *call)
 {
   ((Response *)call)->site->n_cancelled++;
-  free_response (call);
+  end_response (call);
 }
 
 static void
@@ -234,7 +242,7 @@
   if (p->left == 0)
     {
       bj_server_end (p->request, true);
-      free_response (p);
+      end_response (p);
     }
 }
 
@@ -264,28 +272,32 @@
   bj_server_begin (p->request, 200, BJ_STR_NULL, (int64_t)body.len);
   bj_server_data (p->request, breaks ? (BjStr){ body.data, 1 } : body);
   bj_server_end (p->request, !breaks);
-  free_response (p);
+  end_response (p);
+}
+
+static Response *
+find_due (const Site *s)
+{
+  for (guint i = 0; i < s->open->len; i++)
+    {
+      Response *p = s->open->pdata[i];
+
+      if (!p->is_begun && p->due <= bj_clock_now ())
+        return p;
+    }
+  return NULL;
 }
 
 static void
 on_tick (struct ev_loop *loop, ev_timer *w, int events)
 {
   Site *s = w->data;
+  Response *p;
 
   (void)loop;
   (void)events;
-  for (guint i = 0; i < s->open->len;)
-    {
-      Response *p = s->open->pdata[i];
-
-      if (p->is_begun || p->due > bj_clock_now ())
-        i++;
-      else
-        {
-          answer (p);
-          i = 0;
-        }
-    }
+  while ((p = find_due (s)) != NULL)
+    answer (p);
 }
 
 static void
@@ -305,7 +317,7 @@
 
   (void)state;
   address = daemons_free_address ();
-  site = (Site){ .loop = ev_loop_new (0), .open = g_ptr_array_new () };
+  site = (Site){ .loop = ev_loop_new (0), .open = g_ptr_array_new_with_free_func (free_response) };
   assert_int_equal (bj_server_new (site.loop, "site", address, &ops, &site, &site.server), BJ_OK);
   l.header_timeout_ms = HEADER_TIMEOUT_MS;
   l.idle_timeout_ms = IDLE_TIMEOUT_MS;
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -1,12 +1,14 @@
 // Soak: injects random, overlapping faults into a fleet of real processes under load. The checker
 // compares the responses to callers with the executions at the upstreams and verifies that no
 // daemon returns to an older ticket. Upstreams also name rates and leave; the check counts what
-// they get meanwhile.
+// they get meanwhile. Further callers pipeline lookups on kept connections; each response must be
+// that of its request.
 //
 //   test_soak                        runs the seeds of CI and every seed that has failed
 //   test_soak SEED SECONDS [NODES]   one run; with seed 0 it chooses a seed and prints it
 
 #include "callers.h"
+#include "pipecaller.h"
 #include <curl/curl.h>
 #include <setjmp.h>
 #include <signal.h>
@@ -32,6 +34,10 @@
 #define RATE_ALLOWED 125          // of them in 4 s: one and a half times the rate, and 5
 #define DRAIN_MS 2500 // from the first response that says so until no request may arrive
 
+#define PIPECALLERS 2             // threads that pipeline lookups
+#define PIPELINED_MAX 8           // requests that one of them has open at most
+#define PIPELINED_TIMEOUT_MS 3000 // without a byte until it opens a new connection
+
 static const char ticket_head[]
     = ",\"priorities\":[\"acceptance\",\"lookup\"],\"services\":{"
       "\"orders\":{\"routes\":[{\"prefix\":\"/orders/accept\",\"class\":\"acceptance\","
@@ -58,6 +64,10 @@
 static int n_signal_violations;            // requests at upstreams beyond what they asked for
 static int daemon_starts[FLEET_NODES_MAX]; // since the beginning of the run
 
+static gint are_pipecallers_stopping;
+static gint n_pipelined;       // lookups that pipelining callers were served
+static gint n_pipelined_wrong; // responses of other requests
+
 typedef void (*FaultFunction) (int node, bool begin);
 
 static void
@@ -179,7 +189,8 @@
 }
 
 // Ends by replacing the upstream. A daemon that was restarted meanwhile may get one call from each
-// caller whose daemon had not heard of the leaving.
+// caller whose daemon had not heard of the leaving, from those that pipeline one for each open
+// request.
 static void
 leave_upstream (int node, bool begin)
 {
@@ -193,10 +204,11 @@
   if (leaving_signal.upstream == 0 || leaving_signal.upstream != m->upstream)
     return;
   if (leaving_signal.n_before >= 0)
-    report_excess (node,
-                   "leaving",
-                   read_arrivals (node, "requests") - leaving_signal.n_before,
-                   daemon_starts[node] != leaving_signal.starts ? CALLERS : 0);
+    report_excess (
+        node,
+        "leaving",
+        read_arrivals (node, "requests") - leaving_signal.n_before,
+        daemon_starts[node] != leaving_signal.starts ? CALLERS + PIPECALLERS * PIPELINED_MAX : 0);
   fleet_end_process (&m->upstream, SIGTERM);
   fleet_start_upstream (&fleet, node);
 }
@@ -419,6 +431,57 @@
   return ok;
 }
 
+static bool
+is_response_of (const PipeCaller *c, int i, int number)
+{
+  char id[32];
+
+  g_snprintf (id, sizeof id, "p%d-", number);
+  return g_str_has_prefix (c->bodies[i]->str, id);
+}
+
+// Sends lookups in series of random lengths on one connection until it ends. Ids differ in all
+// responses, so that a response of another request is recognized.
+static void
+run_pipelined_connection (int port, GRand *rand, int *number)
+{
+  PipeCaller c;
+
+  pipecaller_open (&c, port, PIPELINED_TIMEOUT_MS);
+  if (c.fd < 0)
+    g_usleep (STEP_MS * 1000);
+  while (c.fd >= 0 && !c.is_ended && !c.is_reset && c.n <= PIPECALLER_RESPONSES_MAX - PIPELINED_MAX
+         && !g_atomic_int_get (&are_pipecallers_stopping))
+    {
+      int first = *number;
+      int from = c.n;
+      int n = g_rand_int_range (rand, 1, PIPELINED_MAX + 1);
+
+      *number += n;
+      if (!pipecaller_send_gets (&c, "/orders/x?bytes=64&id=p%d-", NULL, first, n))
+        break;
+      pipecaller_read (&c, from + n);
+      for (int i = from; i < c.n; i++)
+        if (c.statuses[i] == 200)
+          g_atomic_int_inc (is_response_of (&c, i, first + i - from) ? &n_pipelined
+                                                                     : &n_pipelined_wrong);
+    }
+  pipecaller_close (&c);
+}
+
+static gpointer
+run_pipecaller (gpointer index)
+{
+  int member = GPOINTER_TO_INT (index);
+  GRand *rand = g_rand_new_with_seed ((guint32)member);
+  int number = member * 10000000;
+
+  while (!g_atomic_int_get (&are_pipecallers_stopping))
+    run_pipelined_connection (fleet.members[member % fleet.n].front_port, rand, &number);
+  g_rand_free (rand);
+  return NULL;
+}
+
 static void
 check_tickets (void)
 {
@@ -445,7 +508,11 @@
 
   g_snprintf (path, sizeof path, "%s/" FLEET_EXECUTIONS_FILE, fleet.dir);
   assert_true (checker_read_executions (callers_record.checker, path));
-  total = checker_finish (callers_record.checker, NULL, out) + n_signal_violations;
+  total = checker_finish (callers_record.checker, NULL, out) + n_signal_violations
+          + n_pipelined_wrong;
+  print_message ("  pipelined: %d served, %d with the response of another request\n",
+                 n_pipelined,
+                 n_pipelined_wrong);
   print_message ("  seed %u: responses: %d done, %d not-run, %d unknown; %d violations\n",
                  seed,
                  callers_record.n_done,
@@ -482,6 +549,7 @@
   fleet.use_fault = true;
   ticket_number = 0;
   n_signal_violations = 0;
+  n_pipelined = n_pipelined_wrong = are_pipecallers_stopping = 0;
   assert_true (fleet_start (&fleet));
   assert_true (file_next_ticket (0));
   assert_true (fleet_wait_ticket (&fleet, 1, 10000));
@@ -493,6 +561,7 @@
   GRand *rand = g_rand_new_with_seed (s->seed);
   ActiveFault active[FAULTS_MAX] = { 0 };
   GThread *threads[CALLERS];
+  GThread *pipecallers[PIPECALLERS];
   Caller callers[CALLERS];
   BjTime end;
   int total;
@@ -503,6 +572,8 @@
   callers_record.checker = checker_new ();
   callers_record.keeps_connections = true;
   callers_start (&fleet, threads, callers, s->seed % 2 == 1);
+  for (int i = 0; i < PIPECALLERS; i++)
+    pipecallers[i] = g_thread_new ("pipecaller", run_pipecaller, GINT_TO_POINTER (i));
   end = bj_clock_now () + s->seconds * 1000.0;
   while (bj_clock_now () < end)
     {
@@ -519,6 +590,10 @@
     }
   end_faults (active, BJ_TIME_NEVER);
   callers_stop (threads);
+  g_atomic_int_set (&are_pipecallers_stopping, 1);
+  for (int i = 0; i < PIPECALLERS; i++)
+    g_thread_join (pipecallers[i]);
+  assert_true (n_pipelined > 0);
   assert_true (fleet_wait_until (callers_are_served, &fleet, RECOVERY_TIMEOUT_MS));
   assert_true (fleet_wait_ticket (&fleet, ticket_number, RECOVERY_TIMEOUT_MS));
   check_tickets ();
