--- a/src/daemon.c
+++ b/src/daemon.c
@@ -1,8 +1,8 @@
 // Daemon: runs the kernel on a libev loop. Connects the modules and relays each response from its
 // source (own upstream or peer) to its sink (caller or peer).
 
-#include "internal.h"
 #include "kernel.h"
+#include "server.h"
 #include <ev.h>
 #include <string.h>
 
@@ -105,6 +105,8 @@
   own->upstream.port = s->upstream.port;
   own->drain_ms = s->drain_ms;
   own->heartbeat_ms = s->heartbeat_ms;
+  own->pipelined_max = s->pipelined_max;
+  bj_front_reload (d->front);
   own->log_level = s->log_level;
   bj_log_open (s->log_level);
   bj_log (
@@ -207,31 +209,33 @@
 }
 
 BjStatus
-bj_daemon_check_head (BjDaemon *d, const BjHead *h, BjAnswer *a)
+bj_daemon_check_head (BjDaemon *d, BjRequest *r)
 {
-  BjRequest r = { .method = h->method, .path = h->path, .klass = -1, .attempts_left = -1 };
-  GString *relayed;
-  BjStatus s;
+  const BjConfig *config = bj_kernel_config (d->kernel);
 
-  if (bj_kernel_config (d->kernel) == NULL || bj_kernel_config (d->kernel)->accounts == NULL)
+  if (config == NULL || config->accounts == NULL)
     return BJ_OK;
-  relayed = g_string_new (NULL);
+  r->api_key = trim_end (r->api_key);
+  return bj_kernel_check_head (d->kernel, bj_clock_now (), r);
+}
+
+BjAnswer
+bj_daemon_refuse_head (BjDaemon *d, const BjHead *h, int http_status)
+{
+  BjStatus s = http_status == 401 ? BJ_E_UNAUTHORIZED : BJ_E_NO_UPSTREAM;
+  BjRequest r = { .method = h->method, .path = h->path, .klass = -1, .attempts_left = -1 };
+  GString *relayed = g_string_new (NULL);
+
   d->dialect->read_request (&d->settings, h, &r, relayed);
-  r.api_key = trim_end (r.api_key);
-  s = bj_kernel_check_head (d->kernel, bj_clock_now (), &r);
-  if (s != BJ_OK)
-    bj_kernel_refuse_head (d->kernel, bj_clock_now (), &r, s);
+  bj_kernel_refuse_head (d->kernel, bj_clock_now (), &r, s);
   g_string_free (relayed, TRUE);
-  if (s == BJ_OK)
-    return s;
-  *a = (BjAnswer){ .code = s,
-                   .outcome = BJ_NOT_RUN,
-                   .http_status = s == BJ_E_UNAUTHORIZED ? 401 : 503,
-                   .retry_after_ms = s == BJ_E_UNAUTHORIZED
-                                         ? 0
-                                         : BJ_RETRY_AFTER_MIN_MS * g_random_double_range (1, 2),
-                   .attempts_left = -1 };
-  return s;
+  return (BjAnswer){ .code = s,
+                     .outcome = BJ_NOT_RUN,
+                     .http_status = http_status,
+                     .retry_after_ms = s == BJ_E_UNAUTHORIZED
+                                           ? 0
+                                           : BJ_RETRY_AFTER_MIN_MS * g_random_double_range (1, 2),
+                     .attempts_left = -1 };
 }
 
 BjExchange *
