--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -234,18 +234,32 @@
   bool is_unreadable; // named a rate or its leaving in a form that can't be read
 } BjUpstreamState;
 
+// Load that an upstream reports in its responses.
+typedef struct
+{
+  bool is_known;     // a valid report was received
+  bool has_slowness; // the report has its fourth figure
+  int running;
+  int waiting;        // inside the upstream
+  int slots;          // 1 or more
+  int slowness;       // how long work takes there, in percent of the usual
+  double age_ms;      // since the report was read, when this copy was made
+  bool is_unreadable; // a report was received that can't be read
+} BjUpstreamLoad;
+
 typedef struct
 {
   BjStatus code; // BJ_OK for an upstream's response, else why the layer responds itself
   BjOutcome outcome;
   int http_status;
-  bool failed;              // the call ran and the upstream reported a failure
-  double retry_after_ms;    // delay before the caller may try again, 0 if retrying is pointless
-  int attempts_left;        // further attempts left for the whole call chain, -1 if not known
-  int level;                // admission level of the guard that responded, 0 admits all
-  BjLoad load;              // load of that guard when it responded
-  bool makes_calls;         // the upstream calls other services for this route
-  BjUpstreamState upstream; // of the upstream that the daemon which responded runs calls on
+  bool failed;                  // the call ran and the upstream reported a failure
+  double retry_after_ms;        // delay before the caller may try again, 0 if retrying is pointless
+  int attempts_left;            // further attempts left for the whole call chain, -1 if not known
+  int level;                    // admission level of the guard that responded, 0 admits all
+  BjLoad load;                  // load of that guard when it responded
+  bool makes_calls;             // the upstream calls other services for this route
+  BjUpstreamState upstream;     // of the upstream that the daemon which responded runs calls on
+  BjUpstreamLoad upstream_load; // of the same upstream
   BjStr content_type;
   BjStr headers;  // other headers to relay, "Name: value" lines, each ended by a line feed
   int64_t length; // of the body, -1 if not known
@@ -689,6 +703,8 @@
   int own_in_flight;            // calls in flight there that this daemon sent
   int sent_since_report;        // calls sent there since its load was received
   double service_ms;            // smoothed time to a response, 0 before the first
+  BjUpstreamLoad upstream_load; // what its upstream last reported
+  BjTime upstream_load_at;      // when that was true, on this daemon's clock
   bool is_unreachable;          // its silent link was replaced and has received nothing since
   bool is_removed;              // not in the membership; kept while calls are open there
   void *link;                   // connection state of the host
@@ -836,6 +852,13 @@
     BjTime now,
     const BjCall *c,
     const BjUpstreamState *s); // The own upstream's response to c says s; call before answer_begin
+void
+bj_kernel_upstream_reported (BjKernel *k,
+                             BjTime now,
+                             const BjCall *c,
+                             const BjUpstreamLoad *l); // The own upstream's response to c reports l
+BjUpstreamLoad bj_kernel_upstream_load (const BjKernel *k,
+                                        BjTime now); // Its last report, sent with responses
 void bj_kernel_upstream_started (
     BjKernel *k,
     BjTime now,
--- a/src/count.c
+++ b/src/count.c
@@ -5,6 +5,7 @@
 static const char *const role_names[BJ_ROLES] = { "guard", "front" };
 
 static void print_answers (const BjKernel *k, GString *out);
+static void print_total (GString *out, const char *name, const char *help, double value);
 static void print_latency (const BjKernel *k, GString *out);
 static void print_codes (const BjKernel *k, GString *out);
 static int64_t newest_config (const BjKernel *k);
@@ -38,6 +39,25 @@
                           "# TYPE bj_upstream_starts_total counter\n"
                           "bj_upstream_starts_total %" G_GUINT64_FORMAT "\n",
                           k->guard.n_started);
+  print_total (out,
+               "upstream_waits",
+               "Of these calls, those that waited in the queue.",
+               (double)k->guard.n_waited);
+  print_total (out,
+               "route_slowness_calls",
+               "Calls sent to an upstream that reported its slowness in the last seconds.",
+               (double)k->counts.n_slowness);
+  print_total (out,
+               "route_slowness_percent",
+               "Sum of the slowness that was known of these upstreams; 100 a call is the usual.",
+               (double)k->counts.slowness);
+  print_total (
+      out, "route_slowness_age_ms", "Sum of the ages of these reports.", k->counts.slowness_age_ms);
+  bj_metric_print_gauge (out,
+                         "upstream_slowness",
+                         "Slowness that the own upstream last reported, -1 if none.",
+                         k->self->upstream_load.has_slowness ? k->self->upstream_load.slowness
+                                                             : -1);
   bj_metric_print_gauge (out,
                          "upstream_rate_limit",
                          "Calls a second that the own upstream takes, -1 if it names no rate.",
@@ -118,6 +138,18 @@
   return newest;
 }
 
+static void
+print_total (GString *out, const char *name, const char *help, double value)
+{
+  g_string_append_printf (out,
+                          "# HELP bj_%s_total %s\n# TYPE bj_%s_total counter\nbj_%s_total %.0f\n",
+                          name,
+                          help,
+                          name,
+                          name,
+                          value);
+}
+
 static void
 print_latency (const BjKernel *k, GString *out)
 {
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -378,6 +378,7 @@
   relayed.makes_calls = bj_kernel_makes_calls (x->daemon->kernel, x->call);
   relayed.upstream = *bj_kernel_upstream (x->daemon->kernel);
   relayed.load = bj_kernel_load (x->daemon->kernel, bj_clock_now ());
+  relayed.upstream_load = bj_kernel_upstream_load (x->daemon->kernel, bj_clock_now ());
   if (x->sink != NULL)
     x->sink->ops->begin (x->sink, &relayed);
 }
--- a/src/dialect.c
+++ b/src/dialect.c
@@ -1,5 +1,6 @@
 // Dialect "borage": reads and writes boragejunction's own HTTP headers.
 
+#include "instance.h"
 #include "internal.h"
 
 // Headers that are not relayed: this layer writes them, or reads them into fields.
@@ -101,6 +102,8 @@
         a->retry_after_ms = parse_number (value, 0);
       else if (bj_header_name_equal (name, "Bj-Attempts-Left"))
         a->attempts_left = (int)parse_number (value, -1);
+      else if (bj_header_name_equal (name, "Bj-Load"))
+        bj_instance_read_report (value, &a->upstream_load);
       else if (!bj_signal_read (&signal_names, name, value, &a->upstream) && !is_own_header (name))
         bj_header_add_relayed (relayed, name, value);
     }
--- a/src/frame.c
+++ b/src/frame.c
@@ -1,5 +1,6 @@
 // Frame: messages between daemons: a 4-byte big-endian length followed by a msgpack array.
 
+#include "instance.h"
 #include "internal.h"
 #include <arpa/inet.h>
 #include <limits.h>
@@ -12,12 +13,14 @@
 static void pack_call (msgpack_packer *p, const BjFrame *f);
 static void pack_answer (msgpack_packer *p, const BjFrame *f);
 static void pack_upstream (msgpack_packer *p, const BjUpstreamState *s);
+static void pack_upstream_load (msgpack_packer *p, const BjUpstreamLoad *l);
 static void pack_str (msgpack_packer *p, BjStr s);
 static int field_count (BjFrameKind k);
 static void read_fields (BjFields *in, BjFrame *f);
 static void read_call (BjFields *in, BjFrame *f);
 static void read_answer (BjFields *in, BjFrame *f);
 static void read_upstream (BjFields *in, BjUpstreamState *s);
+static void read_upstream_load (BjFields *in, BjUpstreamLoad *l);
 static BjSuspicion read_suspicion (BjFields *in);
 
 void
@@ -179,6 +182,7 @@
   pack_str (p, a->headers);
   msgpack_pack_int64 (p, a->length);
   pack_upstream (p, &a->upstream);
+  pack_upstream_load (p, &a->upstream_load);
 }
 
 static void
@@ -189,6 +193,16 @@
   msgpack_pack_double (p, s->has_rate ? s->rate : NO_RATE);
 }
 
+static void
+pack_upstream_load (msgpack_packer *p, const BjUpstreamLoad *l)
+{
+  msgpack_pack_int (p, l->running);
+  msgpack_pack_int (p, l->waiting);
+  msgpack_pack_int (p, l->is_known ? l->slots : 0);
+  msgpack_pack_int (p, l->has_slowness ? l->slowness : 0);
+  msgpack_pack_double (p, l->age_ms);
+}
+
 static void
 pack_str (msgpack_packer *p, BjStr s)
 {
@@ -200,7 +214,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 4,       [BJ_FRAME_CALL] = 20,  [BJ_FRAME_ANSWER] = 18,
+    [BJ_FRAME_HELLO] = 4,       [BJ_FRAME_CALL] = 20,  [BJ_FRAME_ANSWER] = 23,
     [BJ_FRAME_DATA] = 1,        [BJ_FRAME_END] = 3,    [BJ_FRAME_WINDOW] = 1,
     [BJ_FRAME_NOTICE] = 3,      [BJ_FRAME_CONFIG] = 1, [BJ_FRAME_CONFIG_REQUEST] = 1,
     [BJ_FRAME_CONFIG_PART] = 3, [BJ_FRAME_PING] = 3,
@@ -306,6 +320,7 @@
   a->headers = bj_field_bytes (in);
   a->length = bj_field_int (in, -1, INT64_MAX);
   read_upstream (in, &a->upstream);
+  read_upstream_load (in, &a->upstream_load);
 }
 
 // Daemons of earlier versions send no such fields.
@@ -320,6 +335,22 @@
   s->has_rate = s->rate >= 0 && s->rate <= BJ_RATE_MAX;
 }
 
+// Daemons of earlier versions send no such fields. 0 slots stand for no report, a slowness of 0 for
+// a report without one.
+static void
+read_upstream_load (BjFields *in, BjUpstreamLoad *l)
+{
+  if (in->n_left == 0)
+    return;
+  l->running = (int)bj_field_int (in, 0, BJ_UPSTREAM_CALLS_MAX);
+  l->waiting = (int)bj_field_int (in, 0, BJ_UPSTREAM_CALLS_MAX);
+  l->slots = (int)bj_field_int (in, 0, BJ_UPSTREAM_CALLS_MAX);
+  l->slowness = (int)bj_field_int (in, 0, BJ_SLOWNESS_MAX);
+  l->age_ms = MAX (0, bj_field_double (in));
+  l->is_known = l->slots > 0;
+  l->has_slowness = l->is_known && l->slowness > 0;
+}
+
 static BjSuspicion
 read_suspicion (BjFields *in)
 {
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -1,6 +1,7 @@
 // Kernel: takes a call from its arrival to its response. Makes every decision and does no I/O.
 
 #include "kernel.h"
+#include "instance.h"
 
 // An irreversible call may run on for this long after its caller was answered or disconnected.
 #define DETACHED_MAX_MS 60000
@@ -243,6 +244,7 @@
   if (c->state == BJ_CALL_SENT)
     {
       bj_peer_update_load (c->target, now, &a->load);
+      bj_instance_update (c->target, now, &a->upstream_load);
       bj_kernel_remember_upstream (k, now, c->target->report.name, &a->upstream);
       if (a->outcome == BJ_DONE)
         bj_peer_add_response_time (c->target, now - c->sent);
@@ -464,6 +466,7 @@
       bj_call_refuse (k, now, c, &a);
       return;
     }
+  k->guard.n_waited += c->queued > 0 && now > c->queued;
   bj_level_count_started (k, c->queued > 0 ? now - c->queued : 0);
   bj_rate_count_start (&k->guard.rate, now);
   c->state = BJ_CALL_RUNNING;
@@ -533,6 +536,14 @@
 static void
 send_to (BjKernel *k, BjTime now, BjCall *c, BjPeer *p, int n_candidates)
 {
+  bool has_slowness = bj_instance_has_slowness (p, now);
+
+  if (has_slowness)
+    {
+      k->counts.n_slowness++;
+      k->counts.slowness += (uint64_t)p->upstream_load.slowness;
+      k->counts.slowness_age_ms += now - p->upstream_load_at;
+    }
   c->target = p;
   if (c->n_tried < BJ_PEERS_TRIED_MAX)
     c->tried[c->n_tried++] = p;
@@ -542,7 +553,7 @@
       c,
       "ROUTE",
       "service=%.*s inner=%d to=%.*s own=%d in_flight=%d queued=%d limit=%d load_age_ms=%.0f "
-      "candidates=%d left_ms=%.0f config=%" G_GINT64_FORMAT,
+      "slowness=%d slowness_age_ms=%.0f candidates=%d left_ms=%.0f config=%" G_GINT64_FORMAT,
       BJ_STR_ARG (c->service->name),
       c->is_nested,
       BJ_STR_ARG (p->report.name),
@@ -551,6 +562,8 @@
       p->report.queued,
       p->report.limit,
       now - p->reported,
+      has_slowness ? p->upstream_load.slowness : -1,
+      has_slowness ? now - p->upstream_load_at : -1,
       n_candidates,
       c->deadline - now,
       k->config != NULL ? k->config->number : 0);
@@ -703,6 +716,7 @@
     a.level = bj_kernel_admission_level (k, now, c);
   a.load = bj_kernel_load (k, now);
   a.upstream = k->guard.upstream;
+  a.upstream_load = bj_kernel_upstream_load (k, now);
   a.makes_calls = !c->is_front && bj_parent_makes_calls (k, c->route);
   if (c->is_front && a.outcome == BJ_NOT_RUN && a.retry_after_ms > 0)
     bj_retry_after_record (k, now + a.retry_after_ms, c);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -47,6 +47,7 @@
   BjQueue *queue;     // NULL before the upstream announced itself
   int in_flight;      // calls running on the own upstream
   uint64_t n_started;
+  uint64_t n_waited;             // of these, calls that waited in the queue
   double max_retry_after_ms;     // longest retry-after time, before it is randomized
   double completion_interval_ms; // smoothed time between the ends of two calls, 0 before the first
   BjTime last_completion;        // when a call last ended
@@ -68,6 +69,7 @@
   BjQueueOptions queue_options; // as configured
   int queue_length_max;    // calls in the queue, fewer than configured while a rate is in force
   BjTime signal_logged_at; // when a log line on upstream was last written
+  BjTime load_logged_at;   // when an unreadable load report was last logged
   BjTime wake_at;          // when the rate lets the next queued call start, or never
   uint64_t n_refused_by_rate;
 } BjGuard;
@@ -125,6 +127,9 @@
   uint64_t answers[BJ_ROLES][BJ_CLASSES][BJ_OUTCOMES];
   uint64_t codes[BJ_CODES_MAX]; // responses made by the layer itself, by result code
   BjHist latency[BJ_ROLES];     // from the arrival of a call to the end of its response
+  uint64_t n_slowness;          // calls sent to an instance whose slowness is known
+  uint64_t slowness;            // sum of these, in percent
+  double slowness_age_ms;       // sum of their ages
 } BjCounts;
 
 typedef struct
--- a/src/peer.c
+++ b/src/peer.c
@@ -76,6 +76,8 @@
       bool keeps_load = !p->is_removed && p->report.incarnation == r->incarnation
                         && now - p->load_from_response_at < RESPONSE_LOAD_VALID_MS;
 
+      if (p->is_removed || p->report.incarnation != r->incarnation)
+        p->upstream_load = (BjUpstreamLoad){ 0 };
       p->report.name = bj_str_dup (name);
       bj_peer_report_copy (&p->report, r);
       bj_str_free (&p->report.name);
--- a/src/signal.c
+++ b/src/signal.c
@@ -2,6 +2,7 @@
 // it. Fronts remember it by peer and send it along with their calls: a daemon that was restarted
 // beside its upstream has lost it, and the first response may take long.
 
+#include "instance.h"
 #include "internal.h"
 #include "kernel.h"
 
@@ -25,10 +26,14 @@
         "Responses of the own upstream that name a rate or its leaving in an unreadable form.",
         0 };
 
+static BjCounter n_invalid_loads
+    = { "upstream_invalid_loads_total", "Load reports of the own upstream that can't be read.", 0 };
+
 void
 bj_signal_init (BjKernel *k)
 {
   bj_metric_register (&n_unreadable);
+  bj_metric_register (&n_invalid_loads);
   k->peer_upstreams
       = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, free_peer_upstream);
 }
@@ -96,6 +101,7 @@
   g->upstream = (BjUpstreamState){ .start = start };
   g->upstream_since = now;
   g->upstream_has_spoken = false;
+  k->self->upstream_load = (BjUpstreamLoad){ 0 };
   bj_rate_clear (&g->rate);
 }
 
@@ -158,6 +164,34 @@
   bj_guard_set_rate (k, now, s);
 }
 
+void
+bj_kernel_upstream_reported (BjKernel *k, BjTime now, const BjCall *c, const BjUpstreamLoad *l)
+{
+  // The upstream that ran c has been replaced.
+  if (c->started < k->guard.upstream_since)
+    return;
+  if (!l->is_unreadable)
+    {
+      bj_instance_update (k->self, now, l);
+      return;
+    }
+  n_invalid_loads.value++;
+  if (now < k->guard.load_logged_at + LOG_INTERVAL_MS)
+    return;
+  k->guard.load_logged_at = now;
+  bj_log (BJ_LOG_WARNING, "UPSTREAM", "reported its load in an unreadable form; it is ignored");
+}
+
+BjUpstreamLoad
+bj_kernel_upstream_load (const BjKernel *k, BjTime now)
+{
+  BjUpstreamLoad l = k->self->upstream_load;
+
+  if (l.is_known)
+    l.age_ms = MAX (0, now - k->self->upstream_load_at);
+  return l;
+}
+
 const BjUpstreamState *
 bj_kernel_upstream (const BjKernel *k)
 {
