--- a/src/even.c
+++ b/src/even.c
@@ -9,8 +9,9 @@
 #include "instance.h"
 
 // Weight of hop and run time against the wait. A higher one fills fast machines until calls wait
-// there: 0.03 doubles the calls that wait at a load of 0.75 (docs/design/even-load.md).
-#define RUN_WEIGHT 0.003
+// there: 0.001 gives eight times as many waits at a load of 0.75 (docs/design/even-load.md).
+#define RUN_WEIGHT 0.0003
+#define SPREAD 0.6 // random change of the calls expected, as a share of what an old report may miss
 
 typedef struct
 {
@@ -112,6 +113,9 @@
       double ms;
 
       bj_instance_estimate (all[i].peer, now, &usual, &estimate);
+      // Daemons that have the same old report choose different instances.
+      estimate.busy += SPREAD * (estimate.uncertainty - BJ_INSTANCE_UNCERTAINTY_MIN)
+                       * g_rand_double_range (request->rand, -1, 1);
       ms = bj_instance_wait_ms (&estimate, &usual)
            + RUN_WEIGHT * (hop_ms + usual.run_ms * estimate.slowness);
       if (best != NULL && ms >= best_ms)
--- a/src/frame.c
+++ b/src/frame.c
@@ -346,7 +346,8 @@
   l->waiting = (int)bj_field_int (in, 0, BJ_UPSTREAM_CALLS_MAX);
   l->slots = (int)bj_field_int (in, 0, BJ_UPSTREAM_CALLS_MAX);
   l->slowness = (int)bj_field_int (in, 0, BJ_SLOWNESS_MAX);
-  l->age_ms = MAX (0, bj_field_double (in));
+  l->age_ms = bj_field_double (in);
+  l->age_ms = MAX (0, l->age_ms);
   l->is_known = l->slots > 0;
   l->has_slowness = l->is_known && l->slowness > 0;
 }
--- a/src/instance.c
+++ b/src/instance.c
@@ -23,7 +23,6 @@
 #define OWN_WEIGHT_RATE 0.2      // per call that others send there while a report ages
 #define OWN_WEIGHT_MAX 8.0       // higher weights gain nothing, see docs/design/even-load.md
 #define VARIATION 0.5            // of the calls of others, as a share of that of random arrivals
-#define UNCERTAINTY_MIN 0.5      // of a report that has just arrived, calls
 #define LOGISTIC_SCALE 1.702     // a logistic curve with this slope is close to the normal one
 
 static double load_age (const BjPeer *p, BjTime now);
@@ -137,6 +136,7 @@
   double age = load_age (p, now);
   double reported = p->report.in_flight + p->report.queued;
   double reported_own = MAX (0, p->own_in_flight - p->sent_since_report);
+  double own_excess; // over what is usual for this daemon's calls
   double usual_others;
   double kept; // share of the difference to the usual number that is left
 
@@ -145,11 +145,13 @@
     reported = MAX (reported, p->upstream_load.running + p->upstream_load.waiting);
   i->limit = MAX (1, p->report.limit);
   i->slowness = bj_instance_slowness (p, now);
+  own_excess = p->is_self ? 0 : p->own_in_flight - u->own_share * i->limit;
   usual_others = (u->share - u->own_share) * i->limit;
   kept = age >= LOAD_OLD_MS ? 0 : exp (-age / (u->run_ms * i->slowness));
-  i->busy = p->own_in_flight * u->own_weight + usual_others
+  i->busy = p->own_in_flight + (u->own_weight - 1) * own_excess + usual_others
             + (MAX (0, reported - reported_own) - usual_others) * kept;
-  i->uncertainty = VARIATION * sqrt (MAX (1, usual_others) * (1 - kept * kept)) + UNCERTAINTY_MIN;
+  i->uncertainty
+      = VARIATION * sqrt (MAX (1, usual_others) * (1 - kept * kept)) + BJ_INSTANCE_UNCERTAINTY_MIN;
 }
 
 double
--- a/src/instance.h
+++ b/src/instance.h
@@ -5,9 +5,10 @@
 
 #include "boragejunction.h"
 
-#define BJ_UPSTREAM_CALLS_MAX 1000000 // a report with more calls or slots is invalid
-#define BJ_SLOWNESS_USUAL 100         // slowness of a machine of the usual speed, in percent
-#define BJ_SLOWNESS_MAX 100000        // a report with a higher slowness is invalid
+#define BJ_UPSTREAM_CALLS_MAX 1000000   // a report with more calls or slots is invalid
+#define BJ_INSTANCE_UNCERTAINTY_MIN 1.0 // of the calls in a report that has just arrived
+#define BJ_SLOWNESS_USUAL 100           // slowness of a machine of the usual speed, in percent
+#define BJ_SLOWNESS_MAX 100000          // a report with a higher slowness is invalid
 
 // What is usual for the instances of a service; an old report says little more.
 typedef struct
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -135,8 +135,7 @@
   a.headers = (BjStr){ r->relayed->str, r->relayed->len };
   was_leaving = bj_kernel_upstream (d->kernel)->is_leaving;
   bj_kernel_upstream_spoke (d->kernel, bj_clock_now (), r->exchange->call, &a.upstream);
-  bj_kernel_upstream_reported (
-      d->kernel, bj_clock_now (), r->exchange->call, &a.upstream_load);
+  bj_kernel_upstream_reported (d->kernel, bj_clock_now (), r->exchange->call, &a.upstream_load);
   if (!was_leaving && bj_kernel_upstream (d->kernel)->is_leaving)
     bj_daemon_publish_leaving (d);
   log_relayed_headers (d, a.headers);
