--- a/tests/test_fleet_pipeline.c
+++ b/tests/test_fleet_pipeline.c
@@ -108,11 +108,14 @@
 
 static Fleet fleet;
 
-static const char ticket[] = "{\"number\":1,\"base\":0,\"priorities\":[\"all\"],\"services\":{"
-                             "\"plans\":{\"limiter\":{\"plugin\":\"fixed\"},\"routes\":[{"
-                             "\"prefix\":\"/plans/\",\"class\":\"all\","
-                             "\"deadline_ms\":4000},{\"prefix\":\"/plans/pay/\",\"class\":\"all\","
-                             "\"irreversible\":true,\"claim\":false,\"deadline_ms\":4000}]}}}";
+static const char ticket[]
+    = "{\"number\":1,\"base\":0,\"priorities\":[\"all\"],\"services\":{\"plans\":{"
+      "\"limiter\":{\"plugin\":\"fixed\"},\"routes\":["
+      "{\"prefix\":\"/plans/\",\"class\":\"all\",\"deadline_ms\":4000},"
+      "{\"prefix\":\"/plans/pay/\",\"class\":\"all\",\"irreversible\":true,\"claim\":false,"
+      "\"deadline_ms\":4000},"
+      "{\"prefix\":\"/plans/brief/\",\"class\":\"all\",\"irreversible\":true,\"claim\":false,"
+      "\"deadline_ms\":400}]}}}";
 
 static void
 set_service_ms (int ms)
@@ -255,6 +258,28 @@
   assert_int_equal (n_wrong, 0);
 }
 
+// The deadline of a request that waits to run alone counts from its reading: when it may begin, its
+// deadline has passed, and it must not run.
+static void
+test_deadline_of_waiting_request (void **state)
+{
+  PipeCaller c;
+
+  (void)state;
+  set_service_ms (700);
+  caller_open (&c, GATE);
+  assert_true (pipecaller_send (&c,
+                                GET ("/plans/x") "POST /plans/brief/x HTTP/1.1\r\nHost: x\r\n"
+                                                 "Idempotency-Key: brief\r\n\r\n"));
+  pipecaller_read (&c, 2);
+  assert_int_equal (c.n, 2);
+  assert_int_equal (c.statuses[0], 200);
+  assert_int_equal (c.statuses[1], 504);
+  assert_int_equal (fleet_count_executions (&fleet, "brief"), 0);
+  pipecaller_close (&c);
+  set_service_ms (20);
+}
+
 static int
 count_runs (int id)
 {
@@ -411,9 +436,13 @@
 main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_latency),       cmocka_unit_test (test_mixes),
-    cmocka_unit_test (test_planned_stop),  cmocka_unit_test (test_killed_front),
-    cmocka_unit_test (test_lost_upstream), cmocka_unit_test (test_caller_leaves),
+    cmocka_unit_test (test_latency),
+    cmocka_unit_test (test_mixes),
+    cmocka_unit_test (test_deadline_of_waiting_request),
+    cmocka_unit_test (test_planned_stop),
+    cmocka_unit_test (test_killed_front),
+    cmocka_unit_test (test_lost_upstream),
+    cmocka_unit_test (test_caller_leaves),
   };
 
   if (argc > 1)
