--- a/tests/test_fleet_pipeline.c
+++ b/tests/test_fleet_pipeline.c
@@ -432,6 +432,43 @@
   set_service_ms (20);
 }
 
+static bool
+are_served_one_by_one (void *data)
+{
+  BjTime began = bj_clock_now ();
+  PipeCaller c;
+
+  (void)data;
+  caller_open (&c, GATE);
+  caller_send_ids (&c, 2 * STOP_REQUESTS, 3);
+  pipecaller_read (&c, 3);
+  pipecaller_close (&c);
+  return c.n == 3 && bj_clock_now () - began >= 3 * 100;
+}
+
+// A reload applies pipelined_max to the requests that begin from then on.
+static void
+test_reload (void **state)
+{
+  char *path = g_strdup_printf ("%s/gate.json", fleet.dir);
+  char *text = NULL;
+  GString *changed;
+
+  (void)state;
+  set_service_ms (100);
+  assert_false (are_served_one_by_one (NULL));
+  assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  changed = g_string_new (text);
+  g_string_insert (changed, strchr (changed->str, '{') + 1 - changed->str, "\"pipelined_max\":1,");
+  assert_true (g_file_set_contents (path, changed->str, -1, NULL));
+  kill (fleet.members[GATE].daemon, SIGHUP);
+  assert_true (fleet_wait_until (are_served_one_by_one, NULL, WAIT_TIMEOUT_MS));
+  set_service_ms (20);
+  g_string_free (changed, TRUE);
+  g_free (text);
+  g_free (path);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -443,6 +480,7 @@
     cmocka_unit_test (test_killed_front),
     cmocka_unit_test (test_lost_upstream),
     cmocka_unit_test (test_caller_leaves),
+    cmocka_unit_test (test_reload),
   };
 
   if (argc > 1)
