--- a/tests/test_fleet_pipeline.c
+++ b/tests/test_fleet_pipeline.c
@@ -108,11 +108,14 @@
 
 static Fleet fleet;
 
-static const char ticket[] = "{\"number\":1,\"base\":0,\"priorities\":[\"all\"],\"services\":{"
-                             "\"plans\":{\"limiter\":{\"plugin\":\"fixed\"},\"routes\":[{"
-                             "\"prefix\":\"/plans/\",\"class\":\"all\","
-                             "\"deadline_ms\":4000},{\"prefix\":\"/plans/pay/\",\"class\":\"all\","
-                             "\"irreversible\":true,\"claim\":false,\"deadline_ms\":4000}]}}}";
+static const char ticket[]
+    = "{\"number\":1,\"base\":0,\"priorities\":[\"all\"],\"services\":{\"plans\":{"
+      "\"limiter\":{\"plugin\":\"fixed\"},\"routes\":["
+      "{\"prefix\":\"/plans/\",\"class\":\"all\",\"deadline_ms\":4000},"
+      "{\"prefix\":\"/plans/pay/\",\"class\":\"all\",\"irreversible\":true,\"claim\":false,"
+      "\"deadline_ms\":4000},"
+      "{\"prefix\":\"/plans/brief/\",\"class\":\"all\",\"irreversible\":true,\"claim\":false,"
+      "\"deadline_ms\":400}]}}}";
 
 static void
 set_service_ms (int ms)
@@ -255,6 +258,28 @@
   assert_int_equal (n_wrong, 0);
 }
 
+// The deadline of a request that waits to run alone counts from its reading: when it may begin, its
+// deadline has passed, and it must not run.
+static void
+test_deadline_of_waiting_request (void **state)
+{
+  PipeCaller c;
+
+  (void)state;
+  set_service_ms (700);
+  caller_open (&c, GATE);
+  assert_true (pipecaller_send (&c,
+                                GET ("/plans/x") "POST /plans/brief/x HTTP/1.1\r\nHost: x\r\n"
+                                                 "Idempotency-Key: brief\r\n\r\n"));
+  pipecaller_read (&c, 2);
+  assert_int_equal (c.n, 2);
+  assert_int_equal (c.statuses[0], 200);
+  assert_int_equal (c.statuses[1], 504);
+  assert_int_equal (fleet_count_executions (&fleet, "brief"), 0);
+  pipecaller_close (&c);
+  set_service_ms (20);
+}
+
 static int
 count_runs (int id)
 {
@@ -407,13 +432,55 @@
   set_service_ms (20);
 }
 
+static bool
+are_served_one_by_one (void *data)
+{
+  BjTime began = bj_clock_now ();
+  PipeCaller c;
+
+  (void)data;
+  caller_open (&c, GATE);
+  caller_send_ids (&c, 2 * STOP_REQUESTS, 3);
+  pipecaller_read (&c, 3);
+  pipecaller_close (&c);
+  return c.n == 3 && bj_clock_now () - began >= 3 * 100;
+}
+
+// A reload applies pipelined_max to the requests that begin from then on.
+static void
+test_reload (void **state)
+{
+  char *path = g_strdup_printf ("%s/gate.json", fleet.dir);
+  char *text = NULL;
+  GString *changed;
+
+  (void)state;
+  set_service_ms (100);
+  assert_false (are_served_one_by_one (NULL));
+  assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  changed = g_string_new (text);
+  g_string_insert (changed, strchr (changed->str, '{') + 1 - changed->str, "\"pipelined_max\":1,");
+  assert_true (g_file_set_contents (path, changed->str, -1, NULL));
+  kill (fleet.members[GATE].daemon, SIGHUP);
+  assert_true (fleet_wait_until (are_served_one_by_one, NULL, WAIT_TIMEOUT_MS));
+  set_service_ms (20);
+  g_string_free (changed, TRUE);
+  g_free (text);
+  g_free (path);
+}
+
 int
 main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_latency),       cmocka_unit_test (test_mixes),
-    cmocka_unit_test (test_planned_stop),  cmocka_unit_test (test_killed_front),
-    cmocka_unit_test (test_lost_upstream), cmocka_unit_test (test_caller_leaves),
+    cmocka_unit_test (test_latency),
+    cmocka_unit_test (test_mixes),
+    cmocka_unit_test (test_deadline_of_waiting_request),
+    cmocka_unit_test (test_planned_stop),
+    cmocka_unit_test (test_killed_front),
+    cmocka_unit_test (test_lost_upstream),
+    cmocka_unit_test (test_caller_leaves),
+    cmocka_unit_test (test_reload),
   };
 
   if (argc > 1)
