Test of the router "even" with real processes

Nothing checked that a report gets from the upstream's response through the guard's ANSWER frame to the front.

--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -24,6 +24,7 @@
 //   load_lag_ms      announces the load measured N ms ago
 //   load_claim       announces N percent instead of the measured load, -1 for the measured load
 //   status           status of every response, 0 for the requested one
+//   slowness         every response reports the load with this slowness in percent, 0 for none
 //   rate_milli       every response names a rate of N / 1000 requests a second, -1 for none
 //   leaving          1 says in every response that the upstream leaves
 //   retries          most retries of a failed downstream request; no more than the attempts left
@@ -89,7 +90,7 @@
 static int port, announced_port, in_flight;
 static gint64 service_us, slots = 16, announced_slots, mute, draining, shed, cold_ms, cold_from_ms,
                           n_refused, n_executed, load_lag_ms, load_claim = -1, retries, fail_status,
-                          rate_milli = -1, leaving;
+                          rate_milli = -1, leaving, slowness;
 static gint64 started_us;
 static GArray *arrivals;        // double, ms, since rate_milli or leaving was last set
 static double loads[LOADS_MAX]; // ring buffer of the loads at past announcements
@@ -312,6 +313,7 @@
                    { "draining", &draining },
                    { "load_lag_ms", &load_lag_ms },
                    { "load_claim", &load_claim },
+                   { "slowness", &slowness },
                    { "rate_milli", &rate_milli },
                    { "leaving", &leaving },
                    { "retries", &retries },
@@ -575,6 +577,17 @@
       g_snprintf (text, sizeof text, "%.3f", (double)rate_milli / 1000);
       MHD_add_response_header (m, "Bj-Rate-Limit", text);
     }
+  if (slowness != 0)
+    {
+      g_snprintf (text,
+                  sizeof text,
+                  "%d,%u,%d,%d",
+                  in_flight,
+                  g_queue_get_length (&waiting_requests),
+                  (int)slots,
+                  (int)slowness);
+      MHD_add_response_header (m, "Bj-Load", text);
+    }
   if (leaving != 0)
     MHD_add_response_header (m, "Bj-Leaving", "1");
   if (request_header (r, "Bj-Call") != NULL)
