--- a/src/kernel.c
+++ b/src/kernel.c
@@ -493,7 +493,7 @@
       return;
     }
   k->guard.n_waited += c->queued > 0 && now > c->queued;
-  bj_level_count_started (k, c->queued > 0 ? now - c->queued : 0);
+  bj_level_count_started (k, c, c->queued > 0 ? now - c->queued : 0);
   bj_rate_count_start (&k->guard.rate, now);
   c->state = BJ_CALL_RUNNING;
   c->started = now;
