--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -234,6 +234,15 @@
   bool is_unreadable; // named a rate or its leaving in a form that can't be read
 } BjUpstreamState;
 
+// What a run of a route causes at the service below it that is nearest to full.
+typedef struct
+{
+  uint64_t service; // hash of its name, 0 if not known
+  double runs;      // there, for each run of the route
+  double use;       // calls running, queued and refused there, as a share of its limit
+  double heading;   // change of use a second
+} BjDemand;
+
 typedef struct
 {
   BjStatus code; // BJ_OK for an upstream's response, else why the layer responds itself
@@ -244,6 +253,7 @@
   int attempts_left;        // further attempts left for the whole call chain, -1 if not known
   int level;                // admission level of the guard that responded, 0 admits all
   BjLoad load;              // load of that guard when it responded
+  BjDemand demand;          // of the call's route
   bool makes_calls;         // the upstream calls other services for this route
   BjUpstreamState upstream; // of the upstream that the daemon which responded runs calls on
   BjStr content_type;
@@ -506,6 +516,7 @@
   BjStr name;
   int64_t number; // number of the ticket that set this state
   BjPrefer prefer;
+  bool admits_by_cost; // fronts admit whole actions by what they cost further down
   BjRoute *routes;
   int n_routes;
   const BjLimiterOps *limiter;
@@ -895,6 +906,9 @@
 int bj_kernel_admission_level (BjKernel *k,
                                BjTime now,
                                const BjCall *c); // Admission level to send with the response to c
+BjDemand bj_kernel_demand (BjKernel *k,
+                           BjTime now,
+                           const BjCall *c);               // Demand to send with the response to c
 bool bj_kernel_makes_calls (BjKernel *k, const BjCall *c); // True if c's route calls other services
 BjLoad bj_kernel_load (BjKernel *k, BjTime now); // Load of this daemon's guard, sent with responses
 BjPeer *bj_kernel_find_peer (BjKernel *k, BjStr name); // NULL when unknown
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -14,6 +14,7 @@
 static bool may_retry (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static bool is_free_retry (const BjKernel *k, const BjCall *c, const BjAnswer *a);
 static void record_suspicion (BjKernel *k, BjTime now, const BjCall *c, BjStatus s);
+static bool refuse_for_cost (BjKernel *k, BjTime now, BjCall *c);
 static bool refuse_quarantined (BjKernel *k, BjTime now, BjCall *c);
 static void send_answer (BjKernel *k, BjTime now, BjCall *c, BjAnswer a);
 static bool lacked_capacity (const BjAnswer *a);
@@ -70,6 +71,7 @@
   bj_str_free (&k->guard.service);
   bj_explain_clear (k);
   bj_level_clear (&k->level);
+  g_clear_pointer (&k->cost, bj_cost_free);
   bj_signal_clear (k);
   g_hash_table_destroy (k->calls);
   g_hash_table_destroy (k->share_states);
@@ -167,6 +169,8 @@
   c->route = bj_config_route_hash (route);
   bj_parent_find (k, now, c);
   c->is_timely_retry = bj_retry_after_match (k, now, c);
+  if (refuse_for_cost (k, now, c))
+    return NULL;
   if (bj_level_should_shed (k, now, c))
     {
       bj_kernel_log_decision (k,
@@ -247,6 +251,12 @@
       if (a->outcome == BJ_DONE)
         bj_peer_add_response_time (c->target, now - c->sent);
       bj_level_learn (k, now, c, a->level);
+      if (a->demand.service != 0)
+        {
+          if (k->cost == NULL)
+            k->cost = bj_cost_new ();
+          bj_cost_learn (k->cost, now, c->route, &a->demand, now - c->arrived);
+        }
       bj_level_learn_makes_calls (k, c, a->makes_calls);
     }
   if (a->outcome != BJ_NOT_RUN)
@@ -661,6 +671,28 @@
     bj_quarantine_merge (k->quarantine, now, &n);
 }
 
+// Returns true and frees c when it is an action that the services below have no capacity for.
+static bool
+refuse_for_cost (BjKernel *k, BjTime now, BjCall *c)
+{
+  const BjServiceConfig *s = c->service->config;
+  BjAnswer a = { .code = BJ_E_OVERLOAD, .outcome = BJ_NOT_RUN, .attempts_left = -1, .length = -1 };
+
+  if (s == NULL || !s->admits_by_cost || k->cost == NULL || c->is_nested || c->request.parent != 0
+      || bj_parent_is_called (k, c->route)
+      || bj_cost_admit (k->cost, now, c->route, c->klass, c->is_timely_retry, &a.retry_after_ms))
+    return false;
+  bj_kernel_log_decision (k,
+                          now,
+                          c,
+                          "ROUTE",
+                          "refused_by_cost service=%.*s come_back_ms=%.0f",
+                          BJ_STR_ARG (c->service->name),
+                          a.retry_after_ms);
+  send_answer (k, now, c, a);
+  return true;
+}
+
 // Returns true and frees c when its request is in quarantine.
 static bool
 refuse_quarantined (BjKernel *k, BjTime now, BjCall *c)
@@ -700,7 +732,10 @@
   if (a.code != BJ_OK)
     bj_health_report_nested_failure (k, c);
   if (c->service != NULL)
-    a.level = bj_kernel_admission_level (k, now, c);
+    {
+      a.level = bj_kernel_admission_level (k, now, c);
+      a.demand = bj_kernel_demand (k, now, c);
+    }
   a.load = bj_kernel_load (k, now);
   a.upstream = k->guard.upstream;
   a.makes_calls = !c->is_front && bj_parent_makes_calls (k, c->route);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "boragejunction.h"
+#include "cost.h"
 
 // Decision about a call, kept for bj_kernel_explain ().
 typedef struct
@@ -141,6 +142,17 @@
   struct BjMaxmin *maxmin;  // arrivals at this front by account, NULL before a fair queue needs it
 } BjLevel;
 
+// Use of the own upstream, for admission by cost.
+typedef struct
+{
+  double n_offered; // calls, decaying
+  double n_refused; // those refused for load
+  BjTime counted_at;
+  double fast; // use, smoothed
+  double slow; // use, smoothed over a longer time
+  BjTime updated_at;
+} BjDemandState;
+
 struct BjKernel
 {
   BjHost *host;
@@ -163,6 +175,8 @@
   BjCounts counts;
   int64_t newest_config_seen; // highest configuration number received, also if it was rejected
   BjLevel level;
+  BjDemandState demand;
+  BjCost *cost; // what was learned of demand further down, NULL before the first
   uint64_t next_id;
   BjDecision ring[BJ_DECISION_RING_SIZE];
   guint ring_next;
@@ -194,6 +208,7 @@
 void bj_parent_run_ended (BjKernel *k, BjCall *c);        // Guard: c no longer runs there
 bool bj_parent_makes_calls (BjKernel *k, uint64_t route); // Runs of this route make nested calls
 bool bj_parent_is_called (BjKernel *k, uint64_t route);   // Nested calls go to this route
+double bj_parent_calls_per_run (BjKernel *k, uint64_t route, uint64_t called);
 void bj_parent_each_called (BjKernel *k,
                             uint64_t route,
                             void (*fn) (uint64_t called, void *data),
@@ -250,6 +265,10 @@
                            BjTime now,
                            const BjCall *c); // Front: true if c must be refused before using a hop
 
+// Demand: use of the own upstream, sent with responses
+void bj_demand_count_offered (BjKernel *k, BjTime now, bool refused);
+BjDemand bj_demand_own (BjKernel *k, BjTime now);
+
 void bj_explain_clear (BjKernel *k); // Frees the ring of decisions
 
 // Guard: admission to the own upstream
--- a/src/level.c
+++ b/src/level.c
@@ -82,6 +82,7 @@
 {
   BjLevel *l = &k->level;
 
+  bj_demand_count_offered (k, now, refused);
   if (now - l->window_from >= WINDOW_MS)
     update_guard_level (k, now);
   l->n_above += c->is_above_part;
--- a/src/parent.c
+++ b/src/parent.c
@@ -157,6 +157,14 @@
   return false;
 }
 
+double
+bj_parent_calls_per_run (BjKernel *k, uint64_t route, uint64_t called)
+{
+  const RouteRuns *r = g_hash_table_lookup (k->route_runs, &route);
+
+  return r != NULL ? calls_per_run (r, called) : 0;
+}
+
 void
 bj_parent_each_called (BjKernel *k,
                        uint64_t route,
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -50,6 +50,7 @@
   { "router", BJ_JSON_OBJECT, false, 0, 0 },
   { "retry", BJ_JSON_OBJECT, false, 0, 0 },
   { "prefer", BJ_JSON_STR, false, 0, 0 },
+  { "admission", BJ_JSON_OBJECT, false, 0, 0 },
 };
 static const BjJsonKey route_keys[] = {
   { "prefix", BJ_JSON_STR, true, 1, ROUTE_TEXT_MAX },
@@ -75,6 +76,9 @@
 static const BjJsonKey router_keys[] = {
   { "plugin", BJ_JSON_STR, false, 0, 0 },
 };
+static const BjJsonKey admission_keys[] = {
+  { "plugin", BJ_JSON_STR, false, 0, 0 },
+};
 static const BjJsonKey retry_keys[] = {
   { "plugin", BJ_JSON_STR, false, 0, 0 },       { "ratio", BJ_JSON_NUMBER, false, 0, 1 },
   { "burst", BJ_JSON_NUMBER, false, 0, 10000 }, { "saved", BJ_JSON_NUMBER, false, 0, 1 },
@@ -95,6 +99,7 @@
   { "services.NAME.queue", queue_keys, G_N_ELEMENTS (queue_keys) },
   { "services.NAME.router", router_keys, G_N_ELEMENTS (router_keys) },
   { "services.NAME.retry", retry_keys, G_N_ELEMENTS (retry_keys) },
+  { "services.NAME.admission", admission_keys, G_N_ELEMENTS (admission_keys) },
   { "upstreams.NAME", upstream_keys, G_N_ELEMENTS (upstream_keys) },
 };
 
@@ -143,6 +148,7 @@
                              struct json_object **options,
                              const void **ops);
 static BjStatus read_prefer (const char *path, struct json_object *o, BjServiceConfig *s);
+static BjStatus read_admission (const char *path, struct json_object *o, BjServiceConfig *s);
 static BjStatus read_upstreams (struct json_object *o, BjConfig *c);
 static int find_class (const BjConfig *c, BjStr name);
 
@@ -470,6 +476,8 @@
     }
   if (status == BJ_OK)
     status = read_prefer (path, o, s);
+  if (status == BJ_OK)
+    status = read_admission (path, o, s);
   return status == BJ_OK ? read_plugins (path, o, s) : status;
 }
 
@@ -750,6 +758,31 @@
   return BJ_OK;
 }
 
+static BjStatus
+read_admission (const char *path, struct json_object *o, BjServiceConfig *s)
+{
+  char *at = g_strdup_printf ("%s.admission", path);
+  struct json_object *admission;
+  BjStatus status = BJ_OK;
+  BjStr name;
+
+  if (json_object_object_get_ex (o, "admission", &admission))
+    {
+      status = bj_json_check (
+          "ticket", at, admission, BJ_E_TICKET, admission_keys, G_N_ELEMENTS (admission_keys));
+      name = bj_json_str (admission, "plugin");
+      s->admits_by_cost = bj_str_equal (name, BJ_STR ("cost"));
+      if (status == BJ_OK && name.len > 0 && !s->admits_by_cost
+          && !bj_str_equal (name, BJ_STR ("level")))
+        status = bj_fail (BJ_E_TICKET,
+                          "%s.plugin: \"%.*s\" is unknown, allowed: cost, level.",
+                          at,
+                          BJ_STR_ARG (name));
+    }
+  g_free (at);
+  return status;
+}
+
 static BjStatus
 read_upstreams (struct json_object *o, BjConfig *c)
 {
--- a/tests/chain.c
+++ b/tests/chain.c
@@ -309,6 +309,7 @@
     return;
   a.level = bj_kernel_admission_level (k, chain.now, c);
   a.makes_calls = bj_kernel_makes_calls (k, c);
+  a.demand = bj_kernel_demand (k, chain.now, c);
   a.load = bj_kernel_load (k, chain.now);
   bj_kernel_answer_end (k, chain.now, c, true);
   deliver (q, &a, r->node);
