Reports of account usage in PING and PONG, edges of the rate limits tested

Daemons report what they admit to the collector of their domain. PING and PONG get one binary field, which is left out when it is empty, so that frames without accounts have the bytes that they had. A PONG has id 1 from daemons that read the field. bj_usage_configure is called by nothing yet.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -3,6 +3,7 @@
 
 #include "internal.h"
 #include "kernel.h"
+#include "usage.h"
 #include <ev.h>
 #include <string.h>
 
@@ -131,6 +132,7 @@
   ev_prepare_stop (d->loop, &d->watchers->prepare);
   ev_timer_stop (d->loop, &d->watchers->tick);
   ev_idle_stop (d->loop, &d->watchers->idle);
+  bj_usage_free (d->usage);
   if (d->reader != NULL)
     bj_reader_free (d->reader);
   if (d->members != NULL)
@@ -457,6 +459,7 @@
   d->platform = platform->create (d->loop, d->http, d->settings.platform_url);
   d->outcomes = bj_outcomes_new (d);
   d->reader = bj_reader_new (d);
+  d->usage = bj_usage_new (d);
   return BJ_OK;
 }
 
--- a/src/frame.c
+++ b/src/frame.c
@@ -12,12 +12,14 @@
 static void pack_call (msgpack_packer *p, const BjFrame *f);
 static void pack_answer (msgpack_packer *p, const BjFrame *f);
 static void pack_upstream (msgpack_packer *p, const BjUpstreamState *s);
+static void pack_usage (msgpack_packer *p, const BjFrame *f);
 static void pack_str (msgpack_packer *p, BjStr s);
-static int field_count (BjFrameKind k);
+static int field_count (const BjFrame *f);
 static void read_fields (BjFields *in, BjFrame *f);
 static void read_call (BjFields *in, BjFrame *f);
 static void read_answer (BjFields *in, BjFrame *f);
 static void read_upstream (BjFields *in, BjUpstreamState *s);
+static void read_usage (BjFields *in, BjFrame *f);
 static BjSuspicion read_suspicion (BjFields *in);
 
 void
@@ -29,7 +31,7 @@
 
   msgpack_sbuffer_write (out, (const char *)&length, LENGTH_BYTES);
   msgpack_packer_init (&p, out, msgpack_sbuffer_write);
-  msgpack_pack_array (&p, 2 + field_count (f->kind));
+  msgpack_pack_array (&p, 2 + field_count (f));
   msgpack_pack_int (&p, f->kind);
   msgpack_pack_uint64 (&p, f->id);
   pack_fields (&p, f);
@@ -122,6 +124,10 @@
       break;
     case BJ_FRAME_PING:
       pack_upstream (p, &f->upstream);
+      pack_usage (p, f);
+      break;
+    case BJ_FRAME_PONG:
+      pack_usage (p, f);
       break;
     case BJ_FRAME_NOTICE:
       msgpack_pack_uint64 (p, f->notice.fingerprint);
@@ -189,6 +195,14 @@
   msgpack_pack_double (p, s->has_rate ? s->rate : NO_RATE);
 }
 
+// Daemons of earlier versions don't read this field.
+static void
+pack_usage (msgpack_packer *p, const BjFrame *f)
+{
+  if (f->data.len > 0)
+    pack_str (p, f->data);
+}
+
 static void
 pack_str (msgpack_packer *p, BjStr s)
 {
@@ -197,7 +211,7 @@
 }
 
 static int
-field_count (BjFrameKind k)
+field_count (const BjFrame *f)
 {
   static const int counts[BJ_FRAME_KINDS] = {
     [BJ_FRAME_HELLO] = 4,       [BJ_FRAME_CALL] = 20,  [BJ_FRAME_ANSWER] = 18,
@@ -206,7 +220,9 @@
     [BJ_FRAME_CONFIG_PART] = 3, [BJ_FRAME_PING] = 3,
   };
 
-  return counts[k];
+  bool has_usage = (f->kind == BJ_FRAME_PING || f->kind == BJ_FRAME_PONG) && f->data.len > 0;
+
+  return counts[f->kind] + has_usage;
 }
 
 static void
@@ -248,6 +264,10 @@
       break;
     case BJ_FRAME_PING:
       read_upstream (in, &f->upstream);
+      read_usage (in, f);
+      break;
+    case BJ_FRAME_PONG:
+      read_usage (in, f);
       break;
     case BJ_FRAME_NOTICE:
       f->notice.fingerprint = bj_field_uint (in, UINT64_MAX);
@@ -320,6 +340,13 @@
   s->has_rate = s->rate >= 0 && s->rate <= BJ_RATE_MAX;
 }
 
+static void
+read_usage (BjFields *in, BjFrame *f)
+{
+  if (in->n_left > 0)
+    f->data = bj_field_bytes (in);
+}
+
 static BjSuspicion
 read_suspicion (BjFields *in)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -382,7 +382,8 @@
 typedef struct
 {
   BjFrameKind kind;
-  uint64_t id;                   // call id; HELLO: incarnation; CONFIG_*: number
+  uint64_t id;                   // call id; HELLO: incarnation; CONFIG_*: number; PONG: 1 if the
+                                 // sender reads account usage
   BjStr name;                    // HELLO: daemon; CALL: service
   int protocol;                  // HELLO
   uint64_t start;                // HELLO: random number of the sender's process, not 0
@@ -391,7 +392,8 @@
   BjAnswer answer;               // ANSWER
   BjUpstreamState upstream;      // CALL: what the receiver's upstream last said; PING: what the
                                  // sender's upstream said; start 0 if nothing
-  BjStr data;                    // DATA, CONFIG, CONFIG_PART; HELLO: signature
+  BjStr data;                    // DATA, CONFIG, CONFIG_PART; HELLO: signature; PING, PONG:
+                                 // account usage, empty if absent
   uint64_t length;               // END: bytes of the body; WINDOW: bytes granted; CONFIG_PART: all
   uint64_t offset;               // CONFIG_PART: of data in the text
   bool takes_parts;              // CONFIG_REQUEST
@@ -976,6 +978,7 @@
   BjPlatform *platform;
   BjReader *reader;
   BjOutcomes *outcomes;
+  struct BjUsage *usage;
   BjAddress upstream; // of the own upstream, port 0 before its announcement
   BjStr upstream_id;  // identifies its start, empty if not announced
   double upstream_started_ms;
--- a/src/link.c
+++ b/src/link.c
@@ -5,6 +5,7 @@
 // carries a response that has begun, which can't be sent again, it stays open for that one alone.
 
 #include "link.h"
+#include "usage.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
@@ -15,6 +16,7 @@
 
 #define LENGTH_BYTES 4 // length prefix of a frame
 #define READ_BYTES 65536
+#define READS_USAGE 1 // id of a PONG; daemons of earlier versions send 0
 #define BACKLOG 512
 #define UNANSWERED_PINGS_MAX 5       // pings after which the connection is closed
 #define SILENCE_CHECK_INTERVAL_MS 50 // between two checks for silent and idle connections
@@ -47,6 +49,7 @@
 static bool dispatch_frame (BjConn *c, const BjFrame *f);
 static void send_current_notices (BjConn *c);
 static void notify_peer (BjPeer *p, void *data);
+static void send_pong (BjConn *c, BjStr report);
 static bool check_signature (const BjConn *c, const BjFrame *f);
 static bool handle_hello (BjConn *c, const BjFrame *f);
 static void close_superseded_conns (BjConn *c);
@@ -177,6 +180,13 @@
       bj_conn_send (c, &f);
 }
 
+// Does not count as a ping for the silence of the connection.
+void
+bj_links_send_usage (BjLinks *l, BjPeer *p, BjStr report)
+{
+  bj_conn_send (bj_conn_get (l, p), &(BjFrame){ .kind = BJ_FRAME_PING, .data = report });
+}
+
 void
 bj_links_send_notices (BjLinks *l)
 {
@@ -628,8 +638,6 @@
 static bool
 dispatch_frame (BjConn *c, const BjFrame *f)
 {
-  BjFrame pong = { .kind = BJ_FRAME_PONG };
-
   if (c->peer_start == 0)
     return handle_hello (c, f);
   switch (f->kind)
@@ -653,7 +661,10 @@
     case BJ_FRAME_PING:
       bj_kernel_remember_upstream (
           c->links->daemon->kernel, bj_clock_now (), c->peer, &f->upstream);
-      bj_conn_send (c, &pong);
+      send_pong (c, f->data);
+      break;
+    case BJ_FRAME_PONG:
+      bj_usage_take_reply (c->links->daemon->usage, c->peer, f->data, f->id == READS_USAGE);
       break;
     case BJ_FRAME_CONFIG_REQUEST:
       handle_config_request (c, f);
@@ -674,6 +685,19 @@
   return true;
 }
 
+static void
+send_pong (BjConn *c, BjStr report)
+{
+  BjFrame pong = { .kind = BJ_FRAME_PONG, .id = READS_USAGE };
+  msgpack_sbuffer reply;
+
+  msgpack_sbuffer_init (&reply);
+  if (bj_usage_take_report (c->links->daemon->usage, c->peer, report, &reply))
+    pong.data = (BjStr){ reply.data, reply.size };
+  bj_conn_send (c, &pong);
+  msgpack_sbuffer_destroy (&reply);
+}
+
 // Sends all current quarantine notices. The peer may have missed some while it was unreachable or
 // not started.
 static void
--- a/src/quota.c
+++ b/src/quota.c
@@ -32,13 +32,15 @@
 #define DEMAND_MIN 0.02    // requests a second; less counts as none
 #define DEMAND_STEP 0.1    // relative change of the demand that is reported
 #define DRAIN_S 0.5        // in which a positive level is used up
-#define REPAY_S 0.7        // in which a negative level is made up for
-#define SLACK 0.05         // part of the rate that a majority need not reserve; it is in the bound
-#define DEPTH_MIN 5        // requests; buckets of small accounts would overflow between arrivals
-#define DEPTH_S 0.2        // of the rate that a bucket holds at least, as reports are that late
-#define DEBT_S 2.5         // of the rate that a level may be below 0
-#define BLEND 0.05         // part of the difference to another collector's level that is taken
-#define LOST_MIN 0.15      // part of the demand that a new collector must miss to reserve it
+#define REPAY_S                                                                                    \
+  0.5                 // in which a negative level is made up for; at 0.5 of the rate below 0,
+                      // which is in the bound, nothing is admitted
+#define SLACK 0.05    // part of the rate that a majority need not reserve; it is in the bound
+#define DEPTH_MIN 5   // requests; buckets of small accounts would overflow between arrivals
+#define DEPTH_S 0.2   // of the rate that a bucket holds at least, as reports are that late
+#define DEBT_S 2.5    // of the rate that a level may be below 0
+#define BLEND 0.05    // part of the difference to another collector's level that is taken
+#define LOST_MIN 0.15 // part of the demand that a new collector must miss to reserve it
 #define RETRY_MAX_MS 10000.0 // retry-after time
 #define SLOTS 10             // of the window of use
 #define REFERRAL 2000        // in place of the part of the rate, from a daemon that is no collector
@@ -595,7 +597,7 @@
         {
           q->heard = now;
           q->fraction = fraction;
-          q->unlisted_ms = UNLISTED_MS + ROTATE_MS * (double)(n_limited / BJ_QUOTA_ENTRIES_MAX);
+          q->unlisted_ms = UNLISTED_MS + ROTATE_MS * (double)n_limited / BJ_QUOTA_ENTRIES_MAX;
           while (in.n_left > 0)
             {
               Account *a = find_account (q, bj_field_uint (&in, UINT64_MAX));
@@ -770,7 +772,7 @@
 static void
 count_use (Account *a, BjTime now)
 {
-  int64_t slot = (int64_t)(now / (BJ_QUOTA_WINDOW_MS / SLOTS));
+  int64_t slot = (int64_t)(now * SLOTS / BJ_QUOTA_WINDOW_MS);
 
   if (slot - a->slot > SLOTS)
     memset (a->slots, 0, sizeof a->slots);
@@ -784,7 +786,7 @@
 static double
 window_use (const Account *a, BjTime now)
 {
-  int64_t slot = (int64_t)(now / (BJ_QUOTA_WINDOW_MS / SLOTS));
+  int64_t slot = (int64_t)(now * SLOTS / BJ_QUOTA_WINDOW_MS);
   double n = 0;
 
   for (int64_t i = MAX (0, MAX (slot, a->slot) - SLOTS + 1); i <= a->slot; i++)
