Merge rates of client accounts over all daemons, wired into the admission of calls

The kernel asks the quota module for calls with a key of an account that has a rate, answers 429 with the retry-after time, and gives a call back that did not run.

--- a/src/admin.c
+++ b/src/admin.c
@@ -2,6 +2,7 @@
 
 #include "access.h"
 #include "internal.h"
+#include "usage.h"
 #include <string.h>
 
 #define PORT_MAX 65535
@@ -218,11 +219,17 @@
     {
       const BjAccount *a = bj_accounts_at (c->accounts, i);
       struct json_object *o = json_object_new_object ();
+      BjQuotaUse use = { 0 };
 
+      bj_quota_use (bj_usage_quota (d->usage), bj_clock_now (), a->hash, &use);
       add_str (o, "name", a->name);
       add_str (o, "class", a->klass >= 0 ? bj_str (c->classes->pdata[a->klass]) : BJ_STR_NULL);
       json_object_object_add (o, "rate_per_s", json_object_new_double (a->rate_per_s));
       json_object_object_add (o, "burst", json_object_new_double (a->burst));
+      json_object_object_add (o, "use_per_s", json_object_new_double (use.use));
+      json_object_object_add (o, "demand_per_s", json_object_new_double (use.demand));
+      json_object_object_add (o, "level", json_object_new_double (use.level));
+      json_object_object_add (o, "share", json_object_new_double (use.share));
       add_int (o, "calls", (int64_t)bj_access_calls (d->kernel, a->name));
       add_int (o, "refused", (int64_t)bj_access_refused (d->kernel, a->name));
       add_int (o, "keys", a->n_keys);
--- a/src/bjctl/daemons.c
+++ b/src/bjctl/daemons.c
@@ -129,11 +129,13 @@
     printf ("%s\n", json_object_to_json_string_ext (all, JSON_C_TO_STRING_PLAIN));
   else if (code == CTL_OK)
     {
-      printf ("%-32s %-8s %10s %10s %10s %10s %6s\n",
+      printf ("%-32s %-8s %10s %10s %10s %8s %10s %10s %6s\n",
               "account",
               "class",
               "rate",
               "burst",
+              "used",
+              "share",
               "calls",
               "refused",
               "keys");
@@ -142,11 +144,13 @@
           struct json_object *a = json_object_array_get_idx (all, i);
           BjStr klass = bj_json_str (a, "class");
 
-          printf ("%-32.*s %-8.*s %10g %10g %10.0f %10.0f %6.0f\n",
+          printf ("%-32.*s %-8.*s %10g %10g %10.1f %8.3f %10.0f %10.0f %6.0f\n",
                   BJ_STR_ARG (bj_json_str (a, "name")),
                   BJ_STR_ARG (klass.len > 0 ? klass : BJ_STR ("-")),
                   bj_json_number (a, "rate_per_s", 0),
                   bj_json_number (a, "burst", 0),
+                  bj_json_number (a, "use_per_s", 0),
+                  bj_json_number (a, "share", 0),
                   bj_json_number (a, "calls", 0),
                   bj_json_number (a, "refused", 0),
                   bj_json_number (a, "keys", 0));
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -271,6 +271,7 @@
 typedef struct BjPeer BjPeer;
 typedef struct BjService BjService;
 typedef struct BjKernel BjKernel;
+struct BjQuota;
 
 typedef enum
 {
@@ -313,6 +314,7 @@
   bool is_nested;           // made by the own upstream for a call that runs there
   bool is_parent_inferred;  // its parent was matched by times, not by an id
   bool has_account_key;     // its account was found by the key of the request
+  uint64_t rated_account;   // hash of the account whose rate counts it, 0 if none does
   bool is_anonymous;        // its route needs no key
   uint64_t matched_parent;  // id of the call that this nested call was matched to, 0 if not known
   bool is_timely_retry;     // a retry of a refused call that respects the retry-after time
@@ -803,6 +805,8 @@
 void bj_kernel_set_config (BjKernel *k,
                            BjTime now,
                            BjConfig *c); // Takes ownership of c; applies it if its number is newer
+void bj_kernel_use_quota (BjKernel *k,
+                          struct BjQuota *q); // Rates of accounts; borrowed, NULL for no limits
 void bj_kernel_note_config (BjKernel *k,
                             BjTime now,
                             int64_t number);          // A configuration of this number exists
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -3,6 +3,7 @@
 
 #include "kernel.h"
 #include "server.h"
+#include "usage.h"
 #include <ev.h>
 #include <string.h>
 
@@ -19,6 +20,7 @@
 };
 
 static BjStatus open_modules (BjDaemon *d);
+static void configure_rates (BjDaemon *d);
 static BjPeerReport own_report (BjDaemon *d);
 static void on_prepare (struct ev_loop *loop, ev_prepare *w, int events);
 static void on_tick (struct ev_loop *loop, ev_timer *w, int events);
@@ -134,6 +136,9 @@
   ev_prepare_stop (d->loop, &d->watchers->prepare);
   ev_timer_stop (d->loop, &d->watchers->tick);
   ev_idle_stop (d->loop, &d->watchers->idle);
+  bj_kernel_use_quota (d->kernel, NULL);
+  bj_usage_free (d->usage);
+  d->usage = NULL;
   if (d->reader != NULL)
     bj_reader_free (d->reader);
   if (d->members != NULL)
@@ -188,9 +193,26 @@
   bj_kernel_set_config (d->kernel, bj_clock_now (), c);
   if (d->front != NULL)
     bj_server_set_limits (bj_front_server (d->front), &bj_kernel_config (d->kernel)->callers);
+  configure_rates (d);
   return BJ_OK;
 }
 
+static void
+configure_rates (BjDaemon *d)
+{
+  const BjAccounts *all = bj_kernel_config (d->kernel)->accounts;
+  int n = bj_accounts_count (all);
+  const BjAccount **accounts;
+
+  if (d->usage == NULL)
+    return;
+  accounts = g_new (const BjAccount *, MAX (1, n));
+  for (int i = 0; i < n; i++)
+    accounts[i] = bj_accounts_at (all, i);
+  bj_usage_configure (d->usage, accounts, n);
+  g_free (accounts);
+}
+
 void
 bj_daemon_reject_config (BjDaemon *d, int64_t number, size_t bytes, const char *source)
 {
@@ -506,6 +528,8 @@
   d->platform = platform->create (d->loop, d->http, d->settings.platform_url);
   d->outcomes = bj_outcomes_new (d);
   d->reader = bj_reader_new (d);
+  d->usage = bj_usage_new (d);
+  bj_kernel_use_quota (d->kernel, bj_usage_quota (d->usage));
   return BJ_OK;
 }
 
--- a/src/frame.c
+++ b/src/frame.c
@@ -14,13 +14,15 @@
 static void pack_answer (msgpack_packer *p, const BjFrame *f);
 static void pack_upstream (msgpack_packer *p, const BjUpstreamState *s);
 static void pack_upstream_load (msgpack_packer *p, const BjUpstreamLoad *l);
+static void pack_usage (msgpack_packer *p, const BjFrame *f);
 static void pack_str (msgpack_packer *p, BjStr s);
-static int field_count (BjFrameKind k);
+static int field_count (const BjFrame *f);
 static void read_fields (BjFields *in, BjFrame *f);
 static void read_call (BjFields *in, BjFrame *f);
 static void read_answer (BjFields *in, BjFrame *f);
 static void read_upstream (BjFields *in, BjUpstreamState *s);
 static void read_upstream_load (BjFields *in, BjUpstreamLoad *l);
+static void read_usage (BjFields *in, BjFrame *f);
 static BjSuspicion read_suspicion (BjFields *in);
 
 void
@@ -32,7 +34,7 @@
 
   msgpack_sbuffer_write (out, (const char *)&length, LENGTH_BYTES);
   msgpack_packer_init (&p, out, msgpack_sbuffer_write);
-  msgpack_pack_array (&p, 2 + field_count (f->kind));
+  msgpack_pack_array (&p, 2 + field_count (f));
   msgpack_pack_int (&p, f->kind);
   msgpack_pack_uint64 (&p, f->id);
   pack_fields (&p, f);
@@ -125,6 +127,10 @@
       break;
     case BJ_FRAME_PING:
       pack_upstream (p, &f->upstream);
+      pack_usage (p, f);
+      break;
+    case BJ_FRAME_PONG:
+      pack_usage (p, f);
       break;
     case BJ_FRAME_NOTICE:
       msgpack_pack_uint64 (p, f->notice.fingerprint);
@@ -195,6 +201,14 @@
   msgpack_pack_double (p, s->has_rate ? s->rate : NO_RATE);
 }
 
+// Daemons of earlier versions don't read this field.
+static void
+pack_usage (msgpack_packer *p, const BjFrame *f)
+{
+  if (f->data.len > 0)
+    pack_str (p, f->data);
+}
+
 static void
 pack_upstream_load (msgpack_packer *p, const BjUpstreamLoad *l)
 {
@@ -213,7 +227,7 @@
 }
 
 static int
-field_count (BjFrameKind k)
+field_count (const BjFrame *f)
 {
   static const int counts[BJ_FRAME_KINDS] = {
     [BJ_FRAME_HELLO] = 4,       [BJ_FRAME_CALL] = 22,  [BJ_FRAME_ANSWER] = 23,
@@ -222,7 +236,9 @@
     [BJ_FRAME_CONFIG_PART] = 3, [BJ_FRAME_PING] = 3,
   };
 
-  return counts[k];
+  bool has_usage = (f->kind == BJ_FRAME_PING || f->kind == BJ_FRAME_PONG) && f->data.len > 0;
+
+  return counts[f->kind] + has_usage;
 }
 
 static void
@@ -264,6 +280,10 @@
       break;
     case BJ_FRAME_PING:
       read_upstream (in, &f->upstream);
+      read_usage (in, f);
+      break;
+    case BJ_FRAME_PONG:
+      read_usage (in, f);
       break;
     case BJ_FRAME_NOTICE:
       f->notice.fingerprint = bj_field_uint (in, UINT64_MAX);
@@ -359,6 +379,14 @@
   l->has_slowness = l->is_known && l->slowness > 0;
 }
 
+// Daemons of earlier versions send no such field.
+static void
+read_usage (BjFields *in, BjFrame *f)
+{
+  if (in->n_left > 0)
+    f->data = bj_field_bytes (in);
+}
+
 static BjSuspicion
 read_suspicion (BjFields *in)
 {
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -2,6 +2,7 @@
 
 #include "access.h"
 #include "instance.h"
+#include "quota.h"
 
 // An irreversible call may run on for this long after its caller was answered or disconnected.
 #define DETACHED_MAX_MS 60000
@@ -117,6 +118,12 @@
   bj_log (BJ_LOG_INFO, "TICKET", "Ticket %" G_GINT64_FORMAT " is in force.", c->number);
 }
 
+void
+bj_kernel_use_quota (BjKernel *k, BjQuota *q)
+{
+  k->quota = q;
+}
+
 void
 bj_kernel_note_config (BjKernel *k, BjTime now, int64_t number)
 {
@@ -520,10 +527,25 @@
 admit_by_rate (BjKernel *k, BjTime now, BjCall *c)
 {
   const BjAccount *a = bj_access_account (k, c);
+  BjAnswer refusal = { .code = BJ_E_RATE, .outcome = BJ_NOT_RUN, .attempts_left = -1 };
 
-  (void)now;
-  (void)a;
-  return true;
+  if (a == NULL || a->rate_per_s <= 0 || k->quota == NULL)
+    return true;
+  if (bj_quota_admit (k->quota, now, a->hash, &refusal.retry_after_ms))
+    {
+      c->rated_account = a->hash;
+      return true;
+    }
+  bj_kernel_log_decision (k,
+                          now,
+                          c,
+                          "ACCOUNT",
+                          "account=%.*s above_rate=%g come_back_ms=%.0f",
+                          BJ_STR_ARG (a->name),
+                          a->rate_per_s,
+                          refusal.retry_after_ms);
+  send_answer (k, now, c, refusal);
+  return false;
 }
 
 static void
@@ -782,6 +804,9 @@
   if (c->is_front && c->n_tried > 0)
     bj_level_count_result (k, now, c, lacked_capacity (&a));
   bj_count_answer (k, now, c, a.code, a.outcome);
+  // A request that did not run is not counted against the rate.
+  if (c->rated_account != 0 && a.outcome == BJ_NOT_RUN)
+    bj_quota_refund (k->quota, c->rated_account);
   k->host->ops->answer (k->host, c, &a);
   bj_call_end (k, c);
 }
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -168,6 +168,7 @@
   BjCounts counts;
   int64_t newer_config;       // highest number known of a configuration newer than the own one then
   BjTime newer_config_at;     // when it became known
+  struct BjQuota *quota;      // rates of accounts, borrowed; NULL for no limits
   GHashTable *account_counts; // of access.c, by name (BjStr*); NULL before the first call
   uint64_t removed_account_calls;   // of accounts that are no longer configured
   uint64_t removed_account_refused; // the same, refused because of the rate
