A call that would queue for long may go back to its front once

A guard queued every call that fitted, also while other instances had free slots. If the front allows it (trailing field of CALL) a guard of the same region returns a call that would wait 10 ms or more, at most a quarter of its arrivals, as a refusal that costs no token and counts for no admission level.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -214,6 +214,7 @@
   uint32_t cohort;      // hash of the action, the same in the whole call chain
   bool is_spilled;      // from another domain, or region if pools_region; set by the receiver
   bool is_cross_region; // sent by a daemon of another region; set by the receiver
+  bool may_return;      // its front places it again if the guard returns it instead of queueing it
 } BjRequest;
 
 typedef struct
@@ -303,6 +304,9 @@
   int attempts_left;      // further attempts left for the call chain, delegated ones not included
   int attempts_delegated; // further attempts delegated to the daemon that it was sent to
   double retry_cost;      // retry tokens for one more attempt; more if the call makes nested calls
+  bool may_return;        // the guard that it was sent to may return it instead of queueing it
+  bool is_returned;       // a guard has returned it
+  BjPeer *returned_by;    // may get it again if no other daemon can take it; NULL after that
   bool is_refused;        // its last attempt was refused for load and did not run
   int attempts_at_send;   // attempts_left when it was last sent, before any were delegated
   uint32_t cohort;        // hash of the action, the same on every hop
--- a/src/count.c
+++ b/src/count.c
@@ -43,6 +43,10 @@
                "upstream_waits",
                "Of these calls, those that waited in the queue.",
                (double)k->guard.n_waited);
+  print_total (out,
+               "upstream_returns",
+               "Calls that this guard returned to their fronts instead of queueing them.",
+               (double)k->guard.n_returned);
   print_total (out,
                "route_slowness_calls",
                "Calls sent to an upstream that reported its slowness in the last seconds.",
--- a/src/frame.c
+++ b/src/frame.c
@@ -159,6 +159,7 @@
   r->irreversible ? msgpack_pack_true (p) : msgpack_pack_false (p);
   msgpack_pack_double (p, r->objective_ms);
   pack_upstream (p, &f->upstream);
+  r->may_return ? msgpack_pack_true (p) : msgpack_pack_false (p);
 }
 
 static void
@@ -214,7 +215,7 @@
 field_count (BjFrameKind k)
 {
   static const int counts[BJ_FRAME_KINDS] = {
-    [BJ_FRAME_HELLO] = 4,       [BJ_FRAME_CALL] = 20,  [BJ_FRAME_ANSWER] = 23,
+    [BJ_FRAME_HELLO] = 4,       [BJ_FRAME_CALL] = 21,  [BJ_FRAME_ANSWER] = 23,
     [BJ_FRAME_DATA] = 1,        [BJ_FRAME_END] = 3,    [BJ_FRAME_WINDOW] = 1,
     [BJ_FRAME_NOTICE] = 3,      [BJ_FRAME_CONFIG] = 1, [BJ_FRAME_CONFIG_REQUEST] = 1,
     [BJ_FRAME_CONFIG_PART] = 3, [BJ_FRAME_PING] = 3,
@@ -297,6 +298,7 @@
   r->irreversible = bj_field_bool (in);
   r->objective_ms = bj_field_double (in);
   read_upstream (in, &f->upstream);
+  r->may_return = in->n_left > 0 && bj_field_bool (in);
 }
 
 static void
--- a/src/guard.c
+++ b/src/guard.c
@@ -11,6 +11,9 @@
 #define SERVICE_TIME_WEIGHT 0.1 // weight of the newest run in the smoothed time of a run
 #define BACKLOG_MAX 100000.0    // calls reported for a long wait
 #define RATE_RETRY_AFTER_MAX_MS 2000 // longest retry-after time while a rate is in force
+#define RETURN_WAIT_MS 10.0          // longer waits pay for another placement, which takes two hops
+#define RETURN_SHARE 0.25 // of the arrivals that may be returned; more costs messages for nothing
+#define RETURN_BURST 10.0 // calls returned at once
 
 static void configure_queue (BjKernel *k, BjTime now, const BjServiceConfig *s);
 static void replace_queue (BjKernel *k, BjTime now, const BjQueueOps *ops, const BjQueueOptions *o);
@@ -24,6 +27,7 @@
 static int headroom_slots (BjKernel *k, BjTime now, int limit);
 static void smooth_demand (BjGuard *g, BjTime now);
 static bool must_yield (BjGuard *g, const BjCall *c);
+static bool must_return (BjGuard *g, BjTime now, const BjCall *c);
 static void refuse_for_load (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
 static void update_completion_interval (BjGuard *g, BjTime now);
 static double compute_retry_after_ms (BjKernel *k, BjTime now, int klass);
@@ -131,6 +135,7 @@
       return;
     }
   bj_level_count_offered (k, now, false);
+  g->returns_left = MIN (g->returns_left + RETURN_SHARE, RETURN_BURST);
   if (c->request.is_spilled && !c->irreversible && !bj_spill_admit (k, now, c->klass))
     {
       a = bj_guard_make_refusal (k, now, BJ_E_OVERLOAD, c->klass);
@@ -153,6 +158,17 @@
       bj_call_start (k, now, c);
       return;
     }
+  if (must_return (g, now, c))
+    {
+      g->n_returned++;
+      a = (BjAnswer){ .code = BJ_E_OVERLOAD,
+                      .outcome = BJ_NOT_RUN,
+                      .retry_after_ms = BJ_RETRY_AFTER_MIN_MS,
+                      .attempts_left = -1,
+                      .length = -1 };
+      bj_call_refuse (k, now, c, &a);
+      return;
+    }
   if (must_yield (g, c))
     s = BJ_E_OVERLOAD;
   else
@@ -420,6 +436,17 @@
   return c->klass > g->admitted_klass;
 }
 
+// Whether c, which would have to queue, goes back to its front to be placed again. Counts it.
+static bool
+must_return (BjGuard *g, BjTime now, const BjCall *c)
+{
+  if (!c->request.may_return || c->request.is_cross_region || g->returns_left < 1
+      || g->queue->ops->wait_ms (g->queue, now, c->klass) < RETURN_WAIT_MS)
+    return false;
+  g->returns_left--;
+  return true;
+}
+
 static void
 start_queued (BjKernel *k, BjTime now)
 {
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -11,6 +11,8 @@
 static void send_to (BjKernel *k, BjTime now, BjCall *c, BjPeer *p, int n_candidates);
 static void leave_state (BjKernel *k, BjTime now, BjCall *c, BjStatus s);
 static void handle_failure (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
+static void note_return (BjCall *c, const BjAnswer *a);
+static bool allow_returning_peer (BjCall *c);
 static void retry_call (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static bool may_retry (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a);
 static bool is_free_retry (const BjKernel *k, const BjCall *c, const BjAnswer *a);
@@ -516,6 +518,8 @@
   BjPeer *p = pick_peer (k, now, c, &n_candidates);
   BjAnswer a;
 
+  if (p == NULL && allow_returning_peer (c))
+    p = pick_peer (k, now, c, &n_candidates);
   if (p != NULL)
     {
       send_to (k, now, c, p, n_candidates);
@@ -544,6 +548,7 @@
       k->counts.slowness += (uint64_t)p->upstream_load.slowness;
       k->counts.slowness_age_ms += now - p->upstream_load_at;
     }
+  c->may_return = c->is_front && !c->is_returned && has_slowness && n_candidates > 1;
   c->target = p;
   if (c->n_tried < BJ_PEERS_TRIED_MAX)
     c->tried[c->n_tried++] = p;
@@ -609,6 +614,7 @@
       bj_call_end (k, c);
       return;
     }
+  note_return (c, a);
   if (c->is_front && may_retry (k, now, c, a))
     {
       retry_call (k, now, c, a);
@@ -617,6 +623,33 @@
   send_answer (k, now, c, *a);
 }
 
+static void
+note_return (BjCall *c, const BjAnswer *a)
+{
+  if (!c->may_return || a->code != BJ_E_OVERLOAD || a->outcome != BJ_NOT_RUN)
+    return;
+  c->may_return = false;
+  c->is_returned = true;
+  c->returned_by = c->target;
+}
+
+// The guard that returned a call can still queue it, which is better than no daemon. True at most
+// once a call.
+static bool
+allow_returning_peer (BjCall *c)
+{
+  BjPeer *p = c->returned_by;
+
+  c->returned_by = NULL;
+  for (int i = 0; p != NULL && i < c->n_tried; i++)
+    if (c->tried[i] == p)
+      {
+        c->tried[i] = c->tried[--c->n_tried];
+        return true;
+      }
+  return false;
+}
+
 static void
 retry_call (BjKernel *k, BjTime now, BjCall *c, const BjAnswer *a)
 {
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -72,6 +72,8 @@
   BjTime load_logged_at;   // when an unreadable load report was last logged
   BjTime wake_at;          // when the rate lets the next queued call start, or never
   uint64_t n_refused_by_rate;
+  double returns_left; // calls that may be returned to their fronts now
+  uint64_t n_returned; // calls that were
 } BjGuard;
 
 // Rate: paces the calls to the own upstream. A wait of 0 lets a call start
--- a/src/outgoing.c
+++ b/src/outgoing.c
@@ -173,6 +173,7 @@
   f.request.attempts_left = call->attempts_delegated;
   f.request.depth = call->request.depth + 1;
   f.request.cohort = call->cohort;
+  f.request.may_return = call->may_return;
   bj_conn_send (c, &f);
 }
 
--- a/tests/test_even.c
+++ b/tests/test_even.c
@@ -92,6 +92,7 @@
 {
   BjQueue *queue;
   int in_flight;
+  double returns_left; // as in guard.c
   double speed;
   double phase_ms;
   uint32_t seed;
@@ -242,6 +243,7 @@
   BjCall *evicted = NULL;
 
   c->call.queued = 0;
+  i->returns_left = MIN (i->returns_left + 0.25, 10);
   if (i->in_flight < sim.trial->slots && i->queue->ops->length (i->queue) == 0)
     {
       start (c);
@@ -252,11 +254,12 @@
       sim.f.n_waited++;
       sim.f.n_avoidable += is_other_idle (c);
     }
-  if (sim.trial->moves && !c->is_moved
+  if (sim.trial->moves && !c->is_moved && i->returns_left >= 1 && hop_ms (c) < 30
       && i->queue->ops->length (i->queue) * c->work_ms * slowness (c->instance) / sim.trial->slots
              > 10)
     {
       c->is_moved = true;
+      i->returns_left--;
       sim.f.n_moved += sim.now >= WARMUP_MS;
       add_task (TASK_ANSWERED, hop_ms (c), c, BJ_E_OVERLOAD);
       return;
@@ -1286,6 +1289,176 @@
   bj_kernel_free (k);
 }
 
+// A host that records what the kernel does.
+typedef struct
+{
+  BjHost host; // first member, callbacks cast it to RecordingHost
+  BjCall *sent;
+  int n_sent;
+  BjCall *started[8];
+  int n_started;
+  int n_answered;
+  BjStatus code; // of the last answer
+} RecordingHost;
+
+static void
+record_sent (BjHost *h, BjCall *c, BjPeer *p)
+{
+  (void)p;
+  ((RecordingHost *)h)->sent = c;
+  ((RecordingHost *)h)->n_sent++;
+}
+
+static void
+record_started (BjHost *h, BjCall *c)
+{
+  RecordingHost *host = (RecordingHost *)h;
+
+  host->started[host->n_started++] = c;
+}
+
+static void
+record_answer (BjHost *h, BjCall *c, const BjAnswer *a)
+{
+  (void)c;
+  ((RecordingHost *)h)->n_answered++;
+  ((RecordingHost *)h)->code = a->code;
+}
+
+static const BjHostOps recording_ops
+    = { record_sent, record_started, ignore_call, record_answer, ignore_call, ignore_call };
+
+static BjKernel *
+new_kernel (RecordingHost *h)
+{
+  static const char config[]
+      = "{\"number\":1,\"priorities\":[\"a\"],\"services\":{\"s\":{"
+        "\"routes\":[{\"prefix\":\"/\",\"class\":\"a\",\"attempts\":0,\"irreversible\":true,"
+        "\"claim\":false}],\"limiter\":{\"plugin\":\"fixed\"},\"router\":{\"plugin\":\"even\"},"
+        "\"retry\":{\"ratio\":0,\"burst\":0}}}}";
+  BjKernelOptions o
+      = { .self = { .name = BJ_STR ("self"), .domain = BJ_STR ("a"), .region = BJ_STR ("north") },
+          .host = &h->host };
+  BjKernel *k;
+  BjConfig *c;
+
+  *h = (RecordingHost){ .host = { &recording_ops } };
+  k = bj_kernel_new (&o, 0);
+  assert_int_equal (bj_config_parse (bj_str (config), &c), BJ_OK);
+  bj_kernel_set_config (k, 0, c);
+  return k;
+}
+
+// A front places a returned call again without a token, also an irreversible one, but allows only
+// one return. Without reports nothing may be returned.
+static void
+test_front_places_returned_call (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    bool has_slowness;
+    bool may_return;
+  } cases[] = { { "reports", true, true }, { "no reports", false, false } };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      RecordingHost h;
+      BjKernel *k = new_kernel (&h);
+      BjRequest r = { .method = BJ_STR ("GET"),
+                      .path = BJ_STR ("/x"),
+                      .klass = -1,
+                      .attempts_left = -1,
+                      .deadline_ms = 700 };
+      BjAnswer returned = {
+        .code = BJ_E_OVERLOAD, .outcome = BJ_NOT_RUN, .http_status = 503, .attempts_left = -1
+      };
+
+      for (int p = 0; p < 2; p++)
+        {
+          BjPeerReport report = { .name = bj_str (p == 0 ? "p" : "q"),
+                                  .domain = BJ_STR ("a"),
+                                  .region = BJ_STR ("north"),
+                                  .service = BJ_STR ("s"),
+                                  .incarnation = 1,
+                                  .limit = 20 };
+          BjUpstreamLoad l = read_report (cases[i].has_slowness ? "1,0,20,100" : "1,0,20");
+
+          bj_kernel_update_peer (k, 0, &report);
+          bj_instance_update (bj_kernel_find_peer (k, report.name), 0, &l);
+        }
+      bj_kernel_arrive (k, 1, &r, NULL);
+      assert_int_equal (h.n_sent, 1);
+      assert_int_equal (h.sent->may_return, cases[i].may_return);
+      bj_kernel_answer_begin (k, 2, h.sent, &returned);
+      assert_int_equal (h.n_sent, 2);
+      assert_int_equal (h.n_answered, 0);
+      assert_int_equal (h.sent->n_tried, 2);
+      assert_false (h.sent->may_return);
+      // The first daemon refuses nothing that it only returned: it is asked again when none is
+      // left.
+      bj_kernel_answer_begin (k, 3, h.sent, &returned);
+      assert_int_equal (h.n_sent, cases[i].may_return ? 3 : 2);
+      assert_int_equal (h.n_answered, cases[i].may_return ? 0 : 1);
+      if (cases[i].may_return)
+        bj_kernel_answer_begin (k, 4, h.sent, &returned);
+      assert_int_equal (h.n_sent, cases[i].may_return ? 3 : 2);
+      assert_int_equal (h.n_answered, 1);
+      bj_kernel_free (k);
+    }
+}
+
+// A guard returns a call instead of queueing it only if its front allows that and the wait is long.
+static void
+test_guard_returns_call (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    int n_queued;
+    bool may_return;
+    bool is_cross_region;
+    bool is_returned;
+  } cases[] = {
+    { "long wait", 1, true, false, true },
+    { "long wait, not allowed", 1, false, false, false },
+    { "from another region", 1, true, true, false },
+    { "short wait", 0, true, false, false },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      RecordingHost h;
+      BjKernel *k = new_kernel (&h);
+      BjRequest r = {
+        .method = BJ_STR ("GET"), .path = BJ_STR ("/x"), .deadline_ms = 5000, .irreversible = true
+      };
+      BjAnswer done = { .outcome = BJ_DONE, .http_status = 200, .attempts_left = -1 };
+
+      bj_kernel_announce (k, 0, BJ_STR ("s"), 1);
+      // One call runs. Two more wait and leave the queue, so that its pace is known.
+      for (int j = 0; j < 3 + cases[i].n_queued; j++)
+        bj_kernel_arrive_peer (k, 1, &r, BJ_STR ("s"), NULL);
+      for (int j = 0; j < 2; j++)
+        {
+          bj_kernel_answer_begin (k, 31 + 30 * j, h.started[j], &done);
+          bj_kernel_answer_end (k, 31 + 30 * j, h.started[j], true);
+        }
+      r.may_return = cases[i].may_return;
+      r.is_cross_region = cases[i].is_cross_region;
+      k->guard.returns_left = 1;
+      h.n_answered = 0;
+      bj_kernel_arrive_peer (k, 62, &r, BJ_STR ("s"), NULL);
+      if (h.n_answered != cases[i].is_returned || k->guard.n_returned != cases[i].is_returned)
+        fail_msg ("%s: answered %d", cases[i].name, h.n_answered);
+      if (cases[i].is_returned)
+        assert_int_equal (h.code, BJ_E_OVERLOAD);
+      bj_kernel_free (k);
+    }
+}
+
 // Prints the cost of one choice.
 static void
 print_cost (void)
@@ -1346,6 +1519,8 @@
                                       cmocka_unit_test (test_lost_instance),
                                       cmocka_unit_test (test_frames),
                                       cmocka_unit_test (test_guard_keeps_report),
+                                      cmocka_unit_test (test_front_places_returned_call),
+                                      cmocka_unit_test (test_guard_returns_call),
                                       cmocka_unit_test (test_stuck_slowness),
                                       cmocka_unit_test (test_fewer_avoidable_waits) };
 
