--- a/tests/test_even.c
+++ b/tests/test_even.c
@@ -738,15 +738,22 @@
   double max_ratio; // of the calls that wait although another instance is idle to least-wait's
 } CompareCase;
 
-// The goal is 0.5. It is met at a load of 0.75. At 0.9 the ratio was 0.44 to 0.54 in the mean of
-// three seeds and up to 0.60 in one, so these cases guard what was reached with some room.
+// At most half of the calls that wait today although another instance is idle; with few choosers,
+// whose reports are fresh, not more than today.
 static const CompareCase compare_cases[] = {
-  { 60, 15, 26, 30, 0.75, 0.5 }, { 60, 15, 26, 30, 0.9, 0.65 }, { 60, 15, 26, 57, 0.75, 0.5 },
-  { 60, 15, 26, 57, 0.9, 0.7 },  { 60, 44, 26, 30, 0.75, 0.5 }, { 60, 44, 26, 30, 0.9, 0.65 },
-  { 60, 44, 26, 57, 0.75, 0.5 }, { 8, 15, 26, 30, 0.75, 1 },    { 8, 15, 26, 30, 0.9, 0.75 },
+  { 60, 15, 26, 30, 0.75, 0.5 }, { 60, 15, 26, 57, 0.75, 0.5 }, { 60, 44, 26, 30, 0.75, 0.5 },
+  { 60, 44, 26, 57, 0.75, 0.5 }, { 8, 15, 26, 30, 0.75, 1 },    { 8, 15, 26, 30, 0.9, 1 },
   { 80, 4, 214, 57, 0.75, 1 },
 };
 
+// The same goal near full load.
+static const CompareCase busy_cases[] = {
+  { 60, 15, 26, 30, 0.9, 0.5 },
+  { 60, 15, 26, 57, 0.9, 0.5 },
+  { 60, 44, 26, 30, 0.9, 0.5 },
+  { 60, 44, 26, 57, 0.9, 0.5 },
+};
+
 static Trial
 make_trial (const CompareCase *c, const char *router, double seconds)
 {
@@ -769,26 +776,45 @@
   return (double)f.n_avoidable / (double)f.n;
 }
 
-// Guards against calls that wait while other instances are idle, with few and many choosers.
 static void
-test_fewer_avoidable_waits (void **state)
+compare (const CompareCase *cases, size_t n)
 {
-  (void)state;
-  for (size_t i = 0; i < G_N_ELEMENTS (compare_cases); i++)
+  int n_above = 0;
+
+  for (size_t i = 0; i < n; i++)
     {
-      Trial today = make_trial (&compare_cases[i], "least-wait", TEST_S);
-      Trial even = make_trial (&compare_cases[i], "even", TEST_S);
+      Trial today = make_trial (&cases[i], "least-wait", TEST_S);
+      Trial even = make_trial (&cases[i], "even", TEST_S);
       double share_today = avoidable (&today);
       double share_even = avoidable (&even);
 
-      if (share_even > share_today * compare_cases[i].max_ratio)
-        fail_msg ("%d instances, %.0f ms, load %.2f: %.4f of the calls, %.4f with least-wait",
-                  compare_cases[i].n_instances,
-                  compare_cases[i].run_ms,
-                  compare_cases[i].load,
-                  share_even,
-                  share_today);
+      if (share_even <= share_today * cases[i].max_ratio)
+        continue;
+      n_above++;
+      print_error ("%d instances, %.0f ms, load %.2f: %.4f of the calls, %.4f with least-wait\n",
+                   cases[i].n_instances,
+                   cases[i].run_ms,
+                   cases[i].load,
+                   share_even,
+                   share_today);
     }
+  assert_int_equal (n_above, 0);
+}
+
+// Guards against calls that wait while other instances are idle, with few and many choosers.
+static void
+test_fewer_avoidable_waits (void **state)
+{
+  (void)state;
+  compare (compare_cases, G_N_ELEMENTS (compare_cases));
+}
+
+// The same near full load.
+static void
+test_avoidable_waits_near_full_load (void **state)
+{
+  (void)state;
+  compare (busy_cases, G_N_ELEMENTS (busy_cases));
 }
 
 // A machine that is slow and always reports a high speed must not collect the calls.
@@ -1349,7 +1375,12 @@
                                       cmocka_unit_test (test_stuck_slowness),
                                       cmocka_unit_test (test_fewer_avoidable_waits) };
 
+  // Has a ctest entry of its own.
+  const struct CMUnitTest separate[] = { cmocka_unit_test (test_avoidable_waits_near_full_load) };
+
   bj_log_open (BJ_LOG_ERROR);
+  if (argc > 1 && strcmp (argv[1], "busy") == 0)
+    return cmocka_run_group_tests (separate, NULL, NULL);
   if (argc > 1 && strcmp (argv[1], "table") == 0)
     print_table (argc > 2 ? (guint32)g_ascii_strtoull (argv[2], NULL, 10) : TEST_SEED);
   else if (argc > 1 && strcmp (argv[1], "cost") == 0)
