--- a/src/quota.c
+++ b/src/quota.c
@@ -892,7 +892,7 @@
       a->level = a->pool_level;
       a->level_at = a->pool_at = now;
       a->part = a->fraction;
-      a->before = is_heard (q, now) && a->is_known ? a->total : 0;
+      a->before = a->is_known && now - q->heard <= KEEP_MS ? a->total : 0;
       a->lost = a->near = a->far = a->reserved = 0;
       a->sum = a->sum_sent = 0;
       a->sum_changed_at = 0;
@@ -923,12 +923,15 @@
   a->pool_at = now;
 }
 
-// Takes the own use into the pool, and the pool as the view.
+// Takes the own use into the pool, and the pool as the view. A pool that nobody reports to is no
+// view: this daemon may be cut off.
 static void
 count_own (BjQuota *q, Account *a, BjTime now)
 {
   uint64_t step = a->count - a->acked;
 
+  if (q->n_active == 0)
+    return;
   settle (a, now);
   a->pool_level -= (double)step;
   a->sum += step;
@@ -1418,8 +1421,10 @@
   is_first = e->count == 0;
   sum = s->kind == FROM_MEMBER ? &a->near : &a->far;
   settle (a, now);
-  // The level that a new pool begins with contains what other domains used before.
-  if (s->kind == FROM_COLLECTOR && is_first && is_fresh)
+  // The level that a new pool begins with contains what other domains used before. If all domains
+  // are new it does not, and without their counts the debts of all would become one.
+  if (s->kind == FROM_COLLECTOR && is_first && is_fresh
+      && (a->before > 0 || (double)count > a->burst + a->rate))
     base = count;
   base = MAX (e->count, base);
   step = count > base ? (double)(count - base) : 0;
