--- a/src/quota.c
+++ b/src/quota.c
@@ -971,7 +971,7 @@
         }
     }
   choose_sources (q);
-  if (!q->has_lost && now - q->pool_from > SILENT_MS)
+  if (!q->has_lost && now - q->pool_from > FRESH_MS)
     find_lost (q);
   for (int i = 0; i < q->n_members; i++)
     has_silent = has_silent || !q->members[i].is_up;
