A daemon that is alone has the whole rate of an account

Cause: accounts configured before the membership was known to be empty kept 63 assumed other daemons, so a single daemon admitted a 64th of each rate. Change: becoming alone resets what was assumed. Test of the rate through the kernel: admitted, refused with 429, given back when not run; it admitted 1 of 200 where 30 are due before.

--- a/src/quota.c
+++ b/src/quota.c
@@ -380,6 +380,12 @@
     g_hash_table_insert (q->member_index, &all[i].hash, GINT_TO_POINTER (i + 1));
   q->n_known = n > 1 ? n : is_alone ? 1 : MEMBERS_ASSUMED;
   q->is_alone = is_alone && n <= 1;
+  // Accounts may have been configured while other members were assumed to exist.
+  for (int i = 0; i < q->n_accounts && q->is_alone; i++)
+    {
+      q->accounts[i].fraction = 1;
+      q->accounts[i].others = 0;
+    }
 }
 
 bool
--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -5,6 +5,7 @@
 #include "../platform/platform.h"
 #include "access.h"
 #include "internal.h"
+#include "quota.h"
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -23,7 +24,8 @@
 #define CONFIG(number, accounts)                                                                   \
   "{\"number\":" number "," PRIORITIES "," SERVICES ",\"accounts\":{" accounts "}}"
 #define ACCOUNTS SMALL "," BIG "," LOW
-#define SECRET "key-" // part of every key here
+#define SECRET "key-"     // part of every key here
+#define RATE_REQUESTS 200 // within one second
 #define COST_ACCOUNTS 10000
 #define COST_MAX_NS 1000.0 // of one check of a key
 #define COST_ROUNDS 5
@@ -1044,6 +1046,72 @@
   g_string_free (text, TRUE);
 }
 
+typedef struct
+{
+  const char *name;
+  const char *path;
+  const char *key;
+  bool has_upstream;
+  int min_admitted; // of RATE_REQUESTS within one second
+  int max_admitted;
+} RateCase;
+
+// The rate is 20 a second with a burst of 10. The quota module may overdraw a little.
+static const RateCase rate_cases[] = {
+  { "within and above the rate", "/shut", "key-limited", true, 28, 45 },
+  { "anonymous route, the key counts", "/open", "key-limited", true, 28, 45 },
+  { "anonymous route without a key", "/open", "", true, RATE_REQUESTS, RATE_REQUESTS },
+  { "account without a rate", "/shut", "key-small", true, RATE_REQUESTS, RATE_REQUESTS },
+  { "what did not run is not counted",
+    "/shut",
+    "key-limited",
+    false,
+    RATE_REQUESTS,
+    RATE_REQUESTS },
+};
+
+// Guards against requests above the rate of their account that run, and against refusals below it.
+static void
+test_rate (void **state)
+{
+  static const char accounts[] = CONFIG (
+      "1", SMALL ",\"limited\":{\"keys\":[\"key-limited\"],\"rate_per_s\":20,\"burst\":10}");
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (rate_cases); i++)
+    {
+      const RateCase *c = &rate_cases[i];
+      BjQuotaMember self = { BJ_STR ("one"), BJ_STR ("a"), true };
+      const BjAccount *limited;
+      BjQuota *q = bj_quota_new (self.name, self.domain, 7, 0);
+      FakeHost h;
+      BjKernel *k = new_kernel (&h, accounts, c->has_upstream ? 2 * RATE_REQUESTS : 0);
+      int n_admitted = 0;
+
+      print_message ("  %s\n", c->name);
+      limited = bj_accounts_find (bj_kernel_config (k)->accounts, BJ_STR ("limited"));
+      bj_quota_configure (q, 0, &limited, 1);
+      bj_quota_set_members (q, &self, 1, true);
+      bj_kernel_use_quota (k, q);
+      for (int n = 0; n < RATE_REQUESTS; n++)
+        {
+          BjCall *call
+              = arrive (k, &h, 1000.0 * n / RATE_REQUESTS, make_request (c->path, c->key, ""));
+
+          n_admitted += call != NULL || h.answer.code != BJ_E_RATE;
+          if (call != NULL || h.answer.code != BJ_E_RATE)
+            continue;
+          assert_int_equal (h.answer.http_status, 429);
+          assert_int_equal (h.answer.outcome, BJ_NOT_RUN);
+          assert_true (h.answer.retry_after_ms > 0);
+        }
+      assert_in_range (n_admitted, c->min_admitted, c->max_admitted);
+      bj_kernel_use_quota (k, NULL);
+      bj_kernel_free (k);
+      bj_quota_free (q);
+    }
+}
+
 int
 main (void)
 {
@@ -1064,6 +1132,7 @@
     cmocka_unit_test (test_frames),
     cmocka_unit_test (test_headers),
     cmocka_unit_test (test_statuses),
+    cmocka_unit_test (test_rate),
     cmocka_unit_test (test_metrics),
     cmocka_unit_test (test_cost),
   };
