Soak: each ticket replaces the key of an account and changes its rate

A daemon that has a ticket in force must not serve the key that it withdraws, beside kills, partitions, restarts and a store that rejects daemons; after the recovery every daemon refuses the old key and takes the new one.

--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -30,6 +30,8 @@
 #define LARGE_TICKET_ROUTES 4000  // text of several parts between daemons
 #define STORE_TREATMENTS 4        // ways in which the store turns a daemon away
 #define SERIES_MAX 4              // tickets filed one right after the other
+#define RATE_LOW 5                // requests a second of the account, in every second ticket
+#define RATE_HIGH 1000            // in the others
 #define NAMED_RATE 20             // requests a second that an upstream names
 #define RATE_ALLOWED 125          // of them in 4 s: one and a half times the rate, and 5
 #define DRAIN_MS 2500 // from the first response that says so until no request may arrive
@@ -41,8 +43,9 @@
 static const char ticket_head[]
     = ",\"priorities\":[\"acceptance\",\"lookup\"],\"services\":{"
       "\"orders\":{\"routes\":[{\"prefix\":\"/orders/accept\",\"class\":\"acceptance\","
-      "\"irreversible\":true,\"deadline_ms\":800},"
-      "{\"prefix\":\"/orders/\",\"class\":\"lookup\",\"deadline_ms\":800}";
+      "\"irreversible\":true,\"anonymous\":true,\"deadline_ms\":800},"
+      "{\"prefix\":\"/orders/keyed/\",\"class\":\"lookup\",\"deadline_ms\":800},"
+      "{\"prefix\":\"/orders/\",\"class\":\"lookup\",\"anonymous\":true,\"deadline_ms\":800}";
 
 typedef struct
 {
@@ -61,6 +64,8 @@
 static Fleet fleet;
 static int64_t ticket_number;
 
+static int n_withdrawn_refused; // requests with a key that the ticket in force has withdrawn
+static int n_withdrawn_served;
 static int n_signal_violations;            // requests at upstreams beyond what they asked for
 static int daemon_starts[FLEET_NODES_MAX]; // since the beginning of the run
 
@@ -424,8 +429,13 @@
                    ticket_number,
                    ticket_head);
   for (int i = 0; i < n_more_routes; i++)
-    g_string_append_printf (text, ",{\"prefix\":\"/orders/%d/\",\"class\":\"lookup\"}", i);
-  g_string_append (text, "]}}}");
+    g_string_append_printf (
+        text, ",{\"prefix\":\"/orders/%d/\",\"class\":\"lookup\",\"anonymous\":true}", i);
+  g_string_append_printf (text,
+                          "]}},\"accounts\":{\"soak\":{\"keys\":[\"key-%" G_GINT64_FORMAT
+                          "\"],\"rate_per_s\":%d}}}",
+                          number,
+                          number % 2 == 0 ? RATE_LOW : RATE_HIGH);
   ok = fleet_file_ticket (&fleet, text->str);
   if (ok)
     ticket_number = number;
@@ -484,6 +494,46 @@
   return NULL;
 }
 
+// Status of a request with the key that the ticket of this number gave to the account.
+static int
+send_with_key (int node, int64_t number)
+{
+  char header[64];
+  const char *headers[] = { header, NULL };
+
+  g_snprintf (header, sizeof header, "Bj-Api-Key: key-%" G_GINT64_FORMAT, number);
+  return fleet_http (
+      "GET", fleet.members[node].front_port, "/orders/keyed/1?id=keyed", headers, NULL, NULL);
+}
+
+// Each ticket replaces the key of the account. A daemon that has ticket n in force must not serve
+// the key of ticket n - 1, whatever was restarted, cut off or fetched from whom since.
+static void
+check_withdrawn_key (int node, int64_t in_force)
+{
+  int status = in_force > 1 ? send_with_key (node, in_force - 1) : 0;
+
+  n_withdrawn_refused += status == 401;
+  if (status < 200 || status >= 300)
+    return;
+  n_withdrawn_served++;
+  print_error ("    %s: ticket %" G_GINT64_FORMAT
+               " is in force, the key that it withdraws is served\n",
+               fleet.members[node].node.name,
+               in_force);
+}
+
+// All faults have ended and all daemons have the last ticket.
+static void
+check_keys_after_recovery (void)
+{
+  for (int i = 0; i < fleet.n; i++)
+    {
+      assert_int_equal (send_with_key (i, ticket_number - 1), 401);
+      assert_int_not_equal (send_with_key (i, ticket_number), 401);
+    }
+}
+
 static void
 check_tickets (void)
 {
@@ -494,9 +544,12 @@
       if (fleet.members[i].daemon != 0
           && fleet_http ("GET", fleet.members[i].admin_port, "/v1/status", NULL, NULL, out) == 200
           && fleet_json_number (out->str, "ticket") > 0)
-        checker_add_ticket (callers_record.checker,
-                            fleet.members[i].node.name,
-                            (int64_t)fleet_json_number (out->str, "ticket"));
+        {
+          int64_t number = (int64_t)fleet_json_number (out->str, "ticket");
+
+          checker_add_ticket (callers_record.checker, fleet.members[i].node.name, number);
+          check_withdrawn_key (i, number);
+        }
       g_string_free (out, TRUE);
     }
 }
@@ -511,7 +564,9 @@
   g_snprintf (path, sizeof path, "%s/" FLEET_EXECUTIONS_FILE, fleet.dir);
   assert_true (checker_read_executions (callers_record.checker, path));
   total = checker_finish (callers_record.checker, NULL, out) + n_signal_violations
-          + n_pipelined_wrong;
+          + n_pipelined_wrong + n_withdrawn_served;
+  print_message (
+      "  withdrawn keys: %d refused, %d served\n", n_withdrawn_refused, n_withdrawn_served);
   print_message ("  pipelined: %d served, %d with the response of another request\n",
                  n_pipelined,
                  n_pipelined_wrong);
@@ -599,6 +654,7 @@
   assert_true (fleet_wait_until (callers_are_served, &fleet, RECOVERY_TIMEOUT_MS));
   assert_true (fleet_wait_ticket (&fleet, ticket_number, RECOVERY_TIMEOUT_MS));
   check_tickets ();
+  check_keys_after_recovery ();
   total = check_responses (s->seed);
   checker_free (callers_record.checker);
   callers_record.checker = NULL;
