--- a/src/quota.c
+++ b/src/quota.c
@@ -65,38 +65,38 @@
   double rate;   // requests a second
   double burst;  // depth of the bucket
   // Own use
-  uint64_t count;        // admitted since the start
-  uint64_t sent_count;   // in the last report
-  uint64_t acked;        // in the last report that was replied to
-  double demand;         // arrivals a second, at demand_at
-  BjTime demand_at;      //
+  uint64_t count;      // admitted since the start
+  uint64_t sent_count; // in the last report
+  uint64_t acked;      // in the last report that was replied to
+  double demand;       // arrivals a second, at demand_at
+  BjTime demand_at;
   double sent_demand;    // in the last report
   BjTime changed_at;     // last change that is to be reported
   uint32_t n_refunded;   // admissions that did not run and may be made again without being counted
   uint32_t slots[SLOTS]; // admissions in parts of the window
   int64_t slot;          // number of the newest
-  uint64_t n_refused;    //
-  double carry;          // fraction of a request not yet admitted
-  BjTime next_retry;     // end of the retry-after time given last
+  uint64_t n_refused;
+  double carry;      // fraction of a request not yet admitted
+  BjTime next_retry; // end of the retry-after time given last
   // View: the last totals
   bool is_known;     // they contained the account at least once
   double level;      // at level_at, with this many own admissions
   uint64_t included; // of count
-  BjTime level_at;   //
+  BjTime level_at;
   double total;      // demand of all that are heard
   double own_demand; // part of it
   double fraction;   // of the rate, which those that are heard have
   double others;     // admissions of the others that are assumed for each own one
   // Pool, if collector
   double pool_level; // at pool_at
-  BjTime pool_at;    //
-  double part;       // of the rate, which those that are heard have
-  uint64_t sum;      // admitted in the own domain since the pool began
-  double near;       // demand of the active members of the own domain
-  double far;        // demand of the other domains
-  double reserved;   // for silent members of the own domain
-  double before;     // demand of all when the pool began, 0 if not known
-  double lost;       // part of it that was not reported to the new pool
+  BjTime pool_at;
+  double part;     // of the rate, which those that are heard have
+  uint64_t sum;    // admitted in the own domain since the pool began
+  double near;     // demand of the active members of the own domain
+  double far;      // demand of the other domains
+  double reserved; // for silent members of the own domain
+  double before;   // demand of all when the pool began, 0 if not known
+  double lost;     // part of it that was not reported to the new pool
   BjTime sum_changed_at;
   double sum_demand; // demand of the domain at sum_changed_at
   uint64_t sum_sent; // sum at sum_changed_at
