A daemon that has just started takes the rates of accounts as used up

Cause: after a restart of all daemons nobody knows what ran before; new buckets were full, and each daemon assumed 64 members in fleets of more. Change: buckets of a process younger than the window begin empty, and 512 members are assumed before any is known. The tests of single decisions begin a window after the start.

--- a/src/quota.c
+++ b/src/quota.c
@@ -11,27 +11,27 @@
 #include <string.h>
 
 #define VERSION 1
-#define REPORT_MS 100      // between two reports to one receiver
-#define POLL_MS 200        // between two reports that contain no change
-#define URGENT_MS 25       // between two reports while a rise of the demand is not reported
-#define REPLY_WAIT_MS 200  // for a reply before the next report
-#define SILENT_MS 500      // after the last message a sender counts as not heard
-#define MISSED_MS 300      // after the last report of a sender its part is reserved
-#define KEEP_MS 2500       // after the last message its part begins to change
-#define SLIDE_MS 3000      // in which a part then changes to an equal part of all known members
-#define LATE_MS 1000       // a part that rises does so later, after those of others have fallen
-#define SKIP_MS 10000      // a collector that did not reply is passed over for this long
-#define REFERRED_MAX 10    // times after which those passed over are asked again
-#define SKIP_OLD_MS 60000  // a daemon that replies without totals is passed over for this long
-#define ROLE_MS 1000       // without reports of members a collector of several gives up the role
-#define FRESH_MS 1000      // in which a new pool takes the levels of others
-#define UNLISTED_MS 1000   // after which an account that totals do not list is not limited
-#define ROTATE_MS 400      // longer for each 256 limited accounts
-#define MEMBERS_ASSUMED 64 // before any other member is known
-#define DEMAND_MS 500.0    // time constant of the demand
-#define DEMAND_MIN 0.02    // requests a second; less counts as none
-#define DEMAND_STEP 0.1    // relative change of the demand that is reported
-#define DRAIN_S 0.5        // in which a positive level is used up
+#define REPORT_MS 100       // between two reports to one receiver
+#define POLL_MS 200         // between two reports that contain no change
+#define URGENT_MS 25        // between two reports while a rise of the demand is not reported
+#define REPLY_WAIT_MS 200   // for a reply before the next report
+#define SILENT_MS 500       // after the last message a sender counts as not heard
+#define MISSED_MS 300       // after the last report of a sender its part is reserved
+#define KEEP_MS 2500        // after the last message its part begins to change
+#define SLIDE_MS 3000       // in which a part then changes to an equal part of all known members
+#define LATE_MS 1000        // a part that rises does so later, after those of others have fallen
+#define SKIP_MS 10000       // a collector that did not reply is passed over for this long
+#define REFERRED_MAX 10     // times after which those passed over are asked again
+#define SKIP_OLD_MS 60000   // a daemon that replies without totals is passed over for this long
+#define ROLE_MS 1000        // without reports of members a collector of several gives up the role
+#define FRESH_MS 1000       // in which a new pool takes the levels of others
+#define UNLISTED_MS 1000    // after which an account that totals do not list is not limited
+#define ROTATE_MS 400       // longer for each 256 limited accounts
+#define MEMBERS_ASSUMED 512 // before any other member is known; no fewer than a fleet has
+#define DEMAND_MS 500.0     // time constant of the demand
+#define DEMAND_MIN 0.02     // requests a second; less counts as none
+#define DEMAND_STEP 0.1     // relative change of the demand that is reported
+#define DRAIN_S 0.5         // in which a positive level is used up
 #define REPAY_S                                                                                    \
   0.5                 // in which a negative level is made up for; at 0.5 of the rate below 0,
                       // which is in the bound, nothing is admitted
@@ -158,6 +158,7 @@
   uint64_t self;
   uint64_t domain;
   uint64_t start;
+  BjTime began; // start of this process
   Account *accounts;
   int n_accounts;
   GHashTable *index; // hash to index + 1
@@ -246,6 +247,7 @@
   q->self = bj_str_hash (name);
   q->domain = bj_str_hash (domain);
   q->start = start;
+  q->began = now;
   q->heard = now - KEEP_MS - SLIDE_MS - LATE_MS;
   q->fraction = 1;
   q->unlisted_ms = UNLISTED_MS;
@@ -300,7 +302,9 @@
       a->burst = MAX (isfinite (b->burst) ? b->burst : 0, DEPTH_MIN + DEPTH_S * a->rate);
       if (old == NULL)
         {
-          a->level = a->pool_level = a->burst;
+          // What ran before this process started is not known; after a restart of all daemons
+          // nobody else knows it either.
+          a->level = a->pool_level = now - q->began < BJ_QUOTA_WINDOW_MS ? 0 : a->burst;
           a->level_at = a->pool_at = a->demand_at = now;
         }
       a->level = MIN (a->level, a->burst);
--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -1083,7 +1083,7 @@
       const RateCase *c = &rate_cases[i];
       BjQuotaMember self = { BJ_STR ("one"), BJ_STR ("a"), true };
       const BjAccount *limited;
-      BjQuota *q = bj_quota_new (self.name, self.domain, 7, 0);
+      BjQuota *q = bj_quota_new (self.name, self.domain, 7, -BJ_QUOTA_WINDOW_MS);
       FakeHost h;
       BjKernel *k = new_kernel (&h, accounts, c->has_upstream ? 2 * RATE_REQUESTS : 0);
       int n_admitted = 0;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -21,6 +21,7 @@
 #define WARM_MS 6000 // before which the used share is not measured
 #define FAULT_MS 12000
 #define HEAL_MS 22000
+#define BUSY_BEFORE_MS 3500 // before all daemons are restarted
 #define BUCKET_MS 10
 #define BUCKETS (RUN_MS / BUCKET_MS)
 #define DELAYS_MAX_MS 128
@@ -47,18 +48,19 @@
 typedef enum
 {
   NOTHING,
-  KILL,       // some daemons, collectors among them, until the end
-  FREEZE,     // some daemons, collectors among them, for 3 s
-  SILENCE,    // messages of some daemons are lost, membership sees them
-  RESTART,    // some daemons, collectors among them, killed and started after 1 s
-  JOIN,       // a tenth of the daemons starts later
-  CUT_HALF,   // half of the domains from the others
-  CUT_DOMAIN, // one domain from the others
-  CUT_DAEMON, // the first daemon from all others
-  LOWER,      // to a third of the rate
-  RAISE,      // to three times the rate
-  BURST,      // eight times the arrivals
-  OLD,        // a quarter of the daemons is of an older version
+  KILL,        // some daemons, collectors among them, until the end
+  FREEZE,      // some daemons, collectors among them, for 3 s
+  SILENCE,     // messages of some daemons are lost, membership sees them
+  RESTART,     // some daemons, collectors among them, killed and started after 1 s
+  JOIN,        // a tenth of the daemons starts later
+  CUT_HALF,    // half of the domains from the others
+  CUT_DOMAIN,  // one domain from the others
+  CUT_DAEMON,  // the first daemon from all others
+  LOWER,       // to a third of the rate
+  RAISE,       // to three times the rate
+  RESTART_ALL, // all daemons, so that nobody knows the use before
+  BURST,       // eight times the arrivals
+  OLD,         // a quarter of the daemons is of an older version
 } Fault;
 
 typedef struct
@@ -143,6 +145,8 @@
   { "frozen, two get all", TWO, 1.5, FREEZE, 0 },
   { "silent", EVEN, 1.5, SILENCE, PARTITION_SHARE },
   { "restarted", EVEN, 1.5, RESTART, PARTITION_SHARE },
+  { "all restarted", EVEN, 0.9, RESTART_ALL, 0 },
+  { "all restarted, two get all", TWO, 0.9, RESTART_ALL, 0 },
   { "joined", EVEN, 1.5, JOIN, CALM_SHARE },
   { "half of the domains cut", EVEN, 1.5, CUT_HALF, PARTITION_SHARE },
   { "half cut, two get all", TWO, 1.5, CUT_HALF, PARTITION_SHARE },
@@ -382,7 +386,9 @@
 
   for (int a = 0; a < ACCOUNTS; a++)
     {
-      double load = m->c->load * (m->c->fault == BURST && m->now >= FAULT_MS ? 8 : 1);
+      bool is_busy = (m->c->fault == BURST && m->now >= FAULT_MS)
+                     || (m->c->fault == RESTART_ALL && m->now >= FAULT_MS - BUSY_BEFORE_MS);
+      double load = m->c->load * (is_busy ? 8 : 1);
       double mean = accounts[a].rate * load * STEP_MS / 1000;
       double t = 0;
 
@@ -413,7 +419,7 @@
 static bool
 is_affected (const Model *m, int i)
 {
-  return i == 0 || i % 60 == 17 || i == m->busiest;
+  return m->c->fault == RESTART_ALL || i == 0 || i % 60 == 17 || i == m->busiest;
 }
 
 static void
@@ -431,7 +437,7 @@
         start (m, i);
       if (!is_affected (m, i))
         continue;
-      if (m->c->fault == KILL || m->c->fault == RESTART)
+      if (m->c->fault == KILL || m->c->fault == RESTART || m->c->fault == RESTART_ALL)
         stop (m, i);
       d->is_frozen = m->c->fault == FREEZE;
       d->is_silent = m->c->fault == SILENCE;
@@ -587,7 +593,7 @@
     {
       if (m->now == FAULT_MS)
         begin_fault (m);
-      if (m->now == FAULT_MS + 1000 && c->fault == RESTART)
+      if (m->now == FAULT_MS + 1000 && (c->fault == RESTART || c->fault == RESTART_ALL))
         for (int i = 0; i < n; i++)
           if (is_affected (m, i))
             start (m, i);
@@ -647,7 +653,7 @@
 static BjQuota *
 new_quota (const char *name, const BjAccount *accounts, int n, int n_members)
 {
-  BjQuota *q = bj_quota_new (bj_str (name), BJ_STR ("d"), 7, 0);
+  BjQuota *q = bj_quota_new (bj_str (name), BJ_STR ("d"), 7, -BJ_QUOTA_WINDOW_MS);
   const BjAccount *list[SIZE_ACCOUNTS];
   BjQuotaMember members[] = { { BJ_STR ("a"), BJ_STR ("d"), true },
                               { BJ_STR ("b"), BJ_STR ("d"), true },
