--- a/src/kernel.c
+++ b/src/kernel.c
@@ -805,7 +805,7 @@
     bj_level_count_result (k, now, c, lacked_capacity (&a));
   bj_count_answer (k, now, c, a.code, a.outcome);
   // A request that did not run is not counted against the rate.
-  if (c->rated_account != 0 && a.outcome == BJ_NOT_RUN)
+  if (c->rated_account != 0 && a.outcome == BJ_NOT_RUN && k->quota != NULL)
     bj_quota_refund (k->quota, c->rated_account);
   k->host->ops->answer (k->host, c, &a);
   bj_call_end (k, c);
