--- a/tests/daemons.c
+++ b/tests/daemons.c
@@ -11,6 +11,7 @@
 
 #include <cmocka.h>
 
+#define PORT_TRIES 5
 #define BACKLOG 64
 
 int
@@ -54,11 +55,12 @@
 daemons_new (struct ev_loop *loop, BjSettings s)
 {
   BjAddress *all[] = { &s.front, &s.admin, &s.link, &s.gossip };
-  BjDaemon *d;
+  bool is_chosen_here[G_N_ELEMENTS (all)];
+  BjStatus status = BJ_E_IO;
+  BjDaemon *d = NULL;
 
   for (size_t i = 0; i < G_N_ELEMENTS (all); i++)
-    if (all[i]->port == 0)
-      *all[i] = daemons_free_address ();
+    is_chosen_here[i] = all[i]->port == 0;
   if (s.name.len == 0)
     s.name = BJ_STR ("one");
   if (s.domain.len == 0)
@@ -67,9 +69,17 @@
   s.heartbeat_ms = 10000;
   s.pipelined_max = BJ_PIPELINED_MAX;
   s.drain_ms = 100;
-  s.advertised_link = s.link;
-  s.advertised_gossip = s.gossip;
-  if (bj_daemon_new (loop, &s, &d) != BJ_OK)
+  // Another process may take a free port before the daemon listens on it.
+  for (int n = 0; n < PORT_TRIES && status == BJ_E_IO; n++)
+    {
+      for (size_t i = 0; i < G_N_ELEMENTS (all); i++)
+        if (is_chosen_here[i])
+          *all[i] = daemons_free_address ();
+      s.advertised_link = s.link;
+      s.advertised_gossip = s.gossip;
+      status = bj_daemon_new (loop, &s, &d);
+    }
+  if (status != BJ_OK)
     fail_msg ("%s", bj_last_message ());
   return d;
 }
