One trim of strings and one search in lists of headers

Read again: daemon.c and instance.c each trimmed spaces, and both dialects and header.c each had the loop that bj_header_is_among has.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -45,6 +45,7 @@
 void bj_str_set (BjStr *s, BjStr value); // Frees *s and stores a copy of value in it
 bool bj_str_equal (BjStr a, BjStr b);    // True when both have the same bytes
 bool bj_str_starts (BjStr s, BjStr prefix); // True when s begins with prefix
+BjStr bj_str_trim (BjStr s);                // View of s without spaces and tabs at its ends
 uint64_t bj_str_hash (BjStr s);             // 64-bit xxHash with seed 0
 bool bj_str_decimal (BjStr s,
                      double *value);       // Digits with an optional fraction; false if malformed
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -34,7 +34,6 @@
 static void send_answer (BjHost *h, BjCall *c, const BjAnswer *a);
 static void request_claim (BjHost *h, BjCall *c);
 static void release_exchange (BjHost *h, BjCall *c);
-static BjStr trim_end (BjStr s);
 static BjExchange *new_exchange (BjDaemon *d, BjSink *sink);
 static void free_str (gpointer s);
 static uint64_t new_start (void);
@@ -237,7 +236,7 @@
 
   if (config == NULL || config->accounts == NULL)
     return BJ_OK;
-  r->api_key = trim_end (r->api_key);
+  r->api_key = bj_str_trim (r->api_key);
   return bj_kernel_check_head (d->kernel, bj_clock_now (), r);
 }
 
@@ -274,7 +273,7 @@
       headers = g_string_sized_new (r->headers.len + 1);
       bj_header_add_except (headers, r->headers, d->dialect->account_headers);
       request.headers = (BjStr){ headers->str, headers->len };
-      request.api_key = trim_end (r->api_key);
+      request.api_key = bj_str_trim (r->api_key);
     }
   else
     request.api_key = BJ_STR_NULL;
@@ -734,15 +733,6 @@
     sink->ops->end (sink, false);
 }
 
-// Spaces may follow the value of a header.
-static BjStr
-trim_end (BjStr s)
-{
-  while (s.len > 0 && (s.data[s.len - 1] == ' ' || s.data[s.len - 1] == '\t'))
-    s.len--;
-  return s;
-}
-
 static BjExchange *
 new_exchange (BjDaemon *d, BjSink *sink)
 {
--- a/src/dialect.c
+++ b/src/dialect.c
@@ -4,7 +4,7 @@
 #include "internal.h"
 
 // Headers that are not relayed: this layer writes them, or reads them into fields.
-static const char *const own_headers[] = { "Date", "Idempotency-Key", "Retry-After" };
+static const char *const own_headers[] = { "Date", "Idempotency-Key", "Retry-After", NULL };
 
 static void read_request (const BjSettings *s, const BjHead *h, BjRequest *r, GString *relayed);
 static void write_answer (BjAnswer *a, GString *lines);
@@ -129,10 +129,8 @@
 static bool
 is_own_header (BjStr name)
 {
-  for (size_t i = 0; i < G_N_ELEMENTS (own_headers); i++)
-    if (bj_header_name_equal (name, own_headers[i]))
-      return true;
-  return bj_str_starts (name, BJ_STR ("Bj-")) || bj_str_starts (name, BJ_STR ("bj-"));
+  return bj_header_is_among (name, own_headers) || bj_str_starts (name, BJ_STR ("Bj-"))
+         || bj_str_starts (name, BJ_STR ("bj-"));
 }
 
 static double
--- a/src/header.c
+++ b/src/header.c
@@ -9,7 +9,7 @@
 // HTTP connection sets anew.
 static const char *const not_relayed[] = {
   "Connection", "Content-Length", "Content-Type",      "Expect", "Host", "Keep-Alive", "TE",
-  "Trailer",    "Upgrade",        "Transfer-Encoding",
+  "Trailer",    "Upgrade",        "Transfer-Encoding", NULL,
 };
 static const char *const not_relayed_prefixes[] = { "Proxy-" };
 
@@ -102,9 +102,8 @@
 static bool
 is_relayed (BjStr name)
 {
-  for (size_t i = 0; i < G_N_ELEMENTS (not_relayed); i++)
-    if (bj_header_name_equal (name, not_relayed[i]))
-      return false;
+  if (bj_header_is_among (name, not_relayed))
+    return false;
   for (size_t i = 0; i < G_N_ELEMENTS (not_relayed_prefixes); i++)
     {
       size_t n = strlen (not_relayed_prefixes[i]);
--- a/src/instance.c
+++ b/src/instance.c
@@ -27,7 +27,6 @@
 
 static double load_age (const BjPeer *p, BjTime now);
 static bool read_number (BjStr *rest, double *value);
-static BjStr trim (BjStr s);
 
 void
 bj_instance_read_report (BjStr value, BjUpstreamLoad *l)
@@ -196,15 +195,5 @@
     }
   else
     *rest = BJ_STR_NULL;
-  return bj_str_decimal (trim (first), value);
-}
-
-static BjStr
-trim (BjStr s)
-{
-  while (s.len > 0 && (s.data[0] == ' ' || s.data[0] == '\t'))
-    s = (BjStr){ s.data + 1, s.len - 1 };
-  while (s.len > 0 && (s.data[s.len - 1] == ' ' || s.data[s.len - 1] == '\t'))
-    s.len--;
-  return s;
+  return bj_str_decimal (bj_str_trim (first), value);
 }
--- a/src/str.c
+++ b/src/str.c
@@ -79,6 +79,16 @@
   return true;
 }
 
+BjStr
+bj_str_trim (BjStr s)
+{
+  while (s.len > 0 && (s.data[0] == ' ' || s.data[0] == '\t'))
+    s = (BjStr){ s.data + 1, s.len - 1 };
+  while (s.len > 0 && (s.data[s.len - 1] == ' ' || s.data[s.len - 1] == '\t'))
+    s.len--;
+  return s;
+}
+
 bool
 bj_str_int (BjStr s, int64_t *value)
 {
