One route lookup for a request head, without its relayed headers

The hook on a head looked up the route twice and built the block of relayed headers only to drop it, for each request. The kernel's check now says whether the request runs alone, and the dialect builds no block if none is wanted. Behaviour is unchanged.

--- a/src/access.c
+++ b/src/access.c
@@ -80,11 +80,12 @@
 }
 
 BjStatus
-bj_kernel_check_head (BjKernel *k, BjTime now, const BjRequest *r)
+bj_kernel_check_head (BjKernel *k, BjTime now, const BjRequest *r, bool *runs_alone)
 {
   const BjServiceConfig *s;
   const BjRoute *route = bj_config_route_for_host (k->config, r->host, r->path, &s);
 
+  *runs_alone = route != NULL && route->irreversible;
   if (route == NULL || k->config->accounts == NULL || route->anonymous
       || bj_accounts_find_key (k->config->accounts, r->api_key) != NULL)
     return BJ_OK;
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -824,8 +824,10 @@
 BjStatus bj_kernel_check_head (
     BjKernel *k,
     BjTime now,
-    const BjRequest *r); // Whether a caller's request may go on, from its head alone: id, key of a
-                         // client account, host and path; BJ_E_UNAUTHORIZED, BJ_E_NO_UPSTREAM
+    const BjRequest *r,
+    bool *runs_alone); // Whether a caller's request may go on, from its head alone: id, key of a
+                       // client account, host and path; BJ_E_UNAUTHORIZED, BJ_E_NO_UPSTREAM. Sets
+                       // runs_alone if its route is irreversible
 void bj_kernel_refuse_head (BjKernel *k,
                             BjTime now,
                             const BjRequest *r,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -229,27 +229,14 @@
           bj_last_message ());
 }
 
-BjStatus
-bj_daemon_check_head (BjDaemon *d, BjRequest *r)
-{
-  const BjConfig *config = bj_kernel_config (d->kernel);
-
-  if (config == NULL || config->accounts == NULL)
-    return BJ_OK;
-  r->api_key = bj_str_trim (r->api_key);
-  return bj_kernel_check_head (d->kernel, bj_clock_now (), r);
-}
-
 BjAnswer
 bj_daemon_refuse_head (BjDaemon *d, const BjHead *h, int http_status)
 {
   BjStatus s = http_status == 401 ? BJ_E_UNAUTHORIZED : BJ_E_NO_UPSTREAM;
   BjRequest r = { .method = h->method, .path = h->path, .klass = -1, .attempts_left = -1 };
-  GString *relayed = g_string_new (NULL);
 
-  d->dialect->read_request (&d->settings, h, &r, relayed);
+  d->dialect->read_request (&d->settings, h, &r, NULL);
   bj_kernel_refuse_head (d->kernel, bj_clock_now (), &r, s);
-  g_string_free (relayed, TRUE);
   return (BjAnswer){ .code = s,
                      .outcome = BJ_NOT_RUN,
                      .http_status = http_status,
--- a/src/front.c
+++ b/src/front.c
@@ -95,22 +95,16 @@
 {
   BjDaemon *d = ((BjFront *)front)->daemon;
   BjServerVerdict v = { 0, false };
-  GString *relayed;
   BjRequest r = { .path = h->path };
   BjStatus checked;
-  const BjServiceConfig *s;
-  const BjRoute *route;
 
   if (is_action_path (h) || bj_kernel_config (d->kernel) == NULL)
     return v;
-  relayed = g_string_new (NULL);
-  d->dialect->read_request (&d->settings, h, &r, relayed);
-  route = bj_config_route_for_host (bj_kernel_config (d->kernel), r.host, r.path, &s);
-  v.runs_alone = route != NULL && route->irreversible;
-  checked = bj_daemon_check_head (d, &r);
+  d->dialect->read_request (&d->settings, h, &r, NULL);
+  r.api_key = bj_str_trim (r.api_key);
+  checked = bj_kernel_check_head (d->kernel, bj_clock_now (), &r, &v.runs_alone);
   if (checked != BJ_OK)
     v.refuse_status = checked == BJ_E_UNAUTHORIZED ? 401 : 503;
-  g_string_free (relayed, TRUE);
   return v;
 }
 
--- a/src/header.c
+++ b/src/header.c
@@ -20,7 +20,7 @@
 void
 bj_header_add_relayed (GString *block, BjStr name, BjStr value)
 {
-  if (!is_relayed (name) || !is_token (name) || !is_text (value))
+  if (block == NULL || !is_relayed (name) || !is_token (name) || !is_text (value))
     return;
   g_string_append_len (block, name.data, (gssize)name.len);
   g_string_append (block, ": ");
--- a/src/internal.h
+++ b/src/internal.h
@@ -81,7 +81,8 @@
                            const char *const *names); // Appends the lines of from without these
 void bj_header_add_relayed (GString *block,
                             BjStr name,
-                            BjStr value); // Skips invalid, hop-by-hop and daemon-set headers
+                            BjStr value); // Skips invalid, hop-by-hop and daemon-set headers, and
+                                          // all if block is NULL
 bool bj_header_next (BjStr *block,
                      BjStr *name,
                      BjStr *value); // Splits off the first line; false at the end
@@ -175,7 +176,8 @@
       const BjSettings *s,
       const BjHead *h,
       BjRequest *r,
-      GString *relayed); // Request from a caller; strings borrow from h and relayed
+      GString *relayed); // Request from a caller; strings borrow from h and relayed, which may be
+                         // NULL if the headers to relay are not needed
   void (*write_answer) (
       BjAnswer *a,
       GString *lines); // Response to a caller: sets a->http_status, appends CR LF lines
@@ -977,13 +979,10 @@
                          int64_t number, // 0 if it could not be read
                          size_t bytes,
                          const char *source); // Logs and counts; the last message is the reason
-BjStatus bj_daemon_check_head (BjDaemon *d,
-                               BjRequest *r); // Whether the key in a caller's request head lets it
-                                              // go on; BJ_E_UNAUTHORIZED, BJ_E_NO_UPSTREAM
 BjAnswer
 bj_daemon_refuse_head (BjDaemon *d,
                        const BjHead *h,
-                       int http_status); // Counts and logs a request that bj_daemon_check_head
+                       int http_status); // Counts and logs a request that bj_kernel_check_head
                                          // refuses; returns its response, which has no body
 BjExchange *bj_daemon_handle_call (BjDaemon *d,
                                    const BjRequest *r,
--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -40,6 +40,8 @@
   bool has_answer;
 } FakeHost;
 
+static bool runs_alone; // of the head checked last
+
 static void
 send_peer (BjHost *h, BjCall *c, BjPeer *p)
 {
@@ -161,7 +163,7 @@
 
       print_message ("  %s\n", c->name);
       r.klass = c->klass;
-      assert_int_equal (bj_kernel_check_head (k, 0, &r),
+      assert_int_equal (bj_kernel_check_head (k, 0, &r, &runs_alone),
                         c->expected == BJ_E_UNAUTHORIZED ? BJ_E_UNAUTHORIZED : BJ_OK);
       call = arrive (k, &h, 0, r);
       assert_true ((call != NULL) == (c->expected == BJ_OK));
@@ -280,7 +282,7 @@
       r.deadline_ms = c->deadline_ms;
       // Without a key the head alone may not be enough to decide.
       if (c->expected == BJ_OK)
-        assert_int_equal (bj_kernel_check_head (k, 0, &r), BJ_OK);
+        assert_int_equal (bj_kernel_check_head (k, 0, &r, &runs_alone), BJ_OK);
       call = arrive (k, &h, 0, r);
       if (c->expected != BJ_OK)
         {
@@ -346,7 +348,7 @@
       BjCall *c;
 
       assert_null (bj_kernel_config (k)->accounts);
-      assert_int_equal (bj_kernel_check_head (k, 0, &r), BJ_OK);
+      assert_int_equal (bj_kernel_check_head (k, 0, &r, &runs_alone), BJ_OK);
       c = arrive (k, &h, 0, r);
       assert_non_null (c);
       assert_int_equal (c->request.account.len, 0);
@@ -363,7 +365,7 @@
   BjRequest r = make_request ("/shut", "key-other", "");
 
   (void)state;
-  assert_int_equal (bj_kernel_check_head (k, 0, &r), BJ_OK);
+  assert_int_equal (bj_kernel_check_head (k, 0, &r, &runs_alone), BJ_OK);
   assert_null (arrive (k, &h, 0, r));
   assert_int_equal (h.answer.http_status, 503);
   assert_true (h.answer.retry_after_ms > 0);
