A key is looked up again only after another configuration is in force

Each request with a key looked it up on arrival, before its first attempt and when it left the own queue, mostly in the same configuration. Behaviour is unchanged.

--- a/src/access.c
+++ b/src/access.c
@@ -40,6 +40,7 @@
     {
       set_account (c, a);
       c->has_account_key = true;
+      c->key_config = k->config->number;
       c->klass = MAX (a->klass >= 0 ? a->klass : r->klass, MIN (c->request.klass, BJ_CLASSES - 1));
       return BJ_OK;
     }
@@ -62,8 +63,9 @@
 {
   const BjAccount *a;
 
-  if (!c->has_account_key || k->config->accounts == NULL)
+  if (!c->has_account_key || k->config->accounts == NULL || c->key_config == k->config->number)
     return BJ_OK;
+  c->key_config = k->config->number;
   a = bj_accounts_find_key (k->config->accounts, c->request.api_key);
   if (a != NULL && bj_str_equal (a->name, c->request.account))
     return BJ_OK;
--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -315,6 +315,7 @@
   bool is_nested;           // made by the own upstream for a call that runs there
   bool is_parent_inferred;  // its parent was matched by times, not by an id
   bool has_account_key;     // its account was found by the key of the request
+  int64_t key_config;       // number of the configuration that has the key
   uint64_t rated_account;   // hash of the account whose rate counts it, 0 if none does
   bool is_anonymous;        // its route needs no key
   uint64_t matched_parent;  // id of the call that this nested call was matched to, 0 if not known
