--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -112,7 +112,11 @@
       unlink (path);
     }
   rmdir (folder);
+  // Threads of the stand-ins may still record something.
+  pthread_mutex_lock (&record_lock);
   fclose (record_file);
+  record_file = NULL;
+  pthread_mutex_unlock (&record_lock);
 }
 
 double
@@ -149,8 +153,11 @@
   vsnprintf (line, sizeof line, format, args);
   va_end (args);
   pthread_mutex_lock (&record_lock);
-  fprintf (record_file, "%9.1f %s\n", rig_now_ms (), line);
-  fflush (record_file);
+  if (record_file != NULL)
+    {
+      fprintf (record_file, "%9.1f %s\n", rig_now_ms (), line);
+      fflush (record_file);
+    }
   pthread_mutex_unlock (&record_lock);
 }
 
