Review: a ping of another writer ends the draining of a backend

Cause: the check of a ping leaves out zone, version and coldS_time, and a state ready with a newer sequence takes back an acknowledged draining.

--- a/review/rig/backend.c
+++ b/review/rig/backend.c
@@ -53,6 +53,7 @@
 static bool is_gone (Conn *c);
 static bool reply (Conn *c, int status, const char *lines, long n_body);
 static RigRun *add_run (const Conn *c);
+static int send_ping (RigBackend *b, const char *zone, const char *state, int sequence);
 static void *send_pings (void *backend);
 static int call_control (RigBackend *b, const char *method, const char *id, const char *body);
 static int64_t wall_ms (void);
@@ -79,25 +80,18 @@
 int
 rig_backend_ping (RigBackend *b, const char *state, int sequence)
 {
-  char body[HEAD_BYTES];
-  char id[RIG_TEXT];
+  char zone[RIG_TEXT + 2];
 
-  pthread_mutex_lock (&lock);
-  snprintf (id, sizeof id, "%s", b->id);
-  snprintf (body,
-            sizeof body,
-            "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"v1\","
-            "\"slots\":%d,\"state\":\"%s\",\"coldS_time\":0,\"sequence\":%d,\"born\":%lld}",
-            b->service,
-            b->node->ip,
-            b->node->app,
-            b->node->zone,
-            b->slots,
-            state,
-            sequence,
-            (long long)b->born);
-  pthread_mutex_unlock (&lock);
-  return call_control (b, "PUT", id, body);
+  snprintf (zone, sizeof zone, "\"%s\"", b->node->zone);
+  return send_ping (b, zone, state, sequence);
+}
+
+void
+rig_backend_ping_foreign (RigBackend *b)
+{
+  int status = send_ping (b, "7", "ready", b->sequence + 1);
+
+  rig_record ("another writer sends a ping for %s: state ready, zone 7, answer %d", b->id, status);
 }
 
 double
@@ -440,6 +434,31 @@
   return r;
 }
 
+// zone: a JSON value.
+static int
+send_ping (RigBackend *b, const char *zone, const char *state, int sequence)
+{
+  char body[HEAD_BYTES];
+  char id[RIG_TEXT];
+
+  pthread_mutex_lock (&lock);
+  snprintf (id, sizeof id, "%s", b->id);
+  snprintf (body,
+            sizeof body,
+            "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":%s,\"version\":\"v1\","
+            "\"slots\":%d,\"state\":\"%s\",\"coldS_time\":0,\"sequence\":%d,\"born\":%lld}",
+            b->service,
+            b->node->ip,
+            b->node->app,
+            zone,
+            b->slots,
+            state,
+            sequence,
+            (long long)b->born);
+  pthread_mutex_unlock (&lock);
+  return call_control (b, "PUT", id, body);
+}
+
 static void *
 send_pings (void *backend)
 {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -122,8 +122,9 @@
 
 void rig_backend_open (RigBackend *b, const RigNode *n, const char *id, int slots);
 int rig_backend_ping (RigBackend *b, const char *state, int sequence); // Status of the response
-double rig_backend_drain (RigBackend *b); // Says draining; returns when that was acknowledged
-void rig_backend_exit (RigBackend *b);    // Says that it leaves and ends
+void rig_backend_ping_foreign (RigBackend *b); // Another writer: ready, a zone of another type
+double rig_backend_drain (RigBackend *b);      // Says draining; returns when that was acknowledged
+void rig_backend_exit (RigBackend *b);         // Says that it leaves and ends
 void rig_backend_replace (RigBackend *b, const char *id, const char *service, int slots);
 
 void rig_path_open (RigPath *p, RigNode *n, int delay_ms);
