--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -116,7 +116,8 @@
 void rig_node_init (RigNode *n, const char *name, const char *zone, const char *service);
 void rig_node_start (RigNode *n); // Fills in the template and starts the daemon
 void rig_node_signal (RigNode *n, int signal_number);
-bool rig_node_wait (RigNode *n, double timeout_ms);          // False if the process still runs
+bool rig_node_wait (RigNode *n, double timeout_ms); // False if the process still runs
+void rig_fill_fleet (void); // Starts further machines with plots, up to RIG_NODES_MAX in all
 void rig_node_set_service (RigNode *n, const char *service); // Changes the settings file
 bool rig_node_is_ready (const RigNode *n);
 
