A stopping daemon closes idle connections and answers what it has read

Cause: stopping closed the listening socket only. A connection without a request stayed open and readable until the process ended.

Change: once accepting has stopped, connections without a request close after 0.2 s. Requests that have not begun after half of drain_ms are refused as not run. Requests read behind another one are answered in order instead of dropped by Connection: close. Half-read requests and unacknowledged responses keep the process running.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -10,6 +10,7 @@
 #define TICK_INTERVAL_MAX_MS 250      // between two kernel ticks
 #define OUTCOME_FLUSH_TIMEOUT_MS 2000 // for outcomes to be recorded during shutdown
 #define FLUSH_ROUNDS_MAX 8            // over all modules before the loop polls again
+#define BEGIN_SHARE 0.5 // of drain_ms, in which requests begin; the rest is for them to end
 
 struct BjDaemonWatchers
 {
@@ -122,6 +123,8 @@
   d->stopping = true;
   d->stop_deadline = bj_clock_now () + d->settings.drain_ms;
   d->drain_known_by = bj_clock_now () + MIN (BJ_DRAIN_NOTIFY_MS, d->settings.drain_ms);
+  d->begin_calls_until
+      = MAX (d->drain_known_by, bj_clock_now () + BEGIN_SHARE * d->settings.drain_ms);
   // Callers keep sending here until they notice the drain; rejecting their calls at once would only
   // leave slots unused.
   d->accept_calls_until = MIN (bj_clock_now () + BJ_DRAIN_ACCEPT_MS, d->drain_known_by);
@@ -603,7 +606,7 @@
 has_unfinished_work (const BjDaemon *d)
 {
   return bj_kernel_open_calls (d->kernel) > 0 || bj_server_is_accepting (bj_front_server (d->front))
-         || bj_server_open_requests (bj_front_server (d->front)) > 0
+         || bj_server_busy_conns (bj_front_server (d->front)) > 0
          || !bj_links_is_flushed (d->links);
 }
 
@@ -624,6 +627,8 @@
       d->has_stopped_accepting = true;
       bj_server_stop_accepting (bj_front_server (d->front));
     }
+  if (now >= d->begin_calls_until)
+    bj_server_refuse_new (bj_front_server (d->front));
   if (has_unfinished_work (d) && now < d->stop_deadline)
     return;
   if (d->flush_deadline == 0)
--- a/src/internal.h
+++ b/src/internal.h
@@ -963,6 +963,7 @@
   BjTime stop_deadline;       // while stopping: the daemon exits then, even if calls are open
   BjTime accept_calls_until;  // while stopping: the upstream accepts new calls until then
   BjTime drain_known_by;      // while stopping: all peers know of the drain by then
+  BjTime begin_calls_until;   // while stopping: requests of callers begin until then
   bool has_stopped_accepting; // the front no longer accepts connections
   BjTime flush_deadline; // while stopping: outcomes are written until then; 0 while calls are open
   struct BjDaemonWatchers *watchers;
--- a/src/pipeline.c
+++ b/src/pipeline.c
@@ -337,13 +337,14 @@
     r->pipeline->n_waiting += n;
 }
 
-// While the daemon stops, the last request that was begun closes the connection.
+// While the daemon stops, the last request that was read closes the connection.
 static void
 decide_close (BjPipelineRequest *r)
 {
   BjPipeline *p = r->pipeline;
 
-  r->closes = !r->options.keep_alive || (p->limits->is_stopping && r == p->last);
+  r->closes
+      = !r->options.keep_alive || (p->limits->is_stopping && r == p->last && !p->is_more_read);
   if (r->closes)
     p->is_last_begun = true;
 }
--- a/src/pipeline.h
+++ b/src/pipeline.h
@@ -22,7 +22,8 @@
   int requests_max;   // begun and not completely answered; 1: one after the other
   size_t room_bytes;  // unwritten bytes at which the response that is being written is paused
   size_t waiting_max; // bytes of responses that wait for an earlier one
-  bool is_stopping;   // no request begins behind another one, and the last response closes
+  bool is_stopping;   // no request begins behind another one; the response to the last request that
+                      // was read closes
 } BjPipelineLimits;
 
 typedef struct
@@ -63,6 +64,7 @@
   size_t interim;             // unwritten bytes at the start of out that belong to no request
   size_t n_waiting;           // bytes of all waiting responses
   int n_open;                 // requests whose response is not completely written
+  bool is_more_read;          // set by the owner: a further request, or a part of it, was read
   bool is_last_begun;         // no further request begins
   bool is_ended;              // the response that ends the connection is completely written
 };
--- a/src/server.c
+++ b/src/server.c
@@ -21,7 +21,9 @@
 #define ACCEPTS_PER_EVENT 64 // connections accepted before other events are handled
 #define READ_BYTES 65536     // per recv call
 #define HANDSHAKE_MS 20      // for connections whose handshake has begun when accepting stops
-#define UNPARSED_MAX 65536   // buffered bytes of later requests at which reading stops
+#define STOPPED_IDLE_MS                                                                            \
+  200                      // without a request until a connection is closed, once accepting stopped
+#define UNPARSED_MAX 65536 // buffered bytes of later requests at which reading stops
 #define TIMEOUT_CHECK_INTERVAL_MS 100
 #define PIPELINED_DEFAULT 1    // open requests of a connection unless set
 #define WAITING_BYTES 262144   // of responses that wait for an earlier one
@@ -58,6 +60,7 @@
   BjTime body_since;       // when its body began
   size_t n_encoded;        // bytes of its body with chunk headers
   size_t n_lingering;      // bytes discarded while LINGERING or BREAKING
+  size_t n_behind;         // bytes received with the request that begins, behind it
   GString *unparsed;       // received bytes behind the last parsed request, NULL for none
   BjPipeline pipeline;     // responses
   int n_counted;           // requests of pipeline included in server->n_open_requests
@@ -86,6 +89,7 @@
   GPtrArray *closed;   // BjServerConn* to free at the end of the loop iteration
   int n_open_requests; // requests whose response is not completely written
   int conns_max;       // at this number, a new connection evicts the one idle longest
+  bool is_refusing;    // no further request begins
 };
 
 static void on_accept (struct ev_loop *loop, ev_io *w, int events);
@@ -97,10 +101,16 @@
 static void on_read (struct ev_loop *loop, ev_io *w, int events);
 static void on_write (struct ev_loop *loop, ev_io *w, int events);
 static void on_timeout_timer (struct ev_loop *loop, ev_timer *w, int events);
+static GPtrArray *list_conns (const BjServer *s);
 static void check_timeouts (BjServerConn *c, BjTime now);
 static void discard_bytes (BjServerConn *c, size_t n);
 static void receive_bytes (BjServerConn *c, const char *data, size_t n);
 static bool is_parsing (const BjServerConn *c);
+static bool is_idle (const BjServerConn *c);
+static bool has_unread_bytes (const BjServerConn *c);
+static int count_unacknowledged (const BjServerConn *c);
+static void note_read (BjServerConn *c);
+static void refuse_unread (BjServerConn *c);
 static size_t parse_request (BjServerConn *c, const char *data, size_t n);
 static void parse_unparsed (BjServerConn *c);
 static int on_begin (http_parser *p);
@@ -112,6 +122,7 @@
 static int on_body (http_parser *p, const char *data, size_t n);
 static int on_complete (http_parser *p);
 static BjHead request_head (BjServerConn *c);
+static void judge_head (BjServerConn *c, const BjHead *h);
 static void dispatch_request (BjServerConn *c);
 static BjServerRequest *begin_request (BjServerConn *c, const BjPipelineOptions *o);
 static void refuse_request (BjServerConn *c, bool has_body);
@@ -259,12 +270,40 @@
     close_listener (s);
 }
 
+// A request of which a part is missing is refused at once, so that its caller sends it elsewhere.
+void
+bj_server_refuse_new (BjServer *s)
+{
+  GPtrArray *all;
+
+  if (s->is_refusing)
+    return;
+  s->is_refusing = true;
+  all = list_conns (s);
+  for (guint i = 0; i < all->len; i++)
+    refuse_unread (all->pdata[i]);
+  g_ptr_array_free (all, TRUE);
+}
+
 bool
 bj_server_is_accepting (const BjServer *s)
 {
   return s->fd >= 0;
 }
 
+int
+bj_server_busy_conns (const BjServer *s)
+{
+  GHashTableIter i;
+  gpointer c;
+  int n = 0;
+
+  g_hash_table_iter_init (&i, s->conns);
+  while (g_hash_table_iter_next (&i, &c, NULL))
+    n += ((BjServerConn *)c)->state == LINGERING ? count_unacknowledged (c) > 0 : !is_idle (c);
+  return n;
+}
+
 int
 bj_server_open_requests (const BjServer *s)
 {
@@ -298,6 +337,7 @@
   BjServerConn *c = conn_of (r);
 
   mark_dirty (c);
+  note_read (c);
   bj_pipeline_head (r, status, lines, length);
 }
 
@@ -382,8 +422,7 @@
     {
       BjServerConn *c = key;
 
-      if (c->state == IDLE && c->pipeline.first == NULL
-          && (oldest == NULL || c->since < oldest->since))
+      if (is_idle (c) && (oldest == NULL || c->since < oldest->since))
         oldest = c;
     }
   if (oldest != NULL)
@@ -450,21 +489,28 @@
 static void
 on_timeout_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
-  BjServer *s = w->data;
+  GPtrArray *all = list_conns (w->data);
   BjTime now = bj_clock_now ();
-  GHashTableIter i;
-  gpointer c;
 
   (void)loop;
   (void)events;
+  for (guint i = 0; i < all->len; i++)
+    check_timeouts (all->pdata[i], now);
+  g_ptr_array_free (all, TRUE);
+}
+
+// A copy, because handling one connection may close it.
+static GPtrArray *
+list_conns (const BjServer *s)
+{
   GPtrArray *all = g_ptr_array_new ();
+  GHashTableIter i;
+  gpointer c;
 
   g_hash_table_iter_init (&i, s->conns);
   while (g_hash_table_iter_next (&i, &c, NULL))
     g_ptr_array_add (all, c);
-  for (guint n = 0; n < all->len; n++)
-    check_timeouts (all->pdata[n], now);
-  g_ptr_array_free (all, TRUE);
+  return all;
 }
 
 // A request that is not read in time is rejected behind the responses before it; a connection on
@@ -492,6 +538,9 @@
     reject_request (c, HTTP_STATUS_REQUEST_TIMEOUT);
   else if ((c->state == IDLE || c->state == BODY) && !is_answering && age > l->idle_timeout_ms)
     close_conn (c);
+  else if (!bj_server_is_accepting (c->server) && is_idle (c) && age > STOPPED_IDLE_MS
+           && !has_unread_bytes (c))
+    close_conn (c);
 }
 
 static void
@@ -528,6 +577,48 @@
   return !c->is_closed && (c->state == IDLE || c->state == HEAD || c->state == BODY);
 }
 
+static bool
+is_idle (const BjServerConn *c)
+{
+  return c->state == IDLE && c->pipeline.first == NULL;
+}
+
+static bool
+has_unread_bytes (const BjServerConn *c)
+{
+  int n = 0;
+
+  return ioctl (c->fd, FIONREAD, &n) == 0 && n > 0;
+}
+
+static int
+count_unacknowledged (const BjServerConn *c)
+{
+  int n = 0;
+
+  return ioctl (c->fd, SIOCOUTQ, &n) == 0 ? n : 0;
+}
+
+// Tells the pipeline whether a request was read, wholly or in part, that did not begin.
+static void
+note_read (BjServerConn *c)
+{
+  c->pipeline.is_more_read = c->state == HEAD || c->state == BODY || c->state == WAITING
+                             || c->n_behind > 0 || c->unparsed != NULL;
+}
+
+static void
+refuse_unread (BjServerConn *c)
+{
+  if (c->is_closed)
+    return;
+  c->verdict.refuse_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+  if (c->state == HEAD)
+    reject_request (c, HTTP_STATUS_SERVICE_UNAVAILABLE);
+  else if (c->state == BODY)
+    refuse_request (c, true);
+}
+
 // Returns the number of bytes used.
 static size_t
 parse_request (BjServerConn *c, const char *data, size_t n)
@@ -540,7 +631,9 @@
   if (e == HPE_PAUSED)
     {
       http_parser_pause (&c->parser, 0);
+      c->n_behind = n - used;
       dispatch_request (c);
+      c->n_behind = 0;
       return used;
     }
   if (e == HPE_CB_headers_complete && c->verdict.refuse_status != 0)
@@ -573,6 +666,12 @@
 {
   BjServerConn *c = p->data;
 
+  if (c->server->pipeline_limits.is_stopping)
+    bj_log (BJ_LOG_INFO,
+            "DRAIN",
+            "reading a request while stopping; accepting=%d idle_ms=%.0f",
+            bj_server_is_accepting (c->server),
+            c->state == IDLE ? bj_clock_now () - c->since : 0);
   bj_message_reset (&c->head);
   g_string_truncate (c->body, 0);
   c->error_status = 0;
@@ -639,6 +738,7 @@
 {
   BjServerConn *c = p->data;
   BjStr headers = bj_message_headers (&c->head);
+  BjHead h;
 
   if (p->http_major == 1 && p->http_minor > 0 && bj_header_find (headers, "Host").data == NULL)
     {
@@ -654,13 +754,9 @@
   c->body_since = c->since;
   c->n_encoded = 0;
   c->is_verdict_old = false;
-  if (c->server->ops->head != NULL)
-    {
-      BjHead h = request_head (c);
-
-      h.length = (p->flags & F_CONTENTLENGTH) != 0 ? (int64_t)p->content_length : -1;
-      c->verdict = c->server->ops->head (c->server->data, &h);
-    }
+  h = request_head (c);
+  h.length = (p->flags & F_CONTENTLENGTH) != 0 ? (int64_t)p->content_length : -1;
+  judge_head (c, &h);
   if (c->verdict.refuse_status != 0)
     {
       bool has_length = (p->flags & F_CONTENTLENGTH) != 0 && p->content_length > 0;
@@ -706,6 +802,17 @@
   };
 }
 
+static void
+judge_head (BjServerConn *c, const BjHead *h)
+{
+  const BjServer *s = c->server;
+
+  if (s->ops->head != NULL)
+    c->verdict = s->ops->head (s->data, h);
+  if (s->is_refusing && c->verdict.refuse_status == 0)
+    c->verdict.refuse_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+}
+
 // Begins the complete request, or makes it wait for those before it.
 static void
 dispatch_request (BjServerConn *c)
@@ -726,8 +833,8 @@
   c->is_continue_due = false;
   if (c->state != WAITING)
     c->read_at = now;
-  if (c->is_verdict_old && s->ops->head != NULL)
-    c->verdict = s->ops->head (s->data, &h);
+  if (c->is_verdict_old || s->is_refusing)
+    judge_head (c, &h);
   c->is_verdict_old = false;
   o.runs_alone = c->verdict.runs_alone;
   if (!bj_pipeline_may_begin (&c->pipeline, o.runs_alone))
@@ -887,6 +994,7 @@
 {
   BjPipeline *p = &c->pipeline;
 
+  note_read (c);
   for (;;)
     {
       BjStr out = bj_pipeline_pending (p);
@@ -912,13 +1020,11 @@
 static void
 break_conn (BjServerConn *c)
 {
-  int n_unacknowledged = 0;
+  bool is_first = c->pipeline.first == NULL || !c->pipeline.first->is_behind;
 
   if (c->state != BREAKING)
     set_state (c, BREAKING);
-  if (c->pipeline.first != NULL && c->pipeline.first->is_behind)
-    ioctl (c->fd, SIOCOUTQ, &n_unacknowledged);
-  if (n_unacknowledged == 0 || bj_clock_now () - c->since > LINGER_MS)
+  if (is_first || count_unacknowledged (c) == 0 || bj_clock_now () - c->since > LINGER_MS)
     reset_conn (c);
 }
 
--- a/src/server.h
+++ b/src/server.h
@@ -49,9 +49,13 @@
                               int n); // Sets the connection limit; at the limit, a new connection
                                       // replaces the one idle longest
 void bj_server_disable_keep_alive (
-    BjServer *s); // Closes each connection after the requests begun on it, or after its next one
-void bj_server_stop_accepting (BjServer *s);     // Stops accepting connections, a little later
+    BjServer *s); // Closes each connection after the requests read on it, or after its next one
+void bj_server_stop_accepting (
+    BjServer *s); // Stops accepting connections, a little later; idle ones are then closed
+void bj_server_refuse_new (BjServer *s); // Requests that have not begun are refused with 503
 bool bj_server_is_accepting (const BjServer *s); // False once the listening socket is closed
+int bj_server_busy_conns (
+    const BjServer *s); // Connections with a request, or a response that is not acknowledged
 int bj_server_open_requests (const BjServer *s); // Number of requests without a complete response
 void bj_server_flush (BjServer *s); // Writes the data queued in this event loop iteration
 void bj_server_set_call (BjServerRequest *r, void *call); // Argument of disconnected and drained
--- a/tests/test_fleet_drain.c
+++ b/tests/test_fleet_drain.c
@@ -31,6 +31,7 @@
 #define LARGE_BYTES 4000000    // of a response, more than all buffers on its way hold
 #define LARGE_TEXT "4000000"
 #define SOCKET_BYTES 16384
+#define IDLE_CLOSE_MS 3000 // from a stop until idle connections are closed
 
 typedef struct
 {
@@ -239,6 +240,47 @@
   return total;
 }
 
+// Sends a request, reads its response and leaves the connection open.
+static int
+open_idle_connection (int front)
+{
+  static const char request[] = "GET /plans/1?bytes=1&id=a HTTP/1.1\r\nHost: x\r\n\r\n";
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)fleet.members[front].front_port) };
+  struct timeval timeout = { IDLE_CLOSE_MS / 1000, 0 };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  char response[SOCKET_BYTES];
+
+  inet_pton (AF_INET, "127.0.0.1", &addr.sin_addr);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  assert_int_equal (connect (fd, (struct sockaddr *)&addr, sizeof addr), 0);
+  assert_int_equal (send (fd, request, strlen (request), MSG_NOSIGNAL), strlen (request));
+  assert_true (recv (fd, response, sizeof response, 0) > 0);
+  return fd;
+}
+
+// Guards against a stopping daemon that keeps idle connections open: requests on them would be cut
+// when it ends. A response that has begun still arrives in full.
+static void
+test_stop_closes_idle_connections (void **state)
+{
+  int response;
+  int idle;
+  char byte;
+
+  (void)state;
+  start_fleet ();
+  response = begin_large_response (0);
+  idle = open_idle_connection (0);
+  kill (fleet.members[0].daemon, SIGTERM);
+  assert_int_equal (recv (idle, &byte, 1, 0), 0);
+  assert_true (read_rest (response) >= LARGE_BYTES - SOCKET_BYTES);
+  assert_int_equal (fleet_wait_exit (&fleet.members[0].daemon, WAIT_TIMEOUT_MS), 0);
+  close (idle);
+  close (response);
+  fleet_stop (&fleet);
+}
+
 // Guards against a response in transit that is cut because the daemon it comes from is paused for
 // longer than its peers keep a silent connection: it must arrive in full once the daemon runs
 // again.
@@ -467,6 +509,7 @@
     cmocka_unit_test (test_stop_aborts_no_call),
     cmocka_unit_test (test_stopping_daemon_keeps_serving),
     cmocka_unit_test (test_pause_in_response),
+    cmocka_unit_test (test_stop_closes_idle_connections),
   };
   const struct CMUnitTest separate[] = {
     cmocka_unit_test (test_standstill),
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -1,7 +1,7 @@
 // Server: guards against a refused request whose body is served as the next one, 100-continue
 // inside the response of another request, time-outs of a request that cut off responses before it,
-// a response that broke off and destroys complete ones before it, and a paused response that never
-// resumes.
+// a response that broke off and destroys complete ones before it, a paused response that never
+// resumes, and requests that are read and lost by a server that stops.
 
 #include "daemons.h"
 #include "server.h"
@@ -149,6 +149,7 @@
   GPtrArray *open; // Response
   int n_alone;     // open requests that run alone
   int n_together;  // times that such a request was open with another one
+  int n_begun;
   int n_cancelled;
   double waited_ms; // most
 } Site;
@@ -200,6 +201,7 @@
   g_strfreev (parts);
   s->n_together += s->open->len > 0 && (is_alone || s->n_alone > 0);
   s->n_alone += is_alone;
+  s->n_begun++;
   s->waited_ms = MAX (s->waited_ms, h->waited_ms);
   g_ptr_array_add (s->open, p);
   bj_server_set_call (r, p);
@@ -494,6 +496,163 @@
   assert_int_equal (site.open->len, 0);
 }
 
+// The server stops STOP_MS after the first bytes were sent: it closes connections after their last
+// response and stops accepting.
+typedef struct
+{
+  const char *name;
+  const char *first; // sent before the stop, NULL for nothing
+  int later_ms;      // after the stop
+  const char *later; // sent then, NULL for nothing
+  int refuse_ms;     // from the stop until requests that have not begun are refused, 0 for never
+  const char *expected;
+  int n_begun; // requests
+} StopCase;
+
+#define STOP_MS 60
+#define POST_HEAD(path) "POST " path " HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n"
+#define REFUSED "HTTP/1.1 503 Service Unavailable|L0|"
+
+static const StopCase stop_cases[] = {
+  { "request on an idle connection, long after the stop",
+    GET ("/a/0"),
+    350,
+    GET ("/b/0"),
+    0,
+    "#|L1||a",
+    1 },
+  { "request on an idle connection, at once",
+    GET ("/a/0"),
+    1,
+    GET ("/b/0"),
+    0,
+    "#|L1||a#|L1|C||b",
+    2 },
+  { "request on a connection without one before", NULL, 1, GET ("/a/0"), 0, "#|L1|C||a", 1 },
+  { "connection that never gets a request", NULL, 0, NULL, 0, "", 0 },
+  { "half a head, the rest follows",
+    "GET /a/0 HT",
+    20,
+    "TP/1.1\r\nHost: x\r\n\r\n",
+    0,
+    "#|L1|C||a",
+    1 },
+  { "half a head, refused", "GET /a/0 HT", 0, NULL, 50, REFUSED "C||", 0 },
+  { "half a head behind a response, refused",
+    GET ("/a/150") "GET /b/0 HT",
+    0,
+    NULL,
+    20,
+    "#|L1||a" REFUSED "C||",
+    1 },
+  { "half a body, the rest follows", POST_HEAD ("/a/0") "x", 100, "yz", 0, "#|L1|C||a", 1 },
+  { "half a body, refused", POST_HEAD ("/a/0") "x", 0, NULL, 50, REFUSED "C||", 0 },
+  { "body that arrives after the refusal",
+    POST_HEAD ("/a/0") "x",
+    100,
+    "yz",
+    50,
+    REFUSED "C||",
+    0 },
+  { "sent ahead, all begun", GET ("/a/150") GET ("/b/0"), 0, NULL, 0, "#|L1||a#|L1|C||b", 2 },
+  { "sent ahead, waiting behind one that runs alone",
+    GET ("/alone/150") GET ("/b/0") GET ("/c/0"),
+    0,
+    NULL,
+    0,
+    "#|L5||alone#|L1||b#|L1|C||c",
+    3 },
+  { "sent ahead, running alone behind another one",
+    GET ("/a/150") GET ("/alone/10") GET ("/c/0"),
+    0,
+    NULL,
+    0,
+    "#|L1||a#|L5||alone#|L1|C||c",
+    3 },
+  { "sent ahead, refused while they wait",
+    GET ("/alone/150") GET ("/b/0") GET ("/c/0"),
+    0,
+    NULL,
+    20,
+    "#|L5||alone" REFUSED "|" REFUSED "C||",
+    1 },
+  { "sent ahead after the stop",
+    GET ("/a/200"),
+    20,
+    GET ("/b/0") GET ("/c/0"),
+    0,
+    "#|L1||a#|L1||b#|L1|C||c",
+    3 },
+  { "large response", GET ("/bulk/0") GET ("/c/0"), 0, NULL, 0, NULL, 2 },
+};
+
+static bool
+run_stop_case (const StopCase *c)
+{
+  int fd = connect_to_site ();
+  GString *in = g_string_new (NULL);
+  BjTime began = bj_clock_now ();
+  bool is_stopped = false;
+  bool is_later_sent = c->later == NULL;
+  bool is_reset = false;
+  bool is_open = true;
+  bool is_right;
+
+  if (c->first != NULL)
+    send (fd, c->first, strlen (c->first), MSG_NOSIGNAL);
+  while (is_open && bj_clock_now () - began < RUN_LIMIT_MS)
+    {
+      double age = bj_clock_now () - began;
+
+      ev_run (site.loop, EVRUN_ONCE);
+      if (age >= STOP_MS && !is_stopped)
+        {
+          bj_server_disable_keep_alive (site.server);
+          bj_server_stop_accepting (site.server);
+          is_stopped = true;
+        }
+      if (age >= STOP_MS + c->later_ms && !is_later_sent)
+        {
+          send (fd, c->later, strlen (c->later), MSG_NOSIGNAL);
+          is_later_sent = true;
+        }
+      if (c->refuse_ms > 0 && age >= STOP_MS + c->refuse_ms)
+        bj_server_refuse_new (site.server);
+      is_open = receive (fd, in, &is_reset);
+    }
+  shorten (in);
+  is_right = !is_open && site.n_begun == c->n_begun
+             && (c->expected == NULL || strcmp (in->str, c->expected) == 0);
+  if (!is_right)
+    print_error ("%s: received %s\n  begun %d, open %d\n", c->name, in->str, site.n_begun, is_open);
+  close (fd);
+  for (BjTime until = bj_clock_now () + RUN_LIMIT_MS;
+       bj_server_busy_conns (site.server) > 0 && bj_clock_now () < until;)
+    ev_run (site.loop, EVRUN_ONCE);
+  is_right = is_right && bj_server_busy_conns (site.server) == 0;
+  g_string_free (in, TRUE);
+  return is_right;
+}
+
+// Guards against a server that stops and still reads requests from idle connections, drops requests
+// that it has read, or keeps connections open until its process ends.
+static void
+test_stop (void **state)
+{
+  int n_wrong = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (stop_cases); i++)
+    {
+      BjCallerLimits l = BJ_CALLER_LIMITS_DEFAULT;
+
+      close_site (state);
+      open_site (state);
+      bj_server_set_limits (site.server, &l);
+      n_wrong += !run_stop_case (&stop_cases[i]);
+    }
+  assert_int_equal (n_wrong, 0);
+}
+
 int
 main (void)
 {
@@ -501,6 +660,7 @@
     cmocka_unit_test (test_cases),
     cmocka_unit_test (test_flow_control),
     cmocka_unit_test (test_disconnect),
+    cmocka_unit_test (test_stop),
   };
 
   return cmocka_run_group_tests (tests, open_site, close_site);
