A response resumes when its connection between daemons was replaced

Cause: a response has less room while it has no connection, so a part over 4 KB pauses its source. Attaching the new connection gave it more room and did not tell the source. Evidence: new log lines, 15 times sent_again=165 body=0 and received=5146 waiting=5000 whole=1. Ruled out: that the response was dropped, or dropped again by the calling daemon.

Change: attaching a connection reports to the source that there is room.

--- a/src/incoming.c
+++ b/src/incoming.c
@@ -239,10 +239,12 @@
       n_deduplicated.value++;
       bj_log (BJ_LOG_INFO,
               "LINK",
-              "Call %" G_GUINT64_FORMAT
-              " of %.*s was resent while it runs; using the new connection.",
+              "Call %" G_GUINT64_FORMAT " of %.*s was resent while it runs; using the new "
+              "connection. sent_again=%zd body=%" G_GUINT64_FORMAT,
               f->id,
-              BJ_STR_ARG (s->name));
+              BJ_STR_ARG (s->name),
+              r->replay_frames != NULL ? (ssize_t)r->replay_frames->len : -1,
+              r->length);
       attach_conn (c, r);
       return true;
     }
@@ -327,7 +329,13 @@
   if (r->replay_frames != NULL && r->replay_frames->len > 0)
     bj_conn_send_bytes (c, r->replay_frames->str, r->replay_frames->len);
   else if (r->replay_frames == NULL)
-    abandon_call (r);
+    {
+      abandon_call (r);
+      return;
+    }
+  // Without a connection there was less room, so the source may wait for more.
+  if (r->exchange != NULL)
+    bj_exchange_drained (r->exchange, 0);
 }
 
 static void
--- a/src/pool.c
+++ b/src/pool.c
@@ -26,6 +26,7 @@
 #define HEADER_MAX 65536        // bytes of a response's head, with the interim responses before it
 #define RESPONSE_MAX (256 * 1024 * 1024) // bytes of a response, four times the largest request
 #define SUSPECT_SILENCE_MS 500 // a reused connection silent this long makes idle ones suspect
+#define STALL_LOG_MS 1000      // a response paused for longer is logged
 
 typedef enum
 {
@@ -53,6 +54,8 @@
   BjTime since; // when the request started, the probe connected or the connection became idle
   BjTime idle_deadline;   // when an idle connection is closed
   double idle_timeout_ms; // idle timeout after the response
+  BjTime paused_at;       // when is_paused was set
+  bool is_stall_logged;   // of the current pause
   bool is_paused;         // on_body accepted nothing; reading stops until bj_pool_resume
   bool is_dirty;          // in pool->dirty
   bool is_complete;       // the whole response was parsed
@@ -414,6 +417,17 @@
     fail_request (c, BJ_E_LOST);
   else if (c->state == SENDING)
     suspect_idle_conns (c, now);
+  else if (c->is_paused && !c->is_stall_logged && now - c->paused_at > STALL_LOG_MS)
+    {
+      c->is_stall_logged = true;
+      bj_log (BJ_LOG_INFO,
+              "UPSTREAM",
+              "response paused for_ms=%.0f received=%zu waiting=%zu whole=%d",
+              now - c->paused_at,
+              c->n_received,
+              c->unconsumed_body->len,
+              c->is_complete);
+    }
 }
 
 // Marks the idle connections as suspect when a reused one gets no response and no other connection
@@ -620,6 +634,9 @@
   if (c->is_closed)
     return -1;
   g_string_append_len (c->unconsumed_body, data, (gssize)n);
+  c->is_stall_logged = c->is_stall_logged && c->is_paused;
+  if (!c->is_paused)
+    c->paused_at = bj_clock_now ();
   c->is_paused = true;
   ev_io_stop (c->pool->loop, &c->read);
   return 0;
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -7,8 +7,9 @@
 //
 // A request for any path outside /control/ is executed. Its query sets the response: bytes=N the
 // body size, status=N the status, id=TEXT a text that fills the body, by which a caller recognizes
-// its own response. The header X-Echo is returned; X-Saw-Account is the value of Bj-Account, and
-// X-Saw-Key is set if there was a Bj-Api-Key. A path that contains "poison" ends the process.
+// its own response, chunked=1 a body without a length. The header X-Echo is returned; X-Saw-Account
+// is the value of Bj-Account, and X-Saw-Key is set if there was a Bj-Api-Key. A path that contains
+// "poison" ends the process.
 //
 // GET /control/executions prints one line per action: key, number of executions. GET /control/stats
 // prints the numbers of executed and refused requests. GET /control/arrivals prints, since
@@ -125,6 +126,7 @@
 static enum MHD_Result reply (Request *r, int status, const char *text, size_t n);
 static enum MHD_Result reply_result (Request *r);
 static ssize_t read_pattern (void *cls, uint64_t pos, char *buf, size_t max);
+static bool is_chunked (const Request *r);
 static const char *request_header (Request *r, const char *name);
 static void on_announce (struct ev_loop *l, ev_timer *w, int events);
 static double next_announced_load (void);
@@ -566,8 +568,8 @@
 static enum MHD_Result
 reply_result (Request *r)
 {
-  struct MHD_Response *m
-      = MHD_create_response_from_callback (r->size, RESPONSE_BLOCK_BYTES, read_pattern, r, NULL);
+  struct MHD_Response *m = MHD_create_response_from_callback (
+      is_chunked (r) ? MHD_SIZE_UNKNOWN : r->size, RESPONSE_BLOCK_BYTES, read_pattern, r, NULL);
   char text[32];
   enum MHD_Result result;
 
@@ -612,12 +614,21 @@
   return result;
 }
 
+static bool
+is_chunked (const Request *r)
+{
+  return MHD_lookup_connection_value (r->conn, MHD_GET_ARGUMENT_KIND, "chunked") != NULL;
+}
+
 static ssize_t
 read_pattern (void *cls, uint64_t pos, char *buf, size_t max)
 {
   const Request *r = cls;
   size_t n = strlen (r->id);
 
+  if (pos >= r->size)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  max = MIN (max, r->size - pos);
   for (size_t i = 0; i < max; i++)
     buf[i] = r->id[(pos + i) % n];
   return (ssize_t)max;
--- a/tests/test_fleet_path.c
+++ b/tests/test_fleet_path.c
@@ -31,7 +31,8 @@
       "\"catalogue\":{\"routes\":[{\"prefix\":\"/catalogue/"
       "\",\"class\":\"lookup\",\"deadline_ms\":5000}]},"
       "\"plans\":{\"routes\":[{\"prefix\":\"/plans/"
-      "\",\"class\":\"lookup\",\"deadline_ms\":20000}],"
+      "\",\"class\":\"lookup\",\"deadline_ms\":20000},{\"prefix\":\"/once/\",\"class\":"
+      "\"acceptance\",\"irreversible\":true,\"claim\":false,\"deadline_ms\":20000}],"
       "\"limiter\":{\"plugin\":\"fixed\"},\"queue\":{\"max_wait_ms\":60000}}}}";
 
 static Fleet fleet;
@@ -223,6 +224,7 @@
 typedef struct
 {
   char path[64];
+  const char *body; // NULL for a GET request
   int status;
   GString *out;
 } Request;
@@ -232,7 +234,12 @@
 {
   Request *r = data;
 
-  r->status = fleet_http ("GET", fleet.members[0].front_port, r->path, NULL, NULL, r->out);
+  r->status = fleet_http (r->body != NULL ? "POST" : "GET",
+                          fleet.members[0].front_port,
+                          r->path,
+                          NULL,
+                          r->body,
+                          r->out);
   return NULL;
 }
 
@@ -269,53 +276,126 @@
   return read_upstream_stat (2, "run") > *(double *)data;
 }
 
+#define RUN_MS 400      // of a request on the upstream
+#define ONE_WAY_MS 200  // of a link with a delay
+#define BYTES_PER_S 2e6 // of a link with a rate
+#define FAULTS_MAX 4    // of one request
+#define BODY_BYTES 900000
+
 typedef struct
 {
   const char *name;
-  const char *before; // bj-fault mode set before the request, NULL for none
-  const char *during; // bj-fault mode set while the upstream runs the request, NULL for none
+  const char *before;    // bj-fault mode set before the request, NULL for none
+  const char *during;    // bj-fault mode set at each of at_ms, NULL for none
+  int at_ms[FAULTS_MAX]; // since the request was sent; the first may be RUNNING, others 0 for none
+  const char *path;
+  const char *link; // bj-fault mode of the link all the while, NULL for none
+  int body_bytes;   // of the request
 } LinkCase;
 
+#define RUNNING (-1) // the upstream runs the request
+#define FILE(bytes) "/plans/file?bytes=" bytes
+#define ONCE(bytes) "/once/file?bytes=" bytes
+// With a delay the call arrives after 200 ms, the run ends after 600, the response arrives after
+// 800.
+#define BEFORE_RESPONSE                                                                            \
+  {                                                                                                \
+    450                                                                                            \
+  } // the connection is replaced when the run has ended
+#define IN_FLIGHT                                                                                  \
+  {                                                                                                \
+    700                                                                                            \
+  } // the whole response is on its way
+
 static const LinkCase link_cases[] = {
-  { "no fault", NULL, NULL },
-  { "link silent before the request", "silence", NULL },
-  { "link silent while the request runs", NULL, "silence" },
-  { "link reset while the request runs", NULL, "reset" },
-  { "response lost", "lose", NULL },
-  { "link silent before the request, reset while it runs", "silence", "reset" },
-  { "link silent before the request and while it runs", "silence", "silence" },
+  { "no fault", NULL, NULL, { RUNNING }, FILE ("9"), NULL, 0 },
+  { "silent before the request", "silence", NULL, { RUNNING }, FILE ("9"), NULL, 0 },
+  { "silent while the request runs", NULL, "silence", { RUNNING }, FILE ("9"), NULL, 0 },
+  { "reset while the request runs", NULL, "reset", { RUNNING }, FILE ("9"), NULL, 0 },
+  { "response lost", "lose", NULL, { RUNNING }, FILE ("9"), NULL, 0 },
+  { "silent before, reset while it runs", "silence", "reset", { RUNNING }, FILE ("9"), NULL, 0 },
+  { "silent before and while it runs", "silence", "silence", { RUNNING }, FILE ("9"), NULL, 0 },
+  { "reset before the response", NULL, "reset", BEFORE_RESPONSE, FILE ("5000"), "delay", 0 },
+  { "the same, once", NULL, "reset", BEFORE_RESPONSE, ONCE ("5000"), "delay", 0 },
+  { "the same, 60 KB", NULL, "reset", BEFORE_RESPONSE, FILE ("60000"), "delay", 0 },
+  { "the same, chunked", NULL, "reset", BEFORE_RESPONSE, FILE ("60000&chunked=1"), "delay", 0 },
+  { "the same, 1 MB", NULL, "reset", BEFORE_RESPONSE, FILE ("1000000"), "delay", 0 },
 };
 
+static bool
+is_pattern (const GString *body, size_t n, const char *id)
+{
+  size_t n_id = strlen (id) + 1;
+
+  if (body->len != n)
+    return false;
+  for (size_t i = 0; i < n; i++)
+    if (body->str[i] != (i % n_id == n_id - 1 ? ' ' : id[i % n_id]))
+      return false;
+  return true;
+}
+
+static void
+set_link_fault (const char *mode)
+{
+  double value = strcmp (mode, "delay") == 0  ? ONE_WAY_MS
+                 : strcmp (mode, "rate") == 0 ? BYTES_PER_S
+                                              : 1;
+
+  assert_true (fleet_set_fault (&fleet, "link-b", fleet.members[0].ip, mode, value));
+}
+
+static void
+run_link_case (const LinkCase *c, const char *id)
+{
+  double before;
+  char *body = c->body_bytes > 0 ? g_strnfill ((gsize)c->body_bytes, 'x') : NULL;
+  Request r = { .body = body, .out = g_string_new (NULL) };
+  BjTime sent;
+  GThread *thread;
+
+  print_message ("  %s\n", c->name);
+  assert_true (fleet_wait_until (is_served, NULL, 10000));
+  before = read_upstream_stat (2, "run");
+  if (c->link != NULL)
+    set_link_fault (c->link);
+  if (c->before != NULL)
+    set_link_fault (c->before);
+  g_snprintf (r.path, sizeof r.path, "%s&id=%s", c->path, id);
+  sent = bj_clock_now ();
+  thread = g_thread_new ("request", run_request, &r);
+  for (int i = 0; i < FAULTS_MAX && c->at_ms[i] != 0; i++)
+    {
+      if (c->at_ms[i] == RUNNING)
+        assert_true (fleet_wait_until (has_run_started, &before, 10000));
+      else
+        g_usleep ((gulong)(MAX (0, sent + c->at_ms[i] - bj_clock_now ()) * 1000));
+      if (c->during != NULL)
+        set_link_fault (c->during);
+    }
+  g_thread_join (thread);
+  print_message ("    %.0f ms\n", bj_clock_now () - sent);
+  fleet_set_link_fault (&fleet, "a", "b", "ok");
+  assert_int_equal (r.status, 200);
+  assert_true (is_pattern (r.out, (size_t)atoi (strchr (c->path, '=') + 1), id));
+  assert_true (read_upstream_stat (2, "run") == before + 1);
+  g_string_free (r.out, TRUE);
+  g_free (body);
+}
+
 // Whatever fault the link has, the request must run exactly once and its caller get the response.
 static void
 test_link_faults (void **state)
 {
+  char text[64];
+
   (void)state;
-  fleet_http (
-      "POST", fleet.members[2].upstream_port, "/control/service_us?value=400000", NULL, "", NULL);
+  g_snprintf (text, sizeof text, "/control/service_us?value=%d", RUN_MS * 1000);
+  fleet_http ("POST", fleet.members[2].upstream_port, text, NULL, "", NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (link_cases); i++)
     {
-      const LinkCase *c = &link_cases[i];
-      double before;
-      Request r = { .out = g_string_new (NULL) };
-      GThread *thread;
-
-      print_message ("  %s\n", c->name);
-      assert_true (fleet_wait_until (is_served, NULL, 10000));
-      before = read_upstream_stat (2, "run");
-      if (c->before != NULL)
-        assert_true (fleet_set_fault (&fleet, "link-b", fleet.members[0].ip, c->before, 1));
-      g_snprintf (r.path, sizeof r.path, "/plans/file?bytes=9&id=own%zu", i);
-      thread = g_thread_new ("request", run_request, &r);
-      assert_true (fleet_wait_until (has_run_started, &before, 10000));
-      if (c->during != NULL)
-        assert_true (fleet_set_fault (&fleet, "link-b", fleet.members[0].ip, c->during, 1));
-      g_thread_join (thread);
-      fleet_set_link_fault (&fleet, "a", "b", "ok");
-      assert_int_equal (r.status, 200);
-      assert_true (g_str_has_prefix (r.out->str, strchr (r.path, '=') + 1 + strlen ("9&id=")));
-      assert_true (read_upstream_stat (2, "run") == before + 1);
-      g_string_free (r.out, TRUE);
+      g_snprintf (text, sizeof text, "own%zu", i);
+      run_link_case (&link_cases[i], text);
     }
   fleet_http (
       "POST", fleet.members[2].upstream_port, "/control/service_us?value=2000", NULL, "", NULL);
