Responses of any size go on after a connection between daemons is replaced

Callers saw: 503 or 502 for calls that had run, when a response over 4 KB was on its way at a reset; a response that had begun broke off, or, on a connection that was only silent, was held until the deadline; the third reset during one call failed it.

Cause: 4 KB of a response were kept to be sent again, a call whose response had begun was not resent, and two resets were the limit. An open call that could not be sent again was dropped without a word to its peer.

Calls are resent whether or not their response has begun; WINDOW frames tell the sum of bytes forwarded, DATA frames the offset where the bytes kept begin. A call fails after three sends in a row without a byte from the peer or eight without progress. Silent connections are replaced for begun responses too. What can't be sent again is refused at once.

--- a/src/frame.c
+++ b/src/frame.c
@@ -15,6 +15,7 @@
 static void pack_upstream (msgpack_packer *p, const BjUpstreamState *s);
 static void pack_upstream_load (msgpack_packer *p, const BjUpstreamLoad *l);
 static void pack_usage (msgpack_packer *p, const BjFrame *f);
+static void pack_offset (msgpack_packer *p, const BjFrame *f);
 static void pack_str (msgpack_packer *p, BjStr s);
 static int field_count (const BjFrame *f);
 static void read_fields (BjFields *in, BjFrame *f);
@@ -23,6 +24,7 @@
 static void read_upstream (BjFields *in, BjUpstreamState *s);
 static void read_upstream_load (BjFields *in, BjUpstreamLoad *l);
 static void read_usage (BjFields *in, BjFrame *f);
+static void read_offset (BjFields *in, BjFrame *f);
 static BjSuspicion read_suspicion (BjFields *in);
 
 void
@@ -106,6 +108,9 @@
       pack_answer (p, f);
       break;
     case BJ_FRAME_DATA:
+      pack_str (p, f->data);
+      pack_offset (p, f);
+      break;
     case BJ_FRAME_CONFIG:
       pack_str (p, f->data);
       break;
@@ -124,6 +129,7 @@
       break;
     case BJ_FRAME_WINDOW:
       msgpack_pack_uint64 (p, f->length);
+      pack_offset (p, f);
       break;
     case BJ_FRAME_PING:
       pack_upstream (p, &f->upstream);
@@ -226,6 +232,13 @@
   msgpack_pack_bin_body (p, s.len > 0 ? s.data : "", s.len);
 }
 
+static void
+pack_offset (msgpack_packer *p, const BjFrame *f)
+{
+  if (f->offset > 0)
+    msgpack_pack_uint64 (p, f->offset);
+}
+
 static int
 field_count (const BjFrame *f)
 {
@@ -237,8 +250,9 @@
   };
 
   bool has_usage = (f->kind == BJ_FRAME_PING || f->kind == BJ_FRAME_PONG) && f->data.len > 0;
+  bool has_offset = (f->kind == BJ_FRAME_DATA || f->kind == BJ_FRAME_WINDOW) && f->offset > 0;
 
-  return counts[f->kind] + has_usage;
+  return counts[f->kind] + has_usage + has_offset;
 }
 
 static void
@@ -259,6 +273,9 @@
       read_answer (in, f);
       break;
     case BJ_FRAME_DATA:
+      f->data = bj_field_bytes (in);
+      read_offset (in, f);
+      break;
     case BJ_FRAME_CONFIG:
       f->data = bj_field_bytes (in);
       break;
@@ -277,6 +294,7 @@
       break;
     case BJ_FRAME_WINDOW:
       f->length = bj_field_uint (in, UINT64_MAX);
+      read_offset (in, f);
       break;
     case BJ_FRAME_PING:
       read_upstream (in, &f->upstream);
@@ -387,6 +405,14 @@
     f->data = bj_field_bytes (in);
 }
 
+// The same.
+static void
+read_offset (BjFields *in, BjFrame *f)
+{
+  if (in->n_left > 0)
+    f->offset = bj_field_uint (in, UINT64_MAX);
+}
+
 static BjSuspicion
 read_suspicion (BjFields *in)
 {
--- a/src/internal.h
+++ b/src/internal.h
@@ -365,7 +365,9 @@
   BjStr data;                    // DATA, CONFIG, CONFIG_PART; HELLO: signature; PING, PONG:
                                  // account usage, empty if absent
   uint64_t length;               // END: bytes of the body; WINDOW: bytes granted; CONFIG_PART: all
-  uint64_t offset;               // CONFIG_PART: of data in the text
+  uint64_t offset;               // CONFIG_PART: of data in the text; DATA: of data in the body if
+                                 // frames before it are not sent again, else 0; WINDOW: bytes
+                                 // forwarded in all, 0 from daemons of earlier versions
   bool takes_parts;              // CONFIG_REQUEST
   uint64_t hash;                 // END: xxHash of the body
   bool is_complete;              // END: of the body
--- a/src/link.c
+++ b/src/link.c
@@ -1,8 +1,9 @@
 // Link: TCP connections to other daemons. A daemon dials one connection per peer for the calls it
 // sends; the responses arrive on the same connection. A silent connection with open calls is
 // pinged. While a ping is unanswered, the peer receives no new calls and its open calls that may be
-// executed again are rerouted. After UNANSWERED_PINGS_MAX pings the connection is replaced; if it
-// carries a response that has begun, which can't be sent again, it stays open for that one alone.
+// executed again are rerouted. After UNANSWERED_PINGS_MAX pings the connection is replaced and its
+// calls go on on the new one. The daemon that accepted it keeps it open for responses that it can't
+// send again, and for these alone.
 
 #include "link.h"
 #include "usage.h"
@@ -369,7 +370,7 @@
                    || (p != NULL && p->is_unreachable);
 
   if (c->is_retired)
-    return g_hash_table_size (c->outgoing) > 0 || g_hash_table_size (c->incoming) > 0;
+    return g_hash_table_size (c->incoming) > 0;
   if (c->is_closing || now - c->last_received_at < BJ_LINK_PING_MS)
     return true;
   if (!is_in_use)
@@ -386,13 +387,12 @@
   return true;
 }
 
-// Returns false when the caller must close the connection. The peer may only be paused, so a
-// response that can't be sent again keeps its connection until the deadline of its call. An
-// accepted connection is left to the daemon that dialled it, which replaces it when it can.
+// Returns false when the caller must close the connection. An accepted connection with a response
+// that can't be sent again is left to the daemon that dialled it, which replaces it when it can.
 static bool
 replace_silent_conn (BjConn *c, BjPeer *p)
 {
-  if (!c->is_dialled && bj_incoming_has_unreplayable (c))
+  if (!c->is_dialled && bj_incoming_has_unkept (c))
     return true;
   n_unresponsive.value++;
   bj_log (BJ_LOG_INFO,
@@ -402,13 +402,7 @@
           c->n_unanswered_pings);
   if (p != NULL)
     bj_kernel_set_peer_unreachable (c->links->daemon->kernel, p, true);
-  if (!bj_outgoing_has_begun (c))
-    return false;
-  if (p != NULL && p->link == c)
-    p->link = NULL;
-  retire_conn (c);
-  bj_outgoing_move_unbegun (c);
-  return true;
+  return false;
 }
 
 static void
@@ -417,9 +411,9 @@
   c->is_retired = true;
   bj_log (BJ_LOG_INFO,
           "LINK",
-          "Connection to %.*s stays open for %u responses that have begun.",
+          "Connection to %.*s stays open for %u responses that can't be sent again.",
           BJ_STR_ARG (c->peer),
-          g_hash_table_size (c->outgoing) + g_hash_table_size (c->incoming));
+          g_hash_table_size (c->incoming));
 }
 
 // Dials in the background, so that no call has to test whether the peer is reachable again.
@@ -529,7 +523,7 @@
   close (c->fd);
   g_hash_table_remove (l->conns, c);
   g_ptr_array_add (l->closed, c);
-  bj_outgoing_handle_disconnect (l, c->peer, c->outgoing, c->n_written, s);
+  bj_outgoing_handle_disconnect (c, s);
   bj_incoming_handle_disconnect (l->incoming, c->incoming);
 }
 
@@ -776,7 +770,7 @@
       if (other != c && !other->is_dialled && other->peer_start == c->peer_start
           && bj_str_equal (other->peer, c->peer) && !other->is_retired)
         {
-          if (bj_incoming_has_unreplayable (other))
+          if (bj_incoming_has_unkept (other))
             retire_conn (other);
           else
             close_conn (other, BJ_E_LOST);
--- a/src/link.h
+++ b/src/link.h
@@ -33,7 +33,7 @@
   bool is_connected;
   bool is_dirty; // in links->dirty
   bool is_closing;
-  bool is_retired;         // replaced by a newer connection; only its begun responses go on
+  bool is_retired;         // replaced by a newer connection; only responses on it go on
   BjStr peer;              // name, owned; empty on an accepted connection before its HELLO
   uint64_t peer_start;     // of its process, 0 before the peer's HELLO
   BjTime last_received_at; // last bytes from the peer
@@ -64,13 +64,8 @@
 bool bj_outgoing_handle (BjConn *c,
                          const BjFrame *f); // ANSWER, DATA, END; false when no open call matches
 void bj_outgoing_handle_disconnect (
-    BjLinks *l,
-    BjStr peer,
-    GHashTable *calls,
-    uint64_t n_written,
+    BjConn *c,
     BjStatus s); // Resends or fails the calls of a closed connection; s: why it was closed
-bool bj_outgoing_has_begun (const BjConn *c); // Some response was received in part
-void bj_outgoing_move_unbegun (BjConn *c);    // Resends or fails the calls without a response
 void bj_outgoing_reroute (BjConn *c); // Reroutes unanswered calls that may be executed again
 
 // Incoming: calls received from peers
@@ -79,7 +74,7 @@
 void bj_incoming_handle_call (BjConn *c, const BjFrame *f);
 void bj_incoming_handle_cancel (BjConn *c, const BjFrame *f);
 void bj_incoming_handle_window (BjConn *c, const BjFrame *f);
-bool bj_incoming_has_unreplayable (const BjConn *c); // Some response can't be sent again
+bool bj_incoming_has_unkept (const BjConn *c); // Some response can't be sent again
 void bj_incoming_handle_disconnect (BjIncoming *in, GHashTable *calls); // Keeps them for a resend
 void bj_incoming_tick (BjIncoming *in,
                        BjTime now); // Cancels calls not resent in time, removes idle senders
--- a/src/outgoing.c
+++ b/src/outgoing.c
@@ -1,11 +1,13 @@
-// Outgoing: calls sent to peers. When a connection fails, a call whose response has not begun is
-// resent under the same id; the peer matches it to the running call, so it does not run twice.
+// Outgoing: calls sent to peers. When a connection fails, its calls are resent under the same ids;
+// the peer matches them to the running ones, so they do not run twice, and sends what is left of
+// their responses.
 
 #include "link.h"
 #include <string.h>
 #include <xxhash.h>
 
-#define SENDS_MAX 3                              // of one call, the first one included
+#define SENDS_MAX 8            // of one call without a byte of its response in between
+#define UNANSWERED_SENDS_MAX 3 // of one call in a row, on connections without a byte from the peer
 #define WINDOW_GRANT_BYTES (BJ_WINDOW_BYTES / 4) // drained bytes after which a WINDOW frame is sent
 
 struct BjOutgoing
@@ -18,17 +20,23 @@
   uint64_t incarnation;          // the peer's incarnation when the call was first sent
   uint64_t expected_incarnation; // equals incarnation once the peer may have the call, 0 before
   int n_sends;
+  int n_unanswered_sends;
   XXH64_state_t *hash;      // of the response body so far
   uint64_t length;          // bytes of response body so far
+  uint64_t next_offset;     // in the response body, of the next DATA frame
+  uint64_t drained_bytes;   // of the response body, forwarded by the sink
   uint64_t ungranted_bytes; // drained since the last WINDOW frame
   bool begun;               // the response head was received
+  bool awaits_head;         // resent since then; what the peer sends begins with the head again
 };
 
 static void send_call (BjConn *c, BjOutgoing *o);
 static bool withdraw_call (BjOutgoing *o);
 static void fail_call (BjOutgoing *o, BjStatus s);
 static bool may_resend (const BjOutgoing *o, const BjPeer *p, BjStatus s);
-static void handle_answer (BjOutgoing *o, const BjFrame *f);
+static void send_window (BjOutgoing *o);
+static bool handle_answer (BjOutgoing *o, const BjFrame *f);
+static void break_response (BjOutgoing *o);
 static void handle_data (BjOutgoing *o, const BjFrame *f);
 static void handle_end (BjOutgoing *o, const BjFrame *f);
 static void on_drained (BjSource *s, size_t n);
@@ -57,11 +65,11 @@
 {
   BjOutgoing *o = g_hash_table_lookup (c->outgoing, &f->id);
 
-  if (o == NULL || o->begun == (f->kind == BJ_FRAME_ANSWER))
+  if (o != NULL && f->kind == BJ_FRAME_ANSWER)
+    return handle_answer (o, f);
+  if (o == NULL || !o->begun || o->awaits_head)
     return false;
-  if (f->kind == BJ_FRAME_ANSWER)
-    handle_answer (o, f);
-  else if (f->kind == BJ_FRAME_DATA)
+  if (f->kind == BJ_FRAME_DATA)
     handle_data (o, f);
   else
     handle_end (o, f);
@@ -69,65 +77,30 @@
 }
 
 void
-bj_outgoing_handle_disconnect (
-    BjLinks *l, BjStr peer, GHashTable *calls, uint64_t n_written, BjStatus s)
+bj_outgoing_handle_disconnect (BjConn *c, BjStatus s)
 {
-  GList *all = g_hash_table_get_values (calls);
+  BjKernel *k = c->links->daemon->kernel;
+  GList *all = g_hash_table_get_values (c->outgoing);
+  bool is_answered = c->peer_start != 0;
 
-  g_hash_table_remove_all (calls);
+  g_hash_table_remove_all (c->outgoing);
   for (GList *i = all; i != NULL; i = i->next)
     {
       BjOutgoing *o = i->data;
-      BjPeer *p = bj_kernel_find_peer (l->daemon->kernel, peer);
-      bool was_written = o->queue_offset < n_written;
+      BjPeer *p = bj_kernel_find_peer (k, c->peer);
 
       o->conn = NULL;
-      if (was_written)
+      o->n_unanswered_sends = is_answered ? 0 : o->n_unanswered_sends + 1;
+      if (o->queue_offset < c->n_written)
         o->expected_incarnation = o->incarnation;
       if (may_resend (o, p, s))
-        send_call (bj_conn_get (l, p), o);
+        send_call (bj_conn_get (c->links, p), o);
       else
         fail_call (o, s);
     }
   g_list_free (all);
 }
 
-bool
-bj_outgoing_has_begun (const BjConn *c)
-{
-  GHashTableIter i;
-  gpointer o;
-
-  g_hash_table_iter_init (&i, c->outgoing);
-  while (g_hash_table_iter_next (&i, NULL, &o))
-    if (((BjOutgoing *)o)->begun)
-      return true;
-  return false;
-}
-
-void
-bj_outgoing_move_unbegun (BjConn *c)
-{
-  GHashTable *unbegun = g_hash_table_new (g_int64_hash, g_int64_equal);
-  GHashTableIter i;
-  gpointer o;
-
-  g_hash_table_iter_init (&i, c->outgoing);
-  while (g_hash_table_iter_next (&i, NULL, &o))
-    if (!((BjOutgoing *)o)->begun && !withdraw_call (o))
-      ((BjOutgoing *)o)->expected_incarnation = ((BjOutgoing *)o)->incarnation;
-  g_hash_table_iter_init (&i, c->outgoing);
-  while (g_hash_table_iter_next (&i, NULL, &o))
-    if (!((BjOutgoing *)o)->begun)
-      {
-        g_hash_table_insert (unbegun, &((BjOutgoing *)o)->id, o);
-        g_hash_table_iter_remove (&i);
-      }
-  // Calls that were written are marked above; the offsets of withdrawn ones mean nothing any more.
-  bj_outgoing_handle_disconnect (c->links, c->peer, unbegun, 0, BJ_E_LOST);
-  g_hash_table_destroy (unbegun);
-}
-
 void
 bj_outgoing_reroute (BjConn *c)
 {
@@ -174,6 +147,9 @@
   f.request.depth = call->request.depth + 1;
   f.request.cohort = call->cohort;
   bj_conn_send (c, &f);
+  o->awaits_head = o->begun;
+  if (o->begun)
+    send_window (o);
 }
 
 // Removes the CALL frame from the queue of a connection that stays open, so that the call is not
@@ -221,27 +197,66 @@
 static bool
 may_resend (const BjOutgoing *o, const BjPeer *p, BjStatus s)
 {
-  if (p == NULL || o->begun || o->exchange->call->state != BJ_CALL_SENT || o->n_sends >= SENDS_MAX
-      || s == BJ_E_CANCELLED)
+  if (p == NULL || o->exchange->call->state != BJ_CALL_SENT || s == BJ_E_CANCELLED)
+    return false;
+  if (o->n_sends >= SENDS_MAX || o->n_unanswered_sends >= UNANSWERED_SENDS_MAX)
     return false;
   if (o->expected_incarnation != 0 && o->expected_incarnation != p->report.incarnation)
     return false;
   return o->exchange->call->deadline > bj_clock_now ();
 }
 
-static void
+static bool
 handle_answer (BjOutgoing *o, const BjFrame *f)
 {
-  o->begun = true;
-  bj_exchange_begin (o->exchange, &f->answer);
+  if (!o->begun)
+    {
+      o->begun = true;
+      bj_exchange_begin (o->exchange, &f->answer);
+      return true;
+    }
+  if (!o->awaits_head)
+    return false;
+  o->awaits_head = false;
+  o->next_offset = 0;
+  // A refusal: the peer has no longer what is left.
+  if (f->answer.outcome != BJ_DONE)
+    break_response (o);
+  return true;
+}
+
+static void
+break_response (BjOutgoing *o)
+{
+  BjExchange *x = o->exchange;
+
+  g_hash_table_remove (o->conn->outgoing, &o->id);
+  free_outgoing (o);
+  bj_exchange_end (x, false);
 }
 
 static void
 handle_data (BjOutgoing *o, const BjFrame *f)
 {
-  XXH64_update (o->hash, f->data.data, f->data.len);
-  o->length += f->data.len;
-  bj_exchange_data (o->exchange, f->data);
+  BjStr part = f->data;
+  uint64_t n_known;
+
+  if (f->offset > 0)
+    o->next_offset = f->offset;
+  if (o->next_offset > o->length)
+    {
+      break_response (o);
+      return;
+    }
+  n_known = MIN (o->length - o->next_offset, part.len);
+  o->next_offset += part.len;
+  part = (BjStr){ part.data + n_known, part.len - n_known };
+  if (part.len == 0)
+    return;
+  o->n_sends = 1;
+  XXH64_update (o->hash, part.data, part.len);
+  o->length += part.len;
+  bj_exchange_data (o->exchange, part);
 }
 
 static void
@@ -259,12 +274,20 @@
 on_drained (BjSource *s, size_t n)
 {
   BjOutgoing *o = (BjOutgoing *)s;
-  BjFrame f = { .kind = BJ_FRAME_WINDOW, .id = o->id };
 
+  o->drained_bytes += n;
   o->ungranted_bytes += n;
-  if (o->ungranted_bytes < WINDOW_GRANT_BYTES)
-    return;
-  f.length = o->ungranted_bytes;
+  if (o->ungranted_bytes >= WINDOW_GRANT_BYTES)
+    send_window (o);
+}
+
+static void
+send_window (BjOutgoing *o)
+{
+  BjFrame f = {
+    .kind = BJ_FRAME_WINDOW, .id = o->id, .length = o->ungranted_bytes, .offset = o->drained_bytes
+  };
+
   o->ungranted_bytes = 0;
   bj_conn_send (o->conn, &f);
 }
--- a/tests/standins/fault.c
+++ b/tests/standins/fault.c
@@ -14,7 +14,7 @@
 //   reset    resets the connections now open; new ones are not affected
 //   lose     forwards requests; resets the connection instead of forwarding the response, V times
 //   delay    delays data by V ms in each direction
-//   rate     forwards V bytes per second, shared by all connections of the rule
+//   rate     forwards V bytes per second in each direction, shared by all connections of the rule
 //
 // Datagrams are affected by ok, cut and hold only.
 
@@ -56,8 +56,8 @@
   char tag[64];
   char src[32];
   bool enabled[MODES];
-  double value[MODES]; // parameter V of each mode
-  double next_send_s;  // time at which mode rate lets the next chunk pass
+  double value[MODES];   // parameter V of each mode
+  double next_send_s[2]; // time at which mode rate lets the next chunk to or from the target pass
 } Rule;
 
 typedef struct
@@ -123,7 +123,7 @@
 static void flush_flow (Flow *f);
 static void close_connection (Connection *conn, bool reset);
 static Rule *find_rule (const char *tag, const char *src);
-static double compute_due_time (Rule *r, size_t n);
+static double compute_due_time (Rule *r, bool is_from_target, size_t n);
 static void count_bytes (const char *tag, size_t n);
 static enum MHD_Result on_control (void *cls,
                                    struct MHD_Connection *conn,
@@ -366,7 +366,7 @@
     }
   count_bytes (f->connection->listener->tag, n);
   c = g_new (Chunk, 1);
-  c->due_s = compute_due_time (r, n);
+  c->due_s = compute_due_time (r, f->is_from_target, n);
   c->data = g_bytes_new (data, n);
   f->n_buffered += n;
   g_queue_push_tail (&f->chunks, c);
@@ -502,15 +502,17 @@
 }
 
 static double
-compute_due_time (Rule *r, size_t n)
+compute_due_time (Rule *r, bool is_from_target, size_t n)
 {
   double now = ev_time ();
   double due_s = now;
 
   if (r != NULL && r->enabled[MODE_RATE])
     {
-      r->next_send_s = MAX (r->next_send_s, now) + (double)n / r->value[MODE_RATE];
-      due_s = r->next_send_s;
+      double *next_s = &r->next_send_s[is_from_target];
+
+      *next_s = MAX (*next_s, now) + (double)n / r->value[MODE_RATE];
+      due_s = *next_s;
     }
   if (r != NULL && r->enabled[MODE_DELAY])
     due_s += r->value[MODE_DELAY] / 1000.0;
--- a/tests/test_fleet_path.c
+++ b/tests/test_fleet_path.c
@@ -276,11 +276,14 @@
   return read_upstream_stat (2, "run") > *(double *)data;
 }
 
-#define RUN_MS 400      // of a request on the upstream
-#define ONE_WAY_MS 200  // of a link with a delay
-#define BYTES_PER_S 2e6 // of a link with a rate
-#define FAULTS_MAX 4    // of one request
+#define RUN_MS 400         // of a request on the upstream
+#define ONE_WAY_MS 200     // of a link with a delay
+#define BYTES_PER_S 900000 // of a link with a rate
+#define SLOW_BYTES_PER_S                                                                           \
+  3e5                // of a slow link: a request of BODY_BYTES takes longer than a silent peer has
+#define FAULTS_MAX 4 // of one request
 #define BODY_BYTES 900000
+#define CANCEL_US 100000 // for a cancellation to be sent
 
 typedef struct
 {
@@ -320,6 +323,23 @@
   { "the same, 60 KB", NULL, "reset", BEFORE_RESPONSE, FILE ("60000"), "delay", 0 },
   { "the same, chunked", NULL, "reset", BEFORE_RESPONSE, FILE ("60000&chunked=1"), "delay", 0 },
   { "the same, 1 MB", NULL, "reset", BEFORE_RESPONSE, FILE ("1000000"), "delay", 0 },
+  { "reset with the response in flight", NULL, "reset", IN_FLIGHT, FILE ("3000"), "delay", 0 },
+  { "the same, 5 KB", NULL, "reset", IN_FLIGHT, FILE ("5000"), "delay", 0 },
+  { "the same, once", NULL, "reset", IN_FLIGHT, ONCE ("60000"), "delay", 0 },
+  { "the same, chunked", NULL, "reset", IN_FLIGHT, FILE ("60000&chunked=1"), "delay", 0 },
+  { "the same, 1 MB", NULL, "reset", IN_FLIGHT, FILE ("1000000"), "delay", 0 },
+  { "reset within a response", NULL, "reset", { 900 }, FILE ("1500000"), "rate", 0 },
+  { "the same, once", NULL, "reset", { 900 }, ONCE ("1500000"), "rate", 0 },
+  { "silent within a response", NULL, "silence", { 900 }, FILE ("1500000"), "rate", 0 },
+  { "resets within a response",
+    NULL,
+    "reset",
+    { 600, 900, 1200, 1500 },
+    FILE ("1500000&chunked=1"),
+    "rate",
+    0 },
+  { "resets while it runs", NULL, "reset", { 50, 150, 250, 350 }, FILE ("60000"), NULL, 0 },
+  { "the same, once", NULL, "reset", { 50, 150, 250, 350 }, ONCE ("60000"), NULL, 0 },
 };
 
 static bool
@@ -338,23 +358,27 @@
 static void
 set_link_fault (const char *mode)
 {
-  double value = strcmp (mode, "delay") == 0  ? ONE_WAY_MS
-                 : strcmp (mode, "rate") == 0 ? BYTES_PER_S
-                                              : 1;
-
-  assert_true (fleet_set_fault (&fleet, "link-b", fleet.members[0].ip, mode, value));
+  bool is_slow = strcmp (mode, "slow") == 0;
+  double value = is_slow                       ? SLOW_BYTES_PER_S
+                 : strcmp (mode, "rate") == 0  ? BYTES_PER_S
+                 : strcmp (mode, "delay") == 0 ? ONE_WAY_MS
+                                               : 1;
+
+  assert_true (
+      fleet_set_fault (&fleet, "link-b", fleet.members[0].ip, is_slow ? "rate" : mode, value));
 }
 
-static void
+static bool
 run_link_case (const LinkCase *c, const char *id)
 {
   double before;
   char *body = c->body_bytes > 0 ? g_strnfill ((gsize)c->body_bytes, 'x') : NULL;
   Request r = { .body = body, .out = g_string_new (NULL) };
+  bool is_right;
+  double n_runs;
   BjTime sent;
   GThread *thread;
 
-  print_message ("  %s\n", c->name);
   assert_true (fleet_wait_until (is_served, NULL, 10000));
   before = read_upstream_stat (2, "run");
   if (c->link != NULL)
@@ -374,13 +398,20 @@
         set_link_fault (c->during);
     }
   g_thread_join (thread);
-  print_message ("    %.0f ms\n", bj_clock_now () - sent);
+  n_runs = read_upstream_stat (2, "run") - before;
+  is_right = r.status == 200 && n_runs == 1
+             && is_pattern (r.out, (size_t)atoi (strchr (c->path, '=') + 1), id);
+  print_message ("  %s: status %d, %zu bytes, %g runs, %.0f ms%s\n",
+                 c->name,
+                 r.status,
+                 r.out->len,
+                 n_runs,
+                 bj_clock_now () - sent,
+                 is_right ? "" : ", WRONG");
   fleet_set_link_fault (&fleet, "a", "b", "ok");
-  assert_int_equal (r.status, 200);
-  assert_true (is_pattern (r.out, (size_t)atoi (strchr (c->path, '=') + 1), id));
-  assert_true (read_upstream_stat (2, "run") == before + 1);
   g_string_free (r.out, TRUE);
   g_free (body);
+  return is_right;
 }
 
 // Whatever fault the link has, the request must run exactly once and its caller get the response.
@@ -388,6 +419,7 @@
 test_link_faults (void **state)
 {
   char text[64];
+  int n_wrong = 0;
 
   (void)state;
   g_snprintf (text, sizeof text, "/control/service_us?value=%d", RUN_MS * 1000);
@@ -395,10 +427,11 @@
   for (size_t i = 0; i < G_N_ELEMENTS (link_cases); i++)
     {
       g_snprintf (text, sizeof text, "own%zu", i);
-      run_link_case (&link_cases[i], text);
+      n_wrong += !run_link_case (&link_cases[i], text);
     }
   fleet_http (
       "POST", fleet.members[2].upstream_port, "/control/service_us?value=2000", NULL, "", NULL);
+  assert_int_equal (n_wrong, 0);
 }
 
 #define WARM_CONNECTIONS 8 // idle connections to the upstream that go silent
@@ -419,7 +452,7 @@
       "POST", fleet.members[2].upstream_port, "/control/service_us?value=200000", NULL, "", NULL);
   for (int i = 0; i < WARM_CONNECTIONS; i++)
     {
-      requests[i].out = NULL;
+      requests[i] = (Request){ .status = 0 };
       g_snprintf (requests[i].path, sizeof requests[i].path, "/plans/warm?id=%d", i);
       threads[i] = g_thread_new ("request", run_request, &requests[i]);
     }
@@ -436,19 +469,39 @@
   assert_true (n_failed <= 1);
 }
 
-static bool
-has_queued_calls (void *data)
+static double
+read_guard_metric (const char *name)
 {
   GString *out = g_string_new (NULL);
   const char *at;
-  bool has_calls;
+  double value;
 
-  (void)data;
   fleet_http ("GET", fleet.members[2].admin_port, "/metrics", NULL, NULL, out);
-  at = strstr (out->str, "\nbj_queued ");
-  has_calls = at != NULL && atoi (at + strlen ("\nbj_queued ")) > 0;
+  at = strstr (out->str, name);
+  value = at != NULL ? g_ascii_strtod (at + strlen (name), NULL) : -1;
   g_string_free (out, TRUE);
-  return has_calls;
+  return value;
+}
+
+static bool
+has_queued_calls (void *data)
+{
+  (void)data;
+  return read_guard_metric ("\nbj_queued ") > 0;
+}
+
+static bool
+has_running_call (void *data)
+{
+  (void)data;
+  return read_guard_metric ("\nbj_in_flight ") == 1;
+}
+
+static bool
+has_no_running_call (void *data)
+{
+  (void)data;
+  return read_guard_metric ("\nbj_in_flight ") == 0;
 }
 
 static bool
@@ -501,6 +554,29 @@
       "POST", fleet.members[2].upstream_port, "/control/service_us?value=2000", NULL, "", NULL);
 }
 
+// Guards against a run that goes on for nobody: its caller has left, and the cancellation was lost
+// with the connection to the daemon beside the upstream.
+static void
+test_cancelled_by_a_lost_connection (void **state)
+{
+  int fd;
+
+  (void)state;
+  assert_true (fleet_wait_until (is_served, NULL, 10000));
+  fleet_http (
+      "POST", fleet.members[2].upstream_port, "/control/service_us?value=9000000", NULL, "", NULL);
+  fd = send_without_reading (fleet.members[0].front_port);
+  assert_true (fleet_wait_until (has_running_call, NULL, 5000));
+  fleet_set_link_fault (&fleet, "a", "b", "hold");
+  close (fd);
+  g_usleep (CANCEL_US);
+  fleet_set_link_fault (&fleet, "a", "b", "reset");
+  fleet_set_link_fault (&fleet, "a", "b", "ok");
+  assert_true (fleet_wait_until (has_no_running_call, NULL, 5000));
+  fleet_http (
+      "POST", fleet.members[2].upstream_port, "/control/service_us?value=2000", NULL, "", NULL);
+}
+
 int
 main (void)
 {
@@ -511,6 +587,7 @@
     cmocka_unit_test (test_cut_peer_is_avoided),
     cmocka_unit_test (test_link_faults),
     cmocka_unit_test (test_cancelled_while_queued),
+    cmocka_unit_test (test_cancelled_by_a_lost_connection),
     cmocka_unit_test (test_silent_upstream_connections),
   };
 
--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -1,5 +1,5 @@
-// A daemon whose peer stops reading while a response from it has begun: the connection stays open
-// for that response, and the calls behind it are sent elsewhere or answered.
+// A daemon whose peer stops reading while a response from it has begun: the connection is replaced,
+// and the calls behind it are sent elsewhere or answered.
 
 #include "daemons.h"
 #include "kernel.h"
