A daemon that receives a large frame tells its peer

Callers saw: 503 or 502 for requests with a body that takes longer than 0.9 s on the link, after it was sent three times; none of them ran.

Cause: pings wait behind the body, so five of them stay unanswered and the connection is taken for silent, again and again.

Change: while a frame is incomplete, its receiver sends a PONG each 75 ms at most. A paused process sends none.

--- a/src/link.c
+++ b/src/link.c
@@ -30,6 +30,7 @@
 
 static void on_accept (struct ev_loop *loop, ev_io *w, int events);
 static void on_readable (struct ev_loop *loop, ev_io *w, int events);
+static void tell_progress (BjConn *c);
 static void mark_peer_reachable (const BjConn *c);
 static void on_writable (struct ev_loop *loop, ev_io *w, int events);
 static void on_ping_timer (struct ev_loop *loop, ev_timer *w, int events);
@@ -299,6 +300,18 @@
   g_string_append_len (c->in, buffer, n);
   if (!read_frames (c))
     close_conn (c, BJ_E_LOST);
+  else if (c->in->len > 0)
+    tell_progress (c);
+}
+
+// Pings wait behind a large frame, so the peer is told that it arrives.
+static void
+tell_progress (BjConn *c)
+{
+  if (c->peer_start == 0 || c->last_received_at - c->told_progress_at < BJ_LINK_PING_MS / 2.0)
+    return;
+  c->told_progress_at = c->last_received_at;
+  send_pong (c, BJ_STR_NULL);
 }
 
 static void
--- a/src/link.h
+++ b/src/link.h
@@ -38,6 +38,7 @@
   uint64_t peer_start;     // of its process, 0 before the peer's HELLO
   BjTime last_received_at; // last bytes from the peer
   BjTime last_ping_at;     // last ping sent
+  BjTime told_progress_at; // last time that the peer was told of a frame received in part
   int n_unanswered_pings;  // sent since the last bytes from the peer
   GString *in;             // received bytes that are not a complete frame yet
   msgpack_sbuffer out;     // encoded frames to write
--- a/tests/test_fleet_path.c
+++ b/tests/test_fleet_path.c
@@ -340,6 +340,10 @@
     0 },
   { "resets while it runs", NULL, "reset", { 50, 150, 250, 350 }, FILE ("60000"), NULL, 0 },
   { "the same, once", NULL, "reset", { 50, 150, 250, 350 }, ONCE ("60000"), NULL, 0 },
+  { "large request", NULL, NULL, { 0 }, FILE ("60000"), "slow", BODY_BYTES },
+  { "the same, once", NULL, NULL, { 0 }, ONCE ("60000"), "slow", BODY_BYTES },
+  { "reset within a request", NULL, "reset", { 250 }, FILE ("60000"), "rate", BODY_BYTES },
+  { "the same, once", NULL, "reset", { 250 }, ONCE ("60000"), "rate", BODY_BYTES },
 };
 
 static bool
