Test: odd entries in the list of members

What the report of odd entries can't do here, shown: entries of other types, numbers too large, ports out of range, nested entries and texts that are no address beside one sound address; two daemons read the list, run on, and the second one joins the first through it.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1019,6 +1019,57 @@
     }
 }
 
+static void
+on_put (void *data, const BjPlatformReply *r)
+{
+  *(bool *)data = r->code == BJ_OK;
+}
+
+// Entries of another writer in the list of members: each is passed over, the sound one is used.
+static void
+test_odd_members (void **state)
+{
+  static const char odd[]
+      = "{\"writer\":[],\"gossip\":[null,7,1e999,-99999999999999999999,\"\",\":\",\"10.0.0.1\","
+        "\"10.0.0.1:\",\"10.0.0.1:0\",\"10.0.0.1:65536\",\"10.0.0.1:99999999999999999999\","
+        "\"no address:7000\",\"\u00e9:7000\",[\"10.0.0.1:7000\"],{\"a:1\":\"b:2\"},"
+        "[[[[[[[[[[[[[[[[[[[[\":1\"]]]]]]]]]]]]]]]]]]]],\"%s:%d\"]}";
+  const BjPlatformOps *ops = bj_plugin_find (BJ_PLUGIN_PLATFORM, BJ_STR ("memory"));
+  struct ev_loop *loop = ev_loop_new (0);
+  BjPlatform *p = ops->create (loop, NULL, BJ_STR ("odd"));
+  BjSettings s = { .name = BJ_STR ("first"),
+                   .gossip = daemons_free_address (),
+                   .platform_name = BJ_STR ("memory"),
+                   .platform_url = BJ_STR ("odd"),
+                   .dialect = BJ_STR ("platform") };
+  char *text = g_strdup_printf (odd, s.gossip.host.data, s.gossip.port);
+  struct json_object *spec = json_tokener_parse (text);
+  BjTime until = bj_clock_now () + WAIT_MS;
+  BjDaemon *daemons[2];
+  bool is_put = false;
+
+  (void)state;
+  assert_non_null (spec);
+  ops->put (p, "members/a", spec, BJ_STR_NULL, on_put, &is_put);
+  while (!is_put && bj_clock_now () < until)
+    ev_run (loop, EVRUN_ONCE);
+  assert_true (is_put);
+  daemons[0] = daemons_new (loop, s);
+  s.name = BJ_STR ("second");
+  s.gossip = (BjAddress){ .port = 0 };
+  daemons[1] = daemons_new (loop, s);
+  while (bj_kernel_find_peer (daemons[1]->kernel, BJ_STR ("first")) == NULL
+         && bj_clock_now () < until)
+    ev_run (loop, EVRUN_ONCE);
+  assert_non_null (bj_kernel_find_peer (daemons[1]->kernel, BJ_STR ("first")));
+  for (int i = 0; i < 2; i++)
+    bj_daemon_free (daemons[i]);
+  ops->destroy (p);
+  json_object_put (spec);
+  g_free (text);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
@@ -1031,6 +1082,7 @@
     cmocka_unit_test (test_request),
     cmocka_unit_test (test_announcements),
     cmocka_unit_test (test_store),
+    cmocka_unit_test (test_odd_members),
   };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
