--- a/src/incoming.c
+++ b/src/incoming.c
@@ -386,7 +386,7 @@
   BjFrame f = { .kind = BJ_FRAME_DATA, .id = r->id, .offset = r->acked };
   BjStr left = { r->body->str, r->body->len };
 
-  if (r->head != NULL)
+  if (r->head != NULL && r->head->len > 0)
     msgpack_sbuffer_write (out, r->head->str, r->head->len);
   for (; left.len > 0; left = (BjStr){ left.data + f.data.len, left.len - f.data.len })
     {
