--- a/src/server.c
+++ b/src/server.c
@@ -21,9 +21,8 @@
 #define ACCEPTS_PER_EVENT 64 // connections accepted before other events are handled
 #define READ_BYTES 65536     // per recv call
 #define HANDSHAKE_MS 20      // for connections whose handshake has begun when accepting stops
-#define STOPPED_IDLE_MS                                                                            \
-  200                      // without a request until a connection is closed, once accepting stopped
-#define UNPARSED_MAX 65536 // buffered bytes of later requests at which reading stops
+#define STOPPED_IDLE_MS 200  // for a request of an open connection once accepting stopped
+#define UNPARSED_MAX 65536   // buffered bytes of later requests at which reading stops
 #define TIMEOUT_CHECK_INTERVAL_MS 100
 #define PIPELINED_DEFAULT 1    // open requests of a connection unless set
 #define WAITING_BYTES 262144   // of responses that wait for an earlier one
--- a/tests/test_fleet_drain.c
+++ b/tests/test_fleet_drain.c
@@ -204,16 +204,14 @@
   assert_int_equal (n_slow, 0);
 }
 
-// Requests a large response and reads its beginning; the daemons hold back the rest until the
-// caller reads on.
+// Sends a request on a new connection with a small receive buffer and reads the beginning of the
+// response.
 static int
-begin_large_response (int front)
+send_on_new_connection (int front, const char *request, double timeout_ms)
 {
-  static const char request[]
-      = "GET /plans/1?bytes=" LARGE_TEXT "&id=large HTTP/1.1\r\nHost: x\r\n\r\n";
   struct sockaddr_in addr
       = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)fleet.members[front].front_port) };
-  struct timeval timeout = { WAIT_TIMEOUT_MS / 1000, 0 };
+  struct timeval timeout = { (time_t)(timeout_ms / 1000), 0 };
   int small = SOCKET_BYTES;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   char head[SOCKET_BYTES];
@@ -227,6 +225,16 @@
   return fd;
 }
 
+// The daemons hold back the rest of the response until the caller reads on.
+static int
+begin_large_response (int front)
+{
+  return send_on_new_connection (front,
+                                 "GET /plans/1?bytes=" LARGE_TEXT
+                                 "&id=large HTTP/1.1\r\nHost: x\r\n\r\n",
+                                 WAIT_TIMEOUT_MS);
+}
+
 // Bytes until LARGE_BYTES have been read, less those read before, or the connection ends.
 static size_t
 read_rest (int fd)
@@ -240,25 +248,6 @@
   return total;
 }
 
-// Sends a request, reads its response and leaves the connection open.
-static int
-open_idle_connection (int front)
-{
-  static const char request[] = "GET /plans/1?bytes=1&id=a HTTP/1.1\r\nHost: x\r\n\r\n";
-  struct sockaddr_in addr
-      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)fleet.members[front].front_port) };
-  struct timeval timeout = { IDLE_CLOSE_MS / 1000, 0 };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  char response[SOCKET_BYTES];
-
-  inet_pton (AF_INET, "127.0.0.1", &addr.sin_addr);
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-  assert_int_equal (connect (fd, (struct sockaddr *)&addr, sizeof addr), 0);
-  assert_int_equal (send (fd, request, strlen (request), MSG_NOSIGNAL), strlen (request));
-  assert_true (recv (fd, response, sizeof response, 0) > 0);
-  return fd;
-}
-
 // Guards against a stopping daemon that keeps idle connections open: requests on them would be cut
 // when it ends. A response that has begun still arrives in full.
 static void
@@ -271,7 +260,8 @@
   (void)state;
   start_fleet ();
   response = begin_large_response (0);
-  idle = open_idle_connection (0);
+  idle = send_on_new_connection (
+      0, "GET /plans/1?bytes=1&id=a HTTP/1.1\r\nHost: x\r\n\r\n", IDLE_CLOSE_MS);
   kill (fleet.members[0].daemon, SIGTERM);
   assert_int_equal (recv (idle, &byte, 1, 0), 0);
   assert_true (read_rest (response) >= LARGE_BYTES - SOCKET_BYTES);
