--- a/tests/test_fleet_drain.c
+++ b/tests/test_fleet_drain.c
@@ -255,7 +255,8 @@
 {
   int response;
   int idle;
-  char byte;
+  char rest[16];
+  ssize_t n;
 
   (void)state;
   start_fleet ();
@@ -263,7 +264,10 @@
   idle = send_on_new_connection (
       0, "GET /plans/1?bytes=1&id=a HTTP/1.1\r\nHost: x\r\n\r\n", IDLE_CLOSE_MS);
   kill (fleet.members[0].daemon, SIGTERM);
-  assert_int_equal (recv (idle, &byte, 1, 0), 0);
+  // The end of its response may still be there to read.
+  while ((n = recv (idle, rest, sizeof rest, 0)) > 0)
+    continue;
+  assert_int_equal (n, 0);
   assert_true (read_rest (response) >= LARGE_BYTES - SOCKET_BYTES);
   assert_int_equal (fleet_wait_exit (&fleet.members[0].daemon, WAIT_TIMEOUT_MS), 0);
   close (idle);
