--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -502,49 +502,172 @@
     95 },
 };
 
+// Opens a daemon for the upstream of orders at 10.0.0.1:80.
 static void
-test_announcements (void **state)
+open_announced (BjDaemon *d)
 {
-  struct ev_loop *loop = ev_loop_new (0);
-  BjDaemon d = { .loop = loop };
-  BjKernelOptions o = { .self = { .name = BJ_STR ("one") }, .host = &d.host, .seed = 1 };
+  BjKernelOptions o = { .self = { .name = BJ_STR ("one") }, .host = &d->host, .seed = 1 };
   GString *text = g_string_new (NULL);
   struct json_object *spec = json_tokener_parse (MANIFEST ("r1", ROUTE_ACCEPT));
   BjConfig *config;
 
-  (void)state;
-  d.dialect = bj_plugin_find (BJ_PLUGIN_DIALECT, BJ_STR ("platform"));
-  d.settings.service = BJ_STR ("orders");
-  d.settings.upstream = (BjAddress){ BJ_STR ("10.0.0.1"), 80 };
-  d.pool = bj_pool_new (loop);
-  d.kernel = bj_kernel_new (&o, 0);
+  d->loop = ev_loop_new (0);
+  d->dialect = bj_plugin_find (BJ_PLUGIN_DIALECT, BJ_STR ("platform"));
+  d->settings.service = BJ_STR ("orders");
+  d->settings.upstream = (BjAddress){ BJ_STR ("10.0.0.1"), 80 };
+  d->pool = bj_pool_new (d->loop);
+  d->kernel = bj_kernel_new (&o, 0);
   platform_convert_manifest (spec, text);
   json_object_put (spec);
   assert_int_equal (bj_config_parse_with_defaults ((BjStr){ text->str, text->len },
                                                    BJ_STR ("{\"limiter\":{\"plugin\":\"slots\"}}"),
                                                    &config),
                     BJ_OK);
-  bj_kernel_set_config (d.kernel, 0, config);
+  bj_kernel_set_config (d->kernel, 0, config);
+  g_string_free (text, TRUE);
+}
+
+static void
+close_announced (BjDaemon *d)
+{
+  bj_kernel_free (d->kernel);
+  bj_pool_free (d->pool);
+  bj_str_free (&d->upstream.host);
+  bj_str_free (&d->upstream_id);
+  ev_loop_destroy (d->loop);
+}
+
+// Returns the HTTP status, and in *self the state of the daemon after it.
+static int
+announce (BjDaemon *d, const char *method, const char *path, const char *body, BjPeerReport *self)
+{
+  GString *out = g_string_new (NULL);
+  int status = bj_admin_handle (d, bj_str (method), bj_str (path), bj_str (body), out);
+
+  bj_kernel_get_self_report (d->kernel, 0, self);
+  g_string_free (out, TRUE);
+  return status;
+}
+
+static void
+test_announcements (void **state)
+{
+  BjDaemon d = { 0 };
+
+  (void)state;
+  open_announced (&d);
   for (size_t i = 0; i < G_N_ELEMENTS (announce_cases); i++)
     {
       const AnnounceCase *c = &announce_cases[i];
-      GString *out = g_string_new (NULL);
-      int status
-          = bj_admin_handle (&d, bj_str (c->method), bj_str (c->path), bj_str (c->body), out);
       BjPeerReport self;
+      int status = announce (&d, c->method, c->path, c->body, &self);
 
-      bj_kernel_get_self_report (d.kernel, 0, &self);
       if (status != c->status || self.draining != c->draining || self.limit != c->limit)
         fail_msg (
             "%s: status %d, draining %d, limit %d", c->name, status, self.draining, self.limit);
-      g_string_free (out, TRUE);
     }
-  bj_kernel_free (d.kernel);
-  bj_pool_free (d.pool);
-  bj_str_free (&d.upstream.host);
-  bj_str_free (&d.upstream_id);
-  g_string_free (text, TRUE);
-  ev_loop_destroy (loop);
+  close_announced (&d);
+}
+
+// A field of an announcement, and what another writer puts there; NULL leaves it out.
+typedef struct
+{
+  const char *field;
+  const char *value;
+} OddCase;
+
+static const OddCase odd_cases[] = {
+  { "service", NULL },      { "service", "7" },        { "service", "\"nobody\"" },
+  { "service", "\"\"" },    { "address", NULL },       { "address", "7" },
+  { "address", "\"\"" },    { "address", "\":80\"" },  { "address", "\"10.0.0.9:80\"" },
+  { "zone", NULL },         { "zone", "7" },           { "zone", "null" },
+  { "zone", "[\"z\"]" },    { "version", NULL },       { "version", "3" },
+  { "version", "{}" },      { "slots", NULL },         { "slots", "\"100\"" },
+  { "slots", "0" },         { "slots", "-1" },         { "slots", "1.5" },
+  { "state", NULL },        { "state", "true" },       { "state", "\"leaving\"" },
+  { "coldS_time", NULL },   { "coldS_time", "\"0\"" }, { "coldS_time", "false" },
+  { "coldS_time", "null" }, { "sequence", NULL },      { "sequence", "\"9\"" },
+  { "sequence", "-1" },     { "sequence", "9.5" },     { "born", "\"9\"" },
+  { "born", "-1" },         { "born", "9.5" },         { "born", "null" },
+};
+
+// Writes an announcement with one field replaced.
+static void
+write_announcement (GString *out, const OddCase *c, int sequence, int born)
+{
+  const char *fields[][2] = {
+    { "service", "\"orders\"" },
+    { "address", "\"10.0.0.1:80\"" },
+    { "zone", "\"z\"" },
+    { "version", "\"v\"" },
+    { "slots", "100" },
+    { "state", "\"ready\"" },
+    { "coldS_time", "0.5" },
+    { "sequence", NULL },
+    { "born", NULL },
+  };
+
+  g_string_assign (out, "{");
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      const char *name = fields[i][0];
+      const char *value = fields[i][1];
+
+      if (strcmp (name, c->field) == 0 && c->value == NULL)
+        continue;
+      g_string_append_printf (out, "%s\"%s\":", out->len > 1 ? "," : "", name);
+      if (strcmp (name, c->field) == 0)
+        g_string_append (out, c->value);
+      else if (value != NULL)
+        g_string_append (out, value);
+      else
+        g_string_append_printf (out, "%d", strcmp (name, "born") == 0 ? born : sequence);
+    }
+  g_string_append (out, "}");
+}
+
+// An announcement with an odd field must change nothing: it must not end a drain, replace the
+// upstream, or make the upstream's own later announcements stale.
+static void
+test_odd_announcements (void **state)
+{
+  static const OddCase sound = { "", NULL };
+  static const char *const paths[] = { "/instances/i-1", "/instances/i-9" };
+  BjDaemon d = { 0 };
+  GString *body = g_string_new (NULL);
+  BjPeerReport self;
+  int n_wrong = 0;
+
+  (void)state;
+  open_announced (&d);
+  for (int i = 0; i < (int)(G_N_ELEMENTS (odd_cases) * G_N_ELEMENTS (paths)); i++)
+    {
+      const OddCase *c = &odd_cases[i / 2];
+      int born = 1000 + i;
+      int status;
+
+      write_announcement (body, &sound, 3, born);
+      assert_int_equal (announce (&d, "PUT", paths[0], body->str, &self), 200);
+      assert_false (self.draining);
+      bj_kernel_drain (d.kernel, 0, BJ_DRAIN_UPSTREAM, true);
+      write_announcement (body, c, 9, i % 2 == 0 ? born : born + 500);
+      status = announce (&d, "PUT", paths[i % 2], body->str, &self);
+      if (status == 400 && self.draining && d.upstream_sequence == 3
+          && bj_str_equal (d.upstream_id, BJ_STR ("i-1")))
+        continue;
+      n_wrong++;
+      print_error ("%s %s for %s: status %d, draining %d\n",
+                   c->field,
+                   c->value != NULL ? c->value : "left out",
+                   paths[i % 2],
+                   status,
+                   self.draining);
+      // The next row must not depend on this one.
+      d.upstream_started_ms = 0;
+    }
+  assert_int_equal (n_wrong, 0);
+  close_announced (&d);
+  g_string_free (body, TRUE);
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -1081,6 +1204,7 @@
     cmocka_unit_test (test_refusals),
     cmocka_unit_test (test_request),
     cmocka_unit_test (test_announcements),
+    cmocka_unit_test (test_odd_announcements),
     cmocka_unit_test (test_store),
     cmocka_unit_test (test_odd_members),
   };
