An upstream that has said draining leaves until another start

Cause: each announcement set or ended the drain of the upstream; only a DELETE lasted. The platform's page knows no way back from draining, and the acknowledgement binds.

Change: the platform's dialect marks draining as leaving, which lasts until another start. Announcements of a leaving upstream still count as signs of life, so that a lost run is probed at its address.

Measured: test_platform test_announcements, row "ready again after draining, same start", fails before (draining 0), passes now.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -362,9 +362,6 @@
   if (!is_own_upstream (d, a))
     return BJ_E_ARGUMENT;
   bj_kernel_upstream_started (d->kernel, now, hash_start (a));
-  // Ignored: an upstream that leaves keeps announcing itself until its process exits.
-  if (bj_kernel_upstream (d->kernel)->is_leaving)
-    return BJ_OK;
   if (!is_same_start)
     bj_pool_close_idle (d->pool);
   bj_str_set (&d->upstream_id, a->id);
@@ -374,8 +371,13 @@
   d->upstream.port = a->address.port;
   d->announced = now;
   bj_kernel_announce (d->kernel, now, a->service, a->slots);
+  // An upstream that leaves keeps announcing itself until its process exits.
+  if (bj_kernel_upstream (d->kernel)->is_leaving)
+    return BJ_OK;
   bj_kernel_drain (d->kernel, now, BJ_DRAIN_UPSTREAM, a->draining);
-  if (a->draining)
+  if (a->is_leaving)
+    handle_departure (d, now);
+  else if (a->draining)
     bj_members_publish (d->members);
   return BJ_OK;
 }
--- a/src/internal.h
+++ b/src/internal.h
@@ -169,6 +169,7 @@
   BjAddress address;
   int slots;
   bool draining;
+  bool is_leaving; // draining until another start; an announcement of this one can't end it
   bool is_shutting_down;
   double cold_ms;    // warm-up time left
   int64_t sequence;  // increases with each announcement of one start, 0 if not given
