Calls that wait for a service are refused when its address goes to another one

Cause: bj_kernel_announce () changed the service of the guard and kept its queue. The waiting calls were then started on the new backend, under its id, so that it could not notice. They were refused only where the old backend had been found down before, which takes three missed announcements.

Ruled out: a call sent by a peer to the wrong daemon (bj_kernel_arrive_peer () compares the service); a call begun for the old backend (it names the old id and gets 421).

Change: the queue is refused as not run before the service changes; other daemons of the service may take the calls.

--- a/src/guard.c
+++ b/src/guard.c
@@ -17,7 +17,7 @@
 static void bound_queue (BjKernel *k, BjTime now);
 static void refuse_less_important (BjKernel *k, BjTime now, int klass);
 static BjStatus check_rate_wait (BjKernel *k, BjTime now, const BjCall *c);
-static void refuse_queued (BjKernel *k, BjTime now);
+static void refuse_queued (BjKernel *k, BjTime now, BjStatus s);
 static void refuse_evicted (BjKernel *k, BjTime now, BjCall *list);
 static void start_queued (BjKernel *k, BjTime now);
 static bool has_slot (BjKernel *k, BjTime now, int klass);
@@ -35,6 +35,9 @@
     {
       if (k->self->service != NULL)
         g_ptr_array_remove (k->self->service->peers, k->self);
+      k->self->service = NULL;
+      // They wait for the service that was here before.
+      refuse_queued (k, now, BJ_E_NO_UPSTREAM);
       bj_str_set (&k->guard.service, service);
       bj_str_set (&k->self->report.service, service);
       k->self->service = bj_kernel_get_service (k, service);
@@ -66,7 +69,7 @@
     k->guard.limiter->ops->destroy (k->guard.limiter);
   k->guard.limiter = NULL;
   k->guard.slots = 0;
-  refuse_queued (k, now);
+  refuse_queued (k, now, BJ_E_NO_UPSTREAM);
 }
 
 void
@@ -376,16 +379,16 @@
   return wait > g->queue_options.max_wait_ms ? BJ_E_OVERLOAD : BJ_OK;
 }
 
-// Refuses all queued calls because the upstream is down.
+// Refuses all queued calls. The caller has seen to it that none of them is admitted here again.
 static void
-refuse_queued (BjKernel *k, BjTime now)
+refuse_queued (BjKernel *k, BjTime now, BjStatus s)
 {
   BjQueue *q = k->guard.queue;
   BjCall *c;
 
   while (q != NULL && (c = q->ops->take (q, now)) != NULL)
     {
-      BjAnswer a = bj_guard_make_refusal (k, now, BJ_E_NO_UPSTREAM, c->klass);
+      BjAnswer a = bj_guard_make_refusal (k, now, s, c->klass);
 
       c->state = BJ_CALL_NEW;
       bj_call_refuse (k, now, c, &a);
--- a/tests/test_guard.c
+++ b/tests/test_guard.c
@@ -551,6 +551,173 @@
   print_message ("fifo violates the order with %d of %d seeds\n", n_violating_seeds, ORDER_SEEDS);
 }
 
+// What happens to an upstream while one call runs on its only slot and two wait.
+typedef enum
+{
+  SLOT_FREED, // nothing but the end of the first call
+  OTHER_SERVICE,
+  OTHER_START,
+  SAID_DRAINING,
+  SENT_DELETE,
+  DRAINED_BY_TICKET,
+  DAEMON_STOPS,
+  DRAIN_ENDED,
+} UpstreamEvent;
+
+typedef struct
+{
+  const char *name;
+  UpstreamEvent event; // at 0 ms
+  double freed_ms;     // when the first call ends
+  double run_ms;       // time of the runs before
+  int n_started;       // of the two calls
+  BjStatus code;       // of the refusal of the others
+  double refused_ms;   // when they are refused
+} WaitingCase;
+
+// A call that waits for a leaving upstream begins in the first half of LEAVE_MS, or earlier if runs
+// take longer than the other half. 40 ms is the interval between two ticks.
+static const WaitingCase waiting_cases[] = {
+  { "slot freed", SLOT_FREED, 3700, 100, 2, BJ_OK, 0 },
+  { "a backend of another service at the address",
+    OTHER_SERVICE,
+    100,
+    100,
+    0,
+    BJ_E_NO_UPSTREAM,
+    0 },
+  { "another start of the same service", OTHER_START, 3700, 100, 2, BJ_OK, 0 },
+};
+
+// Host of one kernel that counts what becomes of the waiting calls.
+typedef struct
+{
+  BjHost host;
+  BjTime now;
+  BjCall *running; // the latest one
+  int n_started;
+  int n_refused;
+  BjStatus code;
+  BjTime refused_at;
+} Waiting;
+
+static void
+waiting_start (BjHost *h, BjCall *c)
+{
+  Waiting *w = (Waiting *)h;
+
+  w->running = c;
+  w->n_started++;
+}
+
+static void
+waiting_answer (BjHost *h, BjCall *c, const BjAnswer *a)
+{
+  Waiting *w = (Waiting *)h;
+
+  (void)c;
+  w->n_refused += a->outcome == BJ_NOT_RUN;
+  w->code = a->code;
+  w->refused_at = w->now;
+}
+
+static void
+finish_running (Waiting *w, BjKernel *k)
+{
+  BjCall *c = w->running;
+
+  bj_kernel_answer_begin (k, w->now, c, &(BjAnswer){ .outcome = BJ_DONE, .http_status = 200 });
+  bj_kernel_answer_end (k, w->now, c, true);
+}
+
+static void
+play_upstream_event (BjKernel *k, BjTime now, UpstreamEvent e)
+{
+  if (e == OTHER_SERVICE)
+    bj_kernel_announce (k, now, BJ_STR ("t"), 1);
+  if (e == OTHER_START)
+    {
+      bj_kernel_upstream_started (k, now, 2);
+      bj_kernel_announce (k, now, BJ_STR ("s"), 1);
+    }
+  if (e == SAID_DRAINING || e == DRAIN_ENDED)
+    bj_kernel_drain (k, now, BJ_DRAIN_UPSTREAM, true);
+  if (e == DRAIN_ENDED)
+    bj_kernel_drain (k, now, BJ_DRAIN_UPSTREAM, false);
+  if (e == SENT_DELETE)
+    bj_kernel_upstream_leaves (k, now);
+  if (e == DRAINED_BY_TICKET)
+    bj_kernel_drain (k, now, BJ_DRAIN_TICKET, true);
+  if (e == DAEMON_STOPS)
+    bj_kernel_drain (k, now, BJ_DRAIN_STOP, true);
+}
+
+static void
+play_waiting_case (const WaitingCase *c, Waiting *w)
+{
+  static const BjHostOps ops
+      = { guard_send, waiting_start, guard_nothing, waiting_answer, guard_nothing, guard_nothing };
+  static const char config[] = "{\"number\":1,\"priorities\":[\"a\"],\"services\":{"
+                               "\"s\":{\"routes\":[{\"prefix\":\"/s/"
+                               "\",\"class\":\"a\"}],\"limiter\":{\"plugin\":\"fixed\"},"
+                               "\"queue\":{\"max_wait_ms\":60000}},"
+                               "\"t\":{\"routes\":[{\"prefix\":\"/t/"
+                               "\",\"class\":\"a\"}],\"limiter\":{\"plugin\":\"fixed\"}}}}";
+  BjKernelOptions o = { .self = { .name = BJ_STR ("one") }, .host = &w->host, .seed = 1 };
+  BjRequest r = { .method = BJ_STR ("POST"), .path = BJ_STR ("/s/"), .deadline_ms = 60000 };
+  BjKernel *k = bj_kernel_new (&o, -c->run_ms);
+  BjConfig *parsed;
+
+  w->host.ops = &ops;
+  w->now = -c->run_ms;
+  r.irreversible = true;
+  assert_int_equal (bj_config_parse (bj_str (config), &parsed), BJ_OK);
+  bj_kernel_set_config (k, w->now, parsed);
+  bj_kernel_announce (k, w->now, BJ_STR ("s"), 1);
+  bj_kernel_arrive_peer (k, w->now, &r, BJ_STR ("s"), NULL);
+  w->now = 0;
+  finish_running (w, k);
+  for (int i = 0; i < 3; i++)
+    bj_kernel_arrive_peer (k, w->now, &r, BJ_STR ("s"), NULL);
+  w->n_started = 0;
+  play_upstream_event (k, w->now, c->event);
+  for (; w->now < c->freed_ms; w->now += 40)
+    bj_kernel_tick (k, w->now);
+  finish_running (w, k);
+  while (w->n_started == 1 && w->n_refused == 0)
+    finish_running (w, k);
+  bj_kernel_free (k);
+}
+
+// A backend of another service must not run the calls that wait for the one before it, and an
+// upstream that leaves must not get calls that it may not end.
+static void
+test_calls_waiting_for_an_upstream_that_goes (void **state)
+{
+  int n_wrong = 0;
+
+  (void)state;
+  bj_log_open (BJ_LOG_ERROR);
+  for (size_t i = 0; i < G_N_ELEMENTS (waiting_cases); i++)
+    {
+      const WaitingCase *c = &waiting_cases[i];
+      Waiting w = { 0 };
+
+      play_waiting_case (c, &w);
+      if (w.n_started == c->n_started && w.n_refused == 2 - c->n_started && w.code == c->code
+          && w.refused_at >= c->refused_ms && w.refused_at < c->refused_ms + 40)
+        continue;
+      n_wrong++;
+      print_error ("%s: %d started, %d refused with %s at %.0f ms\n",
+                   c->name,
+                   w.n_started,
+                   w.n_refused,
+                   bj_status_name (w.code),
+                   w.refused_at);
+    }
+  assert_int_equal (n_wrong, 0);
+}
+
 #define N_REFUSED 1000
 #define RETRY_AFTER_BIN_MS 50
 
@@ -646,9 +813,13 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_limiter),        cmocka_unit_test (test_limiter_slow_start),
-    cmocka_unit_test (test_limiter_slots),  cmocka_unit_test (test_queue),
-    cmocka_unit_test (test_shedding_order), cmocka_unit_test (test_retry_after_spread),
+    cmocka_unit_test (test_limiter),
+    cmocka_unit_test (test_limiter_slow_start),
+    cmocka_unit_test (test_limiter_slots),
+    cmocka_unit_test (test_queue),
+    cmocka_unit_test (test_calls_waiting_for_an_upstream_that_goes),
+    cmocka_unit_test (test_shedding_order),
+    cmocka_unit_test (test_retry_after_spread),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
