Calls that wait for a leaving upstream begin early or are refused

Cause: a drain refused new calls in bj_guard_admit () only. start_queued () went on for as long as a call's deadline allowed, twice drainS here.

Ruled out: calls that arrive after the announcement (refused, the log says so); the links (no call was in transit, all had been queued before).

The same for a DELETE and for an upstream that says in a response that it leaves. Drains by ticket and stops are as before, as the upstream stays.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -916,6 +916,9 @@
                       BjTime now,
                       BjDrainReason r,
                       bool drain); // Sets or clears a reason; takes new calls while none is set
+void bj_kernel_set_leave_ms (
+    BjKernel *k,
+    double ms); // For which an upstream that says it leaves goes on serving; from its next leaving
 void bj_kernel_update_peer (BjKernel *k,
                             BjTime now,
                             const BjPeerReport *r); // Adds or updates a peer, unless r is not newer
@@ -985,6 +988,7 @@
   BjStr key_file; // file with the deployment key, empty for none
   BjLogLevel log_level;
   double drain_ms;     // longest time a stopping daemon waits for open calls
+  double leave_ms;     // for which an upstream that says it leaves goes on serving
   double heartbeat_ms; // interval between two announcements of the own upstream
   int pipelined_max;   // requests served at once for one connection of a caller
 } BjSettings;
--- a/src/config.h
+++ b/src/config.h
@@ -49,6 +49,7 @@
 #define BJ_WATCH_GRACE_MS 500       // for that answer to arrive; after it the watch counts as lost
 #define BJ_FAILURE_RATE_SCALE 1000  // failure rates are reported as failed runs per this many runs
 #define BJ_DRAIN_MS 30000           // longest time a stopping daemon waits for open calls
+#define BJ_LEAVE_MS 2500            // for which an upstream that leaves goes on serving
 #define BJ_DRAIN_ACCEPT_MS 1000     // time from a stop to the notice to peers; calls are accepted
 #define BJ_DRAIN_NOTIFY_MS 2000     // after a stop, time until callers and peers send no new work
 #define BJ_PLATFORM_TIMEOUT_MS                                                                     \
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -73,6 +73,7 @@
   d->start = new_start ();
   o = (BjKernelOptions){ .self = own_report (d), .host = &d->host, .seed = g_random_int () };
   d->kernel = bj_kernel_new (&o, now);
+  bj_kernel_set_leave_ms (d->kernel, s->leave_ms);
   d->http = bj_http_new (loop);
   d->pool = bj_pool_new (loop);
   d->refusals = bj_refusals_new ();
@@ -108,6 +109,8 @@
   bj_str_set (&own->upstream.host, s->upstream.host);
   own->upstream.port = s->upstream.port;
   own->drain_ms = s->drain_ms;
+  own->leave_ms = s->leave_ms;
+  bj_kernel_set_leave_ms (d->kernel, s->leave_ms);
   own->heartbeat_ms = s->heartbeat_ms;
   own->pipelined_max = s->pipelined_max;
   bj_front_reload (d->front);
--- a/src/guard.c
+++ b/src/guard.c
@@ -10,6 +10,7 @@
 #define HEADROOM_LIMIT_MIN 4    // a limit below this reserves no slots for the top class
 #define SERVICE_TIME_WEIGHT 0.1 // weight of the newest run in the smoothed time of a run
 #define BACKLOG_MAX 100000.0    // calls reported for a long wait
+#define LEAVE_BEGIN_SHARE 0.5   // of leave_ms, in which calls begin; the rest is for them to end
 #define RATE_RETRY_AFTER_MAX_MS 2000 // longest retry-after time while a rate is in force
 
 static void configure_queue (BjKernel *k, BjTime now, const BjServiceConfig *s);
@@ -20,6 +21,7 @@
 static void refuse_queued (BjKernel *k, BjTime now, BjStatus s);
 static void refuse_evicted (BjKernel *k, BjTime now, BjCall *list);
 static void start_queued (BjKernel *k, BjTime now);
+static BjTime get_begin_until (const BjGuard *g);
 static bool has_slot (BjKernel *k, BjTime now, int klass);
 static int headroom_slots (BjKernel *k, BjTime now, int limit);
 static void smooth_demand (BjGuard *g, BjTime now);
@@ -77,8 +79,14 @@
 {
   int reasons = drain ? k->guard.drain_reasons | (int)r : k->guard.drain_reasons & ~(int)r;
 
-  (void)now;
+  if ((reasons & BJ_DRAIN_UPSTREAM) == 0)
+    k->guard.leaves_at = BJ_TIME_NEVER;
+  else if ((k->guard.drain_reasons & BJ_DRAIN_UPSTREAM) == 0)
+    k->guard.leaves_at = now + k->guard.leave_ms;
   k->guard.drain_reasons = reasons;
+  // Wakes the guard in time to refuse calls that wait, or refuses them at once.
+  if (k->guard.limiter != NULL)
+    start_queued (k, now);
   drain = reasons != 0;
   if (k->guard.draining == drain)
     return;
@@ -90,6 +98,12 @@
                 : "Drain ended: new calls are admitted again.");
 }
 
+void
+bj_kernel_set_leave_ms (BjKernel *k, double ms)
+{
+  k->guard.leave_ms = ms;
+}
+
 void
 bj_guard_configure (BjKernel *k, BjTime now)
 {
@@ -438,6 +452,8 @@
   double wait;
   BjCall *c;
 
+  if (now >= get_begin_until (g))
+    refuse_queued (k, now, BJ_E_DRAINING);
   while (g->queue->ops->length (g->queue) > 0
          && has_slot (k, now, g->queue->ops->waiting (g->queue, 0) > 0 ? 0 : 1))
     {
@@ -451,8 +467,18 @@
       BjAnswer a = bj_guard_make_refusal (k, now, BJ_E_DEADLINE, c->klass);
       bj_call_refuse (k, now, c, &a);
     }
+  g->wake_at = BJ_TIME_NEVER;
+  if (g->queue->ops->length (g->queue) == 0)
+    return;
   wait = bj_rate_wait_ms (&g->rate, now, 0);
-  g->wake_at = wait > 0 && g->queue->ops->length (g->queue) > 0 ? now + wait : BJ_TIME_NEVER;
+  g->wake_at = MIN (get_begin_until (g), wait > 0 ? now + wait : BJ_TIME_NEVER);
+}
+
+// Time until which calls may begin on an upstream that leaves, so that they end before it does.
+static BjTime
+get_begin_until (const BjGuard *g)
+{
+  return g->leaves_at - MAX (g->service_ms, (1 - LEAVE_BEGIN_SHARE) * g->leave_ms);
 }
 
 static bool
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -45,6 +45,8 @@
   bj_retry_after_init (k);
   k->guard.admitted_klass = BJ_CLASSES;
   k->guard.wake_at = BJ_TIME_NEVER;
+  k->guard.leave_ms = BJ_LEAVE_MS;
+  k->guard.leaves_at = BJ_TIME_NEVER;
   k->self = g_new0 (BjPeer, 1);
   k->self->is_self = true;
   k->self->reported = now;
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -58,6 +58,8 @@
   BjTime top_demand_at; // when top_demand was last updated
   int drain_reasons;    // set of BjDrainReason
   bool draining;        // drain_reasons is not empty
+  double leave_ms;      // for which an upstream that leaves goes on serving
+  BjTime leaves_at;     // when it may be gone, or never
   BjSpillCounts spill[BJ_CLASSES]; // calls in flight of each class and all more important ones
   BjTime spill_smoothed_at;        // when own_smoothed in spill was last updated
   BjHealth health;
@@ -70,7 +72,7 @@
   int queue_length_max;    // calls in the queue, fewer than configured while a rate is in force
   BjTime signal_logged_at; // when a log line on upstream was last written
   BjTime load_logged_at;   // when an unreadable load report was last logged
-  BjTime wake_at;          // when the rate lets the next queued call start, or never
+  BjTime wake_at;          // when the next queued call may start or must be refused, or never
   uint64_t n_refused_by_rate;
 } BjGuard;
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -26,6 +26,7 @@
   { "advertise", BJ_JSON_OBJECT, false, 0, 0 },
   { "log_level", BJ_JSON_STR, false, 0, 0 },
   { "drain_ms", BJ_JSON_NUMBER, false, 0, 600000 },
+  { "leave_ms", BJ_JSON_NUMBER, false, 0, 600000 },
   { "ready", BJ_JSON_STR, false, 0, 0 },
   { "domains", BJ_JSON_ARRAY, false, 0, DOMAINS_MAX },
   { "heartbeat_ms", BJ_JSON_NUMBER, false, 10, 600000 },
@@ -163,6 +164,7 @@
   s->region = bj_str_dup (bj_json_str (o, "region"));
   s->key_file = bj_str_dup (bj_json_str (o, "key_file"));
   s->drain_ms = bj_json_number (o, "drain_ms", BJ_DRAIN_MS);
+  s->leave_ms = bj_json_number (o, "leave_ms", BJ_LEAVE_MS);
   s->heartbeat_ms = bj_json_number (o, "heartbeat_ms", BJ_HEARTBEAT_MS);
   s->pipelined_max = (int)bj_json_number (o, "pipelined_max", BJ_PIPELINED_MAX);
   if (json_object_object_get_ex (o, "service_defaults", &defaults))
--- a/tests/daemons.c
+++ b/tests/daemons.c
@@ -69,6 +69,7 @@
   s.heartbeat_ms = 10000;
   s.pipelined_max = BJ_PIPELINED_MAX;
   s.drain_ms = 100;
+  s.leave_ms = BJ_LEAVE_MS;
   // Another process may take a free port before the daemon listens on it.
   for (int n = 0; n < PORT_TRIES && status == BJ_E_IO; n++)
     {
--- a/tests/test_guard.c
+++ b/tests/test_guard.c
@@ -575,6 +575,8 @@
   double refused_ms;   // when they are refused
 } WaitingCase;
 
+#define LEAVE_MS 2400
+
 // A call that waits for a leaving upstream begins in the first half of LEAVE_MS, or earlier if runs
 // take longer than the other half. 40 ms is the interval between two ticks.
 static const WaitingCase waiting_cases[] = {
@@ -587,6 +589,16 @@
     BJ_E_NO_UPSTREAM,
     0 },
   { "another start of the same service", OTHER_START, 3700, 100, 2, BJ_OK, 0 },
+  { "draining, slot freed in time", SAID_DRAINING, 1100, 100, 2, BJ_OK, 0 },
+  { "draining, slot freed late", SAID_DRAINING, 3700, 100, 0, BJ_E_DRAINING, 1200 },
+  { "draining, long runs, slot freed in time", SAID_DRAINING, 300, 2000, 2, BJ_OK, 0 },
+  { "draining, long runs", SAID_DRAINING, 1100, 2000, 0, BJ_E_DRAINING, 400 },
+  { "draining, runs longer than its leaving", SAID_DRAINING, 100, 3000, 0, BJ_E_DRAINING, 0 },
+  { "DELETE, slot freed in time", SENT_DELETE, 1100, 100, 2, BJ_OK, 0 },
+  { "DELETE, slot freed late", SENT_DELETE, 3700, 100, 0, BJ_E_DRAINING, 1200 },
+  { "drained by ticket", DRAINED_BY_TICKET, 3700, 100, 2, BJ_OK, 0 },
+  { "daemon stops", DAEMON_STOPS, 3700, 100, 2, BJ_OK, 0 },
+  { "draining taken back", DRAIN_ENDED, 3700, 100, 2, BJ_OK, 0 },
 };
 
 // Host of one kernel that counts what becomes of the waiting calls.
@@ -673,6 +685,7 @@
   r.irreversible = true;
   assert_int_equal (bj_config_parse (bj_str (config), &parsed), BJ_OK);
   bj_kernel_set_config (k, w->now, parsed);
+  bj_kernel_set_leave_ms (k, LEAVE_MS);
   bj_kernel_announce (k, w->now, BJ_STR ("s"), 1);
   bj_kernel_arrive_peer (k, w->now, &r, BJ_STR ("s"), NULL);
   w->now = 0;
