A call that waits at another daemon ends with its caller, also if it may run only once

Cause: cancel_work () took a call that was sent to another daemon for one that runs, so an irreversible call was detached and no CANCEL was sent, also while it only waited there.

Ruled out: a CANCEL that is lost or ignored (none was sent; for calls that may run again it empties the queue, test_cancelled_while_queued).

Change: the daemon that a call was sent to knows whether it runs. It gets a CANCEL, drops a call that waits and lets an irreversible run go on. Calls under a claim stay, as their outcome has to be recorded.

Measured: test_fleet_path test_cancelled_while_queued, row "irreversible, at another daemon", fails before (still queued after 0.5 s), passes now.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -865,7 +865,8 @@
     GArray *notices); // Appends notices for peers: those not yet taken, or all
 void bj_kernel_cancel (BjKernel *k,
                        BjTime now,
-                       BjCall *c); // Caller disconnected; frees c unless irreversible and started
+                       BjCall *c); // Caller disconnected; frees c, unless it is irreversible and
+                                   // runs here, or was sent under a claim
 void bj_kernel_skip_peer (BjKernel *k,
                           BjTime now,
                           BjPeer *p,
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -855,14 +855,16 @@
   bj_call_set_deadline (k, c, now + DETACHED_MAX_MS);
 }
 
-// Aborts a call. Returns false, and does nothing, if it is irreversible, has been started and is
-// not yet detached.
+// Aborts a call. Returns false, and does nothing, if it is irreversible, may have been started, is
+// not yet detached, and this daemon has to see its end: for its slot, or to record its outcome.
 static bool
 cancel_work (BjKernel *k, BjTime now, BjCall *c, BjStatus s)
 {
   bool is_started = c->state == BJ_CALL_RUNNING || c->state == BJ_CALL_SENT;
 
-  if (is_started && c->irreversible && !c->detached)
+  // The daemon that a call was sent to cancels it only while it waits there.
+  if (c->irreversible && !c->detached
+      && (c->state == BJ_CALL_RUNNING || (c->state == BJ_CALL_SENT && c->needs_claim)))
     return false;
   if (is_started)
     {
--- a/tests/test_fleet_path.c
+++ b/tests/test_fleet_path.c
@@ -284,6 +284,7 @@
 #define FAULTS_MAX 4 // of one request
 #define BODY_BYTES 900000
 #define CANCEL_US 100000 // for a cancellation to be sent
+#define LEAVE_MS 500     // from the close of the callers until none of their calls waits
 
 typedef struct
 {
@@ -515,44 +516,69 @@
 }
 
 static int
-send_without_reading (int port)
+send_without_reading (int port, const char *path, const char *key)
 {
-  static const char text[] = "GET /plans/x?id=1 HTTP/1.1\r\nHost: x\r\n\r\n";
   struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
+  char *text
+      = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: x\r\nIdempotency-Key: %s\r\n\r\n", path, key);
 
   inet_pton (AF_INET, "127.0.0.1", &addr.sin_addr);
   assert_int_equal (connect (fd, (struct sockaddr *)&addr, sizeof addr), 0);
-  assert_true (send (fd, text, sizeof text - 1, MSG_NOSIGNAL) > 0);
+  assert_true (send (fd, text, strlen (text), MSG_NOSIGNAL) > 0);
+  g_free (text);
   return fd;
 }
 
-// Guards against leaked queued calls and crashes when callers disconnect while their calls wait for
-// a slot. They connect to the daemon beside the upstream, then to another daemon.
+typedef struct
+{
+  const char *name;
+  const char *path;
+  const char *key;
+  int n_freed; // runs whose end may start a call that waits
+  int front;   // member that the callers connect to; the upstream is beside member 2
+} LeaveCase;
+
+static const LeaveCase leave_cases[] = {
+  { "beside the upstream", "/plans/x", "leave-1", 2, 2 },
+  { "at another daemon", "/plans/x", "leave-2", 2, 1 },
+  { "irreversible, beside the upstream", "/once/x", "leave-3", 0, 2 },
+  { "irreversible, at another daemon", "/once/x", "leave-4", 0, 1 },
+};
+
+// Guards against calls that are leaked, crash the daemon or run for nobody when callers disconnect
+// while they wait for a slot. The runs that are irreversible go on to their end.
 static void
 test_cancelled_while_queued (void **state)
 {
-  static const int fronts[] = { 2, 1 };
-
   (void)state;
   assert_true (fleet_wait_until (is_served, NULL, 10000));
-  fleet_http (
-      "POST", fleet.members[2].upstream_port, "/control/service_us?value=1500000", NULL, "", NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (fronts); i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (leave_cases); i++)
     {
-      int port = fleet.members[fronts[i]].front_port;
+      const LeaveCase *c = &leave_cases[i];
+      int port = fleet.members[c->front].front_port;
       int fds[UPSTREAM_SLOTS + 2];
 
+      print_message ("  %s\n", c->name);
+      fleet_http ("POST",
+                  fleet.members[2].upstream_port,
+                  "/control/service_us?value=1500000",
+                  NULL,
+                  "",
+                  NULL);
       for (int n = 0; n < UPSTREAM_SLOTS + 2; n++)
-        fds[n] = send_without_reading (port);
+        fds[n] = send_without_reading (port, c->path, c->key);
       assert_true (fleet_wait_until (has_queued_calls, NULL, 5000));
       for (int n = UPSTREAM_SLOTS + 1; n >= 0; n--)
         close (fds[n]);
-      assert_true (fleet_wait_until (has_no_queued_calls, NULL, 5000));
+      assert_true (fleet_wait_until (has_no_queued_calls, NULL, LEAVE_MS));
       assert_int_equal (
           fleet_http ("GET", fleet.members[2].admin_port, "/v1/status", NULL, NULL, NULL), 200);
       assert_int_equal (
           fleet_http ("GET", fleet.members[0].admin_port, "/v1/status", NULL, NULL, NULL), 200);
+      assert_true (fleet_wait_until (has_no_running_call, NULL, 5000));
+      assert_in_range (
+          fleet_count_executions (&fleet, c->key), UPSTREAM_SLOTS, UPSTREAM_SLOTS + c->n_freed);
     }
   fleet_http (
       "POST", fleet.members[2].upstream_port, "/control/service_us?value=2000", NULL, "", NULL);
@@ -569,7 +595,7 @@
   assert_true (fleet_wait_until (is_served, NULL, 10000));
   fleet_http (
       "POST", fleet.members[2].upstream_port, "/control/service_us?value=9000000", NULL, "", NULL);
-  fd = send_without_reading (fleet.members[0].front_port);
+  fd = send_without_reading (fleet.members[0].front_port, "/plans/x", "hold");
   assert_true (fleet_wait_until (has_running_call, NULL, 5000));
   fleet_set_link_fault (&fleet, "a", "b", "hold");
   close (fd);
