An upstream that is shut out by an announcement of another writer is taken back

Cause: the later start time made the upstream's own announcements stale for good. Its 421 to every request, which names the id that runs at the address, was taken as a refusal only.

Ruled out: malformed announcements as the only way in (they are rejected now; this one is sound).

Change: a 421 that names another instance, to a call of the current start, stops the calls to it until the next announcement, and the named instance may announce itself although it started earlier. Late announcements of a start that was replaced stay stale, as the new one answers no 421 for itself.

The gap is one refused call and the time to the next announcement.

--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -263,6 +263,7 @@
   bool makes_calls;             // the upstream calls other services for this route
   BjUpstreamState upstream;     // of the upstream that the daemon which responded runs calls on
   BjUpstreamLoad upstream_load; // of the same upstream
+  BjStr other_instance; // id of the upstream that refused the call as it is not the announced one
   BjStr content_type;
   BjStr headers;  // other headers to relay, "Name: value" lines, each ended by a line feed
   int64_t length; // of the body, -1 if not known
@@ -898,6 +899,8 @@
     BjKernel *k,
     BjTime now,
     uint64_t start); // Start of the own upstream, not 0; another one than before says nothing yet
+bool bj_kernel_ran_since_start (const BjKernel *k,
+                                const BjCall *c); // c was started on that start, not before it
 void bj_kernel_upstream_leaves (BjKernel *k, BjTime now); // No new calls until it starts again
 void bj_kernel_learn_upstream (BjKernel *k,
                                BjTime now,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -170,6 +170,7 @@
   bj_str_free (&d->settings.upstream.host);
   bj_str_free (&d->upstream.host);
   bj_str_free (&d->upstream_id);
+  bj_str_free (&d->other_instance);
   g_free (d->watchers);
   g_free (d);
 }
@@ -343,8 +344,15 @@
 {
   bool is_same_start
       = bj_str_equal (d->upstream_id, a->id) && d->upstream_started_ms == a->started_ms;
+  bool is_known_to_run = d->other_instance.len > 0 && bj_str_equal (d->other_instance, a->id);
   BjTime now = bj_clock_now ();
 
+  // Its later announcements are stale again.
+  if (a->is_shutting_down && is_known_to_run)
+    {
+      bj_str_set (&d->other_instance, BJ_STR_NULL);
+      return BJ_OK;
+    }
   // A departure has neither start time nor sequence, so only the id is compared.
   if (a->is_shutting_down && !bj_str_equal (d->upstream_id, a->id))
     return bj_fail (BJ_E_CONFLICT,
@@ -355,8 +363,9 @@
       handle_departure (d, now);
       return BJ_OK;
     }
-  if (a->started_ms < d->upstream_started_ms
-      || (is_same_start && a->sequence < d->upstream_sequence))
+  if (!is_known_to_run
+      && (a->started_ms < d->upstream_started_ms
+          || (is_same_start && a->sequence < d->upstream_sequence)))
     return bj_fail (BJ_E_CONFLICT,
                     "Stale announcement of %.*s, sequence %" G_GINT64_FORMAT
                     "; a newer one was accepted.",
@@ -367,6 +376,7 @@
   bj_kernel_upstream_started (d->kernel, now, hash_start (a));
   if (!is_same_start)
     bj_pool_close_idle (d->pool);
+  bj_str_set (&d->other_instance, BJ_STR_NULL);
   bj_str_set (&d->upstream_id, a->id);
   d->upstream_started_ms = a->started_ms;
   d->upstream_sequence = a->sequence;
@@ -394,6 +404,14 @@
     bj_kernel_upstream_started (d->kernel, bj_clock_now (), 0);
 }
 
+static void
+stop_sending_calls (BjDaemon *d)
+{
+  lose_upstream (d);
+  bj_pool_close_idle (d->pool);
+  bj_kernel_upstream_down (d->kernel, bj_clock_now ());
+}
+
 void
 bj_daemon_mark_upstream_down (BjDaemon *d)
 {
@@ -404,9 +422,23 @@
           "Upstream %.*s:%d refuses connections; no calls are sent until it is announced again.",
           BJ_STR_ARG (d->upstream.host),
           d->upstream.port);
-  lose_upstream (d);
-  bj_pool_close_idle (d->pool);
-  bj_kernel_upstream_down (d->kernel, bj_clock_now ());
+  stop_sending_calls (d);
+}
+
+void
+bj_daemon_note_other_instance (BjDaemon *d, BjStr id)
+{
+  if (d->upstream.port == 0 || bj_str_equal (d->upstream_id, id))
+    return;
+  bj_log (BJ_LOG_WARNING,
+          "UPSTREAM",
+          "Upstream %.*s:%d is %.*s, announced was %.*s; no calls are sent until it is announced.",
+          BJ_STR_ARG (d->upstream.host),
+          d->upstream.port,
+          BJ_STR_ARG (id),
+          BJ_STR_ARG (d->upstream_id));
+  bj_str_set (&d->other_instance, id);
+  stop_sending_calls (d);
 }
 
 void
--- a/src/internal.h
+++ b/src/internal.h
@@ -963,6 +963,7 @@
   BjStr upstream_id;  // identifies its start, empty if not announced
   double upstream_started_ms;
   int64_t upstream_sequence;
+  BjStr other_instance;        // id of the upstream that runs instead of it, empty if none is known
   BjTime announced;            // time of the last announcement of the upstream
   struct BjRefusals *refusals; // of the own upstream
   GPtrArray *lost_runs; // calls whose upstream connection was lost; a probe shows if it crashed
@@ -1007,6 +1008,10 @@
                                const BjAnnouncement *a); // BJ_E_CONFLICT if it is out of date
 void bj_daemon_mark_upstream_down (
     BjDaemon *d); // Connection refused: no calls until its next announcement
+void bj_daemon_note_other_instance (
+    BjDaemon *d,
+    BjStr id); // The upstream at the address has this id: no calls until its next announcement,
+               // which counts even if it started before the one announced last
 void bj_daemon_publish_leaving (BjDaemon *d); // Tells other daemons that the own upstream leaves
 void bj_daemon_set_draining (BjDaemon *d, bool drain);
 void bj_upstream_start (BjDaemon *d, BjExchange *x); // Sends the call to the own upstream
--- a/src/signal.c
+++ b/src/signal.c
@@ -150,7 +150,7 @@
   BjGuard *g = &k->guard;
 
   // The upstream that ran c has been replaced.
-  if (c->started < g->upstream_since)
+  if (!bj_kernel_ran_since_start (k, c))
     return;
   log_state (k, now, s);
   n_unreadable.value += s->is_unreadable;
@@ -168,7 +168,7 @@
 bj_kernel_upstream_reported (BjKernel *k, BjTime now, const BjCall *c, const BjUpstreamLoad *l)
 {
   // The upstream that ran c has been replaced.
-  if (c->started < k->guard.upstream_since)
+  if (!bj_kernel_ran_since_start (k, c))
     return;
   if (!l->is_unreadable)
     {
@@ -182,6 +182,12 @@
   bj_log (BJ_LOG_WARNING, "UPSTREAM", "reported its load in an unreadable form; it is ignored");
 }
 
+bool
+bj_kernel_ran_since_start (const BjKernel *k, const BjCall *c)
+{
+  return c->started >= k->guard.upstream_since;
+}
+
 BjUpstreamLoad
 bj_kernel_upstream_load (const BjKernel *k, BjTime now)
 {
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -147,6 +147,8 @@
   bj_kernel_upstream_reported (d->kernel, bj_clock_now (), r->exchange->call, &a.upstream_load);
   if (!was_leaving && bj_kernel_upstream (d->kernel)->is_leaving)
     bj_daemon_publish_leaving (d);
+  if (a.other_instance.len > 0 && bj_kernel_ran_since_start (d->kernel, r->exchange->call))
+    bj_daemon_note_other_instance (d, a.other_instance);
   log_relayed_headers (d, a.headers);
   bj_exchange_begin (r->exchange, &a);
   return BJ_OK;
--- a/tests/test_signals.c
+++ b/tests/test_signals.c
@@ -458,13 +458,174 @@
   ev_loop_destroy (loop);
 }
 
+// An upstream, announcements at the daemon beside it, and calls, one letter a step.
+typedef struct
+{
+  const char *name;
+  const char *instance; // id of the upstream
+  bool names_itself;    // in a response to a request for another instance
+  const char *steps;    // J, K: announcement of j, or of k, which started later; D: of j, draining;
+                        // X: departure of j; c: call
+  const char *results;  // 2: accepted or served; 4: rejected; n: not run
+} InstanceCase;
+
+static const InstanceCase instance_cases[] = {
+  { "one start", "j", true, "JcJc", "2222" },
+  { "another start", "k", true, "JKcKc", "22222" },
+  { "late announcement of the start before", "k", true, "JKcJc", "22242" },
+  { "another writer announces k", "j", true, "JcKcJc", "222n22" },
+  { "the same, again before the upstream", "j", true, "JKcKcJc", "22n2n22" },
+  { "the same, twice", "j", true, "JKcJcKcJc", "22n222n22" },
+  { "no call since", "j", true, "JKJcJc", "224n22" },
+  { "the upstream drains", "j", true, "DcKcDc", "2n2n2n" },
+  { "the upstream departs", "j", true, "JKcXJc", "22n24n" },
+  { "the upstream doesn't name itself", "j", false, "JKcJc", "22n4n" },
+};
+
+typedef struct
+{
+  const InstanceCase *c;
+  struct ev_loop *loop;
+  BjDaemon *daemon;
+  BjServer *upstream;
+  BjAddress address;
+  int sequence;
+  int n_runs;
+} InstanceSite;
+
+typedef struct
+{
+  BjSink sink; // first member, cast from BjSink*
+  BjOutcome outcome;
+  bool has_ended;
+} OneCaller;
+
+static void
+on_instance_request (void *data, BjServerRequest *conn, const BjHead *h, BjStr body)
+{
+  InstanceSite *s = data;
+  BjStr id = bj_header_find (h->headers, "X-Request-Id");
+  BjStr expected = bj_header_find (h->headers, "X-Expect-Instance");
+  bool is_expected = bj_str_equal (expected, bj_str (s->c->instance));
+  char lines[128];
+
+  (void)body;
+  s->n_runs += is_expected;
+  g_snprintf (lines,
+              sizeof lines,
+              "X-Request-Id: %.*s\r\n%s%s\r\n",
+              BJ_STR_ARG (id),
+              is_expected || s->c->names_itself ? "X-Instance-Id: " : "X-Y: ",
+              s->c->instance);
+  if (is_expected)
+    g_strlcat (lines, "X-Response-Seal: s\r\n", sizeof lines);
+  bj_server_begin (conn, is_expected ? 200 : 421, bj_str (lines), 0);
+  bj_server_end (conn, true);
+}
+
+static void
+keep_outcome (BjSink *sink, const BjAnswer *a)
+{
+  ((OneCaller *)sink)->outcome = a->outcome;
+}
+
+static void
+note_end (BjSink *sink, bool is_complete)
+{
+  (void)is_complete;
+  ((OneCaller *)sink)->has_ended = true;
+}
+
+static char
+run_instance_step (InstanceSite *s, char step)
+{
+  static const BjServerOps upstream = { .request = on_instance_request,
+                                        .disconnected = ignore_disconnected,
+                                        .drained = ignore_drained };
+  static const BjSinkOps ops = { keep_outcome, accept_all, ignore_data, note_end };
+  BjAnnouncement a = { .id = step == 'K' ? BJ_STR ("k") : BJ_STR ("j"),
+                       .service = BJ_STR ("s"),
+                       .address = s->address,
+                       .slots = SLOTS,
+                       .draining = step == 'D',
+                       .is_leaving = step == 'D',
+                       .is_shutting_down = step == 'X',
+                       .sequence = ++s->sequence,
+                       .started_ms = step == 'K' ? 2000 : 1000 };
+  OneCaller caller = { .sink = { &ops } };
+  BjRequest r = { .method = BJ_STR ("POST"),
+                  .path = BJ_STR ("/s/x"),
+                  .id = BJ_STR ("7"),
+                  .klass = -1,
+                  .attempts_left = -1,
+                  .deadline_ms = 1000 };
+
+  if (s->upstream == NULL)
+    assert_int_equal (bj_server_new (s->loop, "up", s->address, &upstream, s, &s->upstream), BJ_OK);
+  if (step != 'c')
+    return bj_daemon_handle_announcement (s->daemon, &a) == BJ_OK ? '2' : '4';
+  bj_daemon_handle_call (s->daemon, &r, &caller.sink);
+  while (!caller.has_ended)
+    {
+      ev_run (s->loop, EVRUN_ONCE);
+      bj_server_flush (s->upstream);
+    }
+  return caller.outcome == BJ_DONE ? '2' : caller.outcome == BJ_NOT_RUN ? 'n' : 'u';
+}
+
+// An announcement of another writer, with another id and a later start time, must not shut out the
+// upstream, whose own announcements come after it.
+static void
+test_announcement_of_another_instance (void **state)
+{
+  int n_wrong = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (instance_cases); i++)
+    {
+      const InstanceCase *c = &instance_cases[i];
+      InstanceSite s = { .c = c, .loop = ev_loop_new (0), .address = daemons_free_address () };
+      GString *results = g_string_new (NULL);
+      int n_served = 0;
+
+      s.daemon = daemons_new (s.loop,
+                              (BjSettings){ .platform_name = BJ_STR ("memory"),
+                                            .platform_url = bj_str (c->name),
+                                            .dialect = BJ_STR ("platform") });
+      assert_int_equal (bj_daemon_apply_config (s.daemon, 1, bj_str (config), "test"), BJ_OK);
+      for (const char *step = c->steps; *step != 0; step++)
+        {
+          char result = run_instance_step (&s, *step);
+
+          g_string_append_c (results, result);
+          n_served += *step == 'c' && result == '2';
+        }
+      if (strcmp (results->str, c->results) != 0 || s.n_runs != n_served)
+        {
+          n_wrong++;
+          print_error ("%s: %s gives %s with %d runs, expected %s\n",
+                       c->name,
+                       c->steps,
+                       results->str,
+                       s.n_runs,
+                       c->results);
+        }
+      g_string_free (results, TRUE);
+      bj_daemon_free (s.daemon);
+      bj_server_free (s.upstream);
+      ev_loop_destroy (s.loop);
+    }
+  assert_int_equal (n_wrong, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_upstream_gets_more_than_it_asks_for),
           cmocka_unit_test (test_unreadable_signals),
-          cmocka_unit_test (test_departed_upstream_is_used_again_after_a_restart) };
+          cmocka_unit_test (test_departed_upstream_is_used_again_after_a_restart),
+          cmocka_unit_test (test_announcement_of_another_instance) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
