--- a/src/daemon.c
+++ b/src/daemon.c
@@ -350,7 +350,7 @@
   // Its later announcements are stale again.
   if (a->is_shutting_down && is_known_to_run)
     {
-      bj_str_set (&d->other_instance, BJ_STR_NULL);
+      bj_str_free (&d->other_instance);
       return BJ_OK;
     }
   // A departure has neither start time nor sequence, so only the id is compared.
@@ -376,7 +376,7 @@
   bj_kernel_upstream_started (d->kernel, now, hash_start (a));
   if (!is_same_start)
     bj_pool_close_idle (d->pool);
-  bj_str_set (&d->other_instance, BJ_STR_NULL);
+  bj_str_free (&d->other_instance);
   bj_str_set (&d->upstream_id, a->id);
   d->upstream_started_ms = a->started_ms;
   d->upstream_sequence = a->sequence;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -454,6 +454,7 @@
     false,
     95 },
   { "nested deeply", "PUT", "/instances/i-1", NESTED, 400, false, 95 },
+  { "another method", "POST", "/instances/i-1", "{}", 404, false, 95 }, // leaked its id
   { "DELETE of an empty id", "DELETE", "/instances/", "", 404, false, 95 },
   { "DELETE with a body nested deeply", "DELETE", "/instances/i-2", NESTED, 409, false, 95 },
   { "late", // its sequence number is lower than the last one
