A drain is in force before waiting calls are refused for it

Cause: bj_kernel_drain () refused waiting calls first; the router still took this daemon for one that admits. Only the list of daemons tried kept such a call from coming back to the same queue.

Found by reading; test_guard as before.

--- a/src/guard.c
+++ b/src/guard.c
@@ -84,18 +84,17 @@
   else if ((k->guard.drain_reasons & BJ_DRAIN_UPSTREAM) == 0)
     k->guard.leaves_at = now + k->guard.leave_ms;
   k->guard.drain_reasons = reasons;
-  // Wakes the guard in time to refuse calls that wait, or refuses them at once.
-  if (k->guard.limiter != NULL)
-    start_queued (k, now);
   drain = reasons != 0;
-  if (k->guard.draining == drain)
-    return;
+  if (k->guard.draining != drain)
+    bj_log (BJ_LOG_INFO,
+            "MEMBER",
+            drain ? "Draining: new calls are refused."
+                  : "Drain ended: new calls are admitted again.");
   k->guard.draining = drain;
   k->self->report.draining = drain;
-  bj_log (BJ_LOG_INFO,
-          "MEMBER",
-          drain ? "Draining: new calls are refused."
-                : "Drain ended: new calls are admitted again.");
+  // Wakes the guard in time to refuse calls that wait, or refuses them at once.
+  if (k->guard.limiter != NULL)
+    start_queued (k, now);
 }
 
 void
