Rates of accounts hold when all daemons start together

Cause: for about a second a started daemon knows a part of the others only. Without totals it admitted its first request on credit and had an equal part among those it had found; each collector took those it heard for the whole fleet; and a collector that had not found a daemon yet gave it no reply and was passed over for 10 s, which split domains between collectors.

Evidence: each admission of the account logged in a trial; the model with members that are found one by one. Ruled out as the only cause: buckets that begin full (they begin empty), parts of unheard daemons alone (the model still has +0.861 without the others).

Change: for 2 s after its start at most, a daemon without totals has an equal part among 512 members and no credit, a collector has the part of those who report to it, and a silent collector is passed over for 0.5 s.

--- a/src/quota.c
+++ b/src/quota.c
@@ -24,6 +24,8 @@
 #define REFERRED_MAX 10     // times after which those passed over are asked again
 #define SKIP_OLD_MS 60000   // a daemon that replies without totals is passed over for this long
 #define ROLE_MS 1000        // without reports of members a collector of several gives up the role
+#define START_MS 2000       // after the start in which a daemon waits for its first totals
+#define FIND_MS 500         // after the start until a daemon has found most of the others
 #define FRESH_MS 1000       // in which a new pool takes the levels of others
 #define UNLISTED_MS 1000    // after which an account that totals do not list is not limited
 #define ROTATE_MS 400       // longer for each 256 limited accounts
@@ -192,6 +194,7 @@
 
 static Account *find_account (const BjQuota *q, uint64_t hash);
 static double demand_now (const Account *a, BjTime now);
+static bool is_starting (const BjQuota *q, BjTime now);
 static bool is_heard (const BjQuota *q, BjTime now);
 static double own_fraction (const BjQuota *q, const Account *a, BjTime now);
 static double slide_own (double from, double to, BjTime silent);
@@ -220,6 +223,7 @@
 static void set_active (BjQuota *q, Source *s, bool is_active);
 static void keep_shares (BjQuota *q, BjTime now, Source *s);
 static void find_lost (BjQuota *q);
+static double largest_part (const BjQuota *q, BjTime now, int n_seen);
 static void reserve_parts (BjQuota *q, BjTime now);
 static double reserved_part (const BjQuota *q, BjTime now, int i, double *near);
 static Source *get_source (BjQuota *q, Kind k, const Member *m, uint64_t start);
@@ -478,7 +482,7 @@
 
       if (m != NULL && m->asked != 0 && now - m->asked > SILENT_MS)
         {
-          m->skip_until = now + SKIP_MS;
+          m->skip_until = now + (now - q->began < START_MS ? SILENT_MS : SKIP_MS);
           m->asked = 0;
           m->is_awaited = false;
           m = pick_collector (q, q->domains[i].hash, now);
@@ -657,6 +661,14 @@
   return q->is_alone || (q->pool_from != 0 && q->n_active > 0) || now - q->heard <= SILENT_MS;
 }
 
+// Before its first totals a daemon does not know how many others have started just now as well, and
+// has found only some of them.
+static bool
+is_starting (const BjQuota *q, BjTime now)
+{
+  return now - q->began < START_MS && q->heard < q->began && !is_heard (q, now);
+}
+
 // Part of the rate that this daemon has without further reports. It changes from its part of the
 // demand to an equal part of all known members. Members of an older version admit without a limit
 // and have no part.
@@ -665,6 +677,8 @@
 {
   double equal = MIN (1, (1.0 + q->n_old) / q->n_known);
 
+  if (is_starting (q, now))
+    return 1.0 / MEMBERS_ASSUMED;
   if (!a->is_known || a->total <= 0)
     return equal;
   return slide_own (a->fraction * MIN (1, a->own_demand / a->total), equal, now - q->heard);
@@ -724,6 +738,9 @@
       total += MAX (0, demand - a->own_demand - 1000 / DEMAND_MS) * a->others;
     }
   *level = estimate_level (q, a, now);
+  // Error diffusion would let each daemon admit its first request.
+  if (is_starting (q, now))
+    return *level >= 1 ? 1 : 0;
   return MAX (0, a->rate * fraction + *level / (*level > 0 ? DRAIN_S : REPAY_S))
          / MAX (MAX (total, demand), DEMAND_MIN);
 }
@@ -734,8 +751,10 @@
 {
   double part = is_heard (q, now) ? a->fraction * MIN (1, a->own_demand / MAX (a->total, 1))
                                   : own_fraction (q, a, now);
-  double step = 1000 / (a->rate * CLAMP (part, 1.0 / q->n_known, 1));
-  BjTime at = MAX (now + 1000 * MAX (0, 1 - level) / a->rate, a->next_retry + step);
+  bool is_new = is_starting (q, now);
+  double step = 1000 / (a->rate * (is_new ? 1 : CLAMP (part, 1.0 / q->n_known, 1)));
+  BjTime at
+      = MAX (now + (is_new ? FIND_MS : 1000 * MAX (0, 1 - level) / a->rate), a->next_retry + step);
 
   a->next_retry = MIN (at, now + RETRY_MAX_MS);
   return MAX (1, a->next_retry - now);
@@ -901,7 +920,7 @@
       a->acked = a->included = a->sent_count = a->count;
       a->level = a->pool_level;
       a->level_at = a->pool_at = now;
-      a->part = a->fraction;
+      a->part = MIN (a->fraction, largest_part (q, now, 1));
       a->before = a->is_known && now - q->heard <= KEEP_MS ? a->total : 0;
       a->lost = a->near = a->far = a->reserved = 0;
       a->sum = a->sum_sent = 0;
@@ -994,7 +1013,8 @@
   for (int i = 1; i < q->n_domains; i++)
     has_silent = has_silent || q->domains[i].source == NULL;
   // A new pool begins with the parts that this daemon knew.
-  if ((has_silent || q->has_reservations) && now - q->pool_from > SILENT_MS
+  if ((has_silent || q->has_reservations)
+      && (now - q->pool_from > SILENT_MS || now - q->began < START_MS)
       && now - q->reserved_at >= REPORT_MS)
     reserve_parts (q, now);
 }
@@ -1076,6 +1096,16 @@
     }
 }
 
+// Largest part of the rate that the pool may have. While this daemon has found some of the others
+// only, each of several pools would take itself for that of the whole fleet.
+static double
+largest_part (const BjQuota *q, BjTime now, int n_seen)
+{
+  if (now - q->began >= START_MS || q->is_alone)
+    return 1;
+  return MIN (1, (double)n_seen / (now - q->began < FIND_MS ? MEMBERS_ASSUMED : q->n_known));
+}
+
 static void
 reserve_parts (BjQuota *q, BjTime now)
 {
@@ -1083,21 +1113,23 @@
   int n_known = MAX (q->n_known, 1);
   double slack;
   double near;
+  double largest;
 
   for (int i = 1; i < q->n_domains; i++)
     if (q->domains[i].source != NULL && q->domains[i].source->is_active)
       n_seen += q->domains[i].source->n_seen;
   slack = 2 * n_seen > n_known ? SLACK : 0;
+  largest = largest_part (q, now, n_seen);
   q->reserved_at = now;
-  q->has_reservations = false;
-  q->fraction = 1;
+  q->has_reservations = now - q->began < START_MS;
+  q->fraction = largest;
   for (int i = 0; i < q->n_accounts; i++)
     {
       Account *a = &q->accounts[i];
       double reserved = reserved_part (q, now, i, &near);
 
       settle (a, now);
-      a->part = CLAMP (1 - MAX (0, reserved - slack), 0, 1);
+      a->part = CLAMP (1 - MAX (0, reserved - slack), 0, largest);
       // Others add up the reservations of all domains; a change is reported at once.
       if (fabs (a->reserved - near) > 1 / SCALE)
         a->sum_changed_at = now;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -21,6 +21,7 @@
 #define WARM_MS 6000 // before which the used share is not measured
 #define FAULT_MS 12000
 #define HEAL_MS 22000
+#define FIND_MS 1000        // in which a daemon finds the others
 #define BUSY_BEFORE_MS 3500 // before all daemons are restarted
 #define BUCKET_MS 10
 #define BUCKETS (RUN_MS / BUCKET_MS)
@@ -59,6 +60,7 @@
   LOWER,       // to a third of the rate
   RAISE,       // to three times the rate
   RESTART_ALL, // all daemons, so that nobody knows the use before
+  FIND_ALL,    // the same, and each finds the others one by one
   BURST,       // eight times the arrivals
   OLD,         // a quarter of the daemons is of an older version
 } Fault;
@@ -78,6 +80,7 @@
   char name[16];
   int domain;
   uint64_t start;
+  BjTime started_at;
   bool runs;
   bool is_frozen;
   bool is_silent;
@@ -147,6 +150,8 @@
   { "restarted", EVEN, 1.5, RESTART, PARTITION_SHARE },
   { "all restarted", EVEN, 0.9, RESTART_ALL, 0 },
   { "all restarted, two get all", TWO, 0.9, RESTART_ALL, 0 },
+  { "all restarted, found one by one", EVEN, 0.9, FIND_ALL, 0 },
+  { "the same, two get all", TWO, 0.9, FIND_ALL, 0 },
   { "joined", EVEN, 1.5, JOIN, CALM_SHARE },
   { "half of the domains cut", EVEN, 1.5, CUT_HALF, PARTITION_SHARE },
   { "half cut, two get all", TWO, 1.5, CUT_HALF, PARTITION_SHARE },
@@ -193,6 +198,22 @@
   bj_quota_configure (d->quota, now, list, ACCOUNTS);
 }
 
+static bool
+is_restart_of_all (const Model *m)
+{
+  return m->c->fault == RESTART_ALL || m->c->fault == FIND_ALL;
+}
+
+// Whether d has found member i since it started.
+static bool
+has_found (const Model *m, const Daemon *d, int i)
+{
+  int k = (int)(d - m->daemons);
+
+  return m->c->fault != FIND_ALL || k == i || d->started_at < FAULT_MS
+         || m->now - d->started_at >= (k * 7919 + i * 104729) % (int)FIND_MS;
+}
+
 static void
 set_members (Model *m, Daemon *d)
 {
@@ -205,7 +226,7 @@
       const Daemon *other = &m->daemons[i];
 
       g_snprintf (domains[other->domain], 8, "d%d", other->domain);
-      if (other->start > 0)
+      if (other->start > 0 && has_found (m, d, i))
         all[n++] = (BjQuotaMember){ bj_str (other->name),
                                     bj_str (domains[other->domain]),
                                     !d->sees_down[i] };
@@ -221,6 +242,7 @@
 
   g_snprintf (domain, sizeof domain, "d%d", d->domain);
   d->start += 1000;
+  d->started_at = m->now;
   d->runs = true;
   d->quota = bj_quota_new (bj_str (d->name), bj_str (domain), d->start, m->now);
   configure (d, m->now, m->rates);
@@ -267,7 +289,8 @@
   for (int i = 0; i < m->n; i++)
     {
       Daemon *d = &m->daemons[i];
-      bool is_changed = m->is_changed;
+      bool is_changed
+          = m->is_changed || (m->c->fault == FIND_ALL && m->now <= d->started_at + FIND_MS + 200);
 
       for (int k = 0; k < m->n && d->runs && !d->is_frozen; k++)
         {
@@ -387,7 +410,7 @@
   for (int a = 0; a < ACCOUNTS; a++)
     {
       bool is_busy = (m->c->fault == BURST && m->now >= FAULT_MS)
-                     || (m->c->fault == RESTART_ALL && m->now >= FAULT_MS - BUSY_BEFORE_MS);
+                     || (is_restart_of_all (m) && m->now >= FAULT_MS - BUSY_BEFORE_MS);
       double load = m->c->load * (is_busy ? 8 : 1);
       double mean = accounts[a].rate * load * STEP_MS / 1000;
       double t = 0;
@@ -419,7 +442,7 @@
 static bool
 is_affected (const Model *m, int i)
 {
-  return m->c->fault == RESTART_ALL || i == 0 || i % 60 == 17 || i == m->busiest;
+  return is_restart_of_all (m) || i == 0 || i % 60 == 17 || i == m->busiest;
 }
 
 static void
@@ -437,7 +460,7 @@
         start (m, i);
       if (!is_affected (m, i))
         continue;
-      if (m->c->fault == KILL || m->c->fault == RESTART || m->c->fault == RESTART_ALL)
+      if (m->c->fault == KILL || m->c->fault == RESTART || is_restart_of_all (m))
         stop (m, i);
       d->is_frozen = m->c->fault == FREEZE;
       d->is_silent = m->c->fault == SILENCE;
@@ -593,7 +616,7 @@
     {
       if (m->now == FAULT_MS)
         begin_fault (m);
-      if (m->now == FAULT_MS + 1000 && (c->fault == RESTART || c->fault == RESTART_ALL))
+      if (m->now == FAULT_MS + 1000 && (c->fault == RESTART || is_restart_of_all (m)))
         for (int i = 0; i < n; i++)
           if (is_affected (m, i))
             start (m, i);
