--- a/tests/test_guard.c
+++ b/tests/test_guard.c
@@ -576,9 +576,10 @@
 } WaitingCase;
 
 #define LEAVE_MS 2400
+#define STEP_MS 40 // between two ticks of the kernel
 
 // A call that waits for a leaving upstream begins in the first half of LEAVE_MS, or earlier if runs
-// take longer than the other half. 40 ms is the interval between two ticks.
+// take longer than the other half.
 static const WaitingCase waiting_cases[] = {
   { "slot freed", SLOT_FREED, 3700, 100, 2, BJ_OK, 0 },
   { "a backend of another service at the address",
@@ -694,7 +695,7 @@
     bj_kernel_arrive_peer (k, w->now, &r, BJ_STR ("s"), NULL);
   w->n_started = 0;
   play_upstream_event (k, w->now, c->event);
-  for (; w->now < c->freed_ms; w->now += 40)
+  for (; w->now < c->freed_ms; w->now += STEP_MS)
     bj_kernel_tick (k, w->now);
   finish_running (w, k);
   while (w->n_started == 1 && w->n_refused == 0)
@@ -718,7 +719,7 @@
 
       play_waiting_case (c, &w);
       if (w.n_started == c->n_started && w.n_refused == 2 - c->n_started && w.code == c->code
-          && w.refused_at >= c->refused_ms && w.refused_at < c->refused_ms + 40)
+          && w.refused_at >= c->refused_ms && w.refused_at < c->refused_ms + STEP_MS)
         continue;
       n_wrong++;
       print_error ("%s: %d started, %d refused with %s at %.0f ms\n",
