Another start of an upstream that gives no id ends its leaving

Callers would have seen: an upstream of our own dialect that gives no id, says that it leaves and is replaced gets no calls any more.

Cause: counts announcements of a leaving upstream as signs of life. Those of another start without an id look the same, so that none was ever missed, and only missed announcements tell the two apart.

Upstreams on the users' platform always give one.

Measured: test_signals test_leaving_upstream_without_an_id fails on, passes now. Found by reading.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -374,6 +374,9 @@
   if (!is_own_upstream (d, a))
     return BJ_E_ARGUMENT;
   bj_kernel_upstream_started (d->kernel, now, hash_start (a));
+  // Without an id another start is known by the announcements that are missed before it.
+  if (a->id.len == 0 && bj_kernel_upstream (d->kernel)->is_leaving)
+    return BJ_OK;
   if (!is_same_start)
     bj_pool_close_idle (d->pool);
   bj_str_free (&d->other_instance);
--- a/tests/test_signals.c
+++ b/tests/test_signals.c
@@ -618,6 +618,34 @@
   assert_int_equal (n_wrong, 0);
 }
 
+// An upstream that gives no id leaves, and another start of it announces itself in the same way. It
+// must count as another start once announcements are missed, not as leaving for ever.
+static void
+test_leaving_upstream_without_an_id (void **state)
+{
+  BjAnnouncement a = { .service = BJ_STR ("s"), .address = daemons_free_address (), .slots = 4 };
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *d = daemons_new (loop,
+                             (BjSettings){ .platform_name = BJ_STR ("memory"),
+                                           .platform_url = BJ_STR ("no-id"),
+                                           .dialect = BJ_STR ("borage") });
+  BjTime announced;
+
+  (void)state;
+  assert_int_equal (bj_daemon_apply_config (d, 1, bj_str (config), "test"), BJ_OK);
+  assert_int_equal (bj_daemon_handle_announcement (d, &a), BJ_OK);
+  announced = d->announced;
+  bj_kernel_upstream_leaves (d->kernel, bj_clock_now ());
+  g_usleep (2000);
+  assert_int_equal (bj_daemon_handle_announcement (d, &a), BJ_OK);
+  assert_true (d->announced == announced && bj_kernel_upstream (d->kernel)->is_leaving);
+  bj_daemon_mark_upstream_down (d);
+  assert_int_equal (bj_daemon_handle_announcement (d, &a), BJ_OK);
+  assert_false (bj_kernel_upstream (d->kernel)->is_leaving);
+  bj_daemon_free (d);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
@@ -625,7 +653,8 @@
       = { cmocka_unit_test (test_upstream_gets_more_than_it_asks_for),
           cmocka_unit_test (test_unreadable_signals),
           cmocka_unit_test (test_departed_upstream_is_used_again_after_a_restart),
-          cmocka_unit_test (test_announcement_of_another_instance) };
+          cmocka_unit_test (test_announcement_of_another_instance),
+          cmocka_unit_test (test_leaving_upstream_without_an_id) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
