--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -10,6 +10,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
 
 #include <cmocka.h>
@@ -1007,6 +1008,16 @@
   g_string_free (config, TRUE);
 }
 
+// Times that this thread gave up the processor to wait for something.
+static long
+count_waits (void)
+{
+  struct rusage u;
+
+  getrusage (RUSAGE_THREAD, &u);
+  return u.ru_nvcsw;
+}
+
 static double
 processor_ns (void)
 {
@@ -1023,6 +1034,7 @@
   GString *text = g_string_new ("{\"number\":1,\"accounts\":{");
   GPtrArray *keys = g_ptr_array_new_with_free_func (g_free);
   double best_ns = 1e9;
+  long fewest_waits = LONG_MAX;
   int n_found = 0;
   BjConfig *config;
 
@@ -1041,14 +1053,17 @@
   for (int round = 0; round < COST_ROUNDS; round++)
     {
       double began = processor_ns ();
+      long waits = count_waits ();
 
       for (int i = 0; i < COST_CHECKS; i++)
         n_found += bj_accounts_find_key (config->accounts,
                                          bj_str (keys->pdata[(guint)(i * 7919) % COST_ACCOUNTS]))
                    != NULL;
       best_ns = MIN (best_ns, (processor_ns () - began) / COST_CHECKS);
+      fewest_waits = MIN (fewest_waits, count_waits () - waits);
     }
   assert_int_equal (n_found, COST_ROUNDS * COST_CHECKS);
+  assert_int_equal (fewest_waits, 0); // processor time does not count them
   print_message ("  a check of a key among %d accounts: %.0f ns\n", COST_ACCOUNTS, best_ns);
 #ifndef __SANITIZE_ADDRESS__
   assert_true (best_ns < COST_MAX_NS);
--- a/tests/test_fleet_path.c
+++ b/tests/test_fleet_path.c
@@ -403,6 +403,8 @@
         set_link_fault (c->during);
     }
   g_thread_join (thread);
+  // A call that is still in a faulty connection would be run now.
+  fleet_set_link_fault (&fleet, "a", "b", "ok");
   n_runs = read_upstream_stat (2, "run") - before;
   is_right = r.status == 200 && n_runs == 1
              && is_pattern (r.out, (size_t)atoi (strchr (c->path, '=') + 1), id);
@@ -413,7 +415,6 @@
                  n_runs,
                  bj_clock_now () - sent,
                  is_right ? "" : ", WRONG");
-  fleet_set_link_fault (&fleet, "a", "b", "ok");
   g_string_free (r.out, TRUE);
   g_free (body);
   return is_right;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -917,7 +917,7 @@
     "",
     BJ_OK,
     "7",
-    NULL },
+    "{\"a\":1,\"b\":[[[[[[[[[[[[[[[[[[[[[[null]]]]]]]]]]]]]]]]]]]]]]}" },
   { "list without the object",
     LIST,
     { 200, "{\"items\":[],\"hasMore\":false,\"storeRevision\":13}" },
@@ -1069,8 +1069,7 @@
       assert_non_null (strstr (store.body, c->body));
       assert_int_equal (r.code, c->code);
       assert_string_equal (r.version, c->version);
-      if (c->spec != NULL)
-        assert_string_equal (r.spec, c->spec);
+      assert_string_equal (r.spec, c->spec);
       g_string_free (body, TRUE);
     }
   g_free (deep);
