Test: a response of a peer that is sent twice

Seven rows: the head, a refusal, the end and the whole response once more, before, within and behind the response, with another call open behind it. Each call gets its own response once, whole. Never red: it shows what was right before.

--- a/tests/test_resend.c
+++ b/tests/test_resend.c
@@ -1,5 +1,5 @@
 // A daemon whose peer stops reading while a response from it has begun: the connection is replaced,
-// and the calls behind it are sent elsewhere or answered.
+// and the calls behind it are sent elsewhere or answered. A peer that sends a response twice.
 
 #include "daemons.h"
 #include "kernel.h"
@@ -11,11 +11,13 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include <cmocka.h>
 
 #define LARGE_BODY_BYTES (32 * 1024 * 1024) // more than the buffers of a connection
 #define ANSWER_MS 5000                      // until the caller is answered
+#define STEP_MS 50                          // for a response to arrive
 #define READ_MS 500                         // without bytes until all that was sent is read
 #define QUEUED_PATH "/s/queued-call"
 
@@ -24,6 +26,9 @@
   BjSink base; // first member, cast from BjSink*
   bool has_begun;
   bool has_ended;
+  bool is_complete;
+  int n_begun;
+  size_t n_bytes;
   BjAnswer answer;
 } Caller;
 
@@ -31,6 +36,7 @@
 on_begin (BjSink *s, const BjAnswer *a)
 {
   ((Caller *)s)->has_begun = true;
+  ((Caller *)s)->n_begun++;
   ((Caller *)s)->answer = *a;
 }
 
@@ -44,14 +50,13 @@
 static void
 on_data (BjSink *s, BjStr part)
 {
-  (void)s;
-  (void)part;
+  ((Caller *)s)->n_bytes += part.len;
 }
 
 static void
 on_end (BjSink *s, bool is_complete)
 {
-  (void)is_complete;
+  ((Caller *)s)->is_complete = is_complete;
   ((Caller *)s)->has_ended = true;
 }
 
@@ -76,15 +81,26 @@
 }
 
 static void
-begin_response (int fd, uint64_t id)
+send_hello (int fd)
 {
   static const char zero_signature[BJ_TAG_BYTES];
+  msgpack_sbuffer out;
   BjFrame hello = { .kind = BJ_FRAME_HELLO,
                     .id = 5,
                     .start = 5,
                     .protocol = BJ_PROTOCOL_VERSION,
                     .name = BJ_STR ("peer"),
                     .data = { zero_signature, sizeof zero_signature } };
+
+  msgpack_sbuffer_init (&out);
+  bj_frame_encode (&out, &hello);
+  assert_int_equal (send (fd, out.data, out.size, MSG_NOSIGNAL), out.size);
+  msgpack_sbuffer_destroy (&out);
+}
+
+static void
+begin_response (int fd, uint64_t id)
+{
   BjFrame answer
       = { .kind = BJ_FRAME_ANSWER,
           .id = id,
@@ -92,8 +108,8 @@
           = { .outcome = BJ_DONE, .http_status = 200, .attempts_left = -1, .length = 100 } };
   msgpack_sbuffer out;
 
+  send_hello (fd);
   msgpack_sbuffer_init (&out);
-  bj_frame_encode (&out, &hello);
   bj_frame_encode (&out, &answer);
   assert_int_equal (send (fd, out.data, out.size, MSG_NOSIGNAL), out.size);
   msgpack_sbuffer_destroy (&out);
@@ -125,22 +141,15 @@
   return found;
 }
 
-static void
-test_call_answered_as_not_run_is_not_sent_later (void **state)
+// A daemon that knows one peer of service s, at port.
+static BjDaemon *
+start_daemon (struct ev_loop *loop, int port)
 {
-  struct ev_loop *loop = ev_loop_new (0);
   BjDaemon *d = daemons_new (loop,
                              (BjSettings){ .platform_name = BJ_STR ("memory"),
                                            .platform_url = BJ_STR ("resend"),
                                            .dialect = BJ_STR ("borage") });
-  char *body = g_malloc0 (LARGE_BODY_BYTES);
-  Caller callers[3];
-  BjExchange *first;
-  int listener;
-  int port = daemons_listen (&listener);
-  int fd;
 
-  (void)state;
   bj_daemon_apply_config (d,
                           1,
                           BJ_STR ("{\"number\":1,\"priorities\":[\"a\"],\"services\":{\"s\":{"
@@ -158,6 +167,21 @@
                                           .link_port = port,
                                           .incarnation = 5,
                                           .limit = 100 });
+  return d;
+}
+
+static void
+test_call_answered_as_not_run_is_not_sent_later (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  char *body = g_malloc0 (LARGE_BODY_BYTES);
+  Caller callers[3];
+  BjExchange *first;
+  int listener;
+  BjDaemon *d = start_daemon (loop, daemons_listen (&listener));
+  int fd;
+
+  (void)state;
   first = send_call (d, &callers[0], "/s/first", BJ_STR_NULL);
   assert_non_null (first);
   fd = accept (listener, NULL, NULL);
@@ -179,11 +203,108 @@
   ev_loop_destroy (loop);
 }
 
+// A response of the peer to the first call, as letters: A its head, R a refusal with its id, D a
+// half of its body, E its end.
+typedef struct
+{
+  const char *name;
+  const char *frames;
+} TwiceCase;
+
+static const TwiceCase twice_cases[] = {
+  { "once", "ADDE" },
+  { "its head twice", "AADDE" },
+  { "a refusal behind its head", "ARDDE" },
+  { "a refusal within its body", "ADRDE" },
+  { "a refusal behind its end", "ADDER" },
+  { "its end twice", "ADDEE" },
+  { "all of it twice", "ADDEADDE" },
+};
+
+static void
+send_twice_case (int fd, uint64_t id, const char *frames)
+{
+  msgpack_sbuffer out;
+
+  msgpack_sbuffer_init (&out);
+  for (; *frames != 0; frames++)
+    {
+      BjFrame f = { .id = id };
+
+      f.kind = *frames == 'D' ? BJ_FRAME_DATA : *frames == 'E' ? BJ_FRAME_END : BJ_FRAME_ANSWER;
+      f.answer
+          = (BjAnswer){ .outcome = BJ_DONE, .http_status = 200, .attempts_left = -1, .length = 10 };
+      if (*frames == 'R')
+        f.answer = (BjAnswer){
+          .code = BJ_E_OVERLOAD, .outcome = BJ_NOT_RUN, .http_status = 503, .attempts_left = -1
+        };
+      if (*frames == 'D')
+        f.data = BJ_STR ("01234");
+      f.is_complete = true;
+      f.length = 10;
+      f.hash = XXH64 ("0123401234", 10, 0);
+      bj_frame_encode (&out, &f);
+    }
+  assert_int_equal (send (fd, out.data, out.size, MSG_NOSIGNAL), out.size);
+  msgpack_sbuffer_destroy (&out);
+}
+
+// Guards against a response or refusal that a peer sends once more and that is taken for part of a
+// response, or for that of a call that is open behind it.
+static void
+test_response_of_a_peer_sent_twice (void **state)
+{
+  int n_wrong = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (twice_cases); i++)
+    {
+      const TwiceCase *c = &twice_cases[i];
+      struct ev_loop *loop = ev_loop_new (0);
+      int listener;
+      BjDaemon *d = start_daemon (loop, daemons_listen (&listener));
+      Caller callers[2];
+      BjExchange *x[2];
+      int fd;
+
+      for (int k = 0; k < 2; k++)
+        x[k] = send_call (d, &callers[k], "/s/x", BJ_STR_NULL);
+      fd = accept (listener, NULL, NULL);
+      send_hello (fd);
+      send_twice_case (fd, x[0]->call->id, c->frames);
+      run_until (loop, &callers[0].has_ended, ANSWER_MS);
+      run_until (loop, &callers[1].has_ended, STEP_MS);
+      if (callers[1].n_begun > 0)
+        n_wrong++;
+      else
+        send_twice_case (fd, x[1]->call->id, "ADDE");
+      run_until (loop, &callers[1].has_ended, ANSWER_MS);
+      for (int k = 0; k < 2; k++)
+        if (callers[k].n_begun != 1 || callers[k].answer.outcome != BJ_DONE
+            || callers[k].n_bytes != 10 || !callers[k].is_complete)
+          {
+            n_wrong++;
+            print_error ("%s, call %d: begun %d times, %zu bytes, complete %d\n",
+                         c->name,
+                         k,
+                         callers[k].n_begun,
+                         callers[k].n_bytes,
+                         callers[k].is_complete);
+          }
+      close (fd);
+      close (listener);
+      bj_daemon_free (d);
+      ev_loop_destroy (loop);
+    }
+  assert_int_equal (n_wrong, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_call_answered_as_not_run_is_not_sent_later) };
+      = { cmocka_unit_test (test_call_answered_as_not_run_is_not_sent_later),
+          cmocka_unit_test (test_response_of_a_peer_sent_twice) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
