--- a/src/http.c
+++ b/src/http.c
@@ -1,6 +1,6 @@
 // Http: HTTP client, runs libcurl multi on the libev loop.
 
-#include "internal.h"
+#include "response.h"
 #include <curl/curl.h>
 #include <ev.h>
 #include <string.h>
@@ -50,7 +50,7 @@
   BjHttpOptions options;
   BjHttpHead head;
   char outcome[16];      // storage of head.outcome
-  bool is_head_whole;    // the empty line behind the head was received
+  BjResponse response;   // checks the head
   bool is_head_reported; // options.head was called
   bool cancelled;
   BjTime started;
@@ -151,6 +151,7 @@
   c->body = bj_str_dup (o->body);
   c->head.attempts_left = -1;
   c->started = bj_clock_now ();
+  bj_response_init (&c->response);
   c->easy = curl_easy_init ();
   curl_easy_setopt (c->easy, CURLOPT_URL, c->url);
   curl_easy_setopt (c->easy, CURLOPT_PRIVATE, c);
@@ -356,6 +357,7 @@
   BjHttpCall *c = call;
   BjStr line = { data, size * n };
   const char *colon = memchr (line.data, ':', line.len);
+  const char *reason;
   BjStr name;
   BjStr value;
 
@@ -365,9 +367,9 @@
   c->n_head += line.len;
   if (c->n_head > HEAD_MAX)
     return reject_response (c, "its head has no end");
-  if (bj_str_starts (line, BJ_STR ("HTTP/")))
-    c->is_head_whole = false;
-  c->is_head_whole = c->is_head_whole || line.data[0] == '\r' || line.data[0] == '\n';
+  reason = bj_response_read (&c->response, line);
+  if (reason != NULL)
+    return reject_response (c, reason);
   if (colon == NULL)
     return line.len;
   name = (BjStr){ line.data, (size_t)(colon - line.data) };
@@ -506,6 +508,7 @@
   curl_multi_remove_handle (h->multi, c->easy);
   curl_easy_cleanup (c->easy);
   curl_slist_free_all (c->headers);
+  bj_response_clear (&c->response);
   bj_str_free (&c->body);
   g_free (c->url);
   g_free (c);
@@ -569,10 +572,9 @@
 static CURLcode
 check_head (const BjHttpCall *c, CURLcode code)
 {
-  long status = 0;
+  bool is_whole = c->response.part == BJ_RESPONSE_BODY;
 
-  curl_easy_getinfo (c->easy, CURLINFO_RESPONSE_CODE, &status);
-  return code == CURLE_OK && (!c->is_head_whole || status < 200) ? CURLE_WEIRD_SERVER_REPLY : code;
+  return code == CURLE_OK && !is_whole ? CURLE_WEIRD_SERVER_REPLY : code;
 }
 
 static BjStatus
--- a/src/pool.c
+++ b/src/pool.c
@@ -1,7 +1,7 @@
 // Pool: HTTP/1.1 connections to the own upstream, parsed by http-parser. A connection carries one
 // request at a time. The pool never retries: it reports a request whose connection was lost.
 
-#include "internal.h"
+#include "response.h"
 #include <arpa/inet.h>
 #include <errno.h>
 #include <ev.h>
@@ -48,6 +48,7 @@
   PoolState state;
   http_parser parser;
   BjMessage message;        // head of the response
+  BjResponse response;      // checks that head
   GString *unconsumed_body; // response body that on_body did not accept
   size_t n_sent;            // bytes of the request's head and body written
   size_t n_received;        // bytes of the response so far
@@ -245,6 +246,7 @@
   c->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   c->unconsumed_body = g_string_new (NULL);
   bj_message_init (&c->message);
+  bj_response_init (&c->response);
   ev_io_init (&c->read, on_read, c->fd, EV_READ);
   ev_io_init (&c->write, on_write, c->fd, EV_WRITE);
   ev_timer_init (&c->probe_timer, on_probe_timer, PROBE_OPEN_MS / 1000.0, 0);
@@ -476,6 +478,7 @@
       http_parser_init (&c->parser, HTTP_RESPONSE);
       c->parser.data = c;
       bj_message_reset (&c->message);
+      bj_response_reset (&c->response);
       ev_io_start (c->pool->loop, &c->read);
     }
   while (c->n_sent < total)
@@ -526,12 +529,20 @@
 static void
 parse_response (BjPoolConn *c, const char *data, size_t n)
 {
-  size_t used = http_parser_execute (&c->parser, &parser_settings, data, n);
-  enum http_errno e = HTTP_PARSER_ERRNO (&c->parser);
+  const char *reason = bj_response_read (&c->response, (BjStr){ data, n });
+  enum http_errno e;
+  size_t used;
 
+  c->n_received += n;
+  if (reason != NULL)
+    {
+      reject_response (c, reason);
+      return;
+    }
+  used = http_parser_execute (&c->parser, &parser_settings, data, n);
+  e = HTTP_PARSER_ERRNO (&c->parser);
   if (c->is_closed)
     return;
-  c->n_received += n;
   if (e == HPE_PAUSED && c->is_complete)
     {
       if (used < n)
@@ -628,6 +639,9 @@
 {
   BjPoolConn *c = p->data;
 
+  // An interim response has no body.
+  if (c->state != RECEIVING)
+    return -1;
   if (c->unconsumed_body->len == 0 && !c->is_paused
       && c->options.on_body (c->options.data, (BjStr){ data, n }) > 0)
     return c->is_closed ? -1 : 0;
@@ -735,6 +749,7 @@
   if (c->is_dirty)
     g_ptr_array_remove_fast (c->pool->dirty, c);
   bj_message_clear (&c->message);
+  bj_response_clear (&c->response);
   g_string_free (c->unconsumed_body, TRUE);
   bj_str_free (&c->head);
   g_free (c);
--- /dev/null
+++ b/tests/test_answers.c
@@ -0,0 +1,588 @@
+// An upstream, a peer or the store that sends what is no answer, or an answer whose end is not
+// certain. Guards against callers that get such bytes as an answer: they get a failure of the
+// daemon, or a response that is visibly broken off.
+
+#include "daemons.h"
+#include "kernel.h"
+#include <curl/curl.h>
+#include <errno.h>
+#include <ev.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define WAIT_MS 3000                   // for the caller's connection to end
+#define UPLOAD_BYTES (8 * 1024 * 1024) // more than the socket buffers hold
+#define UPLOAD_READ_BYTES (128 * 1024) // of it that the upstream reads before it answers
+#define SETTLE_MS 200                  // for the buffers to fill, and for a FIN to arrive
+
+typedef enum
+{
+  KEEP,      // the connection stays open
+  END,       // it is closed with a FIN
+  RESET,     // it is reset
+  END_RESET, // a FIN, then the rest of the upload is answered with a reset
+} AfterAnswer;
+
+typedef enum
+{
+  GIVEN,  // the caller gets the status and the body
+  FAILED, // it gets a 502 of the daemon
+  BROKEN, // it gets a part, and the connection is reset
+} Expected;
+
+typedef enum
+{
+  OWN,   // the daemon that has the caller runs the call on its own upstream
+  PEER,  // on the upstream of another daemon
+  STORE, // the bytes answer a request to the store
+  READERS,
+} Reader;
+
+typedef struct
+{
+  const char *name;
+  const char *bytes; // \xff stands for a NUL
+  AfterAnswer after;
+  Expected expected;
+  int status;       // when GIVEN
+  const char *body; // when GIVEN
+} AnswerCase;
+
+#define OWN_FIELDS "X-Request-Id: 7\r\nX-Response-Seal: s\r\n"
+#define STATUS(line) line "\r\n" OWN_FIELDS "Content-Length: 4\r\n\r\nbody"
+#define FIELD(line) "HTTP/1.1 200 OK\r\n" OWN_FIELDS line "\r\nContent-Length: 4\r\n\r\nbody"
+#define LENGTH(lines) "HTTP/1.1 200 OK\r\n" OWN_FIELDS lines "\r\n\r\nbody"
+#define CHUNKS(chunks) "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Transfer-Encoding: chunked\r\n\r\n" chunks
+#define GOOD STATUS ("HTTP/1.1 200 OK")
+#define NO_LENGTH "HTTP/1.1 200 OK\r\n" OWN_FIELDS "\r\nbody"
+
+// What is no answer, and interim responses.
+static const AnswerCase status_cases[] = {
+  { "sound", GOOD, KEEP, GIVEN, 200, "body" },
+  { "failure", STATUS ("HTTP/1.1 500 X"), KEEP, GIVEN, 500, "body" },
+  { "status 000", STATUS ("HTTP/1.1 000 X"), KEEP, FAILED, 0, NULL },
+  { "status 000 without a length",
+    "HTTP/1.1 000 X\r\n" OWN_FIELDS "\r\nbody",
+    END,
+    FAILED,
+    0,
+    NULL },
+  { "status 000 before an answer",
+    "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" GOOD,
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "status 099", STATUS ("HTTP/1.1 099 X"), KEEP, FAILED, 0, NULL },
+  { "status 600", STATUS ("HTTP/1.1 600 X"), KEEP, FAILED, 0, NULL },
+  { "status 999", STATUS ("HTTP/1.1 999 X"), KEEP, FAILED, 0, NULL },
+  { "status 1000", STATUS ("HTTP/1.1 1000 X"), KEEP, FAILED, 0, NULL },
+  { "status 2000", STATUS ("HTTP/1.1 2000 X"), KEEP, FAILED, 0, NULL },
+  { "status 0200", STATUS ("HTTP/1.1 0200 OK"), KEEP, FAILED, 0, NULL },
+  { "status 20", STATUS ("HTTP/1.1 20 OK"), KEEP, FAILED, 0, NULL },
+  { "status 2", STATUS ("HTTP/1.1 2 OK"), KEEP, FAILED, 0, NULL },
+  { "status -200", STATUS ("HTTP/1.1 -200 OK"), KEEP, FAILED, 0, NULL },
+  { "status 2x0", STATUS ("HTTP/1.1 2x0 OK"), KEEP, FAILED, 0, NULL },
+  { "no status", STATUS ("HTTP/1.1 OK"), KEEP, FAILED, 0, NULL },
+  { "two spaces before the status", STATUS ("HTTP/1.1  200 OK"), KEEP, FAILED, 0, NULL },
+  { "status without a reason", STATUS ("HTTP/1.1 200"), KEEP, GIVEN, 200, "body" },
+  { "HTTP/1.0", STATUS ("HTTP/1.0 200 OK"), KEEP, GIVEN, 200, "body" },
+  { "HTTP/2.0", STATUS ("HTTP/2.0 200 OK"), KEEP, FAILED, 0, NULL },
+  { "HTTP/0.9", STATUS ("HTTP/0.9 200 OK"), KEEP, FAILED, 0, NULL },
+  { "no version", STATUS ("HTTP 200 OK"), KEEP, FAILED, 0, NULL },
+  { "bytes without a head", "body", END, FAILED, 0, NULL },
+  { "interim", "HTTP/1.1 103 X\r\nLink: x\r\n\r\n" GOOD, KEEP, GIVEN, 200, "body" },
+  { "two interim ones",
+    "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 199 X\r\n\r\n" GOOD,
+    KEEP,
+    GIVEN,
+    200,
+    "body" },
+  { "interim with a body",
+    "HTTP/1.1 100 X\r\nContent-Length: 4\r\n\r\nbody" GOOD,
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "interim with a chunked body",
+    "HTTP/1.1 100 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" GOOD,
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "bytes behind an interim one", "HTTP/1.1 100 X\r\n\r\nbody" GOOD, KEEP, FAILED, 0, NULL },
+  { "interim, then FIN", "HTTP/1.1 100 X\r\n\r\n", END, FAILED, 0, NULL },
+  { "unasked 101", "HTTP/1.1 101 X\r\n\r\n" GOOD, KEEP, FAILED, 0, NULL },
+  { "unasked 101 and bytes", "HTTP/1.1 101 X\r\n\r\nbody", END, FAILED, 0, NULL },
+  { "unasked 101 with an upgrade and bytes",
+    "HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nbody",
+    END,
+    FAILED,
+    0,
+    NULL },
+  { "unasked 101 with an upgrade and a length",
+    "HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: x\r\nContent-Length: 4\r\n\r\nbody" GOOD,
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+};
+
+typedef struct
+{
+  struct ev_loop *loop;
+  const AnswerCase *c;
+  bool is_upload;
+  int fd;
+  ev_io accept;
+  ev_io conn;
+  ev_timer settle;
+  bool has_answered;
+  size_t n_read;
+  GString *answer;
+} Upstream;
+
+typedef struct
+{
+  struct ev_loop *loop;
+  ev_io read;
+  ev_io write;
+  GString *out;
+  size_t n_sent;
+  GString *in;
+  bool is_reset;
+  bool is_ended;
+} Caller;
+
+static void
+close_conn (Upstream *u, bool is_reset)
+{
+  struct linger reset = { 1, 0 };
+
+  if (is_reset)
+    setsockopt (u->conn.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  ev_io_stop (u->loop, &u->conn);
+  ev_timer_stop (u->loop, &u->settle);
+  close (u->conn.fd);
+  u->conn.fd = -1;
+}
+
+static void
+on_settled (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Upstream *u = w->data;
+
+  (void)events;
+  if (u->has_answered)
+    {
+      close_conn (u, true);
+      return;
+    }
+  u->has_answered = true;
+  assert_int_equal (send (u->conn.fd, u->answer->str, u->answer->len, MSG_NOSIGNAL),
+                    u->answer->len);
+  if (u->c->after == END_RESET)
+    {
+      shutdown (u->conn.fd, SHUT_WR);
+      ev_timer_set (w, SETTLE_MS / 1000.0, 0);
+      ev_timer_start (loop, w);
+    }
+  else if (u->c->after != KEEP)
+    close_conn (u, u->c->after == RESET);
+}
+
+static void
+on_request (struct ev_loop *loop, ev_io *w, int events)
+{
+  static char buffer[65536];
+  Upstream *u = w->data;
+  ssize_t n = recv (w->fd, buffer, sizeof buffer, 0);
+
+  (void)events;
+  if (n <= 0)
+    {
+      close_conn (u, false);
+      return;
+    }
+  u->n_read += (size_t)n;
+  if (u->has_answered || u->n_read < (u->is_upload ? UPLOAD_READ_BYTES : 1))
+    return;
+  ev_io_stop (loop, w);
+  ev_timer_set (&u->settle, u->is_upload ? SETTLE_MS / 1000.0 : 0, 0);
+  ev_timer_start (loop, &u->settle);
+  if (!u->is_upload)
+    ev_io_start (loop, w);
+}
+
+// Later connections are probes: they stay open.
+static void
+on_accept (struct ev_loop *loop, ev_io *w, int events)
+{
+  Upstream *u = w->data;
+  int fd = accept (w->fd, NULL, NULL);
+
+  (void)events;
+  if (u->conn.fd != 0)
+    return;
+  ev_io_init (&u->conn, on_request, fd, EV_READ);
+  u->conn.data = u;
+  ev_io_start (loop, &u->conn);
+}
+
+static int
+open_upstream (Upstream *u, struct ev_loop *loop, const AnswerCase *c, bool is_upload)
+{
+  int port;
+
+  *u = (Upstream){ .loop = loop, .c = c, .is_upload = is_upload };
+  u->answer = g_string_new (c->bytes);
+  for (size_t i = 0; i < u->answer->len; i++)
+    if (u->answer->str[i] == '\xff')
+      u->answer->str[i] = '\0';
+  port = daemons_listen (&u->fd);
+  ev_io_init (&u->accept, on_accept, u->fd, EV_READ);
+  ev_timer_init (&u->settle, on_settled, 0, 0);
+  u->accept.data = u;
+  u->settle.data = u;
+  ev_io_start (loop, &u->accept);
+  return port;
+}
+
+static void
+close_upstream (Upstream *u)
+{
+  ev_io_stop (u->loop, &u->accept);
+  close (u->fd);
+  if (u->conn.fd > 0)
+    close_conn (u, false);
+  g_string_free (u->answer, TRUE);
+}
+
+static void
+on_caller_read (struct ev_loop *loop, ev_io *w, int events)
+{
+  Caller *c = w->data;
+  char buffer[65536];
+  ssize_t n = recv (w->fd, buffer, sizeof buffer, 0);
+
+  (void)events;
+  if (n < 0 && errno == EAGAIN)
+    return;
+  if (n > 0)
+    {
+      g_string_append_len (c->in, buffer, n);
+      return;
+    }
+  c->is_reset = n < 0;
+  c->is_ended = true;
+  ev_io_stop (loop, &c->read);
+  ev_io_stop (loop, &c->write);
+}
+
+static void
+on_caller_write (struct ev_loop *loop, ev_io *w, int events)
+{
+  Caller *c = w->data;
+  ssize_t n = send (w->fd, c->out->str + c->n_sent, c->out->len - c->n_sent, MSG_NOSIGNAL);
+
+  (void)events;
+  if (n > 0)
+    c->n_sent += (size_t)n;
+  if (c->n_sent == c->out->len || (n < 0 && errno != EAGAIN))
+    ev_io_stop (loop, w);
+}
+
+static void
+open_caller (Caller *c, struct ev_loop *loop, int port, size_t body_bytes)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  *c = (Caller){ .loop = loop, .in = g_string_new (NULL), .out = g_string_new (NULL) };
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  assert_int_equal (connect (fd, (struct sockaddr *)&addr, sizeof addr), 0);
+  fcntl (fd, F_SETFL, fcntl (fd, F_GETFL) | O_NONBLOCK);
+  g_string_printf (c->out,
+                   "POST /s/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\nX-Deadline-Ms: %d\r\n"
+                   "Connection: close\r\nContent-Length: %zu\r\n\r\n",
+                   WAIT_MS - 500,
+                   body_bytes);
+  for (size_t i = 0; i < body_bytes; i++)
+    g_string_append_c (c->out, 'u');
+  ev_io_init (&c->read, on_caller_read, fd, EV_READ);
+  ev_io_init (&c->write, on_caller_write, fd, EV_WRITE);
+  c->read.data = c;
+  c->write.data = c;
+  ev_io_start (loop, &c->read);
+  ev_io_start (loop, &c->write);
+}
+
+static void
+close_caller (Caller *c)
+{
+  ev_io_stop (c->loop, &c->read);
+  ev_io_stop (c->loop, &c->write);
+  close (c->read.fd);
+  g_string_free (c->in, TRUE);
+  g_string_free (c->out, TRUE);
+}
+
+static BjDaemon *
+start_daemon (struct ev_loop *loop, const char *name)
+{
+  static const char config[]
+      = "{\"number\":1,\"priorities\":[\"lookup\"],\"services\":{\"s\":{\"limiter\":{\"plugin\":"
+        "\"fixed\"},\"routes\":[{\"prefix\":\"/s/\",\"class\":\"lookup\",\"attempts\":0}]}}}";
+  BjDaemon *d = daemons_new (loop,
+                             (BjSettings){ .name = bj_str (name),
+                                           .platform_name = BJ_STR ("memory"),
+                                           .platform_url = bj_str (name),
+                                           .dialect = BJ_STR ("platform") });
+
+  bj_daemon_apply_config (d, 1, bj_str (config), "test");
+  return d;
+}
+
+static void
+announce_upstream (BjDaemon *d, int port)
+{
+  assert_int_equal (
+      bj_daemon_handle_announcement (d,
+                                     &(BjAnnouncement){ .service = BJ_STR ("s"),
+                                                        .address = { BJ_STR ("127.0.0.1"), port },
+                                                        .slots = 4 }),
+      BJ_OK);
+}
+
+static void
+make_known (BjDaemon *d, const BjDaemon *other)
+{
+  bj_kernel_update_peer (d->kernel,
+                         bj_clock_now (),
+                         &(BjPeerReport){ .name = other->settings.name,
+                                          .domain = BJ_STR ("a"),
+                                          .region = BJ_STR ("r"),
+                                          .service = BJ_STR ("s"),
+                                          .host = BJ_STR ("127.0.0.1"),
+                                          .link_port = other->settings.link.port,
+                                          .incarnation = other->incarnation,
+                                          .limit = 100 });
+}
+
+// Returns the body behind the head, NULL if the response is not complete.
+static char *
+read_body (const Caller *c)
+{
+  const char *head_end = strstr (c->in->str, "\r\n\r\n");
+  const char *length;
+  const char *body;
+  GString *out;
+
+  if (head_end == NULL || c->is_reset)
+    return NULL;
+  body = head_end + 4;
+  length = strstr (c->in->str, "\r\nContent-Length: ");
+  if (length != NULL && length < head_end)
+    {
+      guint64 n = g_ascii_strtoull (length + 18, NULL, 10);
+
+      // The body of a 304 is not sent.
+      if (strncmp (c->in->str, "HTTP/1.1 304", 12) == 0)
+        n = 0;
+      return strlen (body) == n ? g_strdup (body) : NULL;
+    }
+  if (strstr (c->in->str, "\r\nTransfer-Encoding: chunked") == NULL)
+    return g_strdup (body);
+  out = g_string_new (NULL);
+  for (;;)
+    {
+      char *end;
+      guint64 n = g_ascii_strtoull (body, &end, 16);
+
+      if (end == body || strlen (end) < n + 4)
+        {
+          g_string_free (out, TRUE);
+          return NULL;
+        }
+      if (n == 0)
+        return g_string_free (out, FALSE);
+      g_string_append_len (out, end + 2, (gssize)n);
+      body = end + 2 + n + 2;
+    }
+}
+
+static bool
+is_as_expected (const AnswerCase *c, const Caller *caller)
+{
+  char *body = read_body (caller);
+  int status = caller->in->len > 12 ? atoi (caller->in->str + 9) : 0;
+  bool is_own = strstr (caller->in->str, "X-Response-Seal") == NULL;
+  bool is_right = false;
+
+  if (!caller->is_ended)
+    is_right = false;
+  else if (c->expected == GIVEN)
+    is_right = status == c->status && body != NULL && strcmp (body, c->body) == 0 && !is_own;
+  else if (c->expected == FAILED)
+    is_right = status == 502 && body != NULL && is_own && strstr (body, "BJ_E_LOST") != NULL;
+  else
+    is_right = body == NULL && caller->is_reset;
+  g_free (body);
+  return is_right;
+}
+
+static bool
+run_call (const AnswerCase *c, bool is_upload, Reader reader)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *front = start_daemon (loop, "one");
+  BjDaemon *guard = reader == PEER ? start_daemon (loop, "two") : front;
+  BjTime until;
+  Upstream u;
+  Caller caller;
+  bool is_right;
+
+  announce_upstream (guard, open_upstream (&u, loop, c, is_upload));
+  if (reader == PEER)
+    make_known (front, guard);
+  open_caller (&caller, loop, front->settings.front.port, is_upload ? UPLOAD_BYTES : 0);
+  for (until = bj_clock_now () + WAIT_MS; !caller.is_ended && bj_clock_now () < until;)
+    ev_run (loop, EVRUN_ONCE);
+  is_right = is_as_expected (c, &caller);
+  if (!is_right)
+    print_error ("%s%s, %s: ended %d, reset %d, received %s\n",
+                 is_upload ? "upload, " : "",
+                 c->name,
+                 reader == PEER ? "peer" : "own upstream",
+                 caller.is_ended,
+                 caller.is_reset,
+                 caller.in->str);
+  close_caller (&caller);
+  close_upstream (&u);
+  if (guard != front)
+    bj_daemon_free (guard);
+  bj_daemon_free (front);
+  ev_loop_destroy (loop);
+  return is_right;
+}
+
+typedef struct
+{
+  bool is_done;
+  BjStatus status;
+  int http_status;
+  GString *body;
+} Reply;
+
+static void
+on_reply_head (void *data, const BjHttpHead *h)
+{
+  ((Reply *)data)->http_status = h->status;
+}
+
+static size_t
+on_reply_part (void *data, BjStr part)
+{
+  // No byte of a body may come before the head.
+  if (((Reply *)data)->http_status == 0)
+    ((Reply *)data)->http_status = -1;
+  g_string_append_len (((Reply *)data)->body, part.data, (gssize)part.len);
+  return part.len;
+}
+
+static void
+on_reply_done (void *data, BjStatus s, bool sent)
+{
+  (void)sent;
+  ((Reply *)data)->is_done = true;
+  ((Reply *)data)->status = s;
+}
+
+static bool
+run_store_request (const AnswerCase *c, bool is_upload)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjHttp *http = bj_http_new (loop);
+  char *body = g_malloc0 (UPLOAD_BYTES);
+  Reply r = { .body = g_string_new (NULL) };
+  BjTime until = bj_clock_now () + WAIT_MS;
+  Upstream u;
+  char url[64];
+  bool is_right;
+
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d/", open_upstream (&u, loop, c, is_upload));
+  bj_http_start (http,
+                 &(BjHttpOptions){ .method = is_upload ? "PUT" : "GET",
+                                   .url = url,
+                                   .body = { body, is_upload ? UPLOAD_BYTES : 0 },
+                                   .timeout_ms = WAIT_MS - 500,
+                                   .body_max = 65536,
+                                   .head = on_reply_head,
+                                   .body_part = on_reply_part,
+                                   .done = on_reply_done,
+                                   .data = &r });
+  while (!r.is_done && bj_clock_now () < until)
+    ev_run (loop, EVRUN_ONCE);
+  if (c->expected == GIVEN)
+    is_right
+        = r.status == BJ_OK && r.http_status == c->status && strcmp (r.body->str, c->body) == 0;
+  else
+    is_right = r.is_done && r.status != BJ_OK
+               && (c->expected == BROKEN || (r.http_status == 0 && r.body->len == 0));
+  if (!is_right)
+    print_error ("%s%s, store: done %d, %s, HTTP status %d, body %s\n",
+                 is_upload ? "upload, " : "",
+                 c->name,
+                 r.is_done,
+                 bj_status_name (r.status),
+                 r.http_status,
+                 r.body->str);
+  bj_http_free (http);
+  close_upstream (&u);
+  g_string_free (r.body, TRUE);
+  g_free (body);
+  ev_loop_destroy (loop);
+  return is_right;
+}
+
+static void
+run_cases (const AnswerCase *all, size_t n, bool is_upload)
+{
+  int n_wrong[READERS] = { 0 };
+
+  for (size_t i = 0; i < n; i++)
+    for (Reader r = OWN; r < READERS; r++)
+      n_wrong[r] += r == STORE ? !run_store_request (&all[i], is_upload)
+                               : !run_call (&all[i], is_upload, r);
+  print_message ("  of %zu wrong: own upstream %d, peer %d, store %d\n",
+                 n,
+                 n_wrong[OWN],
+                 n_wrong[PEER],
+                 n_wrong[STORE]);
+  assert_int_equal (n_wrong[OWN] + n_wrong[PEER] + n_wrong[STORE], 0);
+}
+
+static void
+test_status_and_interim_responses (void **state)
+{
+  (void)state;
+  run_cases (status_cases, G_N_ELEMENTS (status_cases), false);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_status_and_interim_responses) };
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  bj_log_open (BJ_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
