--- a/src/pool.c
+++ b/src/pool.c
@@ -61,6 +61,7 @@
   bool is_dirty;          // in pool->dirty
   bool is_complete;       // the whole response was parsed
   bool is_closed;
+  bool is_reset;  // a write failed because the connection was reset
   bool is_reused; // the connection carried an earlier request
 };
 
@@ -496,6 +497,10 @@
           return;
         }
       // The upstream may have responded early and stopped reading; on_read handles that response.
+      // After a reset it reads an end of stream, because send () has taken the error. With EPIPE a
+      // FIN came before the reset.
+      if (n < 0 && errno != EPIPE)
+        c->is_reset = true;
       if (n <= 0)
         return;
       c->n_sent += (size_t)n;
@@ -515,7 +520,7 @@
 static void
 on_end_of_stream (BjPoolConn *c, bool is_reset)
 {
-  if (!is_reset)
+  if (!is_reset && !c->is_reset)
     http_parser_execute (&c->parser, &parser_settings, NULL, 0);
   if (c->is_closed)
     return;
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -139,6 +139,20 @@
 // Answers to an upload that is still being written.
 static const AnswerCase upload_cases[] = {
   { "sound", GOOD, KEEP, GIVEN, 200, "body" },
+  { "no length, then reset", NO_LENGTH, RESET, BROKEN, 0, NULL },
+  { "no length, HTTP/1.0, then reset",
+    "HTTP/1.0 200 OK\r\n" OWN_FIELDS "\r\nbody",
+    RESET,
+    BROKEN,
+    0,
+    NULL },
+  { "no length, then FIN and reset", NO_LENGTH, END_RESET, GIVEN, 200, "body" },
+  { "with a length, then reset", GOOD, RESET, GIVEN, 200, "body" },
+  { "length not reached, then reset", LENGTH ("Content-Length: 9"), RESET, BROKEN, 0, NULL },
+  { "chunks, then reset", CHUNKS ("4\r\nbody\r\n0\r\n\r\n"), RESET, GIVEN, 200, "body" },
+  { "no last chunk, then reset", CHUNKS ("4\r\nbody\r\n"), RESET, BROKEN, 0, NULL },
+  { "half a head, then reset", "HTTP/1.1 200 OK\r\nA: b", RESET, FAILED, 0, NULL },
+  { "status 000, then reset", STATUS ("HTTP/1.1 000 X"), RESET, FAILED, 0, NULL },
 };
 
 typedef struct
