--- a/src/header.c
+++ b/src/header.c
@@ -14,13 +14,12 @@
 static const char *const not_relayed_prefixes[] = { "Proxy-" };
 
 static bool is_relayed (BjStr name);
-static bool is_token (BjStr name);
-static bool is_text (BjStr value);
 
 void
 bj_header_add_relayed (GString *block, BjStr name, BjStr value)
 {
-  if (block == NULL || !is_relayed (name) || !is_token (name) || !is_text (value))
+  if (block == NULL || !is_relayed (name) || !bj_header_is_name (name)
+      || !bj_header_is_text (value))
     return;
   g_string_append_len (block, name.data, (gssize)name.len);
   g_string_append (block, ": ");
@@ -87,6 +86,26 @@
   return BJ_STR_NULL;
 }
 
+bool
+bj_header_is_name (BjStr name)
+{
+  static const char others[] = "!#$%&'*+-.^_`|~";
+
+  for (size_t i = 0; i < name.len; i++)
+    if (!g_ascii_isalnum (name.data[i]) && memchr (others, name.data[i], sizeof others - 1) == NULL)
+      return false;
+  return name.len > 0;
+}
+
+bool
+bj_header_is_text (BjStr value)
+{
+  for (size_t i = 0; i < value.len; i++)
+    if (((unsigned char)value.data[i] < ' ' && value.data[i] != '\t') || value.data[i] == 0x7f)
+      return false;
+  return true;
+}
+
 bool
 bj_header_is_valid (BjStr block)
 {
@@ -94,7 +113,7 @@
   BjStr value;
 
   while (bj_header_next (&block, &name, &value))
-    if (!is_relayed (name) || !is_token (name) || !is_text (value))
+    if (!is_relayed (name) || !bj_header_is_name (name) || !bj_header_is_text (value))
       return false;
   return block.len == 0;
 }
@@ -113,21 +132,3 @@
     }
   return true;
 }
-
-static bool
-is_token (BjStr name)
-{
-  for (size_t i = 0; i < name.len; i++)
-    if (!g_ascii_isalnum (name.data[i]) && strchr ("!#$%&'*+-.^_`|~", name.data[i]) == NULL)
-      return false;
-  return name.len > 0;
-}
-
-static bool
-is_text (BjStr value)
-{
-  for (size_t i = 0; i < value.len; i++)
-    if (((unsigned char)value.data[i] < ' ' && value.data[i] != '\t') || value.data[i] == 0x7f)
-      return false;
-  return true;
-}
--- a/src/internal.h
+++ b/src/internal.h
@@ -92,6 +92,8 @@
 bool bj_header_name_equal (BjStr name, const char *other);      // Case-insensitive
 bool bj_header_is_among (BjStr name, const char *const *names); // names is NULL-terminated
 BjStr bj_header_find (BjStr block, const char *name); // Value of the first match, empty if none
+bool bj_header_is_name (BjStr name);                  // A token of RFC 9110
+bool bj_header_is_text (BjStr value);                 // Without control bytes except tabs
 bool bj_header_is_valid (BjStr block); // Every line is a name, a colon and printable text
 
 // ---------------------------------------------------------------------------------------------
--- a/src/response.c
+++ b/src/response.c
@@ -10,6 +10,7 @@
 
 static const char *read_line (BjResponse *r, BjStr line);
 static const char *read_status (BjResponse *r, BjStr line);
+static const char *read_field (BjStr line);
 static void end_head (BjResponse *r);
 
 void
@@ -61,8 +62,9 @@
   // Empty lines before a response are skipped, as http-parser does.
   if (r->part == BJ_RESPONSE_STATUS)
     return line.len > 0 ? read_status (r, line) : NULL;
-  if (line.len == 0)
-    end_head (r);
+  if (line.len > 0)
+    return read_field (line);
+  end_head (r);
   return NULL;
 }
 
@@ -85,10 +87,28 @@
   // No request asks for an upgrade, so no answer follows.
   if (r->status == 101)
     return "it switches to a protocol that was not asked for";
+  if (!bj_header_is_text (line))
+    return "its first line has a control byte";
   r->part = BJ_RESPONSE_FIELDS;
   return NULL;
 }
 
+static const char *
+read_field (BjStr line)
+{
+  const char *colon = memchr (line.data, ':', line.len);
+  size_t n = colon != NULL ? (size_t)(colon - line.data) : line.len;
+
+  // Recipients differ in how they join the lines of such a value.
+  if (line.data[0] == ' ' || line.data[0] == '\t')
+    return "a field is folded over two lines";
+  if (colon == NULL || !bj_header_is_name ((BjStr){ line.data, n }))
+    return "the name of a field is missing or has a byte that no name has";
+  if (!bj_header_is_text ((BjStr){ colon + 1, line.len - n - 1 }))
+    return "the value of a field has a control byte";
+  return NULL;
+}
+
 static void
 end_head (BjResponse *r)
 {
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -136,6 +136,49 @@
     NULL },
 };
 
+// Names and values of fields.
+static const AnswerCase field_cases[] = {
+  { "name with a blank", FIELD ("A b: c"), KEEP, FAILED, 0, NULL },
+  { "blank behind a name", FIELD ("A : b"), KEEP, FAILED, 0, NULL },
+  { "tab in a name", FIELD ("A\tb: c"), KEEP, FAILED, 0, NULL },
+  { "blank before the first name",
+    "HTTP/1.1 200 OK\r\n A: b\r\n" OWN_FIELDS "Content-Length: 4\r\n\r\nbody",
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "control byte in a name", FIELD ("A\x01: b"), KEEP, FAILED, 0, NULL },
+  { "NUL in a name", FIELD ("A\xff: b"), KEEP, FAILED, 0, NULL },
+  { "DEL in a name", FIELD ("A\x7f: b"), KEEP, FAILED, 0, NULL },
+  { "byte above 127 in a name", FIELD ("A\x80: b"), KEEP, FAILED, 0, NULL },
+  { "separator in a name", FIELD ("A(: b"), KEEP, FAILED, 0, NULL },
+  { "no name", FIELD (": b"), KEEP, FAILED, 0, NULL },
+  { "no colon", FIELD ("A"), KEEP, FAILED, 0, NULL },
+  { "control byte in a value", FIELD ("A: b\x01"), KEEP, FAILED, 0, NULL },
+  { "NUL in a value", FIELD ("A: b\xff"), KEEP, FAILED, 0, NULL },
+  { "DEL in a value", FIELD ("A: b\x7f"), KEEP, FAILED, 0, NULL },
+  { "CR in a value", FIELD ("A: b\rc"), KEEP, FAILED, 0, NULL },
+  { "control byte in a type", FIELD ("Content-Type: b\x01"), KEEP, FAILED, 0, NULL },
+  { "control byte in a field of the connection",
+    FIELD ("Keep-Alive: \x01"),
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "control byte in the reason", STATUS ("HTTP/1.1 200 O\x01"), KEEP, FAILED, 0, NULL },
+  { "tab and byte above 127 in a value", FIELD ("A: b\t\x80"), KEEP, GIVEN, 200, "body" },
+  { "empty value", FIELD ("A:"), KEEP, GIVEN, 200, "body" },
+  { "folded line", FIELD ("A: b\r\n c"), KEEP, FAILED, 0, NULL },
+  { "folded line with a tab", FIELD ("A: b\r\n\tc: d"), KEEP, FAILED, 0, NULL },
+  { "folded line behind an empty value", FIELD ("A:\r\n c"), KEEP, FAILED, 0, NULL },
+  { "name with a blank in an interim one",
+    "HTTP/1.1 100 X\r\nA b: c\r\n\r\n" GOOD,
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+};
+
 // Answers to an upload that is still being written.
 static const AnswerCase upload_cases[] = {
   { "sound", GOOD, KEEP, GIVEN, 200, "body" },
@@ -600,6 +643,13 @@
   run_cases (status_cases, G_N_ELEMENTS (status_cases), false);
 }
 
+static void
+test_names_and_values_of_fields (void **state)
+{
+  (void)state;
+  run_cases (field_cases, G_N_ELEMENTS (field_cases), false);
+}
+
 static void
 test_answer_to_an_upload (void **state)
 {
@@ -611,6 +661,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_status_and_interim_responses),
+                                      cmocka_unit_test (test_names_and_values_of_fields),
                                       cmocka_unit_test (test_answer_to_an_upload) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
