--- a/src/pool.c
+++ b/src/pool.c
@@ -636,7 +636,8 @@
     }
   if (c->is_closed)
     return -1;
-  return c->options.is_head ? 1 : 0;
+  // 1: no body follows, whatever the length.
+  return c->options.is_head || h.status == 204 || h.status == 304 ? 1 : 0;
 }
 
 static int
--- a/src/response.h
+++ b/src/response.h
@@ -15,8 +15,12 @@
 typedef struct
 {
   BjResponsePart part;
-  GString *line; // received bytes of the current line
-  int status;    // of the current head
+  GString *line;   // received bytes of the current line
+  int status;      // of the current head
+  int minor;       // of its HTTP version
+  int n_lengths;   // Content-Length fields
+  int n_encodings; // Transfer-Encoding fields
+  bool has_length; // one above 0
 } BjResponse;
 
 void bj_response_init (BjResponse *r);
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -179,6 +179,106 @@
     NULL },
 };
 
+// Doubled, odd and contradicting lengths, and how a body ends.
+static const AnswerCase length_cases[] = {
+  { "204", "HTTP/1.1 204 X\r\n" OWN_FIELDS "\r\n", KEEP, GIVEN, 204, "" },
+  { "204 with a body", STATUS ("HTTP/1.1 204 X"), KEEP, FAILED, 0, NULL },
+  { "204 with a chunked body",
+    "HTTP/1.1 204 X\r\n" OWN_FIELDS "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "304 with the length of what is not sent",
+    "HTTP/1.1 304 X\r\n" OWN_FIELDS "Content-Length: 4\r\n\r\n",
+    KEEP,
+    GIVEN,
+    304,
+    "" },
+  { "length twice", LENGTH ("Content-Length: 4\r\nContent-Length: 4"), KEEP, FAILED, 0, NULL },
+  { "two lengths", LENGTH ("Content-Length: 4\r\nContent-Length: 2"), KEEP, FAILED, 0, NULL },
+  { "two lengths in one field", LENGTH ("Content-Length: 4, 4"), KEEP, FAILED, 0, NULL },
+  { "length with a sign", LENGTH ("Content-Length: +4"), KEEP, FAILED, 0, NULL },
+  { "negative length", LENGTH ("Content-Length: -4"), KEEP, FAILED, 0, NULL },
+  { "hexadecimal length", LENGTH ("Content-Length: 0x4"), KEEP, FAILED, 0, NULL },
+  { "length with a blank", LENGTH ("Content-Length: 4 4"), KEEP, FAILED, 0, NULL },
+  { "length with more behind it", LENGTH ("Content-Length: 4;"), KEEP, FAILED, 0, NULL },
+  { "empty length", LENGTH ("Content-Length:"), END, FAILED, 0, NULL },
+  { "length that is no number", LENGTH ("Content-Length: four"), END, FAILED, 0, NULL },
+  { "length beyond 64 bits",
+    LENGTH ("Content-Length: 18446744073709551620"),
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "blank behind the name of a length", LENGTH ("Content-Length : 4"), END, FAILED, 0, NULL },
+  { "folded length", LENGTH ("Content-Length: 4\r\n 2"), KEEP, FAILED, 0, NULL },
+  { "length and chunks",
+    "HTTP/1.1 200 OK\r\n" OWN_FIELDS
+    "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "chunks and length",
+    "HTTP/1.1 200 OK\r\n" OWN_FIELDS
+    "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "another encoding", LENGTH ("Transfer-Encoding: gzip"), END, FAILED, 0, NULL },
+  { "identity encoding", LENGTH ("Transfer-Encoding: identity"), END, FAILED, 0, NULL },
+  { "empty encoding", LENGTH ("Transfer-Encoding:"), END, FAILED, 0, NULL },
+  { "another encoding in chunks",
+    "HTTP/1.1 200 OK\r\n" OWN_FIELDS
+    "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "chunks in another encoding",
+    "HTTP/1.1 200 OK\r\n" OWN_FIELDS
+    "Transfer-Encoding: chunked, gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    END,
+    FAILED,
+    0,
+    NULL },
+  { "chunks twice",
+    "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Transfer-Encoding: chunked\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "chunks with HTTP/1.0",
+    "HTTP/1.0 200 OK\r\n" OWN_FIELDS "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    KEEP,
+    FAILED,
+    0,
+    NULL },
+  { "chunks", CHUNKS ("4\r\nbody\r\n0\r\n\r\n"), KEEP, GIVEN, 200, "body" },
+  { "chunks with an extension and a trailer",
+    CHUNKS ("4;a=b\r\nbody\r\n0\r\nA: b\r\n\r\n"),
+    KEEP,
+    GIVEN,
+    200,
+    "body" },
+  { "chunk size that is no number", CHUNKS ("x\r\nbody\r\n0\r\n\r\n"), KEEP, BROKEN, 0, NULL },
+  { "negative chunk size", CHUNKS ("-4\r\nbody\r\n0\r\n\r\n"), KEEP, BROKEN, 0, NULL },
+  { "chunk size beyond 64 bits",
+    CHUNKS ("10000000000000004\r\nbody\r\n0\r\n\r\n"),
+    KEEP,
+    BROKEN,
+    0,
+    NULL },
+  { "chunk longer than its size", CHUNKS ("2\r\nbody\r\n0\r\n\r\n"), KEEP, BROKEN, 0, NULL },
+  { "no last chunk, then FIN", CHUNKS ("4\r\nbody\r\n"), END, BROKEN, 0, NULL },
+  { "length not reached, then FIN", LENGTH ("Content-Length: 9"), END, BROKEN, 0, NULL },
+  { "no length, then FIN", NO_LENGTH, END, GIVEN, 200, "body" },
+  { "no length, then reset", NO_LENGTH, RESET, BROKEN, 0, NULL },
+};
+
 // Answers to an upload that is still being written.
 static const AnswerCase upload_cases[] = {
   { "sound", GOOD, KEEP, GIVEN, 200, "body" },
@@ -650,6 +750,13 @@
   run_cases (field_cases, G_N_ELEMENTS (field_cases), false);
 }
 
+static void
+test_lengths (void **state)
+{
+  (void)state;
+  run_cases (length_cases, G_N_ELEMENTS (length_cases), false);
+}
+
 static void
 test_answer_to_an_upload (void **state)
 {
@@ -662,6 +769,7 @@
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_status_and_interim_responses),
                                       cmocka_unit_test (test_names_and_values_of_fields),
+                                      cmocka_unit_test (test_lengths),
                                       cmocka_unit_test (test_answer_to_an_upload) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
