--- a/src/link.c
+++ b/src/link.c
@@ -97,6 +97,7 @@
   bj_metric_register (&n_unmatched);
   bj_metric_register (&n_malformed);
   bj_metric_register (&n_forged);
+  bj_outgoing_register_metrics ();
   l = g_new0 (BjLinks, 1);
   l->daemon = d;
   l->fd = fd;
--- a/src/link.h
+++ b/src/link.h
@@ -58,6 +58,7 @@
 void bj_conn_send_bytes (BjConn *c, const char *data, size_t n); // Queues encoded frames
 
 // Outgoing: calls sent to peers
+void bj_outgoing_register_metrics (void);
 void
 bj_outgoing_start (BjConn *c,
                    BjExchange *x,
--- a/src/outgoing.c
+++ b/src/outgoing.c
@@ -23,6 +23,7 @@
   int n_unanswered_sends;
   XXH64_state_t *hash;      // of the response body so far
   uint64_t length;          // bytes of response body so far
+  int64_t expected_length;  // of the response body, -1 if unknown
   uint64_t next_offset;     // in the response body, of the next DATA frame
   uint64_t drained_bytes;   // of the response body, forwarded by the sink
   uint64_t ungranted_bytes; // drained since the last WINDOW frame
@@ -36,7 +37,11 @@
 static bool may_resend (const BjOutgoing *o, const BjPeer *p, BjStatus s);
 static void send_window (BjOutgoing *o);
 static bool handle_answer (BjOutgoing *o, const BjFrame *f);
+static bool is_sound (const BjAnswer *a);
+static void reject_answer (BjOutgoing *o);
+static int64_t get_body_length (const BjCall *c, const BjAnswer *a);
 static void break_response (BjOutgoing *o);
+static void reject_data (BjOutgoing *o, const char *reason);
 static void handle_data (BjOutgoing *o, const BjFrame *f);
 static void handle_end (BjOutgoing *o, const BjFrame *f);
 static void on_drained (BjSource *s, size_t n);
@@ -44,6 +49,16 @@
 static void free_outgoing (BjOutgoing *o);
 
 static const BjSourceOps source_ops = { on_drained, on_cancel };
+static BjCounter n_unsound
+    = { "link_unsound_responses_total",
+        "Responses of peers that were rejected: not valid HTTP, or more or less than announced.",
+        0 };
+
+void
+bj_outgoing_register_metrics (void)
+{
+  bj_metric_register (&n_unsound);
+}
 
 void
 bj_outgoing_start (BjConn *c, BjExchange *x, uint64_t incarnation)
@@ -209,9 +224,15 @@
 static bool
 handle_answer (BjOutgoing *o, const BjFrame *f)
 {
+  if (!o->begun && !is_sound (&f->answer))
+    {
+      reject_answer (o);
+      return true;
+    }
   if (!o->begun)
     {
       o->begun = true;
+      o->expected_length = get_body_length (o->exchange->call, &f->answer);
       bj_exchange_begin (o->exchange, &f->answer);
       return true;
     }
@@ -225,6 +246,39 @@
   return true;
 }
 
+// Interim responses end at the daemon that receives them, and frames give the length.
+static bool
+is_sound (const BjAnswer *a)
+{
+  return a->http_status >= 200 && bj_header_is_text (a->content_type)
+         && bj_header_is_valid (a->headers);
+}
+
+static void
+reject_answer (BjOutgoing *o)
+{
+  BjExchange *x = o->exchange;
+
+  n_unsound.value++;
+  bj_log (BJ_LOG_WARNING,
+          "LINK",
+          "Response of %.*s to call %" G_GUINT64_FORMAT " has a status, type or field that is not "
+          "valid; failing the call.",
+          BJ_STR_ARG (o->conn->peer),
+          o->id);
+  on_cancel (&o->source);
+  bj_exchange_fail (x, BJ_E_LOST, BJ_UNKNOWN);
+}
+
+static int64_t
+get_body_length (const BjCall *c, const BjAnswer *a)
+{
+  // Of a HEAD request the length says nothing about what is sent; the caller gets no body.
+  if (bj_str_equal (c->request.method, BJ_STR ("HEAD")))
+    return -1;
+  return a->http_status == 304 ? 0 : a->length;
+}
+
 static void
 break_response (BjOutgoing *o)
 {
@@ -235,6 +289,25 @@
   bj_exchange_end (x, false);
 }
 
+// Cancels the call at the peer, which would go on sending.
+static void
+reject_data (BjOutgoing *o, const char *reason)
+{
+  BjFrame f = { .kind = BJ_FRAME_CANCEL, .id = o->id };
+
+  n_unsound.value++;
+  bj_log (BJ_LOG_WARNING,
+          "LINK",
+          "Response of %.*s to call %" G_GUINT64_FORMAT " broken off after %" G_GUINT64_FORMAT
+          " bytes: %s.",
+          BJ_STR_ARG (o->conn->peer),
+          o->id,
+          o->length,
+          reason);
+  bj_conn_send (o->conn, &f);
+  break_response (o);
+}
+
 static void
 handle_data (BjOutgoing *o, const BjFrame *f)
 {
@@ -253,6 +326,11 @@
   part = (BjStr){ part.data + n_known, part.len - n_known };
   if (part.len == 0)
     return;
+  if (o->expected_length >= 0 && part.len > (uint64_t)o->expected_length - o->length)
+    {
+      reject_data (o, "it is longer than announced");
+      return;
+    }
   o->n_sends = 1;
   XXH64_update (o->hash, part.data, part.len);
   o->length += part.len;
@@ -263,7 +341,9 @@
 handle_end (BjOutgoing *o, const BjFrame *f)
 {
   BjExchange *x = o->exchange;
-  bool is_complete = f->is_complete && f->length == o->length && f->hash == XXH64_digest (o->hash);
+  bool has_all = o->expected_length < 0 || o->length == (uint64_t)o->expected_length;
+  bool is_complete
+      = f->is_complete && has_all && f->length == o->length && f->hash == XXH64_digest (o->hash);
 
   g_hash_table_remove (o->conn->outgoing, &o->id);
   free_outgoing (o);
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -15,6 +15,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include <cmocka.h>
 
@@ -526,17 +527,17 @@
 }
 
 static void
-make_known (BjDaemon *d, const BjDaemon *other)
+make_known (BjDaemon *d, BjStr name, int link_port, uint64_t incarnation)
 {
   bj_kernel_update_peer (d->kernel,
                          bj_clock_now (),
-                         &(BjPeerReport){ .name = other->settings.name,
+                         &(BjPeerReport){ .name = name,
                                           .domain = BJ_STR ("a"),
                                           .region = BJ_STR ("r"),
                                           .service = BJ_STR ("s"),
                                           .host = BJ_STR ("127.0.0.1"),
-                                          .link_port = other->settings.link.port,
-                                          .incarnation = other->incarnation,
+                                          .link_port = link_port,
+                                          .incarnation = incarnation,
                                           .limit = 100 });
 }
 
@@ -615,7 +616,7 @@
 
   announce_upstream (guard, open_upstream (&u, loop, c, is_upload));
   if (reader == PEER)
-    make_known (front, guard);
+    make_known (front, guard->settings.name, guard->settings.link.port, guard->incarnation);
   open_caller (&caller, loop, front->settings.front.port, is_upload ? UPLOAD_BYTES : 0);
   for (until = bj_clock_now () + WAIT_MS; !caller.is_ended && bj_clock_now () < until;)
     ev_run (loop, EVRUN_ONCE);
@@ -764,13 +765,259 @@
   run_cases (upload_cases, G_N_ELEMENTS (upload_cases), true);
 }
 
+typedef struct
+{
+  const char *name;
+  BjAnswer answer;
+  const char *data;
+  uint64_t length; // in the END frame
+  Expected expected;
+} PeerCase;
+
+#define PEER_ANSWER(the_status, the_length)                                                        \
+  .outcome = BJ_DONE, .http_status = (the_status), .attempts_left = -1, .length = (the_length)
+#define SEAL "X-Response-Seal: s\n"
+
+// Responses of a peer whose frames are sound, and what they say is not.
+static const PeerCase peer_cases[] = {
+  { "sound", { PEER_ANSWER (200, 4), .headers = BJ_STR (SEAL "A: b\n") }, "body", 4, GIVEN },
+  { "no length", { PEER_ANSWER (200, -1), .headers = BJ_STR (SEAL) }, "body", 4, GIVEN },
+  { "status 100", { PEER_ANSWER (100, 4), .headers = BJ_STR (SEAL) }, "body", 4, FAILED },
+  { "status 101", { PEER_ANSWER (101, 4), .headers = BJ_STR (SEAL) }, "body", 4, FAILED },
+  { "status 199", { PEER_ANSWER (199, 4), .headers = BJ_STR (SEAL) }, "body", 4, FAILED },
+  { "status 600", { PEER_ANSWER (600, 4), .headers = BJ_STR (SEAL) }, "body", 4, FAILED },
+  { "status 0", { PEER_ANSWER (0, 4), .headers = BJ_STR (SEAL) }, "body", 4, FAILED },
+  { "name with a blank",
+    { PEER_ANSWER (200, 4), .headers = BJ_STR (SEAL "A b: c\n") },
+    "body",
+    4,
+    FAILED },
+  { "NUL in a name",
+    { PEER_ANSWER (200, 4), .headers = BJ_STR (SEAL "A\0: b\n") },
+    "body",
+    4,
+    FAILED },
+  { "line end in a value",
+    { PEER_ANSWER (200, 4), .headers = BJ_STR (SEAL "A: b\r\rc\n") },
+    "body",
+    4,
+    FAILED },
+  { "no line end", { PEER_ANSWER (200, 4), .headers = BJ_STR (SEAL "A: b") }, "body", 4, FAILED },
+  { "length among the fields",
+    { PEER_ANSWER (200, 4), .headers = BJ_STR (SEAL "Content-Length: 2\n") },
+    "body",
+    4,
+    FAILED },
+  { "line end in the type",
+    { PEER_ANSWER (200, 4),
+      .headers = BJ_STR (SEAL),
+      .content_type = BJ_STR ("a/b\r\nContent-Length: 2") },
+    "body",
+    4,
+    FAILED },
+  { "more than its length", { PEER_ANSWER (200, 2), .headers = BJ_STR (SEAL) }, "body", 4, BROKEN },
+  { "less than its length", { PEER_ANSWER (200, 9), .headers = BJ_STR (SEAL) }, "body", 4, BROKEN },
+  { "nothing of its length", { PEER_ANSWER (200, 9), .headers = BJ_STR (SEAL) }, "", 0, BROKEN },
+  { "another length at its end",
+    { PEER_ANSWER (200, -1), .headers = BJ_STR (SEAL) },
+    "body",
+    5,
+    BROKEN },
+};
+
+typedef struct
+{
+  struct ev_loop *loop;
+  const PeerCase *c;
+  int fd;
+  ev_io accept;
+  ev_io conn;
+  GString *in;
+  uint64_t id; // of the call, 0 before
+  bool is_cancelled;
+} Peer;
+
+static void
+send_frame (Peer *p, const BjFrame *f)
+{
+  msgpack_sbuffer out;
+
+  msgpack_sbuffer_init (&out);
+  bj_frame_encode (&out, f);
+  send (p->conn.fd, out.data, out.size, MSG_NOSIGNAL);
+  msgpack_sbuffer_destroy (&out);
+}
+
+static void
+send_peer_answer (Peer *p)
+{
+  const PeerCase *c = p->c;
+  BjStr body = bj_str (c->data);
+
+  send_frame (p, &(BjFrame){ .kind = BJ_FRAME_ANSWER, .id = p->id, .answer = c->answer });
+  if (body.len > 0)
+    send_frame (p, &(BjFrame){ .kind = BJ_FRAME_DATA, .id = p->id, .data = body });
+  send_frame (p,
+              &(BjFrame){ .kind = BJ_FRAME_END,
+                          .id = p->id,
+                          .is_complete = true,
+                          .length = c->length,
+                          .hash = XXH64 (body.data, body.len, 0) });
+}
+
+// Splits off the next frame; false if it is not whole yet.
+static bool
+take_frame (Peer *p, BjFrameKind *kind, uint64_t *id)
+{
+  msgpack_unpacked unpacked;
+  uint32_t n;
+  BjFrame f;
+
+  if (p->in->len < sizeof n)
+    return false;
+  memcpy (&n, p->in->str, sizeof n);
+  n = ntohl (n);
+  if (p->in->len - sizeof n < n)
+    return false;
+  msgpack_unpacked_init (&unpacked);
+  assert_int_equal (bj_frame_decode ((BjStr){ p->in->str + sizeof n, n }, &unpacked, &f), BJ_OK);
+  *kind = f.kind;
+  *id = f.id;
+  msgpack_unpacked_destroy (&unpacked);
+  g_string_erase (p->in, 0, (gssize)(sizeof n + n));
+  return true;
+}
+
+static void
+on_peer_read (struct ev_loop *loop, ev_io *w, int events)
+{
+  static char buffer[65536];
+  Peer *p = w->data;
+  ssize_t n = recv (w->fd, buffer, sizeof buffer, 0);
+  BjFrameKind kind;
+  uint64_t id;
+
+  (void)events;
+  if (n <= 0)
+    {
+      ev_io_stop (loop, w);
+      close (w->fd);
+      w->fd = -1;
+      return;
+    }
+  g_string_append_len (p->in, buffer, n);
+  while (take_frame (p, &kind, &id))
+    {
+      p->is_cancelled = p->is_cancelled || (kind == BJ_FRAME_CANCEL && id == p->id);
+      if (kind != BJ_FRAME_CALL)
+        continue;
+      p->id = id;
+      if (p->c != NULL)
+        send_peer_answer (p);
+    }
+}
+
+static void
+on_peer_accept (struct ev_loop *loop, ev_io *w, int events)
+{
+  static const char zero_signature[BJ_TAG_BYTES];
+  Peer *p = w->data;
+  int fd = accept (w->fd, NULL, NULL);
+
+  (void)events;
+  if (p->conn.fd > 0)
+    {
+      ev_io_stop (loop, &p->conn);
+      close (p->conn.fd);
+    }
+  g_string_truncate (p->in, 0);
+  ev_io_init (&p->conn, on_peer_read, fd, EV_READ);
+  p->conn.data = p;
+  ev_io_start (loop, &p->conn);
+  send_frame (p,
+              &(BjFrame){ .kind = BJ_FRAME_HELLO,
+                          .id = 5,
+                          .start = 5,
+                          .protocol = BJ_PROTOCOL_VERSION,
+                          .name = BJ_STR ("peer"),
+                          .data = { zero_signature, sizeof zero_signature } });
+}
+
+static void
+open_peer (Peer *p, struct ev_loop *loop, const PeerCase *c, BjDaemon *d)
+{
+  *p = (Peer){ .loop = loop, .c = c, .in = g_string_new (NULL) };
+  make_known (d, BJ_STR ("peer"), daemons_listen (&p->fd), 5);
+  ev_io_init (&p->accept, on_peer_accept, p->fd, EV_READ);
+  p->accept.data = p;
+  ev_io_start (loop, &p->accept);
+}
+
+static void
+close_peer (Peer *p)
+{
+  ev_io_stop (p->loop, &p->accept);
+  close (p->fd);
+  if (p->conn.fd > 0)
+    {
+      ev_io_stop (p->loop, &p->conn);
+      close (p->conn.fd);
+    }
+  g_string_free (p->in, TRUE);
+}
+
+static bool
+run_peer_case (const PeerCase *c)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *d = start_daemon (loop, "one");
+  AnswerCase as_expected
+      = { .expected = c->expected, .status = c->answer.http_status, .body = c->data };
+  BjTime until = bj_clock_now () + WAIT_MS;
+  Caller caller;
+  Peer p;
+  bool is_right;
+
+  open_peer (&p, loop, c, d);
+  open_caller (&caller, loop, d->settings.front.port, 0);
+  while (!caller.is_ended && bj_clock_now () < until)
+    ev_run (loop, EVRUN_ONCE);
+  is_right = is_as_expected (&as_expected, &caller);
+  if (!is_right)
+    print_error ("%s: ended %d, reset %d, received %s\n",
+                 c->name,
+                 caller.is_ended,
+                 caller.is_reset,
+                 caller.in->str);
+  close_caller (&caller);
+  close_peer (&p);
+  bj_daemon_free (d);
+  ev_loop_destroy (loop);
+  return is_right;
+}
+
+// Guards against callers that get what a peer, perhaps of an earlier version, gives on as an
+// answer.
+static void
+test_unsound_response_of_a_peer (void **state)
+{
+  int n_wrong = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (peer_cases); i++)
+    n_wrong += !run_peer_case (&peer_cases[i]);
+  print_message ("  of %zu wrong: %d\n", G_N_ELEMENTS (peer_cases), n_wrong);
+  assert_int_equal (n_wrong, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (test_status_and_interim_responses),
                                       cmocka_unit_test (test_names_and_values_of_fields),
                                       cmocka_unit_test (test_lengths),
-                                      cmocka_unit_test (test_answer_to_an_upload) };
+                                      cmocka_unit_test (test_answer_to_an_upload),
+                                      cmocka_unit_test (test_unsound_response_of_a_peer) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
