--- a/src/outgoing.c
+++ b/src/outgoing.c
@@ -331,6 +331,11 @@
       reject_data (o, "it is longer than announced");
       return;
     }
+  if (o->length + part.len - o->drained_bytes > BJ_WINDOW_BYTES)
+    {
+      reject_data (o, "it exceeds the window");
+      return;
+    }
   o->n_sends = 1;
   XXH64_update (o->hash, part.data, part.len);
   o->length += part.len;
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -8,6 +8,7 @@
 #include <errno.h>
 #include <ev.h>
 #include <fcntl.h>
+#include <malloc.h>
 #include <netinet/in.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -22,7 +23,9 @@
 #define WAIT_MS 3000                   // for the caller's connection to end
 #define UPLOAD_BYTES (8 * 1024 * 1024) // more than the socket buffers hold
 #define UPLOAD_READ_BYTES (128 * 1024) // of it that the upstream reads before it answers
-#define SETTLE_MS 200                  // for the buffers to fill, and for a FIN to arrive
+#define FLOOD_BYTES (16 * 1024 * 1024) // of a peer, more than the socket buffers hold
+#define FLOOD_PART_BYTES 16384
+#define SETTLE_MS 200 // for the buffers to fill, and for a FIN to arrive
 
 typedef enum
 {
@@ -1010,6 +1013,50 @@
   assert_int_equal (n_wrong, 0);
 }
 
+// Guards against a daemon that keeps all that a peer sends for a caller that does not read.
+static void
+test_peer_that_exceeds_the_window (void **state)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjDaemon *d = start_daemon (loop, "one");
+  BjTime until = bj_clock_now () + WAIT_MS;
+  char *part = g_malloc0 (FLOOD_PART_BYTES);
+  size_t heap_most = 0;
+  size_t heap_before;
+  size_t n_sent = 0;
+  Caller caller;
+  Peer p;
+
+  (void)state;
+  open_peer (&p, loop, NULL, d);
+  open_caller (&caller, loop, d->settings.front.port, 0);
+  ev_io_stop (loop, &caller.read);
+  while (p.id == 0 && bj_clock_now () < until)
+    ev_run (loop, EVRUN_ONCE);
+  send_frame (&p,
+              &(BjFrame){ .kind = BJ_FRAME_ANSWER,
+                          .id = p.id,
+                          .answer = { PEER_ANSWER (200, -1), .headers = BJ_STR (SEAL) } });
+  heap_before = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
+  while (!p.is_cancelled && n_sent < FLOOD_BYTES && bj_clock_now () < until)
+    {
+      send_frame (
+          &p, &(BjFrame){ .kind = BJ_FRAME_DATA, .id = p.id, .data = { part, FLOOD_PART_BYTES } });
+      n_sent += FLOOD_PART_BYTES;
+      ev_run (loop, EVRUN_NOWAIT);
+      heap_most = MAX (heap_most, mallinfo2 ().uordblks + mallinfo2 ().hblkhd);
+    }
+  print_message (
+      "  %zu bytes, heap %+zd KiB\n", n_sent, ((ssize_t)heap_most - (ssize_t)heap_before) / 1024);
+  assert_true (p.is_cancelled);
+  assert_true (heap_most < heap_before + FLOOD_BYTES / 4);
+  close_caller (&caller);
+  close_peer (&p);
+  bj_daemon_free (d);
+  ev_loop_destroy (loop);
+  g_free (part);
+}
+
 int
 main (void)
 {
@@ -1017,7 +1064,8 @@
                                       cmocka_unit_test (test_names_and_values_of_fields),
                                       cmocka_unit_test (test_lengths),
                                       cmocka_unit_test (test_answer_to_an_upload),
-                                      cmocka_unit_test (test_unsound_response_of_a_peer) };
+                                      cmocka_unit_test (test_unsound_response_of_a_peer),
+                                      cmocka_unit_test (test_peer_that_exceeds_the_window) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
