--- a/src/pool.c
+++ b/src/pool.c
@@ -26,6 +26,7 @@
 #define HEADER_MAX 65536        // bytes of a response's head, with the interim responses before it
 #define RESPONSE_MAX (256 * 1024 * 1024) // bytes of a response, four times the largest request
 #define SUSPECT_SILENCE_MS 500 // a reused connection silent this long makes idle ones suspect
+#define SMALL_PART_BYTES 4096  // smaller parts of a body are passed on together
 #define STALL_LOG_MS 1000      // a response paused for longer is logged
 
 typedef enum
@@ -98,6 +99,7 @@
 static int on_value (http_parser *p, const char *data, size_t n);
 static int on_headers (http_parser *p);
 static int on_body (http_parser *p, const char *data, size_t n);
+static void pass_on_body (BjPoolConn *c);
 static int on_complete (http_parser *p);
 static double keep_alive_ms (BjStr headers);
 static void finish_response (BjPoolConn *c, bool is_unusable);
@@ -546,6 +548,8 @@
     }
   used = http_parser_execute (&c->parser, &parser_settings, data, n);
   e = HTTP_PARSER_ERRNO (&c->parser);
+  if (!c->is_closed && (e == HPE_OK || e == HPE_PAUSED))
+    pass_on_body (c);
   if (c->is_closed)
     return;
   if (e == HPE_PAUSED && c->is_complete)
@@ -640,26 +644,44 @@
   return c->options.is_head || h.status == 204 || h.status == 304 ? 1 : 0;
 }
 
+// Small parts are passed on together once all that was received is parsed: each chunk of a body is
+// a part, and each part that is passed on costs a frame or a chunk.
 static int
 on_body (http_parser *p, const char *data, size_t n)
 {
   BjPoolConn *c = p->data;
+  bool is_first = c->unconsumed_body->len == 0;
 
   // An interim response has no body.
   if (c->state != RECEIVING)
     return -1;
-  if (c->unconsumed_body->len == 0 && !c->is_paused
+  if (is_first && n >= SMALL_PART_BYTES && !c->is_paused
       && c->options.on_body (c->options.data, (BjStr){ data, n }) > 0)
     return c->is_closed ? -1 : 0;
   if (c->is_closed)
     return -1;
   g_string_append_len (c->unconsumed_body, data, (gssize)n);
-  c->is_stall_logged = c->is_stall_logged && c->is_paused;
-  if (!c->is_paused)
-    c->paused_at = bj_clock_now ();
+  return 0;
+}
+
+static void
+pass_on_body (BjPoolConn *c)
+{
+  BjStr part = { c->unconsumed_body->str, c->unconsumed_body->len };
+
+  if (part.len == 0 || c->is_paused)
+    return;
+  if (c->options.on_body (c->options.data, part) > 0)
+    {
+      g_string_truncate (c->unconsumed_body, 0);
+      return;
+    }
+  if (c->is_closed)
+    return;
+  c->is_stall_logged = false;
+  c->paused_at = bj_clock_now ();
   c->is_paused = true;
   ev_io_stop (c->pool->loop, &c->read);
-  return 0;
 }
 
 static int
