--- a/src/boragejunction.h
+++ b/src/boragejunction.h
@@ -932,7 +932,12 @@
 void bj_kernel_each_removed_peer (BjKernel *k,
                                   void (*fn) (BjPeer *p, void *data),
                                   void *data); // Calls fn for each removed peer without open calls
-void bj_kernel_free_peer (BjKernel *k, BjPeer *p);  // Frees a removed peer
+void bj_kernel_free_peer (BjKernel *k, BjPeer *p); // Frees a removed peer
+void bj_kernel_stop_irreversible (
+    BjKernel *k); // From now on irreversible calls of callers that were not started are refused
+void
+bj_kernel_set_end (BjKernel *k,
+                   BjTime end); // The process ends then: no call of a caller has a later deadline
 void bj_kernel_tick (BjKernel *k, BjTime now);      // Times out calls whose deadline has passed
 BjTime bj_kernel_next_deadline (const BjKernel *k); // Earliest deadline, when to tick next
 void bj_kernel_get_self_report (
@@ -991,7 +996,7 @@
   BjStr platform_url;
   BjStr key_file; // file with the deployment key, empty for none
   BjLogLevel log_level;
-  double drain_ms;     // longest time a stopping daemon waits for open calls
+  double drain_ms;     // longest time from a stop to the end of the process
   double leave_ms;     // for which an upstream that says it leaves goes on serving
   double heartbeat_ms; // interval between two announcements of the own upstream
   int pipelined_max;   // requests served at once for one connection of a caller
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -12,6 +12,12 @@
 #define OUTCOME_FLUSH_TIMEOUT_MS 2000 // for outcomes to be recorded during shutdown
 #define FLUSH_ROUNDS_MAX 8            // over all modules before the loop polls again
 #define BEGIN_SHARE 0.5 // of drain_ms, in which requests begin; the rest is for them to end
+// The platform may kill the process when drain_ms has passed. Calls that are still open are
+// answered before, and what was answered is written.
+#define END_CALLS_MS 300    // before the end of drain_ms
+#define EXIT_MS 100         // the same
+#define END_SHARE 0.05      // END_CALLS_MS is at most this share of drain_ms, EXIT_MS a third of it
+#define STOP_TICK_MAX_MS 50 // between two kernel ticks while stopping
 
 struct BjDaemonWatchers
 {
@@ -123,10 +129,12 @@
 void
 bj_daemon_stop (BjDaemon *d)
 {
+  double drain_ms = d->settings.drain_ms;
+
   if (d->stopping)
     return;
   d->stopping = true;
-  d->stop_deadline = bj_clock_now () + d->settings.drain_ms;
+  d->stop_deadline = bj_clock_now () + drain_ms - MIN (EXIT_MS, END_SHARE / 3 * drain_ms);
   d->drain_known_by = bj_clock_now () + MIN (BJ_DRAIN_NOTIFY_MS, d->settings.drain_ms);
   d->begin_calls_until
       = MAX (d->drain_known_by, bj_clock_now () + BEGIN_SHARE * d->settings.drain_ms);
@@ -135,6 +143,8 @@
   d->accept_calls_until = MIN (bj_clock_now () + BJ_DRAIN_ACCEPT_MS, d->drain_known_by);
   bj_log (BJ_LOG_INFO, "DRAIN", "Shutting down; %d calls open.", bj_kernel_open_calls (d->kernel));
   bj_server_disable_keep_alive (bj_front_server (d->front));
+  bj_kernel_set_end (d->kernel,
+                     bj_clock_now () + drain_ms - MIN (END_CALLS_MS, END_SHARE * drain_ms));
 }
 
 void
@@ -606,7 +616,8 @@
     ev_idle_stop (loop, &d->watchers->idle);
   bj_log_flush ();
   now = bj_clock_now ();
-  next = MIN (bj_kernel_next_deadline (d->kernel), d->watchers->last_tick_at + TICK_INTERVAL_MAX_MS)
+  next = MIN (bj_kernel_next_deadline (d->kernel),
+              d->watchers->last_tick_at + (d->stopping ? STOP_TICK_MAX_MS : TICK_INTERVAL_MAX_MS))
          - now;
   ev_timer_stop (loop, &d->watchers->tick);
   ev_timer_set (&d->watchers->tick, MAX (0, next) / 1000.0, 0);
@@ -671,7 +682,10 @@
       bj_server_stop_accepting (bj_front_server (d->front));
     }
   if (now >= d->begin_calls_until)
-    bj_server_refuse_new (bj_front_server (d->front));
+    {
+      bj_server_refuse_new (bj_front_server (d->front));
+      bj_kernel_stop_irreversible (d->kernel);
+    }
   if (has_unfinished_work (d) && now < d->stop_deadline)
     return;
   if (d->flush_deadline == 0)
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -36,6 +36,7 @@
   k->peers = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, bj_peer_free);
   k->services = g_hash_table_new_full (bj_str_key_hash, bj_str_key_equal, NULL, bj_service_free);
   k->deadlines = g_sequence_new (NULL);
+  k->ends_at = BJ_TIME_NEVER;
   k->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   k->quarantine = bj_quarantine_new ();
   bj_level_init (&k->level);
@@ -180,7 +181,7 @@
       = r->attempts_left >= 0 ? MIN (r->attempts_left, route->attempts) : route->attempts;
   bj_allowance_take_from_parent (k, c);
   deadline_ms = r->deadline_ms > 0 ? MIN (r->deadline_ms, route->deadline_ms) : route->deadline_ms;
-  bj_call_set_deadline (k, c, c->arrived + deadline_ms);
+  bj_call_set_deadline (k, c, MIN (c->arrived + deadline_ms, k->ends_at));
   c->objective_ms = route->objective_ms;
   c->needs_claim = c->irreversible && route->needs_claim;
   if (c->needs_claim && c->request.key.len == 0)
@@ -447,6 +448,28 @@
   return MIN (((BjCall *)g_sequence_get (first))->deadline, k->guard.wake_at);
 }
 
+void
+bj_kernel_stop_irreversible (BjKernel *k)
+{
+  k->starts_no_irreversible = true;
+}
+
+void
+bj_kernel_set_end (BjKernel *k, BjTime end)
+{
+  GList *all = g_hash_table_get_values (k->calls);
+
+  k->ends_at = end;
+  for (GList *i = all; i != NULL; i = i->next)
+    {
+      BjCall *c = i->data;
+
+      if (c->is_front && !c->detached)
+        bj_call_set_deadline (k, c, MIN (c->deadline, end));
+    }
+  g_list_free (all);
+}
+
 bool
 bj_kernel_makes_calls (BjKernel *k, const BjCall *c)
 {
@@ -598,6 +621,11 @@
       refuse_access (k, now, c, s);
       return;
     }
+  if (k->starts_no_irreversible && c->irreversible)
+    {
+      send_answer (k, now, c, bj_guard_make_refusal (k, now, BJ_E_DRAINING, c->klass));
+      return;
+    }
   p = pick_peer (k, now, c, &n_candidates);
   if (p != NULL)
     {
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -168,6 +168,8 @@
   BjGuard guard;
   BjQuarantine *quarantine;
   BjCounts counts;
+  BjTime ends_at;              // latest deadline of calls of callers: the process ends then
+  bool starts_no_irreversible; // the daemon stops, and such a call might outlast it
   int64_t newer_config;       // highest number known of a configuration newer than the own one then
   BjTime newer_config_at;     // when it became known
   struct BjQuota *quota;      // rates of accounts, borrowed; NULL for no limits
--- a/tests/test_outcome.c
+++ b/tests/test_outcome.c
@@ -24,7 +24,11 @@
   END_REFUSED, // the peer refused the call without running it
   END_ANSWERED_UNKNOWN,
   END_DEADLINE,
-  END_CLAIM_LATE, // the claim becomes durable only after the deadline
+  END_CLAIM_LATE,    // the claim becomes durable only after the deadline
+  END_CLAIM_STOPPED, // the claim becomes durable late in a stop of the daemon
+  END_UNCLAIMED,     // the process ends before the claim is durable
+  END_PROCESS,       // the process ends
+  LATE_IN_STOP,      // no end: from now on it is late in a stop
 } AttemptEnd;
 
 typedef struct
@@ -56,6 +60,17 @@
     { END_CLAIM_LATE },
     BJ_NOT_RUN,
     0 },
+  { "process ends while it runs", "/x", { END_PROCESS }, BJ_UNKNOWN, 1 },
+  { "lost, then the process ends", "/x", { END_LOST_UNKNOWN, END_PROCESS }, BJ_UNKNOWN, 2 },
+  { "refused late in a stop", "/x", { LATE_IN_STOP, END_REFUSED, END_REFUSED }, BJ_NOT_RUN, 2 },
+  { "irreversible, process ends while it runs", "/accept", { END_PROCESS }, BJ_UNKNOWN, 1 },
+  { "irreversible, process ends before its claim", "/accept", { END_UNCLAIMED }, BJ_NOT_RUN, 0 },
+  { "irreversible, claimed late in a stop", "/accept", { END_CLAIM_STOPPED }, BJ_NOT_RUN, 0 },
+  { "irreversible, refused late in a stop",
+    "/accept",
+    { LATE_IN_STOP, END_REFUSED },
+    BJ_NOT_RUN,
+    1 },
 };
 
 typedef struct
@@ -131,6 +146,13 @@
     bj_kernel_answer_begin (k, 10, h->call, &a);
   else if (e == END_DEADLINE)
     bj_kernel_tick (k, 1000);
+  else if (e == END_PROCESS)
+    {
+      bj_kernel_set_end (k, 20);
+      bj_kernel_tick (k, 20);
+    }
+  else if (e == LATE_IN_STOP)
+    bj_kernel_stop_irreversible (k);
   else if (e == END_ANSWERED_UNKNOWN)
     {
       a.outcome = BJ_UNKNOWN;
@@ -158,7 +180,11 @@
   add_peer (k, "one");
   add_peer (k, "two");
   bj_kernel_arrive (k, 0, &r, NULL);
-  if (c->ends[0] == END_CLAIM_LATE)
+  if (c->ends[0] == END_CLAIM_STOPPED)
+    bj_kernel_stop_irreversible (k);
+  if (c->ends[0] == END_UNCLAIMED)
+    end_attempt (k, &h, END_PROCESS);
+  else if (c->ends[0] == END_CLAIM_LATE)
     bj_kernel_claimed (k, 1000, h.call, NULL);
   else if (h.n_sent == 0)
     bj_kernel_claimed (k, 1, h.call, NULL);
