--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -25,6 +25,7 @@
 #define UPLOAD_READ_BYTES (128 * 1024) // of it that the upstream reads before it answers
 #define FLOOD_BYTES (16 * 1024 * 1024) // of a peer, more than the socket buffers hold
 #define FLOOD_PART_BYTES 16384
+#define SURPLUS_REQUESTS 4
 #define SETTLE_MS 200 // for the buffers to fill, and for a FIN to arrive
 
 typedef enum
@@ -1057,6 +1058,156 @@
   g_free (part);
 }
 
+// A store that sends bytes behind each of its replies.
+typedef struct
+{
+  const char *name;
+  double delay_ms; // from the reply to the bytes
+  const char *surplus;
+} SurplusCase;
+
+static const SurplusCase surplus_cases[] = {
+  { "a copy at once", 0, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy" },
+  { "a copy later", 50, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy" },
+  { "garbage at once", 0, "garbage" },
+  { "garbage later", 50, "garbage" },
+};
+
+typedef struct
+{
+  struct ev_loop *loop;
+  const SurplusCase *c;
+  ev_io accept;
+  ev_io conns[SURPLUS_REQUESTS];
+  ev_timer delay;
+  int n_conns;
+  int n_requests;
+  int last_fd;
+} SurplusStore;
+
+static void
+on_surplus_due (struct ev_loop *loop, ev_timer *w, int events)
+{
+  SurplusStore *s = w->data;
+
+  (void)loop;
+  (void)events;
+  send (s->last_fd, s->c->surplus, strlen (s->c->surplus), MSG_NOSIGNAL);
+}
+
+static void
+on_surplus_request (struct ev_loop *loop, ev_io *w, int events)
+{
+  SurplusStore *s = w->data;
+  char buffer[4096];
+  char reply[128];
+
+  (void)events;
+  if (recv (w->fd, buffer, sizeof buffer, 0) <= 0)
+    {
+      ev_io_stop (loop, w);
+      close (w->fd);
+      w->fd = -1;
+      return;
+    }
+  g_snprintf (reply,
+              sizeof reply,
+              "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnr %d%s",
+              ++s->n_requests,
+              s->c->delay_ms > 0 ? "" : s->c->surplus);
+  send (w->fd, reply, strlen (reply), MSG_NOSIGNAL);
+  s->last_fd = w->fd;
+  if (s->c->delay_ms == 0)
+    return;
+  ev_timer_set (&s->delay, s->c->delay_ms / 1000, 0);
+  ev_timer_start (loop, &s->delay);
+}
+
+static void
+on_surplus_accept (struct ev_loop *loop, ev_io *w, int events)
+{
+  SurplusStore *s = w->data;
+  ev_io *conn = &s->conns[s->n_conns++];
+
+  (void)events;
+  ev_io_init (conn, on_surplus_request, accept (w->fd, NULL, NULL), EV_READ);
+  conn->data = s;
+  ev_io_start (loop, conn);
+}
+
+static void
+run_until (struct ev_loop *loop, const bool *is_done, double ms)
+{
+  for (BjTime until = bj_clock_now () + ms; !*is_done && bj_clock_now () < until;)
+    ev_run (loop, EVRUN_ONCE);
+}
+
+static bool
+run_surplus_case (const SurplusCase *c)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  BjHttp *http = bj_http_new (loop);
+  SurplusStore s = { .loop = loop, .c = c };
+  const bool never = false;
+  bool is_right = true;
+  char url[64];
+  int fd;
+
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%d/", daemons_listen (&fd));
+  ev_io_init (&s.accept, on_surplus_accept, fd, EV_READ);
+  ev_timer_init (&s.delay, on_surplus_due, 0, 0);
+  s.accept.data = s.delay.data = &s;
+  ev_io_start (loop, &s.accept);
+  for (int i = 1; i <= SURPLUS_REQUESTS; i++)
+    {
+      Reply r = { .body = g_string_new (NULL) };
+      char expected[16];
+
+      g_snprintf (expected, sizeof expected, "nr %d", i);
+      bj_http_start (http,
+                     &(BjHttpOptions){ .method = "GET",
+                                       .url = url,
+                                       .timeout_ms = WAIT_MS,
+                                       .body_max = 65536,
+                                       .head = on_reply_head,
+                                       .body_part = on_reply_part,
+                                       .done = on_reply_done,
+                                       .data = &r });
+      run_until (loop, &r.is_done, WAIT_MS);
+      if (r.status != BJ_OK || strcmp (r.body->str, expected) != 0)
+        {
+          is_right = false;
+          print_error ("%s: reply to request %d is %s\n", c->name, i, r.body->str);
+        }
+      g_string_free (r.body, TRUE);
+      run_until (loop, &never, 2 * c->delay_ms);
+    }
+  bj_http_free (http);
+  ev_io_stop (loop, &s.accept);
+  ev_timer_stop (loop, &s.delay);
+  close (fd);
+  for (int i = 0; i < s.n_conns; i++)
+    if (s.conns[i].fd >= 0)
+      {
+        ev_io_stop (loop, &s.conns[i]);
+        close (s.conns[i].fd);
+      }
+  ev_loop_destroy (loop);
+  return is_right;
+}
+
+// Guards against bytes behind a reply of the store that are taken for the next one.
+static void
+test_bytes_behind_a_reply_of_the_store (void **state)
+{
+  int n_wrong = 0;
+
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (surplus_cases); i++)
+    n_wrong += !run_surplus_case (&surplus_cases[i]);
+  assert_int_equal (n_wrong, 0);
+}
+
 int
 main (void)
 {
@@ -1065,7 +1216,8 @@
                                       cmocka_unit_test (test_lengths),
                                       cmocka_unit_test (test_answer_to_an_upload),
                                       cmocka_unit_test (test_unsound_response_of_a_peer),
-                                      cmocka_unit_test (test_peer_that_exceeds_the_window) };
+                                      cmocka_unit_test (test_peer_that_exceeds_the_window),
+                                      cmocka_unit_test (test_bytes_behind_a_reply_of_the_store) };
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   bj_log_open (BJ_LOG_ERROR);
