--- a/src/http.c
+++ b/src/http.c
@@ -5,6 +5,8 @@
 #include <ev.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define IDLE_CONNECTIONS_MAX 256
 #define IDLE_MAX_S 5   // a connection idle for longer is not reused
@@ -29,7 +31,9 @@
   struct ev_loop *loop;
   CURLM *multi;
   ev_timer timer;
-  GHashTable *calls;          // set of BjHttpCall*
+  GHashTable *calls;   // set of BjHttpCall*
+  GHashTable *sockets; // descriptors of libcurl's connections, to themselves while in use, to -1
+                       // while idle
   GPtrArray *cancelled_calls; // BjHttpCall* cancelled inside a callback, freed after it
   GPtrArray *oversized_calls; // BjHttpCall* to end after a callback
   int callback_depth;         // above 0 while libcurl may be calling back
@@ -68,6 +72,10 @@
 } Socket;
 
 static int on_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket);
+static curl_socket_t open_socket (void *http, curlsocktype type, struct curl_sockaddr *a);
+static int close_socket (void *http, curl_socket_t fd);
+static void mark_socket (BjHttp *h, curl_socket_t fd, bool is_idle);
+static void disable_foreign_conns (BjHttp *h);
 static int on_timer_change (CURLM *multi, long timeout_ms, void *data);
 static void on_io (struct ev_loop *loop, ev_io *w, int events);
 static void on_timeout (struct ev_loop *loop, ev_timer *w, int events);
@@ -108,6 +116,7 @@
   h->loop = loop;
   h->multi = curl_multi_init ();
   h->calls = g_hash_table_new (NULL, NULL);
+  h->sockets = g_hash_table_new (NULL, NULL);
   h->cancelled_calls = g_ptr_array_new ();
   h->oversized_calls = g_ptr_array_new ();
   ev_timer_init (&h->timer, on_timeout, 0, 0);
@@ -135,6 +144,7 @@
   ev_timer_stop (h->loop, &h->timer);
   ev_timer_stop (h->loop, &h->stall_timer);
   g_hash_table_destroy (h->calls);
+  g_hash_table_destroy (h->sockets);
   g_ptr_array_free (h->cancelled_calls, TRUE);
   g_ptr_array_free (h->oversized_calls, TRUE);
   g_free (h);
@@ -169,6 +179,10 @@
   curl_easy_setopt (c->easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (c->easy, CURLOPT_WRITEDATA, c);
   curl_easy_setopt (c->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (c->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (c->easy, CURLOPT_OPENSOCKETDATA, h);
+  curl_easy_setopt (c->easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (c->easy, CURLOPT_CLOSESOCKETDATA, h);
   if (o->body_max > 0)
     {
       curl_easy_setopt (c->easy, CURLOPT_DEBUGFUNCTION, on_debug);
@@ -204,6 +218,7 @@
   int events = 0;
 
   (void)easy;
+  mark_socket (h, fd, what == CURL_POLL_REMOVE);
   if (what == CURL_POLL_REMOVE)
     {
       if (s != NULL)
@@ -230,6 +245,57 @@
   return 0;
 }
 
+static curl_socket_t
+open_socket (void *http, curlsocktype type, struct curl_sockaddr *a)
+{
+  BjHttp *h = http;
+  int fd = socket (a->family, a->socktype | SOCK_CLOEXEC, a->protocol);
+
+  (void)type;
+  if (fd >= 0)
+    g_hash_table_insert (h->sockets, GINT_TO_POINTER (fd), GINT_TO_POINTER (fd));
+  return fd;
+}
+
+static int
+close_socket (void *http, curl_socket_t fd)
+{
+  g_hash_table_remove (((BjHttp *)http)->sockets, GINT_TO_POINTER (fd));
+  return close (fd);
+}
+
+static void
+mark_socket (BjHttp *h, curl_socket_t fd, bool is_idle)
+{
+  if (g_hash_table_contains (h->sockets, GINT_TO_POINTER (fd)))
+    g_hash_table_insert (h->sockets, GINT_TO_POINTER (fd), GINT_TO_POINTER (is_idle ? -1 : fd));
+}
+
+// Bytes on an idle connection belong to no request. libcurl would reuse it and take them for the
+// next response, so it must find the connection closed.
+static void
+disable_foreign_conns (BjHttp *h)
+{
+  GHashTableIter i;
+  gpointer fd;
+  gpointer state;
+
+  g_hash_table_iter_init (&i, h->sockets);
+  while (g_hash_table_iter_next (&i, &fd, &state))
+    {
+      char bytes[4096];
+
+      if (GPOINTER_TO_INT (state) != -1
+          || recv (GPOINTER_TO_INT (fd), bytes, sizeof bytes, MSG_DONTWAIT) <= 0)
+        continue;
+      n_rejected.value++;
+      bj_log (BJ_LOG_INFO, "LINK", "Received bytes on an idle connection; not using it again.");
+      shutdown (GPOINTER_TO_INT (fd), SHUT_RDWR);
+      while (recv (GPOINTER_TO_INT (fd), bytes, sizeof bytes, MSG_DONTWAIT) > 0)
+        continue;
+    }
+}
+
 static int
 on_timer_change (CURLM *multi, long timeout_ms, void *data)
 {
@@ -263,6 +329,8 @@
 {
   (void)loop;
   (void)events;
+  // libcurl chooses the connections of new requests in this call.
+  disable_foreign_conns (w->data);
   run_socket_action (w->data, CURL_SOCKET_TIMEOUT, 0);
 }
 
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -26,6 +26,7 @@
 #define FLOOD_BYTES (16 * 1024 * 1024) // of a peer, more than the socket buffers hold
 #define FLOOD_PART_BYTES 16384
 #define SURPLUS_REQUESTS 4
+#define WAKE_S 0.01
 #define SETTLE_MS 200 // for the buffers to fill, and for a FIN to arrive
 
 typedef enum
@@ -1135,11 +1136,25 @@
   ev_io_start (loop, conn);
 }
 
+static void
+on_wake (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void)loop;
+  (void)w;
+  (void)events;
+}
+
+// Without a timer the loop would sleep past the time.
 static void
 run_until (struct ev_loop *loop, const bool *is_done, double ms)
 {
+  ev_timer wake;
+
+  ev_timer_init (&wake, on_wake, WAKE_S, WAKE_S);
+  ev_timer_start (loop, &wake);
   for (BjTime until = bj_clock_now () + ms; !*is_done && bj_clock_now () < until;)
     ev_run (loop, EVRUN_ONCE);
+  ev_timer_stop (loop, &wake);
 }
 
 static bool
