--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -20,14 +20,15 @@
 
 #include <cmocka.h>
 
-#define DEADLINE_MS 2500                         // of the call that the upstream answers
-#define CLOSE_MS 4000                            // until the connection must be closed
-#define HEAD_BYTES_MAX (8 * 1024 * 1024)         // mostly socket buffers of loopback
-#define BODY_BYTES_MAX (300 * 1024 * 1024)       // of a response of the own upstream
-#define STORE_BYTES_MAX (16 * 1024 * 1024)       // of a response of the store
-#define MEMORY_BYTES_MAX (24 * 1024 * 1024)      // growth of the heap during a case
-#define CALL_BYTES_MAX (260 * 1024 * 1024 / 186) // of a daemon with 260 MB and 186 calls
+#define DEADLINE_MS 2500                    // of the call that the upstream answers
+#define CLOSE_MS 4000                       // until the connection must be closed
+#define HEAD_BYTES_MAX (8 * 1024 * 1024)    // mostly socket buffers of loopback
+#define BODY_BYTES_MAX (300 * 1024 * 1024)  // of a response of the own upstream
+#define STORE_BYTES_MAX (16 * 1024 * 1024)  // of a response of the store
+#define MEMORY_BYTES_MAX (24 * 1024 * 1024) // growth of the heap during a case
 #define PUMP_BYTES 65536
+// Of a daemon with 260 MB and 186 calls.
+#define CALL_BYTES_MAX (260 * 1024 * 1024 / 186)
 #define SLOW_BYTES 4096 // that a slow caller reads at a time
 #define SLOW_READ_S 0.02
 
