--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -31,10 +31,11 @@
 
 typedef enum
 {
-  KEEP,      // the connection stays open
-  END,       // it is closed with a FIN
-  RESET,     // it is reset
-  END_RESET, // a FIN, then the rest of the upload is answered with a reset
+  KEEP,              // the connection stays open
+  END,               // it is closed with a FIN
+  RESET,             // it is reset
+  END_RESET,         // a FIN, then the rest of the upload is answered with a reset
+  END_RESET_AT_ONCE, // both before the daemon writes on
 } AfterAnswer;
 
 typedef enum
@@ -296,6 +297,7 @@
     0,
     NULL },
   { "no length, then FIN and reset", NO_LENGTH, END_RESET, GIVEN, 200, "body" },
+  { "no length, then FIN and reset at once", NO_LENGTH, END_RESET_AT_ONCE, GIVEN, 200, "body" },
   { "with a length, then reset", GOOD, RESET, GIVEN, 200, "body" },
   { "length not reached, then reset", LENGTH ("Content-Length: 9"), RESET, BROKEN, 0, NULL },
   { "chunks, then reset", CHUNKS ("4\r\nbody\r\n0\r\n\r\n"), RESET, GIVEN, 200, "body" },
@@ -363,6 +365,11 @@
       ev_timer_set (w, SETTLE_MS / 1000.0, 0);
       ev_timer_start (loop, w);
     }
+  else if (u->c->after == END_RESET_AT_ONCE)
+    {
+      shutdown (u->conn.fd, SHUT_WR);
+      close_conn (u, true);
+    }
   else if (u->c->after != KEEP)
     close_conn (u, u->c->after == RESET);
 }
