--- a/src/call.c
+++ b/src/call.c
@@ -51,6 +51,28 @@
   c->deadline_iter = g_sequence_insert_sorted (k->deadlines, c, bj_call_by_deadline, NULL);
 }
 
+void
+bj_kernel_stop_irreversible (BjKernel *k)
+{
+  k->starts_no_irreversible = true;
+}
+
+void
+bj_kernel_set_end (BjKernel *k, BjTime end)
+{
+  GList *all = g_hash_table_get_values (k->calls);
+
+  k->ends_at = end;
+  for (GList *i = all; i != NULL; i = i->next)
+    {
+      BjCall *c = i->data;
+
+      if (c->is_front && !c->detached)
+        bj_call_set_deadline (k, c, MIN (c->deadline, end));
+    }
+  g_list_free (all);
+}
+
 // Cohort of the action: a nested call takes that of its parent. Calls without a cohort, parent or
 // Idempotency-Key get a random one.
 static uint32_t
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -448,28 +448,6 @@
   return MIN (((BjCall *)g_sequence_get (first))->deadline, k->guard.wake_at);
 }
 
-void
-bj_kernel_stop_irreversible (BjKernel *k)
-{
-  k->starts_no_irreversible = true;
-}
-
-void
-bj_kernel_set_end (BjKernel *k, BjTime end)
-{
-  GList *all = g_hash_table_get_values (k->calls);
-
-  k->ends_at = end;
-  for (GList *i = all; i != NULL; i = i->next)
-    {
-      BjCall *c = i->data;
-
-      if (c->is_front && !c->detached)
-        bj_call_set_deadline (k, c, MIN (c->deadline, end));
-    }
-  g_list_free (all);
-}
-
 bool
 bj_kernel_makes_calls (BjKernel *k, const BjCall *c)
 {
