Review: each run of a script has loopback addresses of its own

Cause: two runs side by side took the same UDP ports, which SO_REUSEADDR allows, and their daemons met; one run with TROUBLE=0 of case 8 could not run (exit 2).

--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -187,7 +187,13 @@
   snprintf (n->name, sizeof n->name, "sidecar-%s-%d", zone, rig_n_nodes);
   snprintf (n->zone, sizeof n->zone, "%s", zone);
   snprintf (n->service, sizeof n->service, "%s", service);
-  snprintf (n->ip, sizeof n->ip, "127.0.1.%d", ++rig_n_nodes);
+  // Addresses of its own for each run, so that runs side by side don't meet.
+  snprintf (n->ip,
+            sizeof n->ip,
+            "127.%d.%d.%d",
+            1 + getpid () % 250,
+            1 + getpid () / 250 % 250,
+            ++rig_n_nodes);
   n->outbound = free_port (n->ip);
   n->ready = free_port (n->ip);
   n->control = free_port (n->ip);
